--- /dev/null
+++ b/src/base/metrics.h
@@ -0,0 +1,58 @@
+/** \file
+ * Defines counters and latency distributions (Boost.Accumulators behind) and their text form for /metrics.
+ */
+#pragma once
+
+#include "base/clock.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace laurelhoist {
+
+/** A stream of measurements with its count, mean and p50, p95, p99. */
+class distribution {
+public:
+    distribution();
+    ~distribution();
+    distribution(distribution&&) noexcept;
+    distribution& operator=(distribution&&) noexcept;
+    distribution(const distribution&) = delete;
+    distribution& operator=(const distribution&) = delete;
+
+    void add(double value);
+    std::uint64_t count() const;
+    double mean() const;
+    /** \param probability one of 0.5, 0.95, 0.99. \return the estimated quantile, 0 without values. */
+    double quantile(double probability) const;
+
+private:
+    struct state;
+    std::unique_ptr<state> state_;
+};
+
+/** The counters and distributions of one process. */
+class metrics {
+public:
+    void count(const std::string& name, std::uint64_t amount = 1) { counters_[name] += amount; }
+    void gauge(const std::string& name, double value) { gauges_[name] = value; }
+    void time(const std::string& name, duration span) { distributions_[name].add(to_ms(span)); }
+
+    std::uint64_t counter(const std::string& name) const;
+    /** \return everything, with the invariants' counts, one `name value` a line. */
+    std::string to_text() const;
+
+private:
+    std::map<std::string, std::uint64_t> counters_;
+    std::map<std::string, double> gauges_;
+    std::map<std::string, distribution> distributions_;
+};
+
+/** \return this process's processor time in seconds, user and system. */
+double process_cpu_seconds();
+/** \return this process's resident memory in bytes. */
+std::uint64_t process_resident_bytes();
+
+} // namespace laurelhoist
--- /dev/null
+++ b/src/ledger/bill_types.h
@@ -0,0 +1,42 @@
+/** \file
+ * Defines the bill of one request.
+ */
+#pragma once
+
+#include "base/base.h"
+
+namespace laurelhoist {
+
+/** One billed request. Costs are whole micro-units, so that sums do not depend on their order. */
+struct bill_record {
+    std::string team;
+    std::string request_id;
+    std::string version; ///< model@version of the answer, or service/path
+    std::string kind;
+    int tier = 0;
+    std::int64_t tokens = 0;
+    std::int64_t cost_micro = 0; ///< of every attempt that the request needed
+    double score = -1.0;         ///< rating of the released answer, negative if it was not rated
+    std::int64_t latency_ms = 0;
+    std::string entry;
+    std::int64_t at_ms = 0; ///< wall clock
+};
+LAUREL_VALUE_TYPE(bill_record, team, request_id, version, kind, tier, tokens, cost_micro, score, latency_ms,
+                  entry, at_ms)
+
+/** What makes two records the same bill. */
+struct bill_key {
+    std::string team;
+    std::string request_id;
+};
+LAUREL_VALUE_TYPE(bill_key, team, request_id)
+
+inline bool operator<(const bill_key& left, const bill_key& right) {
+    return std::tie(left.team, left.request_id) < std::tie(right.team, right.request_id);
+}
+
+inline bill_key key_of(const bill_record& record) {
+    return {record.team, record.request_id};
+}
+
+} // namespace laurelhoist
--- /dev/null
+++ b/src/membership/membership.h
@@ -0,0 +1,10 @@
+/** \file
+ * The one public header of the membership library: the hosts, how fresh a node's configuration is known
+ * to be, which entries callers should use, and which endpoints an entry talks to.
+ */
+#pragma once
+
+#include "membership/entry_directory.h"
+#include "membership/freshness.h"
+#include "membership/host_list.h"
+#include "membership/revision_evidence.h"
--- /dev/null
+++ b/src/node/entry_admission.cpp
@@ -0,0 +1,240 @@
+/** \file
+ * The part of the entry that admits a request: who asks, what may be used, at which tier it starts, and
+ * whether there is room for it.
+ */
+#include "node/entry_core.h"
+
+#include <algorithm>
+
+namespace laurelhoist {
+
+namespace {
+
+constexpr int shortest_retry_ms = 50;
+constexpr int longest_retry_ms = 5000;
+constexpr std::size_t longest_key = 256;
+constexpr double queue_budget_share = 0.5; ///< of the latency budget may pass in a queue
+
+bool contains(const std::vector<std::string>& items, const std::string& item) {
+    return std::find(items.begin(), items.end(), item) != items.end();
+}
+
+std::string digest_of(const caller_request& asked) {
+    return sha256_hex(asked.service + "\n" + asked.path + "\n" + asked.body.dump());
+}
+
+} // namespace
+
+std::string team_key_hash(const std::string& key) {
+    return sha256_hex(key);
+}
+
+std::optional<error> entry_core::check_caller(const caller_request& asked, const team_entry*& team) const {
+    if (host_state_ == "draining" || host_state_ == "stopped") {
+        return error{error_kind::stopping, "this host is stopping; ask /v1/entries for another",
+                     ran_state::no, shortest_retry_ms};
+    }
+    if (view_->established() == nullptr) {
+        return error{error_kind::not_fresh, "no bundle is in force here yet; try another entry host",
+                     ran_state::no, 1000};
+    }
+    if (asked.team_key.empty()) {
+        return error{error_kind::unauthorized, "send your team's key as \"Authorization: Bearer <key>\""};
+    }
+    team = view_->team_by_key(team_key_hash(asked.team_key));
+    if (team == nullptr) {
+        return error{error_kind::unauthorized, "no team has this key; ask your operators for the right one"};
+    }
+    if (asked.idempotency_key.size() > longest_key) {
+        return error{error_kind::invalid_request, "the Idempotency-Key is longer than 256 bytes; shorten it"};
+    }
+    return std::nullopt;
+}
+
+std::optional<error> entry_core::prepare_model_request(context& request) {
+    request.ladder = resolve_ladder(*view_, request.pins);
+    if (request.team.ladder.empty()) {
+        return error{error_kind::forbidden,
+                     "team " + request.team.name + " may use no model; ask your operators"};
+    }
+    if (request.ladder.empty()) {
+        return error{error_kind::withdrawn,
+                     "every version that team " + request.team.name +
+                         " may use is withdrawn; a new bundle is needed",
+                     ran_state::no, longest_retry_ms};
+    }
+    for (const auto& [model, version] : request.pins.version_by_model) {
+        const version_name pinned = model + "@" + version;
+        if (!is_usable(request.team.name, pinned)) {
+            request.moved_from = pinned;
+        }
+    }
+    choose_tier(request);
+    request.pool = view_->model(request.version())->pool;
+    return std::nullopt;
+}
+
+std::optional<error> entry_core::prepare_service_request(context& request) {
+    const bundle* document = view_->bundle_for(unit_hash(request.pins.session));
+    const service_entry* service = find_service(*document, request.asked.service);
+    if (service == nullptr) {
+        return error{error_kind::not_found, "there is no service \"" + request.asked.service + "\""};
+    }
+    const team_entry* team = find_team(*document, request.team.name);
+    if (team == nullptr || !contains(team->services, request.asked.service)) {
+        return error{error_kind::forbidden, "team " + request.team.name + " may not use service \"" +
+                                                request.asked.service + "\"; ask your operators"};
+    }
+    const service_call* call = find_call(*service, request.asked.path);
+    if (call == nullptr) {
+        return error{error_kind::not_found,
+                     "service \"" + request.asked.service + "\" has no call \"" + request.asked.path + "\""};
+    }
+    request.is_idempotent = call->idempotent;
+    request.pool = service->pool;
+    constexpr double micro = 1e6;
+    request.cost_micro = static_cast<std::int64_t>(service->cost_per_call * micro);
+    return std::nullopt;
+}
+
+// A request that would wait past its budget is refused at once, with the time to come back: an answer
+// that comes too late costs a slot that an answer in time could have used.
+std::optional<error> entry_core::check_queue(const context& request) const {
+    const auto queued = team_queued_.find(request.team.name);
+    const int waiting = queued == team_queued_.end() ? 0 : queued->second;
+    const auto lane = lanes_.find(request.lane());
+    const double ahead = lane == lanes_.end() ? 0.0 : static_cast<double>(lane->second.size());
+    const double capacity = std::max(1.0, endpoints_.capacity(request.pool));
+    const double wait_ms = ahead * endpoints_.typical_ms(request.pool) / capacity;
+    const bool is_too_long = wait_ms > queue_budget_share * request.team.latency_budget_ms;
+    const bool is_team_alone = ahead <= static_cast<double>(waiting);
+    if (waiting < request.team.max_queued && !(is_too_long && is_team_alone)) {
+        return std::nullopt;
+    }
+    const int retry_ms = std::clamp(static_cast<int>(wait_ms), shortest_retry_ms, longest_retry_ms);
+    return error{error_kind::queue_full,
+                 "team " + request.team.name + " has " + std::to_string(waiting) +
+                     " requests waiting here; come back after the time given, or use another entry host",
+                 ran_state::no, retry_ms};
+}
+
+bool entry_core::answer_from_memory(const caller_request& asked, const team_entry& team) {
+    if (asked.idempotency_key.empty()) {
+        return false;
+    }
+    const bill_key key{team.name, asked.idempotency_key};
+    caller_reply reply;
+    const auto kept = kept_replies_.find(key);
+    if (kept != kept_replies_.end()) {
+        reply = kept->second.reply;
+        if (kept->second.request_digest != digest_of(asked)) {
+            const error reused{error_kind::conflict,
+                               "this Idempotency-Key was used for another request; use a new one"};
+            reply = {};
+            reply.status = http_status(reused.kind);
+            reply.body = to_error_body(reused, "");
+        }
+    } else if (request_by_key_.count(key) > 0) {
+        const error open{error_kind::in_progress,
+                         "a request with this Idempotency-Key is in progress; come back", ran_state::unknown,
+                         500};
+        reply.status = http_status(open.kind);
+        reply.body = to_error_body(open, request_by_key_[key]);
+        reply.retry_after_ms = open.retry_after_ms;
+    } else {
+        return false;
+    }
+    reply.caller = asked.caller;
+    numbers_.count("answers_from_memory");
+    if (asked.stream && reply.status == 200) {
+        stream_part text{stream_part::kind::text, asked.caller, "", reply};
+        text.text = reply.body["choices"][0]["message"]["content"].get<std::string>();
+        port_.stream(text);
+        port_.stream({stream_part::kind::end, asked.caller, "", reply});
+        return true;
+    }
+    port_.reply(reply);
+    return true;
+}
+
+void entry_core::on_request(const caller_request& asked, time_point now) {
+    now_ = now;
+    numbers_.count("requests");
+    const team_entry* team = nullptr;
+    std::optional<error> refusal = check_caller(asked, team);
+    if (!refusal && answer_from_memory(asked, *team)) {
+        return;
+    }
+    context request;
+    request.state = chart_.definition().initial();
+    request.id = random_.identifier("req-");
+    request.bill_id = asked.idempotency_key.empty() ? request.id : asked.idempotency_key;
+    request.asked = asked;
+    request.arrived = now;
+    if (!refusal) {
+        request.team = *team;
+        request.request_digest = digest_of(asked);
+        request.deadline = now + milliseconds(team->latency_budget_ms);
+        request.pins =
+            read_session(asked.session, team->name, settings_.session_key, random_.identifier("s-"));
+        refusal = request.is_service() ? prepare_service_request(request) : prepare_model_request(request);
+    }
+    if (!refusal) {
+        refusal = check_queue(request);
+    }
+    request.refusal = refusal;
+    if (team != nullptr) {
+        ++team_counts_[team->name].asked;
+    }
+    const std::string id = request.id;
+    request_by_caller_[asked.caller] = id;
+    if (!refusal && !asked.idempotency_key.empty()) {
+        request_by_key_[{request.team.name, request.bill_id}] = id;
+    }
+    requests_.emplace(id, std::move(request));
+    fire(id, refusal ? "refused" : "admitted");
+    pump();
+}
+
+quality_estimator::subject entry_core::subject_of(const context& request, const version_name& version) const {
+    return {request.team.name, request.asked.kind, version, request.has_stepped_up};
+}
+
+std::vector<tier_option> entry_core::tier_options(const context& request, std::size_t first) const {
+    std::vector<tier_option> options;
+    constexpr double per_thousand = 1000;
+    for (std::size_t i = first; i < request.ladder.size(); ++i) {
+        const model_entry* model = view_->model(request.ladder[i]);
+        quality_estimator::subject subject = subject_of(request, request.ladder[i]);
+        tier_option option;
+        option.cost = model->cost_per_1k_tokens * request.asked.expected_tokens / per_thousand;
+        option.latency_ms =
+            model->first_token_ms + static_cast<double>(model->token_ms) * request.asked.expected_tokens;
+        option.chance = quality_.chance(subject, model->prior_quality);
+        subject.after_step_up = true;
+        option.chance_after_step_up = quality_.chance(subject, model->prior_quality);
+        options.push_back(option);
+    }
+    return options;
+}
+
+void entry_core::choose_tier(context& request) {
+    const std::size_t first = request.has_stepped_up ? std::min(request.tier, request.ladder.size() - 1) : 0;
+    switch (policies_.tier) {
+    case tier_policy::always_cheap:
+    case tier_policy::fixed_ladder:
+        request.tier = first;
+        return;
+    case tier_policy::always_costly:
+        request.tier = request.ladder.size() - 1;
+        return;
+    case tier_policy::ours:
+        break;
+    }
+    const bool may_step_up = request.team.rate_answers && !request.asked.stream;
+    const double left_ms = to_ms(request.deadline - now_);
+    request.tier = first + choose_start(tier_options(request, first),
+                                        {request.team.quality.share, left_ms, may_step_up});
+}
+
+} // namespace laurelhoist
--- /dev/null
+++ b/src/node/entry_control.cpp
@@ -0,0 +1,414 @@
+/** \file
+ * The part of the entry that talks with stewards: configuration, freshness, bills, claims, the fleet, and
+ * the planned stop.
+ */
+#include "node/entry_core.h"
+
+#include <algorithm>
+
+namespace laurelhoist {
+
+namespace {
+
+constexpr duration ask_interval = milliseconds(500);
+constexpr duration bill_resend = milliseconds(300);
+constexpr int retry_soon_ms = 500;
+
+// Copies to \p message what differs between \p now and \p sent, and notes it as sent.
+template <class Counts>
+void take_changed(const Counts& now, Counts& sent, Counts& message) {
+    for (const auto& [name, counts] : now) {
+        const auto held = sent.find(name);
+        if (held == sent.end() || held->second != counts) {
+            message[name] = counts;
+            sent[name] = counts;
+        }
+    }
+}
+
+} // namespace
+
+// ---- links ----
+
+void entry_core::on_steward_up(const std::string& incarnation, const std::string& domain, time_point now) {
+    now_ = now;
+    links_[incarnation] = {domain, {}, {}, now};
+    last_ask_ = {};
+    ask_stewards();
+}
+
+void entry_core::on_steward_down(const std::string& incarnation, time_point now) {
+    now_ = now;
+    links_.erase(incarnation);
+    outbox_.on_holder_lost(incarnation);
+    send_bills();
+}
+
+void entry_core::on_steward_message(const std::string& incarnation, const node_message& message,
+                                    time_point now) {
+    now_ = now;
+    const auto link = links_.find(incarnation);
+    if (link == links_.end()) {
+        return;
+    }
+    link->second.last_heard = now;
+    std::visit([this, &incarnation](const auto& typed) { on(incarnation, typed); }, message);
+    pump();
+}
+
+void entry_core::ask_stewards() {
+    if (last_ask_ != time_point{} && now_ - last_ask_ < ask_interval) {
+        return;
+    }
+    last_ask_ = now_;
+    for (auto& [incarnation, link] : links_) {
+        entry_ask ask;
+        ask.asked_at = to_micros(now_);
+        ask.entry = {settings_.name,   settings_.incarnation, settings_.address,
+                     settings_.domain, host_state_,           revision()};
+        take_changed(counts_, link.sent_counts, ask.counts);
+        take_changed(team_counts_, link.sent_teams, ask.teams);
+        port_.send_to_steward(incarnation, ask);
+    }
+}
+
+void entry_core::on(const std::string& /*from*/, const entry_confirm& message) {
+    const time_point asked_at = from_micros(message.asked_at);
+    if (asked_at > now_) {
+        return; // Not an echo of ours: a clock that ran backwards must not make us fresher than we are.
+    }
+    freshness_.on_confirmation(asked_at, duration{message.evidence_age}, message.revision);
+    numbers_.gauge("freshness_age_ms", to_ms(freshness_.age(now_)));
+    const outcome<std::string> ready = host_chart_.next(host_state_, "ready");
+    if (value_of(ready) != nullptr && is_ready(now_)) {
+        host_state_ = *value_of(ready);
+        log_info("serving", {{"revision", revision()}});
+    }
+}
+
+bool entry_core::is_ready(time_point now) const {
+    return view_->established() != nullptr && freshness_.is_fresh(now, base_view_->revision());
+}
+
+// ---- configuration ----
+
+void entry_core::on(const std::string& /*from*/, const config_update& message) {
+    if (message.revision <= revision()) {
+        return; // Doubled or late: a node only ever moves to a higher revision.
+    }
+    const outcome<shared_view> next = apply_update(*base_view_, message);
+    if (const error* failure = error_of(next)) {
+        log_error("config_update_refused", {{"revision", message.revision}, {"reason", failure->message}});
+        return;
+    }
+    apply_config(*value_of(next));
+}
+
+void entry_core::apply_config(shared_view next) {
+    const bool is_forward =
+        invariant("configuration_never_reverts", is_successor(base_view_->head(), next->head()), [&] {
+            return json{{"from", revision()}, {"to", next->revision()}};
+        });
+    if (!is_forward) {
+        return;
+    }
+    base_view_ = std::move(next);
+    numbers_.count("configurations_applied");
+    numbers_.gauge("revision", static_cast<double>(revision()));
+    log_info("configuration_in_force", {{"revision", revision()}});
+    for (const bundle* document : {base_view_->established(), base_view_->rolling()}) {
+        for (const pool_entry& pool : document == nullptr ? std::vector<pool_entry>{} : document->pools) {
+            endpoints_.set_slots(pool.name, pool.slots, std::max<std::size_t>(1, entries_.size()));
+        }
+    }
+    apply_notice();
+    last_ask_ = {};
+    ask_stewards(); // Tells at once that the revision is in force here.
+}
+
+// A brake works before it is written to the platform: for as long as the revision stays the same, the
+// versions of the latest notice count as stopped.
+void entry_core::apply_notice() {
+    view_ = base_view_;
+    if (notice_.revision == revision() && !notice_.versions.empty()) {
+        fleet_head head = base_view_->head();
+        for (const version_name& version : notice_.versions) {
+            head.braked.emplace(version, version_stop{"brake notice", 0, ""});
+        }
+        std::map<std::string, bundle> documents;
+        for (const std::string& id : fleet_view::needed_documents(head)) {
+            documents[id] = *base_view_->document(id);
+        }
+        view_ = std::make_shared<fleet_view>(std::move(head), std::move(documents));
+    }
+    reroute_open_requests();
+}
+
+void entry_core::on(const std::string& /*from*/, const brake_notice& message) {
+    if (message.revision != revision() || message == notice_) {
+        return;
+    }
+    std::vector<version_name> versions =
+        notice_.revision == message.revision ? notice_.versions : std::vector<version_name>{};
+    for (const version_name& version : message.versions) {
+        if (std::find(versions.begin(), versions.end(), version) == versions.end()) {
+            versions.push_back(version);
+        }
+    }
+    const brake_notice merged{message.revision, versions};
+    if (merged == notice_) {
+        return;
+    }
+    notice_ = merged;
+    log_warning("braked", {{"versions", versions}, {"revision", revision()}});
+    apply_notice();
+}
+
+// Requests that wait, run or are being rated on a version that was just stopped must not reach a caller.
+void entry_core::reroute_open_requests() {
+    std::vector<std::string> ids;
+    for (const auto& [id, request] : requests_) {
+        if (!request.is_service()) {
+            ids.push_back(id);
+        }
+    }
+    std::sort(ids.begin(), ids.end());
+    for (const std::string& id : ids) {
+        const auto found = requests_.find(id);
+        if (found == requests_.end()) {
+            continue;
+        }
+        context& request = found->second;
+        if (request.state == "queued") {
+            reroute_queued(request);
+        } else if (!is_usable(request.team.name, request.version()) && !is_disabled("stop_in_flight")) {
+            fire(id, "stopped");
+        }
+    }
+}
+
+void entry_core::reroute_queued(context& request) {
+    request.ladder = resolve_ladder(*view_, request.pins);
+    if (request.ladder.empty()) {
+        request.refusal = error{error_kind::withdrawn, "every version that the team may use is withdrawn",
+                                request.may_have_run ? ran_state::unknown : ran_state::no, 0};
+        request.ladder = {""};
+        request.tier = 0;
+        fire(request.id, "refused");
+        return;
+    }
+    request.tier = std::min(request.tier, request.ladder.size() - 1);
+    choose_tier(request);
+    request.pool = view_->model(request.version())->pool;
+    put_in_lane(request, true);
+}
+
+// ---- the fleet ----
+
+void entry_core::on(const std::string& /*from*/, const fleet_update& message) {
+    const bool is_resized = message.entries.size() != entries_.size();
+    entries_ = message.entries;
+    stewards_ = message.stewards;
+    endpoints_.update(message.endpoints, now_);
+    for (const std::string& name : message.leaving) {
+        endpoints_.mark_leaving(name, now_);
+    }
+    if (!is_resized) {
+        return;
+    }
+    for (const bundle* document : {base_view_->established(), base_view_->rolling()}) {
+        for (const pool_entry& pool : document == nullptr ? std::vector<pool_entry>{} : document->pools) {
+            endpoints_.set_slots(pool.name, pool.slots, std::max<std::size_t>(1, entries_.size()));
+        }
+    }
+}
+
+void entry_core::on(const std::string& /*from*/, const endpoints_leaving& message) {
+    for (const std::string& name : message.names) {
+        endpoints_.mark_leaving(name, now_);
+    }
+}
+
+void entry_core::share_leaving(const std::string& endpoint) {
+    for (const auto& [incarnation, link] : links_) {
+        port_.send_to_steward(incarnation, endpoints_leaving{{endpoint}});
+    }
+}
+
+std::vector<entry_choice> entry_core::entries_for(const std::string& session) const {
+    constexpr std::size_t most_choices = 6;
+    std::vector<entry_choice> choices = choose_entries(session, entries_, most_choices);
+    if (choices.empty() && host_state_ == "serving") {
+        choices.push_back({settings_.address, settings_.domain});
+    }
+    return choices;
+}
+
+// ---- bills ----
+
+void entry_core::send_bills() {
+    if (outbox_.size() == 0) {
+        return;
+    }
+    for (const auto& [incarnation, link] : links_) {
+        std::vector<bill_record> unsent = outbox_.take_unsent(incarnation, now_, bill_resend);
+        if (!unsent.empty()) {
+            port_.send_to_steward(incarnation, bill_batch{std::move(unsent)});
+        }
+    }
+}
+
+void entry_core::on(const std::string& from, const bill_held& message) {
+    const std::string domain = links_.at(from).domain;
+    for (const bill_key& key : message.keys) {
+        outbox_.on_held(key, from, domain);
+        const auto waiting = billing_.find(key);
+        if (waiting != billing_.end()) {
+            check_billed(requests_.at(waiting->second));
+        }
+    }
+}
+
+void entry_core::on(const std::string& /*from*/, const bill_drained& message) {
+    for (const bill_key& key : message.keys) {
+        outbox_.on_drained(key);
+        const auto waiting = billing_.find(key);
+        if (waiting != billing_.end()) {
+            check_billed(requests_.at(waiting->second));
+        }
+    }
+}
+
+// ---- claims and look-ups ----
+
+void entry_core::on(const std::string& /*from*/, const claim_reply& message) {
+    const auto found = requests_.find(message.operation);
+    if (found == requests_.end() || found->second.state != "claiming") {
+        return;
+    }
+    context& request = found->second;
+    if (message.result == "created") {
+        request.holds_claim = true;
+        fire(message.operation, "claimed");
+    } else if (message.result == "taken") {
+        request.claim_attempt.clear(); // Another's claim: nothing of ours to void.
+        request.taken_claim = message.claim;
+        fire(message.operation, "claim_taken");
+    } else {
+        request.refusal =
+            error{error_kind::platform_unavailable,
+                  "the platform cannot take the claim that keeps this call from running twice; come back",
+                  ran_state::no, retry_soon_ms};
+        fire(message.operation, "claim_failed");
+    }
+}
+
+void entry_core::on_lookup(caller_handle caller, const std::string& team_key, const std::string& key,
+                           time_point now) {
+    now_ = now;
+    caller_reply reply;
+    reply.caller = caller;
+    const team_entry* team = view_->team_by_key(team_key_hash(team_key));
+    if (team == nullptr) {
+        const error refused{error_kind::unauthorized,
+                            "no team has this key; ask your operators for the right one"};
+        reply.status = http_status(refused.kind);
+        reply.body = to_error_body(refused, key);
+        port_.reply(reply);
+        return;
+    }
+    const auto open = requests_.find(key);
+    const bool is_own_open = open != requests_.end() && open->second.team.name == team->name;
+    const auto kept = kept_replies_.find({team->name, key});
+    if (is_own_open || request_by_key_.count({team->name, key}) > 0) {
+        reply.body = {{"request", key}, {"state", "in_progress"}, {"ran", "unknown"}};
+        port_.reply(reply);
+    } else if (kept != kept_replies_.end()) {
+        reply.body = {
+            {"request", key}, {"state", "done"}, {"ran", "yes"}, {"answer", kept->second.reply.body}};
+        port_.reply(reply);
+    } else if (links_.empty()) {
+        reply.body = {{"request", key}, {"state", "unknown"}, {"ran", "unknown"}};
+        port_.reply(reply);
+    } else {
+        const std::string operation = random_.identifier("look-");
+        lookups_[operation] = caller;
+        port_.send_to_steward(links_.begin()->first, lookup_request{operation, team->name, key});
+    }
+}
+
+void entry_core::on(const std::string& /*from*/, const lookup_reply& message) {
+    const auto found = lookups_.find(message.operation);
+    if (found == lookups_.end()) {
+        return;
+    }
+    caller_reply reply;
+    reply.caller = found->second;
+    lookups_.erase(found);
+    const claim_record& claim = message.claim;
+    if (message.result == "found" && claim.state == "done") {
+        reply.body = {{"request", claim.key}, {"state", "done"}, {"ran", "yes"}, {"answer", claim.answer}};
+    } else if (message.result == "found" && claim.state == "voided") {
+        reply.body = {{"request", claim.key}, {"state", "voided"}, {"ran", "no"}};
+    } else {
+        reply.body = {{"request", claim.key}, {"state", "unknown"}, {"ran", "unknown"}};
+    }
+    port_.reply(reply);
+}
+
+// ---- the planned stop ----
+
+void entry_core::begin_stop(time_point now) {
+    now_ = now;
+    const outcome<std::string> next = host_chart_.next(host_state_, "stop");
+    if (value_of(next) == nullptr) {
+        return;
+    }
+    host_state_ = *value_of(next);
+    stop_began_ = now;
+    log_info("stopping", {{"open_requests", requests_.size()}, {"undrained_bills", outbox_.size()}});
+    last_ask_ = {};
+    ask_stewards();
+}
+
+// Callers keep the list of entries for a while, so a host that is leaving goes on accepting until nobody
+// can hold its address any more; then it refuses, finishes what runs and hands over its records. No timer
+// ends a request: a stop that cuts answers is what this is against.
+void entry_core::advance_stop() {
+    if (host_state_ == "leaving" && now_ - stop_began_ >= settings_.callers_keep_answer) {
+        host_state_ = *value_of(host_chart_.next(host_state_, "unadvertised"));
+        last_ask_ = {};
+    }
+    if (host_state_ == "draining" && requests_.empty() && is_handed_over()) {
+        invariant("planned_stop_cuts_nothing", requests_.empty(), [&] {
+            return json{{"open", requests_.size()}};
+        });
+        host_state_ = *value_of(host_chart_.next(host_state_, "empty"));
+        log_info("stopped", {{"undrained_bills", outbox_.size()}});
+    }
+}
+
+bool entry_core::is_handed_over() const {
+    return outbox_.least_copies() >= wanted_copies();
+}
+
+std::size_t entry_core::wanted_copies() const {
+    std::set<std::string> domains;
+    for (const auto& [incarnation, link] : links_) {
+        domains.insert(link.domain);
+    }
+    return std::clamp<std::size_t>(domains.size(), 1, wanted_bill_copies);
+}
+
+// ---- messages that an entry never gets from a steward ----
+
+void entry_core::on(const std::string& /*from*/, const hello_message& /*message*/) {}
+void entry_core::on(const std::string& /*from*/, const entry_ask& /*message*/) {}
+void entry_core::on(const std::string& /*from*/, const bill_batch& /*message*/) {}
+void entry_core::on(const std::string& /*from*/, const claim_request& /*message*/) {}
+void entry_core::on(const std::string& /*from*/, const claim_finish& /*message*/) {}
+void entry_core::on(const std::string& /*from*/, const lookup_request& /*message*/) {}
+void entry_core::on(const std::string& /*from*/, const peer_ask& /*message*/) {}
+void entry_core::on(const std::string& /*from*/, const peer_answer& /*message*/) {}
+
+} // namespace laurelhoist
--- /dev/null
+++ b/src/node/entry_core.h
@@ -0,0 +1,253 @@
+/** \file
+ * Defines the entry: every decision about a caller's request from its arrival to its one answer, as a
+ * state machine without I/O. Events come in as method calls with the time; acts go out through the port.
+ */
+#pragma once
+
+#include "chart/chart.h"
+#include "node/config_delta.h"
+#include "node/request_context.h"
+
+#include <list>
+#include <unordered_map>
+
+namespace laurelhoist {
+
+/** What an entry is told at its start. */
+struct entry_settings {
+    std::string name;
+    std::string incarnation;
+    std::string address; ///< where callers reach it
+    std::string domain;
+    std::string session_key;                   ///< signs session tokens; the same on every entry
+    duration callers_keep_answer = seconds(5); ///< how long callers keep the answer of /v1/entries
+};
+
+/** The charts that an entry interprets. */
+struct entry_charts {
+    chart request;
+    chart endpoint;
+    chart host;
+};
+
+/** How tiers are chosen; the experiment program compares them. */
+enum class tier_policy { ours, always_cheap, always_costly, fixed_ladder };
+
+/** Choices that the experiment program varies; the defaults are what the product does. */
+struct entry_policies {
+    tier_policy tier = tier_policy::ours;
+    endpoint_policy endpoint = endpoint_policy::ours;
+};
+
+class entry_core {
+public:
+    entry_core(entry_settings settings, const entry_charts& charts, entry_port& port, metrics& numbers,
+               std::uint64_t seed, entry_policies policies = {}, disabled_guards disabled = {});
+
+    // Callers.
+    void on_request(const caller_request& request, time_point now);
+    void on_caller_gone(caller_handle caller, time_point now);
+    /** \return the entries that the caller should use, best first. */
+    std::vector<entry_choice> entries_for(const std::string& session) const;
+    /** Answers "what became of my request": at once if this entry knows, else through a steward. */
+    void on_lookup(caller_handle caller, const std::string& team_key, const std::string& key, time_point now);
+
+    // Endpoints and the rating service.
+    void on_endpoint_answer(const std::string& call_id, const endpoint_answer& answer, time_point now);
+    /** \param index number of the part within the whole answer, from 0 */
+    void on_endpoint_part(const std::string& call_id, int index, const std::string& text, time_point now);
+    /** \param score nothing if the rating service did not answer in time */
+    void on_rating(const std::string& call_id, std::optional<double> score, time_point now);
+
+    // Stewards, by incarnation.
+    void on_steward_up(const std::string& incarnation, const std::string& domain, time_point now);
+    void on_steward_down(const std::string& incarnation, time_point now);
+    void on_steward_message(const std::string& incarnation, const node_message& message, time_point now);
+
+    /** Must be called at least every 100 ms. */
+    void on_tick(time_point now);
+    /** Begins a planned stop. */
+    void begin_stop(time_point now);
+
+    /** \return whether the planned stop is complete: nothing runs and every record is handed over. */
+    bool is_stopped() const { return host_state_ == "stopped"; }
+    bool is_ready(time_point now) const;
+    const std::string& host_state() const { return host_state_; }
+    std::size_t open_requests() const { return requests_.size(); }
+    std::int64_t revision() const { return base_view_->revision(); }
+    const fleet_view& view() const { return *view_; }
+    const std::vector<steward_record>& stewards() const { return stewards_; }
+    std::size_t undrained_bills() const { return outbox_.size(); }
+
+private:
+    using context = request_context;
+    using request_chart = bound_chart<entry_core, context>;
+
+    struct steward_link {
+        std::string domain;
+        counts_by_version sent_counts;
+        std::map<std::string, team_counts> sent_teams;
+        time_point last_heard;
+    };
+    struct kept_reply {
+        caller_reply reply;
+        std::string request_digest;
+        time_point at;
+    };
+    struct background_rating {
+        quality_estimator::subject subject;
+        version_name version;
+        double score_wanted = 0;
+        double prior = 0;
+    };
+
+    static request_chart bind_request_chart(const chart& definition);
+
+    // Guards of the request chart.
+    bool needs_claim(const context& request) const;
+    bool wants_rating(const context& request) const;
+    bool may_send_again(const context& request) const;
+    bool may_retry(const context& request) const;
+    bool is_rerun_on_stop(const context& request) const;
+    bool is_cancellable(const context& request) const;
+    bool should_step_up(const context& request) const;
+    bool has_earlier_answer(const context& request) const;
+
+    // Actions of the request chart.
+    void enqueue(context& request);
+    void enqueue_first(context& request);
+    void ask_claim(context& request);
+    void dispatch(context& request);
+    void ask_rating(context& request);
+    void retry(context& request);
+    void rerun(context& request);
+    void step_up(context& request);
+    void bill(context& request);
+    void bill_earlier(context& request);
+    void release(context& request);
+    void answer_error(context& request);
+    void answer_from_claim(context& request);
+    void give_up(context& request);
+    void fail(context& request);
+    void fail_unbilled(context& request);
+    void abandon(context& request);
+
+    // Admission (entry_admission.cpp).
+    std::optional<error> check_caller(const caller_request& asked, const team_entry*& team) const;
+    std::optional<error> prepare_model_request(context& request);
+    std::optional<error> prepare_service_request(context& request);
+    std::optional<error> check_queue(const context& request) const;
+    bool answer_from_memory(const caller_request& asked, const team_entry& team);
+    void choose_tier(context& request);
+    std::vector<tier_option> tier_options(const context& request, std::size_t first) const;
+    quality_estimator::subject subject_of(const context& request, const version_name& version) const;
+
+    // Control (entry_control.cpp).
+    void on(const std::string& from, const hello_message& message);
+    void on(const std::string& from, const entry_ask& message);
+    void on(const std::string& from, const entry_confirm& message);
+    void on(const std::string& from, const config_update& message);
+    void on(const std::string& from, const fleet_update& message);
+    void on(const std::string& from, const bill_batch& message);
+    void on(const std::string& from, const bill_held& message);
+    void on(const std::string& from, const bill_drained& message);
+    void on(const std::string& from, const claim_request& message);
+    void on(const std::string& from, const claim_reply& message);
+    void on(const std::string& from, const claim_finish& message);
+    void on(const std::string& from, const lookup_request& message);
+    void on(const std::string& from, const lookup_reply& message);
+    void on(const std::string& from, const endpoints_leaving& message);
+    void on(const std::string& from, const brake_notice& message);
+    void on(const std::string& from, const peer_ask& message);
+    void on(const std::string& from, const peer_answer& message);
+    void apply_config(shared_view next);
+    void apply_notice();
+    void reroute_open_requests();
+    void reroute_queued(context& request);
+    void ask_stewards();
+    void send_bills();
+    void advance_stop();
+    bool is_handed_over() const;
+    std::size_t wanted_copies() const;
+    void share_leaving(const std::string& endpoint);
+
+    // Calls and queues.
+    void fire(std::string request_id, const std::string& event);
+    void finish(const std::string& request_id);
+    void put_in_lane(context& request, bool first);
+    void take_from_lane(context& request);
+    void pump();
+    void pump_lane(const std::string& lane);
+    bool try_start(const std::string& lane);
+    void start_on(context& request, const endpoint_record& endpoint);
+    endpoint_wish wish_for(const context& request) const;
+    void end_call(context& request, call_result result);
+    void take_answer(context& request, const endpoint_answer& answer);
+    void check_time(context& request);
+    void check_billed(context& request);
+    void find_other_way(context& request);
+    bool is_fresh() const;
+    bool is_usable(const std::string& team, const version_name& version) const;
+    duration call_timeout(const context& request) const;
+    bool is_disabled(const char* guard) const { return disabled_.count(guard) > 0; }
+
+    // Answers (entry_replies.cpp).
+    caller_reply make_reply(const context& request) const;
+    void send_error(const context& request, const error& failure);
+    error refusal_of(const context& request) const;
+    void count_release(const context& request);
+    void check_release(const context& request);
+    void finish_claim(const context& request, const std::string& state);
+    void remember(const context& request, const caller_reply& reply);
+    void rate_in_background(const context& request);
+    void note_rating(const quality_estimator::subject& subject, const version_name& version, double score,
+                     double wanted, double prior);
+    version_counts& counts_of(const version_name& version);
+
+    entry_settings settings_;
+    request_chart chart_;
+    chart host_chart_;
+    entry_port& port_;
+    metrics& numbers_;
+    random_source random_;
+    entry_policies policies_;
+    disabled_guards disabled_;
+    time_point now_;
+
+    std::string host_state_;
+    time_point stop_began_;
+    shared_view base_view_; ///< the configuration as accepted
+    shared_view view_;      ///< the same with the versions of a brake notice stopped
+    freshness freshness_;
+    std::map<std::string, steward_link> links_;
+    std::vector<steward_record> stewards_;
+    std::vector<entry_record> entries_;
+    brake_notice notice_;
+    time_point last_ask_;
+
+    endpoint_table endpoints_;
+    std::map<std::string, fair_queue> lanes_;
+    std::map<std::string, int> team_in_flight_;
+    std::map<std::string, int> team_queued_;
+    retry_budget retries_;
+    quality_estimator quality_;
+    counts_by_version counts_;
+    std::map<std::string, team_counts> team_counts_;
+
+    std::unordered_map<std::string, context> requests_;
+    std::unordered_map<std::string, std::string> request_by_call_;
+    std::unordered_map<std::string, background_rating> background_ratings_;
+    std::unordered_map<caller_handle, std::string> request_by_caller_;
+    std::map<bill_key, std::string> request_by_key_;
+    std::map<bill_key, kept_reply> kept_replies_;
+    std::list<bill_key> kept_order_;
+    std::map<std::string, caller_handle> lookups_;
+    bill_outbox outbox_;
+    std::map<bill_key, std::string> billing_; ///< requests whose answers wait for their bills
+    bool is_pumping_ = false;
+};
+
+/** Lower-case hexadecimal SHA-256 under which a team's key is kept. */
+std::string team_key_hash(const std::string& key);
+
+} // namespace laurelhoist
--- /dev/null
+++ b/src/node/entry_port.h
@@ -0,0 +1,118 @@
+/** \file
+ * Defines how an entry's decisions reach the world. The program turns these into sockets; tests and long
+ * random runs into events of a virtual clock. No method may call back into the core before it returns.
+ */
+#pragma once
+
+#include "node/messages.h"
+#include "routing/routing.h"
+
+namespace laurelhoist {
+
+/** Names a caller's open connection. */
+using caller_handle = std::uint64_t;
+
+/** What a caller asks. */
+struct caller_request {
+    caller_handle caller = 0;
+    std::string team_key;
+    std::string service;         ///< empty for a model request
+    std::string path;            ///< of the service call
+    std::string kind;            ///< the caller's word for what sort of request it is
+    std::string idempotency_key; ///< empty: none
+    std::string session;         ///< a token of ours or the caller's own id; may be empty
+    std::string prefix;          ///< identifies the start of the prompt, for the prefix cache
+    bool stream = false;
+    json body;
+    int expected_tokens = 200;
+};
+
+/** One request of a recorded trace (docs/INTERFACES.md): what the decisions see of it, without its text
+ * and without the key. */
+struct trace_line {
+    std::int64_t at_us = 0; ///< since the beginning of the trace
+    std::string team;
+    std::string kind;
+    std::string service;
+    std::string path;
+    bool stream = false;
+    int tokens = 200;
+};
+LAUREL_VALUE_TYPE(trace_line, at_us, team, kind, service, path, stream, tokens)
+
+/** A call to an endpoint. */
+struct endpoint_call {
+    std::string call_id; ///< echoed by the answer
+    std::string request_id;
+    endpoint_record endpoint;
+    std::string version; ///< model@version, empty for services
+    std::string path;    ///< of a service call
+    json body;
+    bool stream = false;
+    bool is_idempotent = true;
+    int resume_from = 0; ///< parts of the stream that have arrived
+    int priority = 0;    ///< larger is more urgent
+    duration timeout{};  ///< for the whole answer, or between two parts of a stream
+};
+
+/** How a call ended. */
+struct endpoint_answer {
+    call_result result = call_result::failed;
+    std::string request_id; ///< as the endpoint echoes it
+    std::string version;    ///< the model@version that the engine itself names
+    bool version_missing = false;
+    bool is_silent = false; ///< nothing came for the call's timeout
+    json body;              ///< of a service
+    int status = 0;         ///< of a service
+    std::string text;
+    std::int64_t tokens = 0;
+    load_report report;
+};
+
+/** What a caller gets, whole. */
+struct caller_reply {
+    caller_handle caller = 0;
+    int status = 200;
+    json body;
+    std::string request_id;
+    std::string session; ///< token to return
+    std::string version;
+    std::string moved_from; ///< the pinned version that may no longer be used, if the session was moved
+    int tier = -1;
+    int retry_after_ms = 0;
+};
+
+/** A part of a streamed answer. */
+struct stream_part {
+    enum class kind { text, restart, end, failure };
+    kind what = kind::text;
+    caller_handle caller = 0;
+    std::string text;
+    caller_reply summary; ///< with the first part and the end
+};
+
+/** An answer to be rated. */
+struct rating_request {
+    std::string call_id;
+    std::string request_id;
+    version_name version;
+    json request;
+    std::string answer;
+};
+
+class entry_port {
+public:
+    entry_port() = default;
+    entry_port(const entry_port&) = delete;
+    entry_port& operator=(const entry_port&) = delete;
+    virtual ~entry_port() = default;
+
+    virtual void call_endpoint(const endpoint_call& call) = 0;
+    virtual void cancel_call(const std::string& call_id) = 0;
+    virtual void request_rating(const rating_request& request) = 0;
+    virtual void send_to_steward(const std::string& incarnation, const node_message& message) = 0;
+    virtual void reply(const caller_reply& reply) = 0;
+    virtual void stream(const stream_part& part) = 0;
+};
+
+} // namespace laurelhoist
--- /dev/null
+++ b/src/node/entry_replies.cpp
@@ -0,0 +1,289 @@
+/** \file
+ * The part of the entry that ends a request: bill, release, refusal.
+ */
+#include "node/entry_core.h"
+
+#include <algorithm>
+
+namespace laurelhoist {
+
+namespace {
+
+constexpr std::size_t most_kept_replies = 2000;
+constexpr duration degraded_billing_wait = milliseconds(200);
+constexpr int retry_soon_ms = 500;
+
+bool names_any(const version_name& version, const std::vector<version_name>& ladder) {
+    return std::find(ladder.begin(), ladder.end(), version) != ladder.end();
+}
+
+} // namespace
+
+version_counts& entry_core::counts_of(const version_name& version) {
+    return counts_[evidence_key(*view_, version)];
+}
+
+void entry_core::note_rating(const quality_estimator::subject& subject, const version_name& version,
+                             double score, double wanted, double prior) {
+    const bool is_met = score >= wanted;
+    quality_.observe(subject, is_met, prior);
+    version_counts& counts = counts_of(version);
+    ++counts.rated;
+    counts.below += is_met ? 0 : 1;
+}
+
+// ---- billing ----
+
+void entry_core::bill(context& request) {
+    const bool is_earlier_better = has_earlier_answer(request) && request.answer && request.answer->score &&
+                                   *request.earlier->score > *request.answer->score;
+    if (is_earlier_better) {
+        request.answer = request.earlier;
+    }
+    bill_record record;
+    record.team = request.team.name;
+    record.request_id = request.bill_id;
+    record.version = request.answer->version;
+    record.kind = request.asked.kind;
+    record.tier = request.answer->tier;
+    record.tokens = request.answer->tokens;
+    record.cost_micro = request.cost_micro;
+    record.score = request.answer->score.value_or(-1.0);
+    record.latency_ms = static_cast<std::int64_t>(to_ms(now_ - request.arrived));
+    record.entry = settings_.incarnation;
+    record.at_ms = wall_clock_ms();
+    request.billing_since = now_;
+    billing_[key_of(record)] = request.id;
+    outbox_.add(record, now_);
+    if (!request.is_idempotent) {
+        finish_claim(request, "done");
+    }
+    send_bills();
+    if (is_disabled("bill_before_release")) {
+        fire(request.id, "billed");
+    }
+}
+
+void entry_core::bill_earlier(context& request) {
+    request.answer = request.earlier;
+    bill(request);
+}
+
+// An answer is released when its bill would survive the loss of any one failure domain. With one steward
+// left, its copy and this entry's own are two; with none, the answer is held: never run unbilled.
+void entry_core::check_billed(context& request) {
+    const std::size_t copies = outbox_.copies({request.team.name, request.bill_id});
+    const bool is_degraded = now_ - request.billing_since >= degraded_billing_wait;
+    if (copies >= wanted_copies() || (copies >= 1 && is_degraded)) {
+        numbers_.count(copies >= wanted_bill_copies ? "bills_held_twice" : "bills_held_once");
+        fire(request.id, "billed");
+    }
+}
+
+void entry_core::fail_unbilled(context& request) {
+    outbox_.on_drained({request.team.name, request.bill_id});
+    send_error(request, {error_kind::ledger_unavailable,
+                         "no steward could hold the bill, so the answer was not released; come back",
+                         ran_state::yes, retry_soon_ms});
+}
+
+// ---- release ----
+
+void entry_core::check_release(const context& request) {
+    const pending_answer& answer = *request.answer;
+    invariant("billed_exactly_once", outbox_.copies({request.team.name, request.bill_id}) >= 1, [&] {
+        return json{{"request", request.id}};
+    });
+    if (request.is_service()) {
+        return;
+    }
+    const std::string model = model_of(answer.version);
+    if (request.pin_at_dispatch && model_of(*request.pin_at_dispatch) == model) {
+        invariant("session_keeps_version", *request.pin_at_dispatch == answer.version, [&] {
+            return json{{"session", request.pins.session},
+                        {"pin", *request.pin_at_dispatch},
+                        {"got", answer.version}};
+        });
+    }
+    invariant("allowed_answer",
+              view_->is_withdrawn(answer.version) || names_any(answer.version, request.ladder), [&] {
+                  return json{{"request", request.id}, {"got", answer.version}};
+              });
+}
+
+caller_reply entry_core::make_reply(const context& request) const {
+    caller_reply reply;
+    reply.caller = request.asked.caller;
+    reply.request_id = request.id;
+    reply.moved_from = request.moved_from;
+    session_pins pins = request.pins;
+    if (!request.is_service()) {
+        const version_name version = request.answer ? request.answer->version : request.version();
+        reply.version = version;
+        reply.tier = request.answer ? request.answer->tier : static_cast<int>(request.tier);
+        pins.version_by_model[model_of(version)] = version_of(version);
+    }
+    reply.session = encode_session(pins, settings_.session_key);
+    return reply;
+}
+
+void entry_core::release(context& request) {
+    check_release(request);
+    count_release(request);
+    caller_reply reply = make_reply(request);
+    const pending_answer& answer = *request.answer;
+    if (request.is_service()) {
+        reply.status = answer.status;
+        reply.body = answer.body;
+    } else {
+        reply.body = {
+            {"id", request.id},
+            {"object", "chat.completion"},
+            {"model", answer.version},
+            {"choices", json::array({{{"index", 0},
+                                      {"message", {{"role", "assistant"}, {"content", answer.text}}},
+                                      {"finish_reason", "stop"}}})},
+            {"usage", {{"completion_tokens", answer.tokens}}},
+            {"laurelhoist",
+             {{"version", answer.version},
+              {"tier", answer.tier},
+              {"request_id", request.id},
+              {"quality_met", !answer.score || *answer.score >= request.team.quality.score}}}};
+    }
+    remember(request, reply);
+    if (request.asked.stream) {
+        port_.stream({stream_part::kind::end, request.asked.caller, "", reply});
+        rate_in_background(request);
+    } else {
+        port_.reply(reply);
+    }
+}
+
+void entry_core::count_release(const context& request) {
+    numbers_.count("released");
+    ++team_counts_[request.team.name].whole;
+    if (request.is_service()) {
+        return;
+    }
+    version_counts& counts = counts_of(request.answer->version);
+    ++counts.released;
+    if (request.answer->score && *request.answer->score < request.team.quality.score) {
+        ++counts.released_below;
+    }
+}
+
+void entry_core::remember(const context& request, const caller_reply& reply) {
+    if (request.asked.idempotency_key.empty()) {
+        return;
+    }
+    const bill_key key{request.team.name, request.bill_id};
+    if (kept_replies_.count(key) == 0) {
+        kept_order_.push_back(key);
+    }
+    kept_replies_[key] = {reply, request.request_digest, now_};
+    if (kept_order_.size() > most_kept_replies) {
+        kept_replies_.erase(kept_order_.front());
+        kept_order_.pop_front();
+    }
+}
+
+// A stream has been sent before it could be rated; its rating teaches the next choice and the brake.
+void entry_core::rate_in_background(const context& request) {
+    constexpr std::size_t most_background_ratings = 500;
+    if (background_ratings_.size() >= most_background_ratings) {
+        return;
+    }
+    const std::string id = random_.identifier("rate-");
+    const model_entry* model = view_->model(request.answer->version);
+    background_ratings_[id] = {subject_of(request, request.answer->version), request.answer->version,
+                               request.team.quality.score, model == nullptr ? 0.5 : model->prior_quality};
+    port_.request_rating({id, request.id, request.answer->version, request.asked.body, request.answer->text});
+}
+
+// ---- refusals ----
+
+void entry_core::send_error(const context& request, const error& failure) {
+    invariant("not_run_is_true", failure.ran != ran_state::no || !request.may_have_run, [&] {
+        return json{
+            {"request", request.id}, {"kind", to_string(failure.kind)}, {"attempts", request.attempts}};
+    });
+    if (!request.team.name.empty()) {
+        team_counts& counts = team_counts_[request.team.name];
+        ++(failure.ran == ran_state::no ? counts.refused : counts.failed);
+    }
+    numbers_.count(std::string("refused_") + to_string(failure.kind));
+    caller_reply reply;
+    reply.caller = request.asked.caller;
+    reply.status = http_status(failure.kind);
+    reply.body = to_error_body(failure, request.id);
+    reply.request_id = request.id;
+    reply.retry_after_ms = failure.retry_after_ms;
+    if (request.asked.stream) {
+        port_.stream({stream_part::kind::failure, request.asked.caller, "", reply});
+    } else {
+        port_.reply(reply);
+    }
+}
+
+error entry_core::refusal_of(const context& request) const {
+    error refusal = request.refusal.value_or(
+        error{error_kind::deadline_exceeded,
+              "the latency budget of the team ran out before a slot was free; come back", ran_state::no,
+              retry_soon_ms});
+    if (request.may_have_run && !is_disabled("not_run_truth")) {
+        refusal.ran = ran_state::unknown;
+    }
+    return refusal;
+}
+
+void entry_core::answer_error(context& request) {
+    send_error(request, *request.refusal);
+}
+
+void entry_core::give_up(context& request) {
+    if (!request.may_have_run) {
+        finish_claim(request, "voided");
+    }
+    send_error(request, refusal_of(request));
+}
+
+void entry_core::answer_from_claim(context& request) {
+    const claim_record& claim = *request.taken_claim;
+    if (claim.request_digest != request.request_digest) {
+        send_error(request, {error_kind::conflict,
+                             "this Idempotency-Key was used for another request; use a new one"});
+        return;
+    }
+    if (claim.state != "done") {
+        send_error(request,
+                   {error_kind::outcome_unknown,
+                    "an earlier call with this Idempotency-Key may have run; its outcome is not known yet",
+                    ran_state::unknown, retry_soon_ms});
+        return;
+    }
+    numbers_.count("answers_from_claims");
+    caller_reply reply = make_reply(request);
+    reply.status = claim.status;
+    reply.body = claim.answer;
+    port_.reply(reply);
+}
+
+void entry_core::fail(context& request) {
+    const bool is_late = now_ >= request.deadline;
+    const error_kind kind = !request.is_idempotent ? error_kind::outcome_unknown
+                            : is_late              ? error_kind::deadline_exceeded
+                                                   : error_kind::endpoint_failed;
+    const std::string message =
+        request.is_idempotent
+            ? "no endpoint gave a whole answer in time; it is safe to send the request again"
+            : "the call was sent and its answer was lost; look up /v1/requests before acting again";
+    send_error(request, {kind, message, ran_state::unknown, request.is_idempotent ? retry_soon_ms : 0});
+}
+
+void entry_core::abandon(context& request) {
+    if (!request.may_have_run) {
+        finish_claim(request, "voided");
+    }
+}
+
+} // namespace laurelhoist
--- /dev/null
+++ b/src/programs/laurel_entry.cpp
@@ -0,0 +1,656 @@
+/** \file
+ * The program laurel-entry: the callers' HTTP interface around the entry's decisions.
+ */
+#include "node/node.h"
+#include "programs/common.h"
+
+#include <gflags/gflags.h>
+
+#include <algorithm>
+#include <fstream>
+#include <unordered_map>
+
+DEFINE_string(name, "", "this host's name, as the platform lists it");
+DEFINE_string(domain, "", "the failure domain of this host");
+DEFINE_string(listen, "127.0.0.1:8080", "address for callers");
+DEFINE_string(advertise, "", "address that callers are told to use; empty: the one listened on");
+DEFINE_string(stewards, "127.0.0.1:7000", "addresses of stewards to begin with, separated by commas");
+DEFINE_uint32(steward_links, 3, "stewards to keep links with");
+DEFINE_string(rater, "", "address of the rating service; empty: answers are not rated");
+DEFINE_uint32(rating_timeout_ms, 2000, "how long a rating may take");
+DEFINE_uint32(callers_keep_ms, 5000, "how long callers may keep the answer of /v1/entries");
+DEFINE_uint32(max_body_bytes, 1048576, "largest request body");
+DEFINE_string(session_key, "", "key that signs session tokens; the same on every entry host");
+DEFINE_string(fleet_key, "", "key shared by entries and stewards");
+DEFINE_string(charts, "charts", "directory of the state charts");
+DEFINE_string(record, "", "file to record the requests' trace into; empty: none");
+
+namespace laurelhoist {
+
+namespace {
+
+constexpr duration tick_interval = milliseconds(50);
+constexpr duration connect_interval = milliseconds(500);
+constexpr int default_expected_tokens = 200;
+constexpr std::size_t prefix_length = 200;
+
+/** A caller that waits. */
+struct waiting_caller {
+    std::shared_ptr<http_responder> responder;
+    bool is_stream = false;
+    bool has_begun = false;
+};
+
+/** Puts the pieces of a server-sent event stream together. */
+class event_splitter {
+public:
+    /** \return the data of the events that \p piece completes. */
+    std::vector<std::string> add(const std::string& piece) {
+        text_ += piece;
+        std::vector<std::string> events;
+        std::size_t end = text_.find("\n\n");
+        while (end != std::string::npos) {
+            const std::string event = text_.substr(0, end);
+            text_.erase(0, end + 2);
+            constexpr std::string_view field = "data: ";
+            if (event.rfind(field, 0) == 0) {
+                events.push_back(event.substr(field.size()));
+            }
+            end = text_.find("\n\n");
+        }
+        return events;
+    }
+
+private:
+    std::string text_;
+};
+
+class entry_program : public entry_port {
+public:
+    entry_program();
+    void run();
+
+    void call_endpoint(const endpoint_call& call) override;
+    void cancel_call(const std::string& call_id) override;
+    void request_rating(const rating_request& request) override;
+    void send_to_steward(const std::string& incarnation, const node_message& message) override;
+    void reply(const caller_reply& reply) override;
+    void stream(const stream_part& part) override;
+
+private:
+    struct steward_connection {
+        std::string address;
+        std::string incarnation; ///< empty until its hello has come
+    };
+    struct open_stream {
+        event_splitter events;
+        std::string text;
+        std::int64_t tokens = 0;
+        bool is_complete = false;
+        std::string version;
+        std::string request_id;
+    };
+
+    static entry_settings read_entry_settings();
+    void on_http(const http_request& request, const std::shared_ptr<http_responder>& responder);
+    void on_model_request(const http_request& request, const std::shared_ptr<http_responder>& responder);
+    void on_service_request(const http_request& request, const std::shared_ptr<http_responder>& responder);
+    void on_entries(const http_request& request, const std::shared_ptr<http_responder>& responder);
+    void on_lookup(const http_request& request, const std::shared_ptr<http_responder>& responder);
+    caller_request begin_request(const http_request& request,
+                                 const std::shared_ptr<http_responder>& responder, bool is_stream);
+    void submit(const caller_request& asked);
+
+    void connect_stewards();
+    void on_link_open(link_id link);
+    void on_link_message(link_id link, const std::string& bytes);
+    void on_link_close(link_id link);
+    hello_message make_hello() const;
+
+    void on_engine_answer(const endpoint_call& call, const http_answer& answer);
+    void on_engine_piece(const std::string& call_id, const std::string& piece);
+    static http_headers reply_headers(const caller_reply& reply);
+
+    entry_settings settings_;
+    event_loop loop_;
+    metrics numbers_;
+    entry_charts charts_;
+    entry_core core_;
+    http_client client_;
+    link_client links_;
+    std::unique_ptr<http_server> server_;
+    caller_handle last_caller_ = 0;
+    std::unordered_map<caller_handle, waiting_caller> callers_;
+    std::unordered_map<std::string, http_client::canceller> calls_;
+    std::unordered_map<std::string, open_stream> streams_;
+    std::map<link_id, steward_connection> connections_;
+    std::map<std::string, link_id> link_by_steward_;
+    std::size_t next_candidate_ = 0;
+    std::unique_ptr<std::ostream> record_;
+    std::int64_t recorded_since_ = 0;
+};
+
+entry_settings entry_program::read_entry_settings() {
+    require_setting(!FLAGS_name.empty(), "name", FLAGS_name, "give this host's name");
+    require_setting(!FLAGS_domain.empty(), "domain", FLAGS_domain, "give this host's failure domain");
+    require_setting(FLAGS_session_key.size() >= 16, "session_key", "(hidden)",
+                    "give a key of at least 16 characters");
+    require_setting(FLAGS_fleet_key.size() >= 16, "fleet_key", "(hidden)",
+                    "give a key of at least 16 characters");
+    require_setting(!split_list(FLAGS_stewards).empty(), "stewards", FLAGS_stewards,
+                    "name at least one steward");
+    require_setting(FLAGS_steward_links >= 2, "steward_links", std::to_string(FLAGS_steward_links),
+                    "keep at least 2 links, so that the loss of one steward stops nothing");
+    for (const std::string& steward : split_list(FLAGS_stewards)) {
+        require_address("stewards", steward);
+    }
+    if (!FLAGS_rater.empty()) {
+        require_address("rater", FLAGS_rater);
+    }
+    random_source random(entropy_seed());
+    entry_settings settings;
+    settings.name = FLAGS_name;
+    settings.incarnation = random.identifier(FLAGS_name + "-");
+    settings.address = FLAGS_advertise.empty() ? FLAGS_listen : FLAGS_advertise;
+    settings.domain = FLAGS_domain;
+    settings.session_key = FLAGS_session_key;
+    settings.callers_keep_answer = milliseconds(FLAGS_callers_keep_ms);
+    return settings;
+}
+
+entry_program::entry_program()
+    : settings_{read_entry_settings()},
+      charts_{load_chart_or_exit(FLAGS_charts, "request"), load_chart_or_exit(FLAGS_charts, "endpoint"),
+              load_chart_or_exit(FLAGS_charts, "host")},
+      core_{settings_, charts_, *this, numbers_, entropy_seed()},
+      client_{loop_},
+      links_{loop_,
+             {[this](link_id link) { on_link_open(link); },
+              [this](link_id link, const std::string& bytes) { on_link_message(link, bytes); },
+              [this](link_id link) { on_link_close(link); }}} {
+    http_limits limits;
+    limits.body_bytes = FLAGS_max_body_bytes;
+    server_ =
+        listen_or_exit(loop_, "listen", require_address("listen", FLAGS_listen), limits,
+                       [this](const http_request& request, const std::shared_ptr<http_responder>& responder) {
+                           on_http(request, responder);
+                       });
+}
+
+void entry_program::run() {
+    if (!FLAGS_record.empty()) {
+        record_ = std::make_unique<std::ofstream>(FLAGS_record);
+        recorded_since_ = to_micros(monotonic_now());
+        require_setting(record_->good(), "record", FLAGS_record, "give a file that can be written");
+    }
+    log_info("started",
+             {{"listen", FLAGS_listen}, {"domain", FLAGS_domain}, {"incarnation", settings_.incarnation}});
+    loop_.every(tick_interval, [this] {
+        core_.on_tick(monotonic_now());
+        numbers_.gauge("open_requests", static_cast<double>(core_.open_requests()));
+        numbers_.gauge("undrained_bills", static_cast<double>(core_.undrained_bills()));
+        numbers_.gauge("link_bytes_sent", static_cast<double>(links_.bytes_sent()));
+        if (core_.is_stopped() && callers_.empty()) {
+            loop_.stop();
+        }
+    });
+    loop_.every(connect_interval, [this] { connect_stewards(); });
+    loop_.on_stop_signal([this] { core_.begin_stop(monotonic_now()); });
+    connect_stewards();
+    loop_.run();
+}
+
+// ---- callers ----
+
+void entry_program::on_http(const http_request& request, const std::shared_ptr<http_responder>& responder) {
+    constexpr std::string_view services = "/v1/services/";
+    constexpr std::string_view requests = "/v1/requests/";
+    if (answer_health(request, responder, numbers_, core_.is_ready(monotonic_now()))) {
+        return;
+    }
+    if (request.method == "GET" && request.path == "/v1/entries") {
+        on_entries(request, responder);
+    } else if (request.method == "POST" && request.path == "/v1/chat/completions") {
+        on_model_request(request, responder);
+    } else if (request.method == "POST" && request.path.rfind(services, 0) == 0) {
+        on_service_request(request, responder);
+    } else if (request.method == "GET" && request.path.rfind(requests, 0) == 0) {
+        on_lookup(request, responder);
+    } else {
+        answer_error(responder,
+                     {error_kind::not_found, request.method + " " + request.path +
+                                                 " is not a page of this host; see docs/INTERFACES.md"});
+    }
+}
+
+void entry_program::on_entries(const http_request& request,
+                               const std::shared_ptr<http_responder>& responder) {
+    const json body = {{"entries", core_.entries_for(request.parameter("session"))},
+                       {"keep_ms", FLAGS_callers_keep_ms}};
+    responder->reply(200, {}, body.dump());
+}
+
+std::string bearer_of(const http_request& request) {
+    constexpr std::string_view scheme = "Bearer ";
+    const std::string value = request.header("authorization");
+    return value.rfind(scheme, 0) == 0 ? value.substr(scheme.size()) : std::string{};
+}
+
+caller_request entry_program::begin_request(const http_request& request,
+                                            const std::shared_ptr<http_responder>& responder,
+                                            bool is_stream) {
+    const caller_handle caller = ++last_caller_;
+    callers_[caller] = {responder, is_stream, false};
+    responder->on_gone([this, caller] {
+        callers_.erase(caller);
+        core_.on_caller_gone(caller, monotonic_now());
+    });
+    caller_request asked;
+    asked.caller = caller;
+    asked.team_key = bearer_of(request);
+    asked.idempotency_key = request.header("idempotency-key");
+    asked.session = request.header("laurelhoist-session");
+    asked.kind = request.header("laurelhoist-kind");
+    asked.stream = is_stream;
+    return asked;
+}
+
+void entry_program::on_model_request(const http_request& request,
+                                     const std::shared_ptr<http_responder>& responder) {
+    const outcome<json> parsed = parse_json_object(request.body);
+    if (const error* failure = error_of(parsed)) {
+        answer_error(responder, *failure);
+        return;
+    }
+    const json& body = *value_of(parsed);
+    const bool has_messages =
+        body.contains("messages") && body["messages"].is_array() && !body["messages"].empty();
+    const bool is_stream_valid = !body.contains("stream") || body["stream"].is_boolean();
+    if (!has_messages || !is_stream_valid) {
+        answer_error(responder,
+                     {error_kind::invalid_request,
+                      "\"messages\" must be a list with at least one message, and \"stream\" true or false"});
+        return;
+    }
+    caller_request asked = begin_request(request, responder, body.value("stream", false));
+    asked.body = body;
+    if (body.contains("max_tokens") && body["max_tokens"].is_number_integer()) {
+        constexpr int most_tokens = 100000;
+        asked.expected_tokens = std::clamp(body["max_tokens"].get<int>(), 1, most_tokens);
+    } else {
+        asked.expected_tokens = default_expected_tokens;
+    }
+    const json& first = body["messages"][0];
+    const bool has_text = first.is_object() && first.contains("content") && first["content"].is_string();
+    asked.prefix = has_text ? first["content"].get<std::string>().substr(0, prefix_length) : asked.session;
+    submit(asked);
+}
+
+void entry_program::on_service_request(const http_request& request,
+                                       const std::shared_ptr<http_responder>& responder) {
+    const std::string rest = request.path.substr(std::string("/v1/services/").size());
+    const std::size_t slash = rest.find('/');
+    const outcome<json> parsed = parse_json_object(request.body.empty() ? "{}" : request.body);
+    if (const error* failure = error_of(parsed)) {
+        answer_error(responder, *failure);
+        return;
+    }
+    caller_request asked = begin_request(request, responder, false);
+    asked.service = rest.substr(0, slash);
+    asked.path = slash == std::string::npos ? "" : rest.substr(slash + 1);
+    asked.body = *value_of(parsed);
+    submit(asked);
+}
+
+void entry_program::submit(const caller_request& asked) {
+    if (record_) {
+        const team_entry* team = core_.view().team_by_key(team_key_hash(asked.team_key));
+        const trace_line line{to_micros(monotonic_now()) - recorded_since_,
+                              team == nullptr ? "" : team->name,
+                              asked.kind,
+                              asked.service,
+                              asked.path,
+                              asked.stream,
+                              asked.expected_tokens};
+        *record_ << json(line).dump() << '\n';
+    }
+    core_.on_request(asked, monotonic_now());
+}
+
+void entry_program::on_lookup(const http_request& request, const std::shared_ptr<http_responder>& responder) {
+    const caller_request asked = begin_request(request, responder, false);
+    const std::string key = request.path.substr(std::string("/v1/requests/").size());
+    core_.on_lookup(asked.caller, asked.team_key, key, monotonic_now());
+}
+
+http_headers entry_program::reply_headers(const caller_reply& reply) {
+    http_headers headers;
+    const auto set = [&headers](const char* name, const std::string& value) {
+        if (!value.empty()) {
+            headers[name] = value;
+        }
+    };
+    set("Laurelhoist-Request", reply.request_id);
+    set("Laurelhoist-Session", reply.session);
+    set("Laurelhoist-Version", reply.version);
+    set("Laurelhoist-Session-Moved", reply.moved_from);
+    if (reply.tier >= 0) {
+        headers["Laurelhoist-Tier"] = std::to_string(reply.tier);
+    }
+    if (reply.retry_after_ms > 0) {
+        headers["Retry-After"] = std::to_string((reply.retry_after_ms + 999) / 1000);
+    }
+    return headers;
+}
+
+void entry_program::reply(const caller_reply& reply) {
+    const auto found = callers_.find(reply.caller);
+    if (found == callers_.end()) {
+        return;
+    }
+    const waiting_caller caller = found->second;
+    callers_.erase(found);
+    caller.responder->reply(reply.status, reply_headers(reply), reply.body.dump());
+}
+
+std::string to_event(const std::string& name, const json& data) {
+    const std::string field = name.empty() ? "" : "event: " + name + "\n";
+    return field + "data: " + data.dump(-1, ' ', false, json::error_handler_t::replace) + "\n\n";
+}
+
+void entry_program::stream(const stream_part& part) {
+    const auto found = callers_.find(part.caller);
+    if (found == callers_.end()) {
+        return;
+    }
+    waiting_caller& caller = found->second;
+    if (part.what == stream_part::kind::failure && !caller.has_begun) {
+        reply(part.summary);
+        return;
+    }
+    const std::shared_ptr<http_responder> responder = caller.responder;
+    if (!caller.has_begun) {
+        caller.has_begun = true;
+        http_headers headers = reply_headers(part.summary);
+        headers["Content-Type"] = "text/event-stream";
+        headers["Cache-Control"] = "no-cache";
+        responder->begin_stream(200, headers);
+    }
+    const json delta = {{"id", part.summary.request_id},
+                        {"object", "chat.completion.chunk"},
+                        {"model", part.summary.version},
+                        {"choices", json::array({{{"index", 0}, {"delta", {{"content", part.text}}}}})}};
+    switch (part.what) {
+    case stream_part::kind::text:
+        responder->write(to_event("", delta));
+        return;
+    case stream_part::kind::restart:
+        responder->write(
+            to_event("laurelhoist.restart", {{"reason", "the answer begins anew; drop what came before"},
+                                             {"model", part.summary.version}}));
+        return;
+    case stream_part::kind::end:
+        responder->write(to_event("laurelhoist.end", part.summary.body["laurelhoist"]));
+        responder->write("data: [DONE]\n\n");
+        break;
+    case stream_part::kind::failure:
+        responder->write(to_event("laurelhoist.error", part.summary.body));
+        break;
+    }
+    callers_.erase(part.caller);
+    responder->end_stream();
+}
+
+// ---- endpoints ----
+
+void entry_program::call_endpoint(const endpoint_call& call) {
+    const outcome<socket_address> address = parse_address(call.endpoint.address);
+    if (value_of(address) == nullptr) {
+        loop_.post([this, call] {
+            endpoint_answer bad;
+            bad.result = call_result::refused_not_run;
+            core_.on_endpoint_answer(call.call_id, bad, monotonic_now());
+        });
+        return;
+    }
+    http_call request;
+    request.address = *value_of(address);
+    request.method = "POST";
+    request.target = call.version.empty() ? "/" + call.path : "/v1/chat/completions";
+    request.headers = {{"Content-Type", "application/json"},
+                       {"X-Request-Id", call.request_id},
+                       {"X-Priority", std::to_string(call.priority)}};
+    json body = call.body;
+    if (!call.version.empty()) {
+        body["model"] = call.version;
+    }
+    if (call.resume_from > 0) {
+        request.headers["X-Resume-From"] = std::to_string(call.resume_from);
+    }
+    request.body = body.dump();
+    request.timeout = call.timeout;
+    request.is_streamed = call.stream;
+    request.needs_fresh_connection = !call.is_idempotent;
+    http_client::piece_handler on_piece;
+    if (call.stream) {
+        streams_[call.call_id] = {};
+        on_piece = [this, id = call.call_id](const std::string& piece) { on_engine_piece(id, piece); };
+    }
+    calls_[call.call_id] = client_.send(
+        request, [this, call](const http_answer& answer) { on_engine_answer(call, answer); }, on_piece);
+}
+
+void entry_program::cancel_call(const std::string& call_id) {
+    const auto found = calls_.find(call_id);
+    if (found != calls_.end()) {
+        found->second();
+        calls_.erase(found);
+        streams_.erase(call_id);
+    }
+}
+
+void entry_program::on_engine_piece(const std::string& call_id, const std::string& piece) {
+    const auto found = streams_.find(call_id);
+    if (found == streams_.end()) {
+        return;
+    }
+    for (const std::string& data : found->second.events.add(piece)) {
+        const auto alive = streams_.find(call_id);
+        if (alive == streams_.end()) {
+            return; // A part before this one ended the call.
+        }
+        if (data == "[DONE]") {
+            alive->second.is_complete = true;
+            continue;
+        }
+        const json part = json::parse(data, nullptr, false);
+        if (!part.is_object()) {
+            continue;
+        }
+        alive->second.version = part.value("model", "");
+        alive->second.request_id = part.value("id", "");
+        const std::string text = part.value("text", "");
+        alive->second.text += text;
+        ++alive->second.tokens;
+        core_.on_endpoint_part(call_id, part.value("index", 0), text, monotonic_now());
+    }
+}
+
+load_report report_of(const http_answer& answer) {
+    load_report report;
+    const std::string running = answer.header("x-load-running");
+    const std::string queued = answer.header("x-load-queued");
+    report.running = running.empty() ? -1 : std::atoi(running.c_str());
+    report.queued = std::atoi(queued.c_str());
+    report.versions = split_list(answer.header("x-loaded-versions"));
+    return report;
+}
+
+void entry_program::on_engine_answer(const endpoint_call& call, const http_answer& answer) {
+    calls_.erase(call.call_id);
+    endpoint_answer arrived;
+    arrived.report = report_of(answer);
+    arrived.status = answer.status;
+    arrived.request_id = answer.header("x-request-id");
+    arrived.version = answer.header("x-served-version");
+    arrived.version_missing = !answer.header("x-version-missing").empty();
+    arrived.is_silent = answer.what == http_answer::result::silent;
+    const bool is_not_run = !answer.header("x-not-run").empty();
+    const bool is_service = call.version.empty();
+    if (answer.what == http_answer::result::not_sent) {
+        arrived.result = call_result::refused_not_run;
+    } else if (answer.what != http_answer::result::answered) {
+        arrived.result = call_result::failed;
+    } else if (!answer.header("x-leaving").empty() && is_not_run) {
+        arrived.result = call_result::leaving;
+    } else if (is_not_run) {
+        arrived.result = call_result::refused_not_run;
+    } else if (answer.status == 200 || is_service) {
+        arrived.result = call_result::answered;
+    }
+    const auto open = streams_.find(call.call_id);
+    if (open != streams_.end()) {
+        const bool is_cut = arrived.result == call_result::answered && !open->second.is_complete;
+        arrived.result = is_cut ? call_result::failed : arrived.result;
+        arrived.text = open->second.text;
+        arrived.tokens = open->second.tokens + call.resume_from;
+        streams_.erase(open);
+    } else if (arrived.result == call_result::answered) {
+        arrived.body = json::parse(answer.body, nullptr, false);
+        if (arrived.body.is_discarded()) {
+            arrived.body = answer.body;
+        }
+        if (!is_service) {
+            const json::json_pointer text("/choices/0/message/content");
+            const json::json_pointer tokens("/usage/completion_tokens");
+            const bool is_whole =
+                arrived.body.is_object() && arrived.body.contains(text) && arrived.body[text].is_string();
+            arrived.result = is_whole ? call_result::answered : call_result::failed;
+            arrived.text = is_whole ? arrived.body[text].get<std::string>() : "";
+            arrived.tokens = is_whole ? arrived.body.value(tokens, std::int64_t{0}) : 0;
+        }
+    }
+    core_.on_endpoint_answer(call.call_id, arrived, monotonic_now());
+}
+
+void entry_program::request_rating(const rating_request& request) {
+    if (FLAGS_rater.empty()) {
+        loop_.post([this, id = request.call_id] { core_.on_rating(id, std::nullopt, monotonic_now()); });
+        return;
+    }
+    http_call call;
+    call.address = *value_of(parse_address(FLAGS_rater));
+    call.method = "POST";
+    call.target = "/rate";
+    call.headers = {{"Content-Type", "application/json"}};
+    call.body =
+        json{{"version", request.version}, {"request", request.request}, {"answer", request.answer}}.dump();
+    call.timeout = milliseconds(FLAGS_rating_timeout_ms);
+    client_.send(call, [this, id = request.call_id](const http_answer& answer) {
+        const json body = json::parse(answer.body, nullptr, false);
+        const bool is_rated =
+            answer.status == 200 && body.is_object() && body.contains("score") && body["score"].is_number();
+        core_.on_rating(id, is_rated ? std::optional(body["score"].get<double>()) : std::nullopt,
+                        monotonic_now());
+    });
+}
+
+// ---- stewards ----
+
+void entry_program::connect_stewards() {
+    std::vector<std::string> candidates = split_list(FLAGS_stewards);
+    for (const steward_record& steward : core_.stewards()) {
+        if (std::find(candidates.begin(), candidates.end(), steward.address) == candidates.end()) {
+            candidates.push_back(steward.address);
+        }
+    }
+    std::sort(candidates.begin(), candidates.end(), [this](const std::string& l, const std::string& r) {
+        return placement_hash(settings_.name + l) < placement_hash(settings_.name + r);
+    });
+    for (std::size_t tried = 0; tried < candidates.size() && connections_.size() < FLAGS_steward_links;
+         ++tried) {
+        const std::string& address = candidates[next_candidate_++ % candidates.size()];
+        const bool is_connected =
+            std::any_of(connections_.begin(), connections_.end(),
+                        [&](const auto& open) { return open.second.address == address; });
+        if (!is_connected) {
+            const link_id link = links_.connect(address);
+            connections_[link] = {address, ""};
+        }
+    }
+}
+
+hello_message entry_program::make_hello() const {
+    hello_message hello{
+        "entry", settings_.name, settings_.incarnation, settings_.domain, settings_.address, wall_clock_ms(),
+        ""};
+    hello.proof = prove(hello, FLAGS_fleet_key);
+    return hello;
+}
+
+void entry_program::on_link_open(link_id link) {
+    links_.send(link, encode(make_hello()));
+}
+
+void entry_program::on_link_message(link_id link, const std::string& bytes) {
+    const outcome<node_message> decoded = decode(bytes);
+    const auto connection = connections_.find(link);
+    if (connection == connections_.end()) {
+        return;
+    }
+    if (const error* failure = error_of(decoded)) {
+        log_warning("message_refused", {{"from", connection->second.address}, {"reason", failure->message}});
+        return;
+    }
+    const node_message& message = *value_of(decoded);
+    if (const auto* hello = std::get_if<hello_message>(&message)) {
+        if (!is_proven(*hello, FLAGS_fleet_key, wall_clock_ms())) {
+            log_warning("hello_refused",
+                        {{"from", connection->second.address},
+                         {"remedy", "give every host the same --fleet_key and a clock within a minute"}});
+            links_.close(link);
+            return;
+        }
+        connection->second.incarnation = hello->incarnation;
+        link_by_steward_[hello->incarnation] = link;
+        core_.on_steward_up(hello->incarnation, hello->domain, monotonic_now());
+        return;
+    }
+    if (!connection->second.incarnation.empty()) {
+        core_.on_steward_message(connection->second.incarnation, message, monotonic_now());
+    }
+}
+
+void entry_program::on_link_close(link_id link) {
+    const auto connection = connections_.find(link);
+    if (connection == connections_.end()) {
+        return;
+    }
+    const std::string incarnation = connection->second.incarnation;
+    connections_.erase(connection);
+    const auto held = link_by_steward_.find(incarnation);
+    if (held != link_by_steward_.end() && held->second == link) {
+        link_by_steward_.erase(held);
+        core_.on_steward_down(incarnation, monotonic_now());
+    }
+}
+
+void entry_program::send_to_steward(const std::string& incarnation, const node_message& message) {
+    const auto link = link_by_steward_.find(incarnation);
+    if (link != link_by_steward_.end()) {
+        links_.send(link->second, encode(message));
+    }
+}
+
+} // namespace
+
+} // namespace laurelhoist
+
+int main(int argc, char** argv) {
+    laurelhoist::read_settings(
+        &argc, &argv, "laurel-entry: takes callers' requests and routes each to an allowed version.");
+    laurelhoist::start_log("laurel-entry", FLAGS_name);
+    laurelhoist::entry_program program;
+    program.run();
+    return 0;
+}
--- /dev/null
+++ b/src/programs/laurel_standin.cpp
@@ -0,0 +1,194 @@
+/** \file
+ * The program laurel-standin: small stand-ins for everything that laurelhoist meets, in one process, with
+ * faults switched on by HTTP. For tests and the demo only.
+ */
+#include "programs/common.h"
+#include "standin/standin.h"
+
+#include <gflags/gflags.h>
+
+#include <fstream>
+
+DEFINE_string(config, "examples/standin-brazda.json", "file that says which stand-ins run where");
+
+namespace laurelhoist {
+
+namespace {
+
+/** One group of endpoints of a pool. */
+struct pool_plan {
+    std::string name;
+    std::string kind = "engine";
+    std::string address = "127.0.0.1"; ///< IP number; endpoint i listens on first_port + i
+    int first_port = 0;
+    int count = 0;
+    std::vector<std::string> domains; ///< taken in turn
+    int slots = 8;
+    bool checks_fence = true;
+    std::vector<std::string> loaded;
+};
+LAUREL_VALUE_TYPE(pool_plan, name, kind, address, first_port, count, domains, slots, checks_fence, loaded)
+
+struct standin_plan {
+    std::string platform;
+    std::string rater;
+    std::string control;
+    std::vector<std::string> hosts;
+    std::map<std::string, version_skill> versions;
+    std::vector<pool_plan> pools;
+    int host_list_lag_ms = 1000;
+};
+LAUREL_VALUE_TYPE(standin_plan, platform, rater, control, hosts, versions, pools, host_list_lag_ms)
+
+standin_plan read_plan() {
+    std::ifstream file(FLAGS_config);
+    const json document = json::parse(file, nullptr, false);
+    require_setting(document.is_object(), "config", FLAGS_config,
+                    "name a readable JSON file, as examples/standin-brazda.json");
+    return document.get<standin_plan>();
+}
+
+class standin_program {
+public:
+    standin_program();
+    void run();
+
+private:
+    void start_pool(const pool_plan& pool);
+    void publish_hosts();
+    void on_control(const http_request& request, const std::shared_ptr<http_responder>& responder);
+    bool set_fault(const json& body);
+    json statistics() const;
+
+    standin_plan plan_;
+    event_loop loop_;
+    object_store store_;
+    stand_in_rater rater_;
+    weight_store weights_;
+    std::vector<std::unique_ptr<stand_in_engine>> engines_;
+    std::vector<std::unique_ptr<plain_service>> services_;
+    done_calls done_;
+    json endpoints_ = json::array();
+    std::unique_ptr<http_server> control_;
+};
+
+standin_program::standin_program()
+    : plan_{read_plan()},
+      store_{loop_, require_address("config", plan_.platform)},
+      rater_{loop_, require_address("config", plan_.rater)},
+      weights_{loop_} {
+    for (const pool_plan& pool : plan_.pools) {
+        start_pool(pool);
+    }
+    publish_hosts();
+    control_ =
+        listen_or_exit(loop_, "config", require_address("config", plan_.control), {},
+                       [this](const http_request& request, const std::shared_ptr<http_responder>& responder) {
+                           on_control(request, responder);
+                       });
+}
+
+void standin_program::start_pool(const pool_plan& pool) {
+    for (int i = 0; i < pool.count; ++i) {
+        const std::string name = pool.name + "-" + std::to_string(i);
+        const socket_address address{pool.address, static_cast<std::uint16_t>(pool.first_port + i)};
+        const std::string& domain = pool.domains[static_cast<std::size_t>(i) % pool.domains.size()];
+        endpoints_.push_back({{"name", name},
+                              {"address", address.host + ":" + std::to_string(address.port)},
+                              {"domain", domain},
+                              {"pool", pool.name},
+                              {"state", "live"}});
+        if (pool.kind == "engine") {
+            const engine_settings settings{name,           pool.name,  pool.slots, pool.checks_fence,
+                                           plan_.versions, pool.loaded};
+            engines_.push_back(std::make_unique<stand_in_engine>(loop_, address, settings, weights_));
+        } else {
+            services_.push_back(std::make_unique<plain_service>(loop_, address, name, done_));
+        }
+    }
+}
+
+void standin_program::publish_hosts() {
+    store_.put("hosts", {{"endpoints", endpoints_}, {"hosts", plan_.hosts}});
+}
+
+bool standin_program::set_fault(const json& body) {
+    const std::string target = body.value("target", "");
+    if (target == "platform") {
+        store_.set_faults(body.get<store_faults>());
+        return true;
+    }
+    if (target == "rater") {
+        rater_.set_faults(body.get<rater_faults>());
+        return true;
+    }
+    if (target == "host_list") {
+        for (json& endpoint : endpoints_) {
+            if (endpoint["name"] == body.value("endpoint", "")) {
+                endpoint["state"] = body.value("state", "live");
+            }
+        }
+        loop_.after(milliseconds(plan_.host_list_lag_ms), [this] { publish_hosts(); });
+        return true;
+    }
+    for (const auto& engine : engines_) {
+        if (engine->name() == target) {
+            engine->set_faults(body.get<engine_faults>());
+            return true;
+        }
+    }
+    for (const auto& service : services_) {
+        if (service->name() == target) {
+            service->set_faults(body.get<service_faults>());
+            return true;
+        }
+    }
+    return false;
+}
+
+json standin_program::statistics() const {
+    json engines = json::object();
+    for (const auto& engine : engines_) {
+        engines[engine->name()] = engine->statistics();
+    }
+    std::int64_t doubled = 0;
+    for (const auto& [reference, times] : done_) {
+        doubled += times > 1 && !reference.empty() ? 1 : 0;
+    }
+    return {{"platform", store_.statistics()},
+            {"engines", engines},
+            {"calls_done", done_.size()},
+            {"calls_doubled", doubled}};
+}
+
+void standin_program::on_control(const http_request& request,
+                                 const std::shared_ptr<http_responder>& responder) {
+    if (request.method == "POST" && request.path == "/faults") {
+        const json body = json::parse(request.body, nullptr, false);
+        const bool is_set = body.is_object() && set_fault(body);
+        responder->reply(is_set ? 200 : 400, {}, json{{"set", is_set}}.dump());
+    } else if (request.path == "/statistics") {
+        responder->reply(200, {}, statistics().dump());
+    } else {
+        responder->reply(request.path == "/healthz" ? 200 : 404, {}, "{}");
+    }
+}
+
+void standin_program::run() {
+    loop_.on_stop_signal([this] { loop_.stop(); });
+    log_info("started", {{"engines", engines_.size()}, {"services", services_.size()}});
+    loop_.run();
+}
+
+} // namespace
+
+} // namespace laurelhoist
+
+int main(int argc, char** argv) {
+    laurelhoist::read_settings(
+        &argc, &argv, "laurel-standin: stands in for platform, engines, rating and services in tests.");
+    laurelhoist::start_log("laurel-standin", "");
+    laurelhoist::standin_program program;
+    program.run();
+    return 0;
+}
--- /dev/null
+++ b/src/rollout/step_plan.h
@@ -0,0 +1,34 @@
+/** \file
+ * Defines when a roll-out may take its next step.
+ */
+#pragma once
+
+#include "rollout/brake.h"
+
+namespace laurelhoist {
+
+/** What a steward has seen of the step in force. It starts anew in each steward, so a roll-out whose
+ * steward dies is continued by any other, at worst one bake time later. */
+class step_watch {
+public:
+    /** Notes the head; restarts the bake time when the roll-out, its step or its state has changed. */
+    void observe(const fleet_head& head, time_point now);
+    /** \return how long the step in force has been watched while rolling; zero otherwise. */
+    duration watched(time_point now) const;
+
+private:
+    std::string bundle_id_;
+    std::string state_;
+    int step_ = -1;
+    time_point since_;
+};
+
+/** What to do with a roll-out next. */
+enum class step_action { wait, step, finish };
+
+/** \param loaded whether the capacity for the next share is loaded on the engines, not merely ordered
+ * \param verdicts the brake's verdicts on each version under roll-out */
+step_action next_step(const bundle& rolling, const bundle_status& status, duration watched, bool loaded,
+                      const std::vector<brake_verdict>& verdicts);
+
+} // namespace laurelhoist
--- /dev/null
+++ b/src/routing/endpoint_table.cpp
@@ -0,0 +1,321 @@
+#include "routing/endpoint_table.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace laurelhoist {
+
+namespace {
+
+constexpr int failures_to_eject = 3;
+constexpr duration first_ejection = seconds(2);
+constexpr duration longest_ejection = seconds(30);
+constexpr duration missing_version_memory = seconds(2);
+constexpr duration report_memory = seconds(5);
+constexpr duration prefix_memory = seconds(300);
+constexpr std::size_t most_prefixes = 64;
+constexpr std::size_t candidates_compared = 3;
+constexpr double smoothing = 0.2;
+constexpr double slow_factor = 2.5; ///< an answer this much above the pool's best counts as overload
+constexpr double limit_cut = 0.8;
+constexpr double affinity_gain = 0.7; ///< a cached prefix is worth this share of the expected time
+constexpr duration soon = milliseconds(500);
+constexpr duration leaving_memory = seconds(60);
+
+} // namespace
+
+endpoint_table::endpoint_table(chart life, std::uint64_t seed, endpoint_policy policy)
+    : life_{std::move(life)}, random_{seed}, policy_{policy} {}
+
+void endpoint_table::move(endpoint_state& endpoint, const std::string& event) {
+    const outcome<std::string> next = life_.next(endpoint.state, event);
+    if (const std::string* state = value_of(next)) {
+        endpoint.state = *state;
+    }
+}
+
+void endpoint_table::update(const std::vector<endpoint_record>& endpoints, time_point now) {
+    std::set<std::string> listed;
+    for (const endpoint_record& record : endpoints) {
+        listed.insert(record.name);
+        const bool is_new = endpoints_.count(record.name) == 0;
+        endpoint_state& endpoint = endpoints_[record.name];
+        if (is_new) {
+            endpoint.state = life_.initial();
+            endpoint.limit = initial_limit_.count(record.pool) > 0 ? initial_limit_[record.pool] : 4;
+        }
+        endpoint.record = record;
+        if (record.state == "leaving") {
+            mark_leaving(record.name, now);
+        } else if (endpoint.state == "gone" ||
+                   (endpoint.state == "leaving" && now - endpoint.leaving_since > leaving_memory)) {
+            // The list lags: "live" soon after the endpoint itself said "leaving" is old news.
+            move(endpoint, "returned");
+        }
+    }
+    for (auto item = endpoints_.begin(); item != endpoints_.end();) {
+        if (listed.count(item->first) > 0) {
+            ++item;
+            continue;
+        }
+        move(item->second, "gone");
+        item = item->second.in_flight == 0 ? endpoints_.erase(item) : std::next(item);
+    }
+}
+
+void endpoint_table::set_slots(const std::string& pool, int slots, std::size_t entries) {
+    // Entries share an endpoint. Each starts with twice its even share; the limit then follows what the
+    // endpoint's answers show.
+    const double share =
+        std::max(1.0, std::ceil(2.0 * slots / static_cast<double>(std::max<std::size_t>(1, entries))));
+    const bool unchanged = initial_limit_.count(pool) > 0 && initial_limit_[pool] == share;
+    initial_limit_[pool] = share;
+    largest_limit_[pool] = slots;
+    if (unchanged) {
+        return;
+    }
+    for (auto& [name, endpoint] : endpoints_) {
+        if (endpoint.record.pool == pool) {
+            endpoint.limit = std::min(share, largest_limit_[pool]);
+        }
+    }
+}
+
+void endpoint_table::mark_leaving(const std::string& name, time_point now) {
+    const auto found = endpoints_.find(name);
+    if (found != endpoints_.end() && found->second.state != "leaving") {
+        move(found->second, "leaving");
+        found->second.leaving_since = now;
+    }
+}
+
+bool endpoint_table::has_version(const endpoint_state& endpoint, const version_name& version,
+                                 time_point now) const {
+    if (version.empty()) {
+        return true;
+    }
+    const auto missing = endpoint.missing_until.find(version);
+    if (missing != endpoint.missing_until.end() && now < missing->second) {
+        return false;
+    }
+    const std::vector<std::string>& loaded = endpoint.report.versions;
+    const bool is_recent = now - endpoint.reported_at < report_memory;
+    return loaded.empty() || !is_recent || std::find(loaded.begin(), loaded.end(), version) != loaded.end();
+}
+
+bool endpoint_table::has_prefix(const endpoint_state& endpoint, const std::string& prefix,
+                                time_point now) const {
+    if (prefix.empty()) {
+        return false;
+    }
+    const std::uint64_t hash = placement_hash(prefix);
+    return std::any_of(endpoint.prefixes.begin(), endpoint.prefixes.end(), [&](const prefix_hint& hint) {
+        return hint.prefix == hash && now - hint.used_at < prefix_memory;
+    });
+}
+
+bool endpoint_table::takes_work(const std::string& name) const {
+    const auto found = endpoints_.find(name);
+    return found != endpoints_.end() && (found->second.state == "live" || found->second.state == "probing");
+}
+
+bool endpoint_table::could_serve(const std::string& pool, const version_name& version, time_point now) const {
+    return std::any_of(endpoints_.begin(), endpoints_.end(), [&](const auto& item) {
+        const endpoint_state& endpoint = item.second;
+        const bool is_in = endpoint.state == "live" || endpoint.state == "probing";
+        const bool is_soon_in = endpoint.state == "ejected" && endpoint.ejected_until - now < soon;
+        return endpoint.record.pool == pool && (is_in || is_soon_in) && has_version(endpoint, version, now);
+    });
+}
+
+bool endpoint_table::is_eligible(endpoint_state& endpoint, const endpoint_wish& wish, time_point now) {
+    if (endpoint.record.pool != wish.pool || wish.avoided.count(endpoint.record.name) > 0) {
+        return false;
+    }
+    if (endpoint.state == "ejected" && now >= endpoint.ejected_until) {
+        move(endpoint, "rested");
+    }
+    const bool is_probe = endpoint.state == "probing";
+    if (endpoint.state != "live" && !is_probe) {
+        return false;
+    }
+    const double limit = is_probe ? 1.0 : std::max(1.0, std::floor(endpoint.limit));
+    return endpoint.in_flight < limit && has_version(endpoint, wish.version, now);
+}
+
+double endpoint_table::expected_ms(const endpoint_state& endpoint, time_point now) const {
+    double others = 0;
+    if (endpoint.report.running >= 0 && now - endpoint.reported_at < report_memory) {
+        others = std::max(0, endpoint.report.running + endpoint.report.queued - endpoint.in_flight_at_report);
+    }
+    const double typical =
+        endpoint.typical_ms > 0 ? endpoint.typical_ms : best_typical_ms(endpoint.record.pool);
+    return std::max(1.0, typical) * (1.0 + endpoint.in_flight + others);
+}
+
+endpoint_table::endpoint_state* endpoint_table::choose_ours(const std::vector<endpoint_state*>& eligible,
+                                                            const endpoint_wish& wish, time_point now) {
+    std::vector<endpoint_state*> compared;
+    for (endpoint_state* endpoint : eligible) {
+        if (has_prefix(*endpoint, wish.prefix, now)) {
+            compared.push_back(endpoint);
+        }
+    }
+    for (std::size_t i = 0; i < candidates_compared; ++i) {
+        compared.push_back(eligible[random_.below(eligible.size())]);
+    }
+    const auto cost = [&](const endpoint_state* endpoint) {
+        const double expected = expected_ms(*endpoint, now);
+        return has_prefix(*endpoint, wish.prefix, now) ? expected * affinity_gain : expected;
+    };
+    return *std::min_element(compared.begin(), compared.end(),
+                             [&](const auto* l, const auto* r) { return cost(l) < cost(r); });
+}
+
+std::optional<endpoint_record> endpoint_table::choose(const endpoint_wish& wish, time_point now) {
+    std::vector<endpoint_state*> eligible;
+    for (auto& [name, endpoint] : endpoints_) {
+        if (is_eligible(endpoint, wish, now)) {
+            eligible.push_back(&endpoint);
+        }
+    }
+    if (eligible.empty()) {
+        return std::nullopt;
+    }
+    const auto by_in_flight = [](const auto* l, const auto* r) { return l->in_flight < r->in_flight; };
+    switch (policy_) {
+    case endpoint_policy::round_robin:
+        return eligible[turn_++ % eligible.size()]->record;
+    case endpoint_policy::random:
+        return eligible[random_.below(eligible.size())]->record;
+    case endpoint_policy::least_in_flight:
+        return (*std::min_element(eligible.begin(), eligible.end(), by_in_flight))->record;
+    case endpoint_policy::ours:
+        break;
+    }
+    return choose_ours(eligible, wish, now)->record;
+}
+
+void endpoint_table::on_call_started(const std::string& name, const endpoint_wish& wish, time_point now) {
+    const auto found = endpoints_.find(name);
+    if (found == endpoints_.end()) {
+        return;
+    }
+    endpoint_state& endpoint = found->second;
+    ++endpoint.in_flight;
+    if (wish.prefix.empty()) {
+        return;
+    }
+    endpoint.prefixes.push_front({placement_hash(wish.prefix), now});
+    if (endpoint.prefixes.size() > most_prefixes) {
+        endpoint.prefixes.pop_back();
+    }
+}
+
+void endpoint_table::eject(endpoint_state& endpoint, time_point now) {
+    const int doublings = std::min(4, endpoint.failures - failures_to_eject);
+    const duration rest = first_ejection * (1 << std::max(0, doublings));
+    endpoint.ejected_until = now + std::min(rest, longest_ejection);
+    move(endpoint, "failed");
+}
+
+double endpoint_table::best_typical_ms(const std::string& pool) const {
+    double best = 0;
+    for (const auto& [name, endpoint] : endpoints_) {
+        if (endpoint.record.pool == pool && endpoint.typical_ms > 0) {
+            best = best == 0 ? endpoint.typical_ms : std::min(best, endpoint.typical_ms);
+        }
+    }
+    return best;
+}
+
+void endpoint_table::adapt_limit(endpoint_state& endpoint, duration took) {
+    const double best = best_typical_ms(endpoint.record.pool);
+    const bool is_slow = best > 0 && to_ms(took) > slow_factor * best;
+    const bool is_queueing = endpoint.report.queued > 0;
+    const double largest =
+        largest_limit_.count(endpoint.record.pool) > 0 ? largest_limit_[endpoint.record.pool] : 8;
+    if (is_slow || is_queueing) {
+        endpoint.limit = std::max(1.0, endpoint.limit - (1.0 - limit_cut));
+    } else {
+        endpoint.limit = std::min(largest, endpoint.limit + 1.0 / endpoint.limit);
+    }
+}
+
+void endpoint_table::on_call_ended(const std::string& name, call_result result, duration took,
+                                   time_point now) {
+    const auto found = endpoints_.find(name);
+    if (found == endpoints_.end()) {
+        return;
+    }
+    endpoint_state& endpoint = found->second;
+    endpoint.in_flight = std::max(0, endpoint.in_flight - 1);
+    if (result == call_result::leaving) {
+        mark_leaving(name, now);
+    } else if (result == call_result::answered) {
+        endpoint.failures = 0;
+        const double ms = to_ms(took);
+        endpoint.typical_ms =
+            endpoint.typical_ms == 0 ? ms : endpoint.typical_ms * (1 - smoothing) + ms * smoothing;
+        adapt_limit(endpoint, took);
+        move(endpoint, "answered");
+    } else if (result == call_result::failed || result == call_result::refused_not_run) {
+        ++endpoint.failures;
+        endpoint.limit = std::max(1.0, endpoint.limit * limit_cut);
+        if (endpoint.failures >= failures_to_eject || endpoint.state == "probing") {
+            eject(endpoint, now);
+        }
+    }
+    if (endpoint.state == "gone" && endpoint.in_flight == 0) {
+        endpoints_.erase(found);
+    }
+}
+
+void endpoint_table::on_report(const std::string& name, const load_report& report, time_point now) {
+    const auto found = endpoints_.find(name);
+    if (found == endpoints_.end() || report.running < 0) {
+        return;
+    }
+    found->second.report = report;
+    found->second.reported_at = now;
+    found->second.in_flight_at_report = found->second.in_flight;
+}
+
+void endpoint_table::on_version_missing(const std::string& name, const version_name& version,
+                                        time_point now) {
+    const auto found = endpoints_.find(name);
+    if (found != endpoints_.end()) {
+        found->second.missing_until[version] = now + missing_version_memory;
+    }
+}
+
+int endpoint_table::in_flight(const std::string& pool) const {
+    int total = 0;
+    for (const auto& [name, endpoint] : endpoints_) {
+        total += endpoint.record.pool == pool ? endpoint.in_flight : 0;
+    }
+    return total;
+}
+
+double endpoint_table::capacity(const std::string& pool) const {
+    double total = 0;
+    for (const auto& [name, endpoint] : endpoints_) {
+        const bool counts = endpoint.state == "live" || endpoint.state == "probing";
+        total += counts && endpoint.record.pool == pool ? std::max(1.0, std::floor(endpoint.limit)) : 0;
+    }
+    return total;
+}
+
+double endpoint_table::typical_ms(const std::string& pool) const {
+    double sum = 0;
+    int known = 0;
+    for (const auto& [name, endpoint] : endpoints_) {
+        if (endpoint.record.pool == pool && endpoint.typical_ms > 0) {
+            sum += endpoint.typical_ms;
+            ++known;
+        }
+    }
+    return known == 0 ? 0 : sum / known;
+}
+
+} // namespace laurelhoist
--- /dev/null
+++ b/src/routing/endpoint_table.h
@@ -0,0 +1,117 @@
+/** \file
+ * Defines what an entry knows of its endpoints and how it chooses one.
+ */
+#pragma once
+
+#include "chart/chart.h"
+#include "membership/membership.h"
+
+#include <deque>
+#include <map>
+#include <set>
+
+namespace laurelhoist {
+
+/** What an endpoint says of itself with an answer. Late by nature; a hint, never truth. */
+struct load_report {
+    int running = -1; ///< requests it runs, all entries' together; negative: not said
+    int queued = 0;
+    std::vector<std::string> versions; ///< model@version loaded; empty: not said
+};
+LAUREL_VALUE_TYPE(load_report, running, queued, versions)
+
+/** How a call ended, for the endpoint's standing. */
+enum class call_result {
+    answered,
+    refused_not_run, ///< refused with the certainty that nothing ran (no connection, not loaded, busy)
+    leaving,         ///< the endpoint says that it is leaving
+    failed,
+    cancelled,
+};
+
+/** A wish for an endpoint. */
+struct endpoint_wish {
+    std::string pool;
+    std::string version;           ///< model@version, empty for services
+    std::string prefix;            ///< of the prompt, for the prefix cache; empty: none
+    std::set<std::string> avoided; ///< endpoints that have failed this request
+};
+
+/** How an endpoint is chosen; the experiment program compares them. */
+enum class endpoint_policy { ours, round_robin, random, least_in_flight };
+
+/** The endpoints of one entry. */
+class endpoint_table {
+public:
+    /** \param life charts/endpoint.scxml */
+    endpoint_table(chart life, std::uint64_t seed, endpoint_policy policy = endpoint_policy::ours);
+
+    /** Takes the list as the stewards push it; endpoints missing from it are gone. */
+    void update(const std::vector<endpoint_record>& endpoints, time_point now);
+    /** Sets how many requests one endpoint of \p pool runs before it slows, and how many entries share it. */
+    void set_slots(const std::string& pool, int slots, std::size_t entries);
+    /** Notes, before the list says so, that an endpoint is leaving. */
+    void mark_leaving(const std::string& name, time_point now);
+
+    /** \return the endpoint to call, or nothing if every one is full or out. */
+    std::optional<endpoint_record> choose(const endpoint_wish& wish, time_point now);
+    /** \return whether \p name may be given new work. */
+    bool takes_work(const std::string& name) const;
+    /** \return whether some endpoint of \p pool, full or not, serves \p version now or very soon. */
+    bool could_serve(const std::string& pool, const version_name& version, time_point now) const;
+
+    void on_call_started(const std::string& name, const endpoint_wish& wish, time_point now);
+    void on_call_ended(const std::string& name, call_result result, duration took, time_point now);
+    void on_report(const std::string& name, const load_report& report, time_point now);
+    /** Notes that \p name said it does not have \p version. */
+    void on_version_missing(const std::string& name, const version_name& version, time_point now);
+
+    int in_flight(const std::string& pool) const;
+    /** \return requests that the pool's endpoints together take now from this entry. */
+    double capacity(const std::string& pool) const;
+    /** \return the smoothed time of an answer of \p pool in milliseconds, 0 if unknown. */
+    double typical_ms(const std::string& pool) const;
+    std::size_t size() const { return endpoints_.size(); }
+
+private:
+    struct prefix_hint {
+        std::uint64_t prefix = 0;
+        time_point used_at;
+    };
+    struct endpoint_state {
+        endpoint_record record;
+        std::string state;
+        int in_flight = 0;
+        double limit = 4;
+        double typical_ms = 0;
+        int failures = 0;
+        time_point ejected_until;
+        load_report report;
+        time_point reported_at;
+        int in_flight_at_report = 0;
+        time_point leaving_since;
+        std::map<version_name, time_point> missing_until;
+        std::deque<prefix_hint> prefixes;
+    };
+
+    void move(endpoint_state& endpoint, const std::string& event);
+    bool is_eligible(endpoint_state& endpoint, const endpoint_wish& wish, time_point now);
+    bool has_version(const endpoint_state& endpoint, const version_name& version, time_point now) const;
+    bool has_prefix(const endpoint_state& endpoint, const std::string& prefix, time_point now) const;
+    double expected_ms(const endpoint_state& endpoint, time_point now) const;
+    endpoint_state* choose_ours(const std::vector<endpoint_state*>& eligible, const endpoint_wish& wish,
+                                time_point now);
+    void eject(endpoint_state& endpoint, time_point now);
+    void adapt_limit(endpoint_state& endpoint, duration took);
+    double best_typical_ms(const std::string& pool) const;
+
+    chart life_;
+    random_source random_;
+    endpoint_policy policy_;
+    std::size_t turn_ = 0;
+    std::map<std::string, endpoint_state> endpoints_;
+    std::map<std::string, double> initial_limit_;
+    std::map<std::string, double> largest_limit_;
+};
+
+} // namespace laurelhoist
--- /dev/null
+++ b/src/routing/quality_estimator.h
@@ -0,0 +1,44 @@
+/** \file
+ * Defines what an entry has learned about the quality of each version for each team and kind of request.
+ */
+#pragma once
+
+#include "bundle/bundle.h"
+
+namespace laurelhoist {
+
+/** Chances, learned from ratings, that an answer meets the team's score.
+ *
+ * Each is a beta distribution that starts from the signed-off prior and forgets old ratings slowly, so
+ * that a version whose quality changes is noticed. Answers after a step up are learned apart: what
+ * defeated the cheap model is harder than the average request. */
+class quality_estimator {
+public:
+    struct subject {
+        std::string team;
+        std::string kind;
+        version_name version;
+        bool after_step_up = false;
+        friend bool operator<(const subject& left, const subject& right) {
+            return std::tie(left.team, left.kind, left.version, left.after_step_up) <
+                   std::tie(right.team, right.kind, right.version, right.after_step_up);
+        }
+    };
+
+    /** Notes that an answer met the score or did not. */
+    void observe(const subject& about, bool met, double prior);
+    /** \return the chance that the next answer meets the score. */
+    double chance(const subject& about, double prior) const;
+    std::size_t size() const { return beliefs_.size(); }
+
+private:
+    struct belief {
+        double met = 0;
+        double missed = 0;
+    };
+    static belief initial(double prior);
+
+    std::map<subject, belief> beliefs_;
+};
+
+} // namespace laurelhoist
--- /dev/null
+++ b/src/routing/tier_choice.cpp
@@ -0,0 +1,58 @@
+#include "routing/tier_choice.h"
+
+namespace laurelhoist {
+
+namespace {
+
+struct ladder_estimate {
+    double cost = 0;
+    double chance = 0;
+    double worst_latency_ms = 0;
+};
+
+ladder_estimate estimate_from(const std::vector<tier_option>& options, std::size_t start, bool may_step_up) {
+    ladder_estimate estimate;
+    double reached = 1.0;
+    for (std::size_t i = start; i < options.size(); ++i) {
+        const double chance = i == start ? options[i].chance : options[i].chance_after_step_up;
+        estimate.cost += reached * options[i].cost;
+        estimate.chance += reached * chance;
+        estimate.worst_latency_ms += options[i].latency_ms;
+        reached *= 1.0 - chance;
+        if (!may_step_up) {
+            break;
+        }
+    }
+    return estimate;
+}
+
+// Chances are estimates; a step whose whole ladder misses the target by less than this still counts.
+constexpr double target_slack = 0.01;
+
+bool is_better(const ladder_estimate& candidate, const ladder_estimate& best, const tier_wish& wish) {
+    const double target = wish.target_share - target_slack;
+    const bool candidate_meets = candidate.chance >= target;
+    const bool best_meets = best.chance >= target;
+    if (candidate_meets != best_meets) {
+        return candidate_meets;
+    }
+    return candidate_meets ? candidate.cost < best.cost : candidate.chance > best.chance;
+}
+
+} // namespace
+
+std::size_t choose_start(const std::vector<tier_option>& options, const tier_wish& wish) {
+    std::size_t best = options.size() - 1;
+    ladder_estimate best_estimate = estimate_from(options, best, wish.may_step_up);
+    for (std::size_t i = 0; i + 1 < options.size(); ++i) {
+        const ladder_estimate candidate = estimate_from(options, i, wish.may_step_up);
+        if (candidate.worst_latency_ms <= wish.latency_budget_ms &&
+            is_better(candidate, best_estimate, wish)) {
+            best = i;
+            best_estimate = candidate;
+        }
+    }
+    return best;
+}
+
+} // namespace laurelhoist
--- /dev/null
+++ b/src/standin/answer_model.h
@@ -0,0 +1,31 @@
+/** \file
+ * Defines how good the stand-in models are: an answer's score depends on the skill of the version and the
+ * difficulty of the request, the same on every run.
+ */
+#pragma once
+
+#include "base/base.h"
+
+namespace laurelhoist {
+
+/** One version that the stand-in engines can load. */
+struct version_skill {
+    double skill = 0.9; ///< share of the requests that it answers well
+    int first_token_ms = 20;
+    int token_ms = 1;
+    int load_ms = 300;
+};
+LAUREL_VALUE_TYPE(version_skill, skill, first_token_ms, token_ms, load_ms)
+
+/** \return the score of an answer: 0.9 if the version's skill is above the request's difficulty (from the
+ * request's text, uniform in [0, 1)), with a little chance either way, else 0.3. */
+inline double score_of(const version_skill& version, const std::string& version_name, const json& request) {
+    constexpr double noise_share = 0.03;
+    const std::string text = request.value("messages", json::array()).dump();
+    const double difficulty = unit_hash("difficulty " + text);
+    const bool is_noisy = unit_hash(version_name + text) < noise_share;
+    const bool is_good = difficulty < version.skill && !is_noisy;
+    return is_good ? 0.9 : 0.3;
+}
+
+} // namespace laurelhoist
--- /dev/null
+++ b/src/standin/plain_service.h
@@ -0,0 +1,36 @@
+/** \file
+ * Defines the stand-in for a plain service: it does each call, and remembers what it has done, so that a
+ * doubled booking can be seen.
+ */
+#pragma once
+
+#include "transport/transport.h"
+
+namespace laurelhoist {
+
+/** What all endpoints of all services have done, by the reference in the call's body. */
+using done_calls = std::map<std::string, std::int64_t>;
+
+struct service_faults {
+    std::string
+        mode; ///< "", "silent" (does the call, never answers), "leaving" or "cut" (does it, cuts the answer)
+};
+LAUREL_VALUE_TYPE(service_faults, mode)
+
+class plain_service {
+public:
+    plain_service(event_loop& loop, const socket_address& address, std::string name, done_calls& done);
+    void set_faults(const service_faults& faults) { faults_ = faults; }
+    const std::string& name() const { return name_; }
+
+private:
+    void on_request(const http_request& request, const std::shared_ptr<http_responder>& responder);
+
+    event_loop& loop_;
+    std::string name_;
+    done_calls& done_;
+    service_faults faults_;
+    std::unique_ptr<http_server> server_;
+};
+
+} // namespace laurelhoist
--- /dev/null
+++ b/src/transport/event_loop.h
@@ -0,0 +1,44 @@
+/** \file
+ * Defines the one event loop and thread of a process.
+ */
+#pragma once
+
+#include "base/base.h"
+
+#include <functional>
+#include <memory>
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace laurelhoist {
+
+class event_loop {
+public:
+    event_loop();
+    ~event_loop();
+    event_loop(const event_loop&) = delete;
+    event_loop& operator=(const event_loop&) = delete;
+
+    /** Runs until \ref stop. */
+    void run();
+    void stop();
+    /** Runs \p work later, never before this returns. */
+    void post(std::function<void()> work);
+    /** Runs \p work once after \p delay. */
+    void after(duration delay, std::function<void()> work);
+    /** Runs \p work every \p interval until the loop stops. */
+    void every(duration interval, std::function<void()> work);
+    /** Runs \p work on SIGTERM or SIGINT. */
+    void on_stop_signal(std::function<void()> work);
+
+    /** The Asio context, for this library only. */
+    boost::asio::io_context& context();
+
+private:
+    struct state;
+    std::unique_ptr<state> state_;
+};
+
+} // namespace laurelhoist
--- /dev/null
+++ b/src/transport/http_client.cpp
@@ -0,0 +1,264 @@
+#include "transport/http_client.h"
+
+#include <boost/asio.hpp>
+#include <boost/beast.hpp>
+
+#include <algorithm>
+#include <deque>
+#include <optional>
+
+namespace laurelhoist {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+constexpr duration connect_timeout = seconds(1);
+constexpr duration kept_connection_time = seconds(2);
+constexpr std::size_t kept_connections_per_address = 64;
+constexpr std::size_t largest_answer = 8 << 20;
+
+} // namespace
+
+std::string http_answer::header(const std::string& name) const {
+    const auto found = headers.find(name);
+    return found == headers.end() ? std::string{} : found->second;
+}
+
+struct http_client::state {
+    explicit state(asio::io_context& loop_context) : context{loop_context} {}
+
+    struct kept_connection {
+        std::unique_ptr<beast::tcp_stream> stream;
+        time_point since;
+    };
+    using address_key = std::pair<std::string, std::uint16_t>;
+
+    std::unique_ptr<beast::tcp_stream> take(const address_key& address) {
+        std::deque<kept_connection>& idle = kept[address];
+        while (!idle.empty()) {
+            kept_connection connection = std::move(idle.back());
+            idle.pop_back();
+            if (monotonic_now() - connection.since < kept_connection_time) {
+                return std::move(connection.stream);
+            }
+        }
+        return nullptr;
+    }
+
+    void keep(const address_key& address, std::unique_ptr<beast::tcp_stream> stream) {
+        std::deque<kept_connection>& idle = kept[address];
+        idle.push_back({std::move(stream), monotonic_now()});
+        if (idle.size() > kept_connections_per_address) {
+            idle.pop_front();
+        }
+    }
+
+    asio::io_context& context;
+    std::map<address_key, std::deque<kept_connection>> kept;
+};
+
+namespace {
+
+/** One call in progress. */
+template <class State>
+class client_call : public std::enable_shared_from_this<client_call<State>> {
+public:
+    client_call(std::shared_ptr<State> client, http_call call, http_client::answer_handler on_answer,
+                http_client::piece_handler on_piece)
+        : client_{std::move(client)},
+          call_{std::move(call)},
+          on_answer_{std::move(on_answer)},
+          on_piece_{std::move(on_piece)},
+          timer_{client_->context} {}
+
+    void start() {
+        request_.method_string(call_.method);
+        request_.target(call_.target);
+        request_.version(11);
+        request_.keep_alive(true);
+        request_.set(http::field::host, call_.address.host + ":" + std::to_string(call_.address.port));
+        for (const auto& [name, value] : call_.headers) {
+            request_.set(name, value);
+        }
+        request_.body() = call_.body;
+        request_.prepare_payload();
+        if (!call_.needs_fresh_connection) {
+            stream_ = client_->take(address());
+        }
+        is_reused_ = stream_ != nullptr;
+        is_reused_ ? write() : connect();
+    }
+
+    void cancel() {
+        is_done_ = true;
+        timer_.cancel();
+        close();
+    }
+
+private:
+    typename State::address_key address() const { return {call_.address.host, call_.address.port}; }
+
+    void close() {
+        if (stream_) {
+            beast::error_code ignored;
+            stream_->socket().close(ignored);
+        }
+    }
+
+    void connect() {
+        stream_ = std::make_unique<beast::tcp_stream>(client_->context);
+        stream_->expires_after(connect_timeout);
+        auto self = this->shared_from_this();
+        const tcp::endpoint endpoint(asio::ip::make_address(call_.address.host), call_.address.port);
+        stream_->async_connect(endpoint, [self](beast::error_code failure) {
+            if (failure) {
+                self->finish(http_answer::result::not_sent);
+                return;
+            }
+            beast::error_code ignored;
+            self->stream_->socket().set_option(tcp::no_delay{true}, ignored);
+            self->write();
+        });
+    }
+
+    void arm() {
+        timer_.expires_after(call_.timeout);
+        auto self = this->shared_from_this();
+        timer_.async_wait([self](beast::error_code failure) {
+            if (!failure && !self->is_done_) {
+                self->finish(http_answer::result::silent);
+            }
+        });
+    }
+
+    void write() {
+        stream_->expires_never();
+        arm();
+        auto self = this->shared_from_this();
+        http::async_write(*stream_, request_, [self](beast::error_code failure, std::size_t) {
+            if (self->is_done_) {
+                return;
+            }
+            if (failure) {
+                self->on_broken();
+                return;
+            }
+            self->parser_.emplace();
+            self->parser_->body_limit(largest_answer);
+            self->parser_->eager(true);
+            self->read();
+        });
+    }
+
+    // A kept connection that breaks before any byte of an answer was most likely closed by the other side
+    // while it was idle. Only calls that may be repeated use kept connections, so a new one is tried.
+    void on_broken() {
+        if (is_reused_ && !has_answer_begun_) {
+            is_reused_ = false;
+            timer_.cancel();
+            connect();
+            return;
+        }
+        finish(http_answer::result::failed);
+    }
+
+    void read() {
+        auto self = this->shared_from_this();
+        http::async_read_some(*stream_, buffer_, *parser_,
+                              [self](beast::error_code failure, std::size_t) { self->on_read(failure); });
+    }
+
+    void on_read(beast::error_code failure) {
+        if (is_done_) {
+            return;
+        }
+        if (failure && !parser_->is_done()) {
+            on_broken();
+            return;
+        }
+        has_answer_begun_ = true;
+        deliver_piece();
+        if (is_done_) {
+            return;
+        }
+        if (!parser_->is_done()) {
+            if (call_.is_streamed) {
+                arm();
+            }
+            read();
+            return;
+        }
+        finish(http_answer::result::answered);
+    }
+
+    void deliver_piece() {
+        if (!on_piece_ || !parser_->is_header_done() || parser_->get().result_int() != 200) {
+            return;
+        }
+        const std::string& body = parser_->get().body();
+        if (body.size() > delivered_) {
+            const std::string piece = body.substr(delivered_);
+            delivered_ = body.size();
+            on_piece_(piece);
+        }
+    }
+
+    void finish(http_answer::result what) {
+        if (is_done_) {
+            return;
+        }
+        is_done_ = true;
+        timer_.cancel();
+        http_answer answer;
+        answer.what = what;
+        if (what == http_answer::result::answered) {
+            answer.status = static_cast<int>(parser_->get().result_int());
+            for (const auto& field : parser_->get()) {
+                std::string name(field.name_string());
+                std::transform(name.begin(), name.end(), name.begin(),
+                               [](unsigned char c) { return std::tolower(c); });
+                answer.headers[name] = std::string(field.value());
+            }
+            answer.body = parser_->get().body();
+            if (parser_->get().keep_alive()) {
+                client_->keep(address(), std::move(stream_));
+            }
+        } else {
+            close();
+        }
+        on_answer_(answer);
+    }
+
+    std::shared_ptr<State> client_;
+    http_call call_;
+    http_client::answer_handler on_answer_;
+    http_client::piece_handler on_piece_;
+    asio::steady_timer timer_;
+    std::unique_ptr<beast::tcp_stream> stream_;
+    beast::flat_buffer buffer_;
+    http::request<http::string_body> request_;
+    std::optional<http::response_parser<http::string_body>> parser_;
+    std::size_t delivered_ = 0;
+    bool is_reused_ = false;
+    bool has_answer_begun_ = false;
+    bool is_done_ = false;
+};
+
+} // namespace
+
+http_client::http_client(event_loop& loop) : state_{std::make_shared<state>(loop.context())} {}
+http_client::~http_client() = default;
+
+http_client::canceller http_client::send(const http_call& call, answer_handler on_answer,
+                                         piece_handler on_piece) {
+    const auto started =
+        std::make_shared<client_call<state>>(state_, call, std::move(on_answer), std::move(on_piece));
+    started->start();
+    return [started] { started->cancel(); };
+}
+
+} // namespace laurelhoist
--- /dev/null
+++ b/src/transport/http_server.cpp
@@ -0,0 +1,350 @@
+#include "transport/http_server.h"
+
+#include <boost/asio.hpp>
+#include <boost/beast.hpp>
+
+#include <algorithm>
+#include <deque>
+#include <optional>
+
+namespace laurelhoist {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+
+std::string http_request::header(const std::string& name) const {
+    const auto found = headers.find(name);
+    return found == headers.end() ? std::string{} : found->second;
+}
+
+std::string http_request::parameter(const std::string& name) const {
+    const auto found = query.find(name);
+    return found == query.end() ? std::string{} : found->second;
+}
+
+struct http_server::state {
+    state(asio::io_context& loop_context, http_limits server_limits, handler server_handler)
+        : context{loop_context},
+          acceptor{loop_context},
+          limits{server_limits},
+          on_request{std::move(server_handler)} {}
+
+    asio::io_context& context;
+    tcp::acceptor acceptor;
+    http_limits limits;
+    handler on_request;
+    std::size_t connections = 0;
+};
+
+namespace {
+
+using server_state = std::shared_ptr<void>;
+
+std::string decode_percent(const std::string& text) {
+    std::string decoded;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        const bool is_escape = text[i] == '%' && i + 2 < text.size() &&
+                               std::isxdigit(static_cast<unsigned char>(text[i + 1])) != 0 &&
+                               std::isxdigit(static_cast<unsigned char>(text[i + 2])) != 0;
+        if (is_escape) {
+            constexpr int hexadecimal = 16;
+            decoded += static_cast<char>(std::stoi(text.substr(i + 1, 2), nullptr, hexadecimal));
+            i += 2;
+        } else {
+            decoded += text[i] == '+' ? ' ' : text[i];
+        }
+    }
+    return decoded;
+}
+
+std::string to_lower(std::string text) {
+    std::transform(text.begin(), text.end(), text.begin(), [](unsigned char c) { return std::tolower(c); });
+    return text;
+}
+
+http_request to_request(const http::request<http::string_body>& message) {
+    http_request request;
+    request.method = std::string(message.method_string());
+    const std::string target(message.target());
+    const std::size_t question = target.find('?');
+    request.path = decode_percent(target.substr(0, question));
+    if (question != std::string::npos) {
+        for (const std::string& pair : split_list(target.substr(question + 1), '&')) {
+            const std::size_t equals = pair.find('=');
+            const std::string value = equals == std::string::npos ? "" : pair.substr(equals + 1);
+            request.query[decode_percent(pair.substr(0, equals))] = decode_percent(value);
+        }
+    }
+    for (const auto& field : message) {
+        request.headers[to_lower(std::string(field.name_string()))] = std::string(field.value());
+    }
+    request.body = message.body();
+    return request;
+}
+
+/** One connection of a caller; answers one request after another. */
+template <class State>
+class server_session : public http_responder, public std::enable_shared_from_this<server_session<State>> {
+public:
+    server_session(tcp::socket socket, std::shared_ptr<State> server)
+        : stream_{std::move(socket)}, server_{std::move(server)} {
+        ++server_->connections;
+        beast::error_code ignored;
+        stream_.socket().set_option(tcp::no_delay{true}, ignored);
+    }
+    ~server_session() override { --server_->connections; }
+    server_session(const server_session&) = delete;
+    server_session& operator=(const server_session&) = delete;
+
+    void read_next() {
+        parser_.emplace();
+        parser_->body_limit(server_->limits.body_bytes);
+        parser_->header_limit(static_cast<std::uint32_t>(server_->limits.header_bytes));
+        stream_.expires_after(is_first_ ? server_->limits.read_time : server_->limits.idle_time);
+        is_first_ = false;
+        is_answered_ = false;
+        is_streaming_ = false;
+        // The first byte ends the idle time and starts the reading time: a caller that sends a body
+        // byte by byte is cut off, one that keeps its connection between requests is not.
+        auto self = this->shared_from_this();
+        if (buffer_.size() > 0) {
+            read_request();
+            return;
+        }
+        stream_.async_read_some(buffer_.prepare(4096), [self](beast::error_code failure, std::size_t bytes) {
+            if (failure) {
+                return;
+            }
+            self->buffer_.commit(bytes);
+            self->read_request();
+        });
+    }
+
+    void reply(int status, const http_headers& headers, std::string body) override {
+        if (is_answered_) {
+            return;
+        }
+        is_answered_ = true;
+        auto response = std::make_shared<http::response<http::string_body>>();
+        response->result(static_cast<unsigned>(status));
+        response->version(11);
+        response->keep_alive(keeps_alive_);
+        response->set(http::field::content_type, "application/json");
+        for (const auto& [name, value] : headers) {
+            response->set(name, value);
+        }
+        response->body() = std::move(body);
+        response->prepare_payload();
+        stream_.expires_after(server_->limits.read_time);
+        auto self = this->shared_from_this();
+        http::async_write(stream_, *response, [self, response](beast::error_code failure, std::size_t) {
+            self->on_answer_written(failure);
+        });
+    }
+
+    void begin_stream(int status, const http_headers& headers) override {
+        if (is_answered_) {
+            return;
+        }
+        is_answered_ = true;
+        is_streaming_ = true;
+        std::string head = "HTTP/1.1 " + std::to_string(status) + " " +
+                           std::string(http::obsolete_reason(static_cast<http::status>(status))) + "\r\n";
+        for (const auto& [name, value] : headers) {
+            head += name + ": " + value + "\r\n";
+        }
+        push(head + "Transfer-Encoding: chunked\r\n\r\n");
+    }
+
+    void write(std::string text) override {
+        if (is_streaming_ && !text.empty()) {
+            std::array<char, 20> size{};
+            std::snprintf(size.data(), size.size(), "%zx\r\n", text.size());
+            push(size.data() + text + "\r\n");
+        }
+    }
+
+    void end_stream() override {
+        if (is_streaming_) {
+            is_ending_ = true;
+            push("0\r\n\r\n");
+        }
+    }
+
+    void cut() override {
+        beast::error_code ignored;
+        stream_.socket().close(ignored);
+    }
+
+    void on_gone(std::function<void()> work) override { gone_ = std::move(work); }
+
+private:
+    void read_request() {
+        stream_.expires_after(server_->limits.read_time);
+        auto self = this->shared_from_this();
+        http::async_read(stream_, buffer_, *parser_,
+                         [self](beast::error_code failure, std::size_t) { self->on_request_read(failure); });
+    }
+
+    void on_request_read(beast::error_code failure) {
+        keeps_alive_ = !failure && parser_->get().keep_alive();
+        if (failure == http::error::body_limit) {
+            refuse({error_kind::too_large, "the body is larger than " +
+                                               std::to_string(server_->limits.body_bytes) +
+                                               " bytes; send less"});
+        } else if (failure == http::error::header_limit) {
+            refuse({error_kind::too_large, "the headers are too large; send less"});
+        } else if (failure == beast::error::timeout) {
+            refuse({error_kind::invalid_request,
+                    "the request was not complete in time; send it without pauses"});
+        } else if (failure &&
+                   failure.category() == http::make_error_code(http::error::bad_method).category() &&
+                   failure != http::error::end_of_stream && failure != http::error::partial_message) {
+            refuse({error_kind::invalid_request, "not a valid HTTP request: " + failure.message()});
+        } else if (!failure) {
+            stream_.expires_never();
+            const http_request request = to_request(parser_->get());
+            gone_ = nullptr;
+            watch_for_close();
+            server_->on_request(request, this->shared_from_this());
+        }
+    }
+
+    void refuse(const error& failure) {
+        reply(http_status(failure.kind), {}, to_error_body(failure, "").dump());
+    }
+
+    // Without reading, a caller that goes away would only be noticed by a failing write, after the work
+    // has been paid for.
+    void watch_for_close() {
+        auto self = this->shared_from_this();
+        stream_.socket().async_wait(tcp::socket::wait_read, [self](beast::error_code failure) {
+            if (failure || self->is_complete()) {
+                return;
+            }
+            char byte = 0;
+            beast::error_code peek_failure;
+            const std::size_t bytes = self->stream_.socket().receive(asio::buffer(&byte, 1),
+                                                                     tcp::socket::message_peek, peek_failure);
+            if (bytes == 0) {
+                self->tell_gone();
+            }
+        });
+    }
+
+    bool is_complete() const { return is_answered_ && !is_streaming_; }
+
+    void tell_gone() {
+        if (gone_) {
+            const std::function<void()> work = std::move(gone_);
+            gone_ = nullptr;
+            work();
+        }
+    }
+
+    void push(std::string bytes) {
+        outgoing_.push_back(std::move(bytes));
+        if (outgoing_.size() == 1) {
+            write_next();
+        }
+    }
+
+    void write_next() {
+        stream_.expires_after(server_->limits.idle_time);
+        auto self = this->shared_from_this();
+        asio::async_write(stream_, asio::buffer(outgoing_.front()),
+                          [self](beast::error_code failure, std::size_t) {
+                              if (failure) {
+                                  self->tell_gone();
+                                  return;
+                              }
+                              self->outgoing_.pop_front();
+                              if (!self->outgoing_.empty()) {
+                                  self->write_next();
+                              } else if (self->is_ending_) {
+                                  self->is_ending_ = false;
+                                  self->is_streaming_ = false;
+                                  self->on_answer_written({});
+                              }
+                          });
+    }
+
+    void on_answer_written(beast::error_code failure) {
+        gone_ = nullptr;
+        beast::error_code ignored;
+        if (failure || !keeps_alive_) {
+            stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
+            return;
+        }
+        stream_.socket().cancel(ignored); // Ends the watch for a close.
+        auto self = this->shared_from_this();
+        asio::post(stream_.get_executor(), [self] { self->read_next(); });
+    }
+
+    beast::tcp_stream stream_;
+    std::shared_ptr<State> server_;
+    beast::flat_buffer buffer_;
+    std::optional<http::request_parser<http::string_body>> parser_;
+    std::deque<std::string> outgoing_;
+    std::function<void()> gone_;
+    bool is_first_ = true;
+    bool keeps_alive_ = true;
+    bool is_answered_ = false;
+    bool is_streaming_ = false;
+    bool is_ending_ = false;
+};
+
+template <class State>
+void accept_next(const std::shared_ptr<State>& server) {
+    server->acceptor.async_accept([server](beast::error_code failure, tcp::socket socket) {
+        if (failure == asio::error::operation_aborted) {
+            return;
+        }
+        if (!failure && server->connections < server->limits.connections) {
+            std::make_shared<server_session<State>>(std::move(socket), server)->read_next();
+        }
+        accept_next(server);
+    });
+}
+
+} // namespace
+
+http_server::http_server(event_loop& loop, const socket_address& address, const http_limits& limits,
+                         handler on_request)
+    : state_{std::make_shared<state>(loop.context(), limits, std::move(on_request))} {
+    const tcp::endpoint endpoint(asio::ip::make_address(address.host), address.port);
+    state_->acceptor.open(endpoint.protocol());
+    state_->acceptor.set_option(asio::socket_base::reuse_address(true));
+    state_->acceptor.bind(endpoint);
+    state_->acceptor.listen(asio::socket_base::max_listen_connections);
+    accept_next(state_);
+}
+
+http_server::~http_server() {
+    beast::error_code ignored;
+    state_->acceptor.close(ignored);
+}
+
+std::uint16_t http_server::port() const {
+    return state_->acceptor.local_endpoint().port();
+}
+
+std::size_t http_server::open_connections() const {
+    return state_->connections;
+}
+
+std::unique_ptr<http_server> listen_or_exit(event_loop& loop, const std::string& flag,
+                                            const socket_address& address, const http_limits& limits,
+                                            http_server::handler on_request) {
+    try {
+        return std::make_unique<http_server>(loop, address, limits, std::move(on_request));
+    } catch (const std::exception& failure) {
+        refuse_setting("--" + flag, address.host + ":" + std::to_string(address.port),
+                       std::string("cannot listen there (") + failure.what() +
+                           "); give an address of this host that is free");
+    }
+}
+
+} // namespace laurelhoist
--- /dev/null
+++ b/src/transport/http_server.h
@@ -0,0 +1,82 @@
+/** \file
+ * Defines the HTTP server: bounded in header, body, time and connections, so that a malformed, oversized,
+ * slow or half-open caller costs a clear error and nobody else's time.
+ */
+#pragma once
+
+#include "transport/event_loop.h"
+
+#include <map>
+
+namespace laurelhoist {
+
+/** A request, read whole. */
+struct http_request {
+    std::string method;
+    std::string path;
+    std::map<std::string, std::string> query;
+    std::map<std::string, std::string> headers; ///< names in lower case
+    std::string body;
+
+    /** \return the header \p name (lower case), or an empty string. */
+    std::string header(const std::string& name) const;
+    std::string parameter(const std::string& name) const;
+};
+
+using http_headers = std::map<std::string, std::string>;
+
+/** The way to answer one request; may be kept and used later. */
+class http_responder {
+public:
+    http_responder() = default;
+    http_responder(const http_responder&) = delete;
+    http_responder& operator=(const http_responder&) = delete;
+    virtual ~http_responder() = default;
+
+    /** Answers whole. Only the first answer counts. */
+    virtual void reply(int status, const http_headers& headers, std::string body) = 0;
+    /** Begins a chunked answer. */
+    virtual void begin_stream(int status, const http_headers& headers) = 0;
+    virtual void write(std::string text) = 0;
+    /** Ends a chunked answer; without this the caller sees a cut one. */
+    virtual void end_stream() = 0;
+    /** Closes the connection at once, so that a begun answer cannot be taken for whole. */
+    virtual void cut() = 0;
+    /** Sets what to do when the caller goes away before the answer is complete. */
+    virtual void on_gone(std::function<void()> work) = 0;
+};
+
+struct http_limits {
+    std::size_t body_bytes = 1 << 20;
+    std::size_t header_bytes = 16 << 10;
+    duration read_time = seconds(10); ///< from the first byte of a request to its last
+    duration idle_time = seconds(60); ///< of a kept connection
+    std::size_t connections = 4000;
+};
+
+class http_server {
+public:
+    using handler = std::function<void(const http_request&, const std::shared_ptr<http_responder>&)>;
+
+    /** Starts to listen. \throws std::system_error if the address cannot be bound */
+    http_server(event_loop& loop, const socket_address& address, const http_limits& limits,
+                handler on_request);
+    ~http_server();
+    http_server(const http_server&) = delete;
+    http_server& operator=(const http_server&) = delete;
+
+    /** \return the port listened on, chosen by the system if the address named port 0. */
+    std::uint16_t port() const;
+    std::size_t open_connections() const;
+
+private:
+    struct state;
+    std::shared_ptr<state> state_;
+};
+
+/** Starts a server, ending the process with a remedy if \p address is taken. */
+std::unique_ptr<http_server> listen_or_exit(event_loop& loop, const std::string& flag,
+                                            const socket_address& address, const http_limits& limits,
+                                            http_server::handler on_request);
+
+} // namespace laurelhoist
--- /dev/null
+++ b/tools/check_style.sh
@@ -0,0 +1,13 @@
+#!/usr/bin/env bash
+# Fails if clang-format or clang-tidy finds anything in our sources. Needs build/release to be configured.
+#   tools/check_style.sh [format|lint]
+set -euo pipefail
+cd "$(dirname "$0")/.."
+what=${1:-all}
+mapfile -t files < <(git ls-files 'src/*.cpp' 'src/*.h' 'test/*.cpp' 'test/*.h')
+if [ "$what" != lint ]; then
+  clang-format --dry-run --Werror "${files[@]}"
+fi
+if [ "$what" != format ]; then
+  printf '%s\n' "${files[@]}" | grep '\.cpp$' | xargs -P "$(nproc)" -n 1 clang-tidy --quiet -p build/release 2>/dev/null
+fi
