The demo: both users' fleets through a bad roll-out, a replaced host and a dark platform

Cause: the whole has to be seen running, by somebody who knows nothing of it yet. Change: laurel-load plays the callers and compares what it got with the ledger and the stand-ins' own counts; tools/demo.sh runs each user's fleet through the faults and ends with a table.

--- /dev/null
+++ b/tools/demo.sh
@@ -0,0 +1,72 @@
+#!/usr/bin/env bash
+# The demo: for each of the two users, a fleet of one stand-in, 3 stewards and 3 entries under a mixed load;
+# a bad version is rolled, braked and withdrawn; a host is replaced, a steward is killed, the platform goes
+# dark and an endpoint falls silent meanwhile. Ends by itself with a table; non-zero on any promise broken.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+[ -n "${LAUREL_SKIP_SETUP:-}" ] || tools/setup.sh
+[ -n "${LAUREL_SKIP_BUILD:-}" ] || tools/build.sh >/dev/null
+source tools/fleet.sh
+trap stop_fleet EXIT
+failed=0
+
+say() { echo "[$SITE] $*"; }
+
+run_site() { # site service call teams costly-price
+  start_fleet "$1" >/dev/null
+  say "3 stewards and 3 entries serve bundle $SITE-1; the load begins"
+  launch load "$BIN/laurel-load" --entries=127.0.0.1:$((PORT + 10)),127.0.0.1:$((PORT + 11)) --controls="$CONTROLS" \
+    --operator_key=$OPERATOR_KEY --standin="$STANDIN" --teams="$4" --service="$2" --single_call="$3" \
+    --bad_version="$CHEAP@2" --costly_price="$5" --rate=60 --seconds=30
+  local load_pid
+  load_pid=$(cat "$OUT/load.pid")
+  sleep 2
+  ctl bundle submit "examples/$SITE-2-bad.json" >/dev/null
+  ctl bundle sign-off "$SITE-2" >/dev/null
+  ctl bundle roll "$SITE-2" >/dev/null
+  say "the bad version $CHEAP@2 is being rolled"
+  for _ in $(seq 100); do
+    state=$(ctl bundle status | awk -v id="$SITE-2" '$1 == id { print $2 }')
+    [ "$state" = braked ] && break
+    sleep 0.2
+  done
+  say "bundle $SITE-2 is $state; nobody had to act"
+  [ "$state" = braked ] || failed=1
+  ctl version withdraw "$CHEAP@2" --reason="wrong answers" | sed "s/^/[$SITE] withdrawn: /"
+  fault '{"target":"'"$2"'-1","mode":"silent"}'
+  say "endpoint $2-1 falls silent"
+  stop_process entry-2 TERM
+  start_entry 3
+  say "host entry-2 is replaced by entry-3"
+  sleep 2
+  stop_process steward-1 KILL
+  say "steward-1 is killed"
+  fault '{"target":"platform","down":true}'
+  say "the platform is dark"
+  sleep 4
+  fault '{"target":"platform","down":false,"lose_answers":0.2}'
+  start_steward 1
+  say "the platform answers again, but loses one answer to a write in five"
+  await_exit entry-2
+  say "entry-2 has stopped, having cut nothing"
+  fault '{"target":"'"$2"'-1","mode":""}'
+  wait "$load_pid" || failed=1
+  echo
+  echo "$SITE:"
+  grep -v '^{' "$OUT/load.log"
+  local broken
+  broken=$(for port in 10 11 13; do curl -sf "http://127.0.0.1:$((PORT + port))/metrics" || true; done |
+    awk '/invariant_broken_total/ { sum += $2 } END { print sum + 0 }')
+  printf '  %-46s%s\n\n' "invariants broken" "$broken"
+  [ "$broken" = 0 ] || failed=1
+  ctl ledger | head -4
+  echo
+  ctl status >"$OUT/status-$SITE.txt"
+  stop_fleet
+  sleep 1
+}
+
+run_site brazda claims submit osijek,vukovar,vinkovci,dakovo,nasice 20
+run_site consorzio bookings book studio-amari,studio-bellini,studio-caruso,studio-dangelo,studio-esposito 15
+if [ $failed = 0 ]; then echo "every promise held"; else echo "a promise was broken" >&2; fi
+exit $failed
