--- a/src/node/entry_control.cpp
+++ b/src/node/entry_control.cpp
@@ -126,11 +126,18 @@
     ask_stewards(); // Tells at once that the revision is in force here.
 }
 
-// A brake works before it is written to the platform: for as long as the revision stays the same, the
-// versions of the latest notice count as stopped.
+bool entry_core::is_notice_current() const {
+    const fleet_head& head = base_view_->head();
+    const auto rolling = head.bundles.find(notice_.bundle_id);
+    return !notice_.versions.empty() && head.rolling == notice_.bundle_id && rolling != head.bundles.end() &&
+           rolling->second.epoch == notice_.epoch;
+}
+
+// A brake works before it is written to the platform: the versions of the latest notice count as stopped
+// for as long as the roll-out that it speaks of has not been resumed or ended.
 void entry_core::apply_notice() {
     view_ = base_view_;
-    if (notice_.revision == revision() && !notice_.versions.empty()) {
+    if (is_notice_current()) {
         fleet_head head = base_view_->head();
         for (const version_name& version : notice_.versions) {
             head.braked.emplace(version, version_stop{"brake notice", 0, ""});
@@ -145,22 +152,19 @@
 }
 
 void entry_core::on(const std::string& /*from*/, const brake_notice& message) {
-    if (message.revision != revision() || message == notice_) {
-        return;
-    }
-    std::vector<version_name> versions =
-        notice_.revision == message.revision ? notice_.versions : std::vector<version_name>{};
+    const bool is_same_rollout = message.bundle_id == notice_.bundle_id && message.epoch == notice_.epoch;
+    brake_notice merged = is_same_rollout ? notice_ : brake_notice{message.bundle_id, message.epoch, {}};
     for (const version_name& version : message.versions) {
-        if (std::find(versions.begin(), versions.end(), version) == versions.end()) {
-            versions.push_back(version);
+        if (std::find(merged.versions.begin(), merged.versions.end(), version) == merged.versions.end()) {
+            merged.versions.push_back(version);
         }
     }
-    const brake_notice merged{message.revision, versions};
-    if (merged == notice_) {
+    const bool is_older = message.bundle_id == notice_.bundle_id && message.epoch < notice_.epoch;
+    if (merged == notice_ || is_older) {
         return;
     }
     notice_ = merged;
-    log_warning("braked", {{"versions", versions}, {"revision", revision()}});
+    log_warning("braked", {{"versions", merged.versions}, {"bundle", merged.bundle_id}});
     apply_notice();
 }
 
@@ -180,7 +184,9 @@
         }
         context& request = found->second;
         if (request.state == "queued") {
-            reroute_queued(request);
+            if (!is_disabled("reroute_on_change")) {
+                reroute_queued(request);
+            }
         } else if (!is_usable(request.team.name, request.version()) && !is_disabled("stop_in_flight")) {
             fire(id, "stopped");
         }
--- a/src/node/entry_core.cpp
+++ b/src/node/entry_core.cpp
@@ -539,6 +539,9 @@
     const std::string id = owner->second;
     request_by_call_.erase(owner);
     context& request = requests_.at(id);
+    invariant("own_rating", request.rating_id == call_id, [&] {
+        return json{{"request", id}, {"rating", call_id}};
+    });
     request.rating_id.clear();
     if (request.state != "rating" || !request.answer) {
         return;
--- a/src/node/entry_core.h
+++ b/src/node/entry_core.h
@@ -161,6 +161,7 @@
     void on(const std::string& from, const peer_ask& message);
     void on(const std::string& from, const peer_answer& message);
     void apply_config(shared_view next);
+    bool is_notice_current() const;
     void apply_notice();
     void reroute_open_requests();
     void reroute_queued(context& request);
@@ -197,6 +198,7 @@
     error refusal_of(const context& request) const;
     void count_release(const context& request);
     void check_release(const context& request);
+    void check_not_stopped(const context& request) const;
     void finish_claim(const context& request, const std::string& state);
     void remember(const context& request, const caller_reply& reply);
     void rate_in_background(const context& request);
--- a/src/node/entry_replies.cpp
+++ b/src/node/entry_replies.cpp
@@ -40,6 +40,7 @@
     if (is_earlier_better) {
         request.answer = request.earlier;
     }
+    check_not_stopped(request);
     bill_record record;
     record.team = request.team.name;
     record.request_id = request.bill_id;
@@ -64,6 +65,16 @@
     }
 }
 
+// A version that was stopped while its answer was under way must not reach the caller by it. From here on
+// the answer is being paid for, and is released.
+void entry_core::check_not_stopped(const context& request) const {
+    const bool may_finish =
+        request.is_service() || (request.asked.stream && request.team.on_withdrawal == "finish");
+    invariant("stopped_answer_is_held_back", may_finish || !view_->is_stopped(request.answer->version), [&] {
+        return json{{"request", request.id}, {"version", request.answer->version}};
+    });
+}
+
 void entry_core::bill_earlier(context& request) {
     request.answer = request.earlier;
     bill(request);
--- a/src/node/messages.h
+++ b/src/node/messages.h
@@ -120,12 +120,15 @@
 };
 LAUREL_VALUE_TYPE(endpoints_leaving, names)
 
-/** Versions to stop at once, before the brake is written to the platform. */
+/** Versions to stop at once, before the brake is written to the platform. The notice counts for one epoch
+ * of one roll-out: were it bound to a revision, any other change of configuration would lift it for the
+ * moment until it is given again, and the bad version would get work in between. */
 struct brake_notice {
-    std::int64_t revision = 0; ///< the notice counts while this revision is in force
+    std::string bundle_id;
+    int epoch = 0;
     std::vector<version_name> versions;
 };
-LAUREL_VALUE_TYPE(brake_notice, revision, versions)
+LAUREL_VALUE_TYPE(brake_notice, bundle_id, epoch, versions)
 
 /** Steward to steward, several times a second. */
 struct peer_ask {
--- a/src/node/steward_rollout.cpp
+++ b/src/node/steward_rollout.cpp
@@ -89,7 +89,8 @@
 
 // The notice works at once, also with the platform dark; the write makes it last.
 void steward_core::apply_brake(const std::vector<version_name>& bad) {
-    const brake_notice notice{view_->revision(), bad};
+    const std::string& rolling = view_->head().rolling;
+    const brake_notice notice{rolling, view_->head().bundles.at(rolling).epoch, bad};
     for (const auto& [incarnation, link] : entry_links_) {
         port_.send_to_entry(incarnation, notice);
     }
--- /dev/null
+++ b/src/plot/plot.h
@@ -0,0 +1,47 @@
+/** \file
+ * The one public header of the plot library: line and bar charts as SVG text, for the experiment program
+ * and the report on service-level burn.
+ */
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace laurelhoist {
+
+struct plot_point {
+    double x = 0;
+    double y = 0;
+};
+
+struct plot_series {
+    std::string name;
+    std::vector<plot_point> points;
+};
+
+/** A chart with one line for each series. */
+struct line_chart {
+    std::string title;
+    std::string x_label;
+    std::string y_label;
+    std::vector<plot_series> series;
+    double marked_y = -1; ///< a limit, drawn as a dashed line; negative: none
+};
+
+struct plot_bar {
+    std::string name;
+    double value = 0;
+};
+
+/** A chart with one horizontal bar for each value. */
+struct bar_chart {
+    std::string title;
+    std::string unit;
+    std::vector<plot_bar> bars;
+};
+
+/** \return the chart as an SVG document. */
+std::string to_svg(const line_chart& chart);
+std::string to_svg(const bar_chart& chart);
+
+} // namespace laurelhoist
--- a/src/programs/laurelctl.cpp
+++ b/src/programs/laurelctl.cpp
@@ -370,7 +370,8 @@
         return report_failure(answer);
     }
     ledger_book book;
-    for (const json& item : json::parse(answer.body)["items"]) {
+    const json body = json::parse(answer.body);
+    for (const json& item : body["items"]) {
         book.add(item["value"].get<ledger_segment>());
     }
     if (FLAGS_json) {
--- a/src/simulation/fake_endpoint.cpp
+++ b/src/simulation/fake_endpoint.cpp
@@ -139,7 +139,11 @@
         return;
     }
     const std::string marker = work->call.body.value("marker", "");
-    work->to.on_part(work->next_part, marker + "/" + std::to_string(work->next_part) + " ");
+    const std::string text = marker + "/" + std::to_string(work->next_part) + " ";
+    work->to.on_part(work->next_part, text);
+    if (random_.chance(doubled_parts)) {
+        work->to.on_part(work->next_part, text);
+    }
     ++work->next_part;
     clock_.after(from_ms(token_ms), [this, work, token_ms] { send_part(work, token_ms); });
 }
--- a/src/simulation/fake_endpoint.h
+++ b/src/simulation/fake_endpoint.h
@@ -49,7 +49,8 @@
     bool names_wrong_version = false;
     bool mixes_answers = false; ///< gives some calls the answer of another
     double slow_factor = 1.0;
-    double cut_share = 0.0; ///< of the answers whose connection breaks after the work is done
+    double doubled_parts = 0.0; ///< share of a stream's parts that come twice
+    double cut_share = 0.0;     ///< of the answers whose connection breaks after the work is done
     duration report_lag = milliseconds(0);
     duration load_time = seconds(2);
     std::uint64_t prefix_hits = 0;
--- a/src/simulation/world.cpp
+++ b/src/simulation/world.cpp
@@ -190,6 +190,10 @@
     return stewards_[index]->core.get();
 }
 
+time_point world::entry_time(std::size_t index) const {
+    return entries_[index]->local_now();
+}
+
 const metrics& world::entry_numbers(std::size_t index) const {
     return entries_[index]->numbers;
 }
--- a/src/simulation/world.h
+++ b/src/simulation/world.h
@@ -87,6 +87,7 @@
     std::uint64_t rated_enough = 0;         ///< model answers at the score
     std::uint64_t model_answers = 0;
     std::int64_t cost_micro = 0;
+    double oracle_cost = 0; ///< had the cheapest version that answers well been known beforehand
     std::uint64_t commands_accepted = 0;
     std::uint64_t restarts_of_streams = 0;
     std::vector<double> latency_ms;
@@ -150,6 +151,8 @@
 
     entry_core* entry(std::size_t index);
     steward_core* steward(std::size_t index);
+    /** \return the time by the clock of the entry \p index, which is skewed. */
+    time_point entry_time(std::size_t index) const;
     const metrics& entry_numbers(std::size_t index) const;
     const world_report& report();
     fleet_head head_in_platform() const;
--- a/src/simulation/world_callers.cpp
+++ b/src/simulation/world_callers.cpp
@@ -63,6 +63,11 @@
         wish.service_path = wish.is_idempotent ? "free" : "book";
     }
     const bool has_key = random_.chance(keyed_share);
+    if (!wish.is_service) {
+        constexpr double per_thousand = 1000;
+        const double price = wish.difficulty < options_.cheap.skill ? 1.0 : options_.costly_price;
+        report_.oracle_cost += price * wish.tokens / per_thousand;
+    }
     wish.key = has_key ? "key-" + std::to_string(last_operation_ + 1) : "";
     issue(begin_operation(wish));
 }
--- a/src/simulation/world_checks.cpp
+++ b/src/simulation/world_checks.cpp
@@ -124,12 +124,14 @@
     cuts_.clear();
     platform->faults = {};
     rater_is_down = false;
+    rater_delay = milliseconds(20);
     message_doubling = 0;
     message_delay_share = 0;
     for (const auto& endpoint : endpoints) {
         endpoint->is_dead = false;
         endpoint->is_silent = false;
         endpoint->cut_share = 0;
+        endpoint->doubled_parts = 0;
         endpoint->slow_factor = 1;
         endpoint->names_wrong_version = false;
         endpoint->mixes_answers = false;
--- a/src/simulation/world_faults.cpp
+++ b/src/simulation/world_faults.cpp
@@ -244,7 +244,7 @@
     const bool may_lose_memory = clock.now() - last_entry_kill_ > dark_memory &&
                                  clock.now() - last_steward_kill_ > dark_memory &&
                                  (!platform->faults.is_down || steward_kills_while_dark_ == 0);
-    switch (random_.below(22)) {
+    switch (random_.below(23)) {
     case 0:
         if (may_lose_memory) {
             kill_entry(any_entry(), some(300, 6000));
@@ -300,8 +300,9 @@
     }
     case 12: {
         fake_endpoint& endpoint = any_endpoint();
-        endpoint.cut_share = random_.unit();
-        for_a_while(some(500, 20000), [&endpoint] { endpoint.cut_share = 0; });
+        double& fault = random_.chance(0.5) ? endpoint.cut_share : endpoint.doubled_parts;
+        fault = random_.unit();
+        for_a_while(some(500, 20000), [&fault] { fault = 0; });
         break;
     }
     case 13: {
@@ -333,8 +334,12 @@
         break;
     }
     case 15:
-        rater_is_down = true;
-        for_a_while(some(500, 15000), [this] { rater_is_down = false; });
+        rater_is_down = random_.chance(0.5);
+        rater_delay = some(20, 1500);
+        for_a_while(some(500, 15000), [this] {
+            rater_is_down = false;
+            rater_delay = milliseconds(20);
+        });
         break;
     case 16:
         message_doubling = random_.unit() * 0.3;
@@ -382,6 +387,21 @@
         }
         break;
     }
+    case 21: {
+        // The worst moment: a withdrawal through a steward that its peers cannot hear, and the platform
+        // goes dark as soon as it is written.
+        const std::size_t lonely = any_steward();
+        for (const auto& peer : stewards_) {
+            cut(stewards_[lonely]->name(), peer->name(), seconds(12));
+        }
+        withdraw("cheap@" + std::to_string(last_bundle_), lonely);
+        clock.after(milliseconds(15), [this] {
+            platform->faults.is_down = true;
+            steward_kills_while_dark_ = 0;
+        });
+        for_a_while(some(3000, 15000), [this] { platform->faults.is_down = false; });
+        break;
+    }
     default:
         if (may_lose_memory) {
             random_.chance(0.6) ? stop_entry(any_entry(), some(300, 3000))
--- a/test/node_test.cpp
+++ b/test/node_test.cpp
@@ -124,6 +124,25 @@
     simulated.check_final();
 }
 
+// The brake has fallen everywhere by notice, and before the platform has it another change of configuration
+// (a steward leaves the list) comes into force. The bad version must not get work again in between: the
+// notice speaks of the roll-out, not of a revision.
+TEST_F(failure, a_brake_outlasts_an_unrelated_change_of_configuration) {
+    world simulated{quiet_options()};
+    simulated.start();
+    const version_name bad = simulated.roll_bundle(0.3);
+    simulated.run_for(seconds(8));
+    const int epoch = simulated.head_in_platform().bundles.at("bundle-2").epoch;
+    ASSERT_TRUE(simulated.entry(0)->view().is_allowed("team-0", bad));
+    simulated.entry(0)->on_steward_message("steward-0#1", brake_notice{"bundle-2", epoch, {bad}},
+                                           simulated.entry_time(0));
+    ASSERT_FALSE(simulated.entry(0)->view().is_allowed("team-0", bad));
+    simulated.withdraw("cheap@77");
+    simulated.run_for(seconds(2));
+    EXPECT_TRUE(simulated.entry(0)->view().is_withdrawn("cheap@77"));
+    EXPECT_FALSE(simulated.entry(0)->view().is_allowed("team-0", bad));
+}
+
 TEST_F(failure, a_good_version_is_rolled_to_the_end_by_the_stewards_alone) {
     world simulated{world_options{}};
     simulated.start();
@@ -218,6 +237,25 @@
     EXPECT_EQ(simulated.head_in_platform().revision, revision + 1);
 }
 
+// A steward that its peers cannot hear writes a withdrawal, and the platform goes dark at once. The other
+// stewards still confirm the older revision to their entries, rightly: so the command must not be called
+// accepted, or the operator would trust a withdrawal that is not in force.
+TEST_F(failure, a_change_that_no_majority_holds_is_not_called_accepted) {
+    world simulated{quiet_options()};
+    simulated.start();
+    const std::uint64_t before = simulated.report().commands_accepted;
+    simulated.cut("steward-0", "steward-1", seconds(20));
+    simulated.cut("steward-0", "steward-2", seconds(20));
+    simulated.withdraw("cheap@1", 0);
+    simulated.run_for(milliseconds(15));
+    simulated.platform->faults.is_down = true;
+    simulated.run_for(seconds(9));
+    EXPECT_EQ(simulated.report().commands_accepted, before);
+    simulated.quiesce();
+    simulated.check_final();
+    EXPECT_EQ(simulated.head_in_platform().withdrawn.count("cheap@1"), 1U);
+}
+
 // A notary's office books; its connection breaks and its library sends the same booking, with the same key,
 // to another entry while the first is still under way. Two firms must not hold one hour.
 TEST_F(failure, one_booking_key_at_two_entries_runs_once) {
