--- a/src/node/entry_admission.cpp
+++ b/src/node/entry_admission.cpp
@@ -97,18 +97,26 @@
     return std::nullopt;
 }
 
+int entry_core::weight_of(const std::string& team) const {
+    const team_entry* entry = find_team(*view_->established(), team);
+    return entry == nullptr ? 1 : entry->weight;
+}
+
 // A request that would wait past its budget is refused at once, with the time to come back: an answer
 // that comes too late costs a slot that an answer in time could have used.
 std::optional<error> entry_core::check_queue(const context& request) const {
     const auto queued = team_queued_.find(request.team.name);
     const int waiting = queued == team_queued_.end() ? 0 : queued->second;
+    double wait_ms = 0;
     const auto lane = lanes_.find(request.lane());
-    const double ahead = lane == lanes_.end() ? 0.0 : static_cast<double>(lane->second.size());
-    const double capacity = std::max(1.0, endpoints_.capacity(request.pool));
-    const double wait_ms = ahead * endpoints_.typical_ms(request.pool) / capacity;
-    const bool is_too_long = wait_ms > queue_budget_share * request.team.latency_budget_ms;
-    const bool is_team_alone = ahead <= static_cast<double>(waiting);
-    if (waiting < request.team.max_queued && !(is_too_long && is_team_alone)) {
+    if (lane != lanes_.end()) {
+        const double share =
+            lane->second.share_of(request.team.name, [this](const std::string& t) { return weight_of(t); });
+        const double slots = std::max(1.0, endpoints_.capacity(request.pool) * share);
+        wait_ms = static_cast<double>(lane->second.size_of(request.team.name)) *
+                  endpoints_.typical_ms(request.pool) / slots;
+    }
+    if (waiting < request.team.max_queued && wait_ms <= queue_budget_share * request.team.latency_budget_ms) {
         return std::nullopt;
     }
     const int retry_ms = std::clamp(static_cast<int>(wait_ms), shortest_retry_ms, longest_retry_ms);
--- a/src/node/entry_control.cpp
+++ b/src/node/entry_control.cpp
@@ -116,11 +116,7 @@
     numbers_.count("configurations_applied");
     numbers_.gauge("revision", static_cast<double>(revision()));
     log_info("configuration_in_force", {{"revision", revision()}});
-    for (const bundle* document : {base_view_->established(), base_view_->rolling()}) {
-        for (const pool_entry& pool : document == nullptr ? std::vector<pool_entry>{} : document->pools) {
-            endpoints_.set_slots(pool.name, pool.slots, std::max<std::size_t>(1, entries_.size()));
-        }
-    }
+    share_slots();
     apply_notice();
     last_ask_ = {};
     ask_stewards(); // Tells at once that the revision is in force here.
@@ -212,7 +208,6 @@
 // ---- the fleet ----
 
 void entry_core::on(const std::string& /*from*/, const fleet_update& message) {
-    const bool is_resized = message.entries.size() != entries_.size();
     entries_ = message.entries;
     stewards_ = message.stewards;
     std::vector<endpoint_record> endpoints = message.endpoints;
@@ -225,12 +220,15 @@
     for (const std::string& name : message.leaving) {
         endpoints_.mark_leaving(name, now_);
     }
-    if (!is_resized) {
-        return;
-    }
+    sharers_ = message.sharers;
+    share_slots();
+}
+
+void entry_core::share_slots() {
     for (const bundle* document : {base_view_->established(), base_view_->rolling()}) {
         for (const pool_entry& pool : document == nullptr ? std::vector<pool_entry>{} : document->pools) {
-            endpoints_.set_slots(pool.name, pool.slots, std::max<std::size_t>(1, entries_.size()));
+            const auto sharers = sharers_.find(pool.name);
+            endpoints_.set_slots(pool.name, pool.slots, sharers == sharers_.end() ? 1 : sharers->second);
         }
     }
 }
--- a/src/node/entry_core.cpp
+++ b/src/node/entry_core.cpp
@@ -218,10 +218,6 @@
 }
 
 bool entry_core::try_start(const std::string& lane) {
-    const auto weight_of = [this](const std::string& team) {
-        const team_entry* entry = find_team(*view_->established(), team);
-        return entry == nullptr ? 1 : entry->weight;
-    };
     const auto may_take = [this](const std::string& team) {
         const team_entry* entry = find_team(*view_->established(), team);
         return entry == nullptr || team_in_flight_[team] < entry->max_in_flight;
@@ -236,7 +232,8 @@
     if (!endpoints_.choose(any, now_)) {
         return false;
     }
-    const std::optional<std::string> id = lanes_[lane].pop(weight_of, may_take);
+    const std::optional<std::string> id =
+        lanes_[lane].pop([this](const std::string& t) { return weight_of(t); }, may_take);
     if (!id) {
         return false;
     }
@@ -248,6 +245,13 @@
         reroute_queued(request);
         return true;
     }
+    // What cannot be done in time any more would only take a slot from what can.
+    const auto typical = std::chrono::duration_cast<duration>(
+        std::chrono::duration<double, std::milli>(endpoints_.typical_ms(request.pool)));
+    if (now_ + typical > request.deadline) {
+        fire(*id, "expired");
+        return true;
+    }
     endpoint_wish wish = wish_for(request);
     std::optional<endpoint_record> endpoint = endpoints_.choose(wish, now_);
     if (!endpoint) {
--- a/src/node/entry_core.h
+++ b/src/node/entry_core.h
@@ -136,6 +136,7 @@
     std::optional<error> check_caller(const caller_request& asked, const team_entry*& team) const;
     std::optional<error> prepare_model_request(context& request);
     std::optional<error> prepare_service_request(context& request);
+    int weight_of(const std::string& team) const;
     std::optional<error> check_queue(const context& request) const;
     bool answer_from_memory(const caller_request& asked, const team_entry& team);
     void choose_tier(context& request);
@@ -170,6 +171,7 @@
     void advance_stop();
     bool is_handed_over() const;
     std::size_t wanted_copies() const;
+    void share_slots();
     void share_leaving(const std::string& endpoint);
 
     // Calls and queues.
@@ -224,6 +226,7 @@
     std::map<std::string, steward_link> links_;
     std::vector<steward_record> stewards_;
     std::vector<entry_record> entries_;
+    std::map<std::string, std::size_t> sharers_;
     brake_notice notice_;
     time_point last_ask_;
 
--- a/src/node/messages.h
+++ b/src/node/messages.h
@@ -55,10 +55,11 @@
 struct fleet_update {
     std::vector<entry_record> entries;
     std::vector<endpoint_record> endpoints;
-    std::vector<std::string> leaving;     ///< endpoints that said themselves that they leave
-    std::vector<steward_record> stewards; ///< to connect to
+    std::vector<std::string> leaving;           ///< endpoints that said themselves that they leave
+    std::vector<steward_record> stewards;       ///< to connect to
+    std::map<std::string, std::size_t> sharers; ///< entries that use one endpoint of a pool
 };
-LAUREL_VALUE_TYPE(fleet_update, entries, endpoints, leaving, stewards)
+LAUREL_VALUE_TYPE(fleet_update, entries, endpoints, leaving, stewards, sharers)
 
 struct bill_batch {
     std::vector<bill_record> records;
--- a/src/node/steward_fleet.cpp
+++ b/src/node/steward_fleet.cpp
@@ -116,6 +116,10 @@
         }
     }
     update.entries = entries(now_);
+    for (const auto& [pool, members] : by_pool) {
+        const std::size_t used = std::min(settings_.endpoint_subset, members.size());
+        update.sharers[pool] = (update.entries.size() * used + members.size() - 1) / members.size();
+    }
     for (entry_record& entry : update.entries) {
         entry.revision = 0; // Callers' choice does not depend on it, and it would make every push differ.
     }
--- a/src/routing/endpoint_table.cpp
+++ b/src/routing/endpoint_table.cpp
@@ -16,8 +16,8 @@
 constexpr std::size_t most_prefixes = 64;
 constexpr std::size_t candidates_compared = 3;
 constexpr double smoothing = 0.2;
-constexpr double slow_factor = 2.5; ///< an answer this much above the pool's best counts as overload
-constexpr double limit_cut = 0.8;
+constexpr double limit_step = 0.5;
+constexpr double limit_cut = 0.8;     ///< of the limit, at a failure
 constexpr double affinity_gain = 0.7; ///< a cached prefix is worth this share of the expected time
 constexpr duration soon = milliseconds(500);
 constexpr duration leaving_memory = seconds(60);
@@ -42,7 +42,7 @@
         endpoint_state& endpoint = endpoints_[record.name];
         if (is_new) {
             endpoint.state = life_.initial();
-            endpoint.limit = initial_limit_.count(record.pool) > 0 ? initial_limit_[record.pool] : 4;
+            endpoint.limit = limits_of(record.pool).initial;
         }
         endpoint.record = record;
         if (record.state == "leaving") {
@@ -63,24 +63,30 @@
     }
 }
 
-void endpoint_table::set_slots(const std::string& pool, int slots, std::size_t entries) {
-    // Entries share an endpoint. Each starts with twice its even share; the limit then follows what the
+void endpoint_table::set_slots(const std::string& pool, int slots, std::size_t sharers) {
+    // Each entry starts with twice its even share of an endpoint; the limit then follows what the
     // endpoint's answers show.
-    const double share =
-        std::max(1.0, std::ceil(2.0 * slots / static_cast<double>(std::max<std::size_t>(1, entries))));
-    const bool unchanged = initial_limit_.count(pool) > 0 && initial_limit_[pool] == share;
-    initial_limit_[pool] = share;
-    largest_limit_[pool] = slots;
-    if (unchanged) {
+    const double fair =
+        std::max(1.0, std::floor(slots / static_cast<double>(std::max<std::size_t>(1, sharers))));
+    const limit_range range{fair, std::min<double>(slots, 2 * fair), static_cast<double>(slots)};
+    const bool is_unchanged =
+        limits_.count(pool) > 0 && limits_[pool].fair == fair && limits_[pool].largest == slots;
+    limits_[pool] = range;
+    if (is_unchanged) {
         return;
     }
     for (auto& [name, endpoint] : endpoints_) {
         if (endpoint.record.pool == pool) {
-            endpoint.limit = std::min(share, largest_limit_[pool]);
+            endpoint.limit = range.initial;
         }
     }
 }
 
+endpoint_table::limit_range endpoint_table::limits_of(const std::string& pool) const {
+    const auto found = limits_.find(pool);
+    return found == limits_.end() ? limit_range{} : found->second;
+}
+
 void endpoint_table::mark_leaving(const std::string& name, time_point now) {
     const auto found = endpoints_.find(name);
     if (found != endpoints_.end() && found->second.state != "leaving") {
@@ -229,16 +235,14 @@
     return best;
 }
 
-void endpoint_table::adapt_limit(endpoint_state& endpoint, duration took) {
-    const double best = best_typical_ms(endpoint.record.pool);
-    const bool is_slow = best > 0 && to_ms(took) > slow_factor * best;
-    const bool is_queueing = endpoint.report.queued > 0;
-    const double largest =
-        largest_limit_.count(endpoint.record.pool) > 0 ? largest_limit_[endpoint.record.pool] : 8;
-    if (is_slow || is_queueing) {
-        endpoint.limit = std::max(1.0, endpoint.limit - (1.0 - limit_cut));
+// An endpoint that reports a queue has more than it can run. The time of one answer is no sign of that:
+// it differs several times over with the length of the answer and with a cached prefix.
+void endpoint_table::adapt_limit(endpoint_state& endpoint) {
+    const limit_range range = limits_of(endpoint.record.pool);
+    if (endpoint.report.queued > 0) {
+        endpoint.limit = std::max(range.fair, endpoint.limit - limit_step);
     } else {
-        endpoint.limit = std::min(largest, endpoint.limit + 1.0 / endpoint.limit);
+        endpoint.limit = std::min(range.largest, endpoint.limit + limit_step / endpoint.limit);
     }
 }
 
@@ -257,7 +261,7 @@
         const double ms = to_ms(took);
         endpoint.typical_ms =
             endpoint.typical_ms == 0 ? ms : endpoint.typical_ms * (1 - smoothing) + ms * smoothing;
-        adapt_limit(endpoint, took);
+        adapt_limit(endpoint);
         move(endpoint, "answered");
     } else if (result == call_result::failed || result == call_result::refused_not_run) {
         ++endpoint.failures;
--- a/src/routing/endpoint_table.h
+++ b/src/routing/endpoint_table.h
@@ -49,7 +49,7 @@
     /** Takes the list as the stewards push it; endpoints missing from it are gone. */
     void update(const std::vector<endpoint_record>& endpoints, time_point now);
     /** Sets how many requests one endpoint of \p pool runs before it slows, and how many entries share it. */
-    void set_slots(const std::string& pool, int slots, std::size_t entries);
+    void set_slots(const std::string& pool, int slots, std::size_t sharers);
     /** Notes, before the list says so, that an endpoint is leaving. */
     void mark_leaving(const std::string& name, time_point now);
 
@@ -74,6 +74,12 @@
     std::size_t size() const { return endpoints_.size(); }
 
 private:
+    /** Bounds of the requests that this entry has in flight at one endpoint of a pool. */
+    struct limit_range {
+        double fair = 2; ///< this entry's even share of the slots; never below, or slots would idle
+        double initial = 4;
+        double largest = 8;
+    };
     struct prefix_hint {
         std::uint64_t prefix = 0;
         time_point used_at;
@@ -102,7 +108,8 @@
     endpoint_state* choose_ours(const std::vector<endpoint_state*>& eligible, const endpoint_wish& wish,
                                 time_point now);
     void eject(endpoint_state& endpoint, time_point now);
-    void adapt_limit(endpoint_state& endpoint, duration took);
+    void adapt_limit(endpoint_state& endpoint);
+    limit_range limits_of(const std::string& pool) const;
     double best_typical_ms(const std::string& pool) const;
 
     chart life_;
@@ -110,8 +117,7 @@
     endpoint_policy policy_;
     std::size_t turn_ = 0;
     std::map<std::string, endpoint_state> endpoints_;
-    std::map<std::string, double> initial_limit_;
-    std::map<std::string, double> largest_limit_;
+    std::map<std::string, limit_range> limits_;
 };
 
 } // namespace laurelhoist
--- a/src/routing/fair_queue.cpp
+++ b/src/routing/fair_queue.cpp
@@ -53,6 +53,15 @@
                 items.end());
 }
 
+double fair_queue::share_of(const std::string& team,
+                            const std::function<int(const std::string&)>& weight_of) const {
+    double total = weight_of(team);
+    for (const auto& [name, queue] : teams_) {
+        total += name != team && !queue.items.empty() ? weight_of(name) : 0;
+    }
+    return weight_of(team) / std::max(1.0, total);
+}
+
 std::size_t fair_queue::size() const {
     std::size_t total = 0;
     for (const auto& [team, queue] : teams_) {
--- a/src/routing/fair_queue.h
+++ b/src/routing/fair_queue.h
@@ -35,6 +35,8 @@
     /** Removes a request that was given up. */
     void remove(const std::string& team, const std::string& request_id);
 
+    /** \return the share of the slots that \p team gets while the teams that wait now go on waiting. */
+    double share_of(const std::string& team, const std::function<int(const std::string&)>& weight_of) const;
     std::size_t size() const;
     std::size_t size_of(const std::string& team) const;
 
