Tier choice: a kind with few ratings is believed to be like its version

Cause: per team and kind the estimator began from the signature and was noisy after a few ratings; a dip below the target of the whole ladder made requests start at the costly version although starting cheap was better. Change: two levels. A version's record starts from the signed-off prior; a team and kind's from the version's.

--- a/src/routing/quality_estimator.cpp
+++ b/src/routing/quality_estimator.cpp
@@ -4,29 +4,44 @@
 
 namespace {
 
-constexpr double prior_strength = 8; ///< the prior weighs as much as this many ratings
-constexpr double kept_share = 0.995; ///< of older ratings at each new one: a memory of some 200
+constexpr double signed_strength = 8;  ///< the signed-off prior weighs as much as this many ratings
+constexpr double shared_strength = 15; ///< the version's own record, for a team and kind
+constexpr double kept_share = 0.995;   ///< of older ratings at each new one: a memory of some 200
 constexpr std::size_t most_beliefs = 20000;
 
 } // namespace
 
-quality_estimator::belief quality_estimator::initial(double prior) {
-    return {prior * prior_strength, (1 - prior) * prior_strength};
+quality_estimator::belief quality_estimator::initial(double prior, double strength) {
+    return {prior * strength, (1 - prior) * strength};
+}
+
+void quality_estimator::update(belief& held, bool met) {
+    held.met = held.met * kept_share + (met ? 1 : 0);
+    held.missed = held.missed * kept_share + (met ? 0 : 1);
+}
+
+quality_estimator::subject quality_estimator::whole(const subject& about) {
+    return {"", "", about.version, about.after_step_up};
+}
+
+double quality_estimator::version_chance(const subject& about, double prior) const {
+    const auto found = versions_.find(whole(about));
+    return found == versions_.end() ? prior : mean(found->second);
 }
 
 void quality_estimator::observe(const subject& about, bool met, double prior) {
     if (beliefs_.size() >= most_beliefs && beliefs_.count(about) == 0) {
         beliefs_.clear();
     }
-    belief& held = beliefs_.emplace(about, initial(prior)).first->second;
-    held.met = held.met * kept_share + (met ? 1 : 0);
-    held.missed = held.missed * kept_share + (met ? 0 : 1);
+    belief& held =
+        beliefs_.emplace(about, initial(version_chance(about, prior), shared_strength)).first->second;
+    update(held, met);
+    update(versions_.emplace(whole(about), initial(prior, signed_strength)).first->second, met);
 }
 
 double quality_estimator::chance(const subject& about, double prior) const {
     const auto found = beliefs_.find(about);
-    const belief held = found == beliefs_.end() ? initial(prior) : found->second;
-    return held.met / (held.met + held.missed);
+    return found == beliefs_.end() ? version_chance(about, prior) : mean(found->second);
 }
 
 } // namespace laurelhoist
--- a/src/routing/quality_estimator.h
+++ b/src/routing/quality_estimator.h
@@ -9,9 +9,11 @@
 
 /** Chances, learned from ratings, that an answer meets the team's score.
  *
- * Each is a beta distribution that starts from the signed-off prior and forgets old ratings slowly, so
- * that a version whose quality changes is noticed. Answers after a step up are learned apart: what
- * defeated the cheap model is harder than the average request. */
+ * Each is a beta distribution. That of a version as a whole starts from the signed-off prior; that of a
+ * team and kind starts from the version's, so that a kind with few ratings is believed to be like the rest
+ * and not like the signature. Both forget old ratings slowly, so that a version whose quality changes is
+ * noticed. Answers after a step up are learned apart: what defeated the cheap model is harder than the
+ * average request. */
 class quality_estimator {
 public:
     struct subject {
@@ -36,9 +38,15 @@
         double met = 0;
         double missed = 0;
     };
-    static belief initial(double prior);
+    static belief initial(double prior, double strength);
+    static double mean(const belief& held) { return held.met / (held.met + held.missed); }
+    static void update(belief& held, bool met);
+    /** \return the version as a whole, over teams and kinds. */
+    static subject whole(const subject& about);
+    double version_chance(const subject& about, double prior) const;
 
     std::map<subject, belief> beliefs_;
+    std::map<subject, belief> versions_;
 };
 
 } // namespace laurelhoist
