Streams spend what the team's share has above its target

Change: while a team's share is 1 point above its target, a stream may go to a version that is up to 15 points below it alone; kinds that mostly succeed on the cheap version then use it.

--- a/src/node/entry_admission.cpp
+++ b/src/node/entry_admission.cpp
@@ -241,8 +241,10 @@
     }
     const bool may_step_up = request.team.rate_answers && !request.asked.stream;
     const double left_ms = to_ms(request.deadline - now_);
-    request.tier = first + choose_start(tier_options(request, first),
-                                        {request.team.quality.share, left_ms, may_step_up});
+    const double target = request.asked.stream
+                              ? credit_.stream_target(request.team.name, request.team.quality.share)
+                              : request.team.quality.share;
+    request.tier = first + choose_start(tier_options(request, first), {target, left_ms, may_step_up});
 }
 
 } // namespace laurelhoist
--- a/src/node/entry_core.cpp
+++ b/src/node/entry_core.cpp
@@ -532,6 +532,7 @@
         const background_rating rated = background->second;
         background_ratings_.erase(background);
         if (score) {
+            credit_.observe(rated.subject.team, *score >= rated.score_wanted);
             note_rating(rated.subject, rated.version, *score, rated.score_wanted, rated.prior);
         }
         return;
--- a/src/node/entry_core.h
+++ b/src/node/entry_core.h
@@ -236,6 +236,7 @@
     std::map<std::string, int> team_queued_;
     retry_budget retries_;
     quality_estimator quality_;
+    quality_credit credit_;
     counts_by_version counts_;
     std::map<std::string, team_counts> team_counts_;
 
--- a/src/node/entry_replies.cpp
+++ b/src/node/entry_replies.cpp
@@ -183,6 +183,9 @@
     }
     version_counts& counts = counts_of(request.answer->version);
     ++counts.released;
+    if (request.answer->score) {
+        credit_.observe(request.team.name, *request.answer->score >= request.team.quality.score);
+    }
     if (request.answer->score && *request.answer->score < request.team.quality.score) {
         ++counts.released_below;
     }
--- a/src/routing/quality_estimator.h
+++ b/src/routing/quality_estimator.h
@@ -49,4 +49,22 @@
     std::map<subject, belief> versions_;
 };
 
+/** How well a team has been served lately, over whole answers and streams. A stream cannot step up, so its
+ * tier is chosen before it is known whether the cheap version suffices. Where the team's share is above its
+ * target, part of what is above may be spent on cheap streams of kinds that mostly succeed; where it is not,
+ * every stream goes to a version that meets the target alone. */
+class quality_credit {
+public:
+    void observe(const std::string& team, bool met);
+    /** \return the share of answers that a version must meet alone to be taken for a stream. */
+    double stream_target(const std::string& team, double target) const;
+
+private:
+    struct record {
+        double met = 0;
+        double seen = 0;
+    };
+    std::map<std::string, record> by_team_;
+};
+
 } // namespace laurelhoist
