Control traffic: changes instead of lists, two holders instead of three

Cause: with nothing happening a node sent 2.1 KB/s, 8.4 KB/s with 18 stewards, and used 8.8 ms of processor time a second with 96 entries: every tick made every entry's fleet list anew to find that nothing differed, stewards sent each other all their entries twice a second, every bill went to three stewards and every steward told all entries what it had drained. Change: fleet lists are made on change only; stewards send changes of entries and now and then all; entries ask every 0.8 s, stewards every 0.7 s; a bill goes to two stewards, a third only if one is slow; the drained are told to their owner; the acknowledgement of a pushed configuration counts at once.

--- a/src/ledger/bill_outbox.cpp
+++ b/src/ledger/bill_outbox.cpp
@@ -4,8 +4,8 @@
 
 namespace laurelhoist {
 
-void bill_outbox::add(const bill_record& record, time_point /*now*/) {
-    entries_.emplace(key_of(record), entry{record, {}, {}});
+void bill_outbox::add(const bill_record& record, time_point now) {
+    entries_.emplace(key_of(record), entry{record, now, {}, {}});
 }
 
 void bill_outbox::on_held(const bill_key& key, const std::string& holder, const std::string& domain) {
@@ -47,10 +47,11 @@
 }
 
 std::vector<bill_record> bill_outbox::take_unsent(const std::string& holder, time_point now,
-                                                  duration resend_after) {
+                                                  duration resend_after, duration least_age) {
     std::vector<bill_record> unsent;
     for (auto& [key, held] : entries_) {
-        if (held.domain_by_holder.count(holder) > 0) {
+        const bool is_wanted = copies(key) < wanted_bill_copies && now - held.added >= least_age;
+        if (!is_wanted || held.domain_by_holder.count(holder) > 0) {
             continue;
         }
         const auto sent = held.sent_at.find(holder);
--- a/src/ledger/bill_outbox.h
+++ b/src/ledger/bill_outbox.h
@@ -28,9 +28,10 @@
     /** \return how many failure domains hold a copy of \p key; a drained one counts as safe. */
     std::size_t copies(const bill_key& key) const;
     bool contains(const bill_key& key) const { return entries_.count(key) > 0; }
-    /** \return records that \p holder has not acknowledged and that were last sent to it before
-     * \p older_than; marks them as sent now. */
-    std::vector<bill_record> take_unsent(const std::string& holder, time_point now, duration resend_after);
+    /** \return records that \p holder has not acknowledged, that still want copies, that are at least
+     * \p least_age old, and that were last sent to it \p resend_after ago; marks them as sent now. */
+    std::vector<bill_record> take_unsent(const std::string& holder, time_point now, duration resend_after,
+                                         duration least_age = duration::zero());
     /** \return the copies of the record that has fewest; the wanted number if there is none. */
     std::size_t least_copies() const;
     std::size_t size() const { return entries_.size(); }
@@ -38,6 +39,7 @@
 private:
     struct entry {
         bill_record record;
+        time_point added;
         std::map<std::string, std::string> domain_by_holder;
         std::map<std::string, time_point> sent_at;
     };
--- a/src/ledger/segment_buffer.cpp
+++ b/src/ledger/segment_buffer.cpp
@@ -32,8 +32,8 @@
     return sealed_;
 }
 
-std::vector<bill_key> segment_buffer::on_written(const std::string& name) {
-    std::vector<bill_key> drained;
+std::vector<bill_record> segment_buffer::on_written(const std::string& name) {
+    std::vector<bill_record> drained;
     if (!sealed_ || sealed_->name != name) {
         return drained;
     }
@@ -41,9 +41,9 @@
         recently_drained_.clear();
     }
     for (const bill_record& record : sealed_->records) {
-        drained.push_back(key_of(record));
         recently_drained_.insert(key_of(record));
     }
+    drained = std::move(sealed_->records);
     sealed_.reset();
     return drained;
 }
--- a/src/ledger/segment_buffer.h
+++ b/src/ledger/segment_buffer.h
@@ -34,8 +34,8 @@
      * segment is returned until \ref on_written, so that a write whose answer was lost is repeated with
      * the same name and content. */
     std::optional<ledger_segment> current();
-    /** Notes that the platform holds the segment \p name. \return the keys now drained. */
-    std::vector<bill_key> on_written(const std::string& name);
+    /** Notes that the platform holds the segment \p name. \return the records now drained. */
+    std::vector<bill_record> on_written(const std::string& name);
 
     std::size_t waiting() const { return waiting_.size() + (sealed_ ? sealed_->records.size() : 0); }
     bool is_empty() const { return waiting() == 0; }
--- a/src/membership/revision_evidence.cpp
+++ b/src/membership/revision_evidence.cpp
@@ -12,9 +12,8 @@
 void revision_evidence::on_peer_answer(const std::string& incarnation, time_point asked_at,
                                        std::int64_t revision) {
     peer_answer& answer = peers_[incarnation];
-    if (asked_at >= answer.asked_at) {
-        answer = {asked_at, std::max(revision, answer.revision)};
-    }
+    answer.asked_at = std::max(answer.asked_at, asked_at);
+    answer.revision = std::max(answer.revision, revision);
     known_revision_ = std::max(known_revision_, revision);
 }
 
--- a/src/node/entry_control.cpp
+++ b/src/node/entry_control.cpp
@@ -10,8 +10,10 @@
 
 namespace {
 
-constexpr duration ask_interval = milliseconds(500);
+constexpr duration ask_interval = milliseconds(800);
+constexpr int asks_between_records = 10;
 constexpr duration bill_resend = milliseconds(300);
+constexpr duration spare_holder_after = milliseconds(60);
 constexpr int retry_soon_ms = 500;
 
 // Copies to \p message what differs between \p now and \p sent, and notes it as sent.
@@ -32,7 +34,7 @@
 
 void entry_core::on_steward_up(const std::string& incarnation, const std::string& domain, time_point now) {
     now_ = now;
-    links_[incarnation] = {domain, {}, {}, now};
+    links_[incarnation] = {domain, {}, {}, {}, 0, now};
     last_ask_ = {};
     ask_stewards();
 }
@@ -64,8 +66,14 @@
     for (auto& [incarnation, link] : links_) {
         entry_ask ask;
         ask.asked_at = to_micros(now_);
-        ask.entry = {settings_.name,   settings_.incarnation, settings_.address,
-                     settings_.domain, host_state_,           revision()};
+        ask.revision = revision();
+        const entry_record self{settings_.name,   settings_.incarnation, settings_.address,
+                                settings_.domain, host_state_,           0};
+        if (link.sent_record != self || ++link.asks_since_record >= asks_between_records) {
+            ask.entry = {self};
+            link.sent_record = self;
+            link.asks_since_record = 0;
+        }
         take_changed(counts_, link.sent_counts, ask.counts);
         take_changed(team_counts_, link.sent_teams, ask.teams);
         port_.send_to_steward(incarnation, ask);
@@ -256,12 +264,17 @@
 
 // ---- bills ----
 
+// Two holders in different failure domains are enough; a third is asked only for what one of them does not
+// acknowledge. Sending every record to every steward would double the bytes of each request.
 void entry_core::send_bills() {
     if (outbox_.size() == 0) {
         return;
     }
+    std::set<std::string> domains;
     for (const auto& [incarnation, link] : links_) {
-        std::vector<bill_record> unsent = outbox_.take_unsent(incarnation, now_, bill_resend);
+        const bool is_preferred = domains.size() < wanted_bill_copies && domains.insert(link.domain).second;
+        const duration least_age = is_preferred ? duration::zero() : spare_holder_after;
+        std::vector<bill_record> unsent = outbox_.take_unsent(incarnation, now_, bill_resend, least_age);
         if (!unsent.empty()) {
             port_.send_to_steward(incarnation, bill_batch{std::move(unsent)});
         }
--- a/src/node/entry_core.h
+++ b/src/node/entry_core.h
@@ -87,6 +87,8 @@
         std::string domain;
         counts_by_version sent_counts;
         std::map<std::string, team_counts> sent_teams;
+        entry_record sent_record;
+        int asks_since_record = 0;
         time_point last_heard;
     };
     struct kept_reply {
--- a/src/node/messages.h
+++ b/src/node/messages.h
@@ -25,14 +25,15 @@
 };
 LAUREL_VALUE_TYPE(hello_message, role, name, incarnation, domain, address, at_ms, proof)
 
-/** Entry to steward, several times a second: is my configuration still the latest? */
+/** Entry to steward, about once a second: is my configuration still the latest? */
 struct entry_ask {
     std::int64_t asked_at = 0; ///< the entry's monotonic clock, echoed
-    entry_record entry;
+    std::int64_t revision = 0;
+    std::vector<entry_record> entry;          ///< itself, if it changed or was not said for a while
     counts_by_version counts;                 ///< those that changed since the last ask on this link
     std::map<std::string, team_counts> teams; ///< the same, by team
 };
-LAUREL_VALUE_TYPE(entry_ask, asked_at, entry, counts, teams)
+LAUREL_VALUE_TYPE(entry_ask, asked_at, revision, entry, counts, teams)
 
 /** Steward to entry: the latest revision is \c revision, as far as \c evidence_age ago. */
 struct entry_confirm {
@@ -131,16 +132,20 @@
 };
 LAUREL_VALUE_TYPE(brake_notice, bundle_id, epoch, versions)
 
-/** Steward to steward, several times a second. */
+/** Steward to steward, about once a second. What it hears of entries travels as changes, and whole now and
+ * then, so that the traffic among stewards does not grow with the number of entries. */
 struct peer_ask {
-    std::int64_t asked_at = 0;
+    std::int64_t asked_at = 0; ///< the sender's monotonic clock, echoed; grows from ask to ask
     std::string incarnation;
     std::int64_t revision = 0;
-    std::vector<entry_record> entries;                      ///< all that this steward hears from
-    std::map<std::string, counts_by_version> counts;        ///< by entry incarnation, those that changed
+    bool is_full = false;                            ///< \c entries is everything, not what changed
+    std::vector<entry_record> entries;               ///< that the sender hears from itself
+    std::vector<std::string> gone;                   ///< incarnations that it hears no more
+    std::vector<std::string> lagging;                ///< incarnations that do not have \c revision in force
+    std::map<std::string, counts_by_version> counts; ///< by entry incarnation, those that changed
     std::map<std::string, std::vector<std::string>> loaded; ///< endpoint -> versions, of those it watches
 };
-LAUREL_VALUE_TYPE(peer_ask, asked_at, incarnation, revision, entries, counts, loaded)
+LAUREL_VALUE_TYPE(peer_ask, asked_at, incarnation, revision, is_full, entries, gone, lagging, counts, loaded)
 
 struct peer_answer {
     std::int64_t asked_at = 0;
--- a/src/node/steward_core.h
+++ b/src/node/steward_core.h
@@ -71,7 +71,8 @@
         std::int64_t pushed_revision = 0;
         time_point pushed_at;
         time_point last_ask;
-        std::string sent_fleet; ///< the last fleet update, to send only changes
+        fleet_update sent_fleet;
+        std::string sent_signature; ///< of what the last fleet update was made from
     };
     struct peer_link {
         hello_message hello;
@@ -81,10 +82,10 @@
         time_point pushed_at;
         std::map<std::string, counts_by_version> sent_counts;
         std::map<std::string, std::vector<version_name>> sent_loaded;
-    };
-    struct heard_entry {
-        entry_record record;
-        time_point at;
+        std::map<std::string, entry_record> sent_entries;
+        int asks_since_full = 0;
+        std::map<std::string, entry_record> entries; ///< that this peer hears from
+        std::int64_t entries_as_of = 0;
     };
     enum class command_phase { store_document, write, read_back, spread };
     struct pending_command {
@@ -138,7 +139,9 @@
     void push_config_to_entry(const std::string& incarnation, entry_link& link);
     void push_config_to_peer(const std::string& incarnation, peer_link& link);
     void push_fleet();
-    void push_fleet_to(const std::string& incarnation, entry_link& link);
+    void push_fleet_to(const std::string& incarnation, entry_link& link, const fleet_update& shared);
+    void add_entries(peer_link& link, peer_ask& ask);
+    static void take_entries(peer_link& link, const peer_ask& ask);
     void keep_steward_list();
     void on_revision_of_peer(const std::string& incarnation, std::int64_t revision);
     void note_leaving(const std::vector<std::string>& names);
@@ -201,9 +204,10 @@
 
     std::map<std::string, entry_link> entry_links_;
     std::map<std::string, peer_link> peers_;
-    std::map<std::string, heard_entry> heard_; ///< entries heard of through peers
     std::vector<endpoint_record> endpoints_;
     std::vector<std::string> hosts_;
+    std::int64_t endpoints_version_ = 0;
+    time_point last_fleet_check_;
     std::map<std::string, time_point> leaving_;
 
     std::deque<pending_command> commands_;
--- a/src/node/steward_fleet.cpp
+++ b/src/node/steward_fleet.cpp
@@ -10,7 +10,9 @@
 
 namespace {
 
-constexpr duration peer_ask_interval = milliseconds(500);
+constexpr duration peer_ask_interval = milliseconds(700);
+constexpr duration fleet_check_interval = milliseconds(300);
+constexpr int asks_between_full = 15;
 constexpr duration push_repeat = milliseconds(700);
 constexpr duration entry_silence_limit = seconds(3);
 constexpr duration peer_silence_limit = seconds(3);
@@ -22,7 +24,10 @@
 // ---- entries ----
 
 void steward_core::on_entry_ask(const std::string& incarnation, entry_link& link, const entry_ask& ask) {
-    link.record = ask.entry;
+    if (!ask.entry.empty()) {
+        link.record = ask.entry.front();
+    }
+    link.record.revision = std::max(link.record.revision, ask.revision);
     link.last_ask = now_;
     evidence_.merge(incarnation, ask.counts);
     count_teams(incarnation, ask.teams);
@@ -31,7 +36,7 @@
         port_.send_to_entry(incarnation,
                             entry_confirm{ask.asked_at, (now_ - *as_of).count(), view_->revision()});
     }
-    if (ask.entry.revision < view_->revision()) {
+    if (ask.revision < view_->revision()) {
         push_config_to_entry(incarnation, link);
     }
 }
@@ -67,9 +72,12 @@
             by_name[record.name] = record;
         }
     };
-    for (const auto& [incarnation, heard] : heard_) {
-        if (now - heard.at < entry_silence_limit) {
-            take(heard.record);
+    for (const auto& [peer, link] : peers_) {
+        if (now - link.last_heard >= peer_silence_limit) {
+            continue;
+        }
+        for (const auto& [incarnation, record] : link.entries) {
+            take(record);
         }
     }
     for (const auto& [incarnation, link] : entry_links_) {
@@ -94,43 +102,51 @@
     return names;
 }
 
+// What entries are told of the fleet is made anew only when something of it has changed: for hundreds of
+// entries and thousands of endpoints, making it to find that nothing differs would be most of the work.
 void steward_core::push_fleet() {
+    if (endpoints_.empty() ||
+        (last_fleet_check_ != time_point{} && now_ - last_fleet_check_ < fleet_check_interval)) {
+        return; // Without a list read yet, an empty one would make every endpoint look gone.
+    }
+    last_fleet_check_ = now_;
+    fleet_update shared;
+    shared.entries = entries(now_);
+    for (entry_record& entry : shared.entries) {
+        entry.revision = 0; // Callers' choice does not depend on it, and it would make every push differ.
+    }
+    shared.leaving = leaving_now();
+    shared.stewards = view_->head().stewards;
+    const std::string signature = json(shared).dump() + std::to_string(endpoints_version_);
     for (auto& [incarnation, link] : entry_links_) {
-        push_fleet_to(incarnation, link);
+        if (link.sent_signature != signature && link.last_ask != time_point{}) {
+            link.sent_signature = signature;
+            push_fleet_to(incarnation, link, shared);
+        }
     }
 }
 
-void steward_core::push_fleet_to(const std::string& incarnation, entry_link& link) {
-    if (endpoints_.empty()) {
-        return; // Nothing read yet: an empty list would make every endpoint look gone.
-    }
+void steward_core::push_fleet_to(const std::string& incarnation, entry_link& link,
+                                 const fleet_update& shared) {
     std::map<std::string, std::vector<endpoint_record>> by_pool;
     for (const endpoint_record& endpoint : endpoints_) {
         by_pool[endpoint.pool].push_back(endpoint);
     }
-    fleet_update update;
+    fleet_update update = shared;
     for (const auto& [pool, members] : by_pool) {
         for (const endpoint_record& chosen :
              choose_subset(link.hello.name, members, settings_.endpoint_subset)) {
             update.endpoints.push_back(chosen);
         }
     }
-    update.entries = entries(now_);
     for (const auto& [pool, members] : by_pool) {
         const std::size_t used = std::min(settings_.endpoint_subset, members.size());
         update.sharers[pool] = (update.entries.size() * used + members.size() - 1) / members.size();
     }
-    for (entry_record& entry : update.entries) {
-        entry.revision = 0; // Callers' choice does not depend on it, and it would make every push differ.
-    }
-    update.leaving = leaving_now();
-    update.stewards = view_->head().stewards;
-    const std::string text = json(update).dump();
-    if (text == link.sent_fleet) {
-        return;
+    if (update != link.sent_fleet) {
+        link.sent_fleet = update;
+        port_.send_to_entry(incarnation, update);
     }
-    link.sent_fleet = text;
-    port_.send_to_entry(incarnation, update);
 }
 
 void steward_core::note_leaving(const std::vector<std::string>& names) {
@@ -166,10 +182,8 @@
         ask.asked_at = to_micros(now_);
         ask.incarnation = settings_.incarnation;
         ask.revision = view_->revision();
+        add_entries(link, ask);
         for (const auto& [entry, heard] : entry_links_) {
-            if (heard.last_ask != time_point{} && now_ - heard.last_ask < entry_silence_limit) {
-                ask.entries.push_back(heard.record);
-            }
             const auto counts = evidence_.by_reporter().find(entry);
             if (counts != evidence_.by_reporter().end() && link.sent_counts[entry] != counts->second) {
                 ask.counts[entry] = counts->second;
@@ -187,10 +201,58 @@
     }
 }
 
-void steward_core::on_peer_ask(const std::string& incarnation, const peer_ask& ask) {
+void steward_core::add_entries(peer_link& link, peer_ask& ask) {
+    ask.is_full = ++link.asks_since_full >= asks_between_full;
+    if (ask.is_full) {
+        link.asks_since_full = 0;
+        link.sent_entries.clear();
+    }
+    std::map<std::string, entry_record> heard;
+    for (const auto& [incarnation, entry] : entry_links_) {
+        if (entry.last_ask == time_point{} || now_ - entry.last_ask >= entry_silence_limit) {
+            continue;
+        }
+        entry_record& record = heard[incarnation] = entry.record;
+        if (record.revision < view_->revision()) {
+            ask.lagging.push_back(incarnation);
+        }
+        record.revision = 0;
+        const auto sent = link.sent_entries.find(incarnation);
+        if (sent == link.sent_entries.end() || sent->second != record) {
+            ask.entries.push_back(record);
+        }
+    }
+    for (const auto& [incarnation, record] : link.sent_entries) {
+        if (heard.count(incarnation) == 0) {
+            ask.gone.push_back(incarnation);
+        }
+    }
+    link.sent_entries = std::move(heard);
+}
+
+void steward_core::take_entries(peer_link& link, const peer_ask& ask) {
+    if (ask.asked_at <= link.entries_as_of) {
+        return; // Doubled or late; what it says has been replaced.
+    }
+    link.entries_as_of = ask.asked_at;
+    if (ask.is_full) {
+        link.entries.clear();
+    }
     for (const entry_record& entry : ask.entries) {
-        heard_[entry.incarnation] = {entry, now_};
+        link.entries[entry.incarnation] = entry;
+    }
+    for (const std::string& incarnation : ask.gone) {
+        link.entries.erase(incarnation);
+    }
+    for (auto& [incarnation, record] : link.entries) {
+        const bool is_lagging =
+            std::find(ask.lagging.begin(), ask.lagging.end(), incarnation) != ask.lagging.end();
+        record.revision = is_lagging ? 0 : ask.revision;
     }
+}
+
+void steward_core::on_peer_ask(const std::string& incarnation, const peer_ask& ask) {
+    take_entries(peers_.at(incarnation), ask);
     for (const auto& [entry, counts] : ask.counts) {
         evidence_.merge(entry, counts);
     }
--- a/src/node/steward_ledger.cpp
+++ b/src/node/steward_ledger.cpp
@@ -62,8 +62,11 @@
                  return;
              }
              numbers_.count("segments_written");
-             const bill_drained drained{buffer_.on_written(name)};
-             for (const auto& [entry, link] : entry_links_) {
+             std::map<std::string, bill_drained> by_entry;
+             for (const bill_record& record : buffer_.on_written(name)) {
+                 by_entry[record.entry].keys.push_back(key_of(record));
+             }
+             for (const auto& [entry, drained] : by_entry) {
                  port_.send_to_entry(entry, drained);
              }
          });
--- a/src/node/steward_platform.cpp
+++ b/src/node/steward_platform.cpp
@@ -171,7 +171,12 @@
         if (reply.what != platform_reply::result::ok) {
             return;
         }
-        endpoints_ = reply.object.value.value("endpoints", std::vector<endpoint_record>{});
+        auto listed = reply.object.value.value("endpoints", std::vector<endpoint_record>{});
+        if (listed != endpoints_) {
+            endpoints_ = std::move(listed);
+            ++endpoints_version_;
+            last_fleet_check_ = {};
+        }
         hosts_ = reply.object.value.value("hosts", std::vector<std::string>{});
         push_fleet();
     });
--- a/test/node_test.cpp
+++ b/test/node_test.cpp
@@ -56,7 +56,7 @@
         hello_message{"entry", "e", "e#1", "d", "a", 5, "p"}, entry_confirm{7, 8, 9},
         bill_batch{{{"t", "r", "m@1", "k", 1, 2, 3, 0.5, 4, "e", 5}}},
         claim_reply{"o", "taken", {"t", "k", "a", "done", "d", {{"x", 1}}, 200}},
-        peer_ask{1, "s#1", 2, {}, {{"e#1", {{"m@1", {1, 2, 3, 4, 5, 6}}}}}, {{"x", {"m@1"}}}}};
+        peer_ask{1, "s#1", 2, false, {}, {}, {}, {{"e#1", {{"m@1", {1, 2, 3, 4, 5, 6}}}}}, {{"x", {"m@1"}}}}};
     for (const node_message& message : messages) {
         const outcome<node_message> decoded = decode(encode(message));
         ASSERT_NE(value_of(decoded), nullptr);
