--- a/src/node/steward_core.h
+++ b/src/node/steward_core.h
@@ -232,6 +232,7 @@
     std::map<std::string, std::vector<version_name>> own_loaded_;
     std::map<std::string, time_point> ordered_at_;
     std::map<std::string, time_point> asked_engine_at_;
+    time_point last_engines_look_;
     time_point stop_began_;
     bill_outbox hand_over_;
 };
--- a/src/node/steward_rollout.cpp
+++ b/src/node/steward_rollout.cpp
@@ -12,6 +12,7 @@
 
 constexpr duration turn_length = milliseconds(700);
 constexpr duration peer_silence_limit = seconds(3);
+constexpr duration engines_look_interval = milliseconds(500);
 constexpr duration busy_status_interval = milliseconds(500);
 constexpr duration idle_status_interval = seconds(10);
 constexpr duration order_repeat = seconds(2);
@@ -198,6 +199,10 @@
     if (view_->established() == nullptr || host_state_ != "serving") {
         return;
     }
+    if (now_ - last_engines_look_ < engines_look_interval) {
+        return; // What each of thousands of engines should have loaded takes a while to work out.
+    }
+    last_engines_look_ = now_;
     const bool is_busy = view_->rolling() != nullptr;
     for (const endpoint_record& endpoint : endpoints_) {
         const pool_entry* pool = view_->pool(endpoint.pool);
