A session token names the configuration it was made under

A roll-out had taken a session at one entry; its next request reached an entry that had not heard of the roll-out yet, within the 3 s that this may take, and moved the session back. Ruled out: the token's pins (right), two requests at once. The checker follows the token. Conclusion: what travels with the caller must say which configuration it belongs to.

--- a/src/membership/freshness.h
+++ b/src/membership/freshness.h
@@ -20,6 +20,8 @@
      * \param evidence_age how old the steward's own evidence was when it answered */
     void on_confirmation(time_point asked_at, duration evidence_age, std::int64_t revision);
 
+    /** Notes that \p revision exists, from whoever knows: a node with an older one is not fresh any more. */
+    void on_known_revision(std::int64_t revision);
     /** \return whether a node that holds \p revision may serve at \p now. */
     bool is_fresh(time_point now, std::int64_t revision) const;
     /** \return the age of the latest confirmation. */
--- a/src/node/entry_admission.cpp
+++ b/src/node/entry_admission.cpp
@@ -185,6 +185,9 @@
         request.deadline = now + milliseconds(team->latency_budget_ms);
         request.pins =
             read_session(asked.session, team->name, settings_.session_key, random_.identifier("s-"));
+        if (!is_disabled("token_revision")) {
+            freshness_.on_known_revision(request.pins.revision);
+        }
         refusal = request.is_service() ? prepare_service_request(request) : prepare_model_request(request);
     }
     if (!refusal) {
--- a/src/node/entry_replies.cpp
+++ b/src/node/entry_replies.cpp
@@ -139,6 +139,7 @@
         }
         pins.version_by_model[model_of(version)] = version_of(version);
     }
+    pins.revision = std::max(pins.revision, revision());
     reply.session = encode_session(pins, settings_.session_key);
     return reply;
 }
--- a/src/routing/session_token.cpp
+++ b/src/routing/session_token.cpp
@@ -51,13 +51,13 @@
 session_pins read_session(const std::string& header, const std::string& team, const std::string& key,
                           const std::string& fresh_id) {
     if (header.empty()) {
-        return {team, fresh_id, {}};
+        return {team, fresh_id, {}, 0};
     }
     const std::optional<session_pins> pins = decode_session(header, key);
     if (pins && pins->team == team) {
         return *pins;
     }
-    return {team, header.substr(0, longest_plain_id), {}};
+    return {team, header.substr(0, longest_plain_id), {}, 0};
 }
 
 std::vector<version_name> resolve_ladder(const fleet_view& view, const session_pins& pins) {
--- a/src/routing/session_token.h
+++ b/src/routing/session_token.h
@@ -13,8 +13,11 @@
     std::string team;
     std::string session;
     std::map<std::string, std::string> version_by_model;
+    /// The configuration that the pins were made under. An entry that holds an older one does not know the
+    /// versions pinned by a later, and would move the session; it waits until it has caught up.
+    std::int64_t revision = 0;
 };
-LAUREL_VALUE_TYPE(session_pins, team, session, version_by_model)
+LAUREL_VALUE_TYPE(session_pins, team, session, version_by_model, revision)
 
 /** \return the token that carries \p pins, signed with \p key. */
 std::string encode_session(const session_pins& pins, const std::string& key);
--- a/src/simulation/world.h
+++ b/src/simulation/world.h
@@ -158,6 +158,8 @@
     fleet_head head_in_platform() const;
     /** Sends one request of \p team to the entry \p index, outside the random load. \return its operation */
     std::uint64_t ask(std::size_t index, const operation& wish);
+    /** The same, with \p token as the caller's session. */
+    std::uint64_t ask_with_token(std::size_t index, const operation& wish, const std::string& token);
     /** Sends one request to the entry that a caller would choose. */
     std::uint64_t ask_any(const operation& wish);
     bool is_open(std::uint64_t operation_id) const { return operations_.count(operation_id) > 0; }
--- a/src/simulation/world_callers.cpp
+++ b/src/simulation/world_callers.cpp
@@ -14,6 +14,7 @@
 constexpr int most_tries = 6;
 constexpr double keyed_share = 0.8;
 constexpr double good_score = 0.7;
+const std::string session_key = "session-key-of-the-world";
 
 } // namespace
 
@@ -88,6 +89,11 @@
     return id;
 }
 
+std::uint64_t world::ask_with_token(std::size_t index, const operation& wish, const std::string& token) {
+    sessions_[static_cast<std::size_t>(wish.team)][wish.session].token = token;
+    return ask(index, wish);
+}
+
 std::uint64_t world::ask_any(const operation& wish) {
     const std::uint64_t id = begin_operation(wish);
     issue(id);
@@ -313,14 +319,31 @@
         // Two requests of one session may be under way while its version is stopped: the earlier answer,
         // with the token that the caller has replaced meanwhile, says nothing about the later.
         const bool is_overtaken = done.began < session_changed_[session.id];
-        invariant("session_keeps_version", !was_allowed || is_overtaken, [&] {
-            return json{{"session", session.id}, {"from", held->second}, {"to", reply.version}};
+        const bool is_told = reply.moved_from == held->second; // Not allowed when the request was admitted.
+        invariant("session_keeps_version", !was_allowed || is_overtaken || is_told, [&] {
+            return json{{"session", session.id},
+                        {"from", held->second},
+                        {"to", reply.version},
+                        {"entry", entry.name()},
+                        {"revision", entry.core->revision()},
+                        {"token_revision",
+                         read_session(session.token, team_name(done.team), session_key, "").revision},
+                        {"answered_under",
+                         read_session(reply.session, team_name(done.team), session_key, "").revision},
+                        {"moved_from", reply.moved_from},
+                        {"tries", done.tries},
+                        {"age_ms", to_ms(clock.now() - done.began)}};
         });
     }
     if (held == session.version_by_model.end() || held->second != reply.version) {
         session_changed_[session.id] = clock.now();
     }
-    session.version_by_model[model] = reply.version;
+    // The token pins the whole ladder: a session that was moved while a costlier model answered has its new
+    // cheap version in the token already.
+    const session_pins pins = read_session(reply.session, team_name(done.team), session_key, "");
+    for (const auto& [pinned_model, version] : pins.version_by_model) {
+        session.version_by_model[pinned_model] = pinned_model + "@" + version;
+    }
     session.token = reply.session;
 }
 
--- a/test/ledger_test.cpp
+++ b/test/ledger_test.cpp
@@ -18,7 +18,7 @@
 } // namespace
 
 // Whatever is lost, doubled or reordered on the way, the ledger is the set of its records.
-RC_GTEST_PROP(ledger_book, order_and_doubling_change_nothing, (std::vector<std::uint8_t> numbers)) {
+RC_GTEST_PROP(ledger_book, order_and_doubling_change_nothing, (const std::vector<std::uint8_t>& numbers)) {
     std::vector<ledger_segment> segments;
     for (const std::uint8_t number : numbers) {
         segments.push_back(
--- a/test/membership_test.cpp
+++ b/test/membership_test.cpp
@@ -44,6 +44,14 @@
     EXPECT_TRUE(fresh.is_fresh(begin, 6));
 }
 
+TEST(freshness, a_revision_heard_of_elsewhere_ends_it) {
+    freshness fresh;
+    fresh.on_confirmation(begin, duration{}, 5);
+    fresh.on_known_revision(6);
+    EXPECT_FALSE(fresh.is_fresh(begin, 5));
+    EXPECT_TRUE(fresh.is_fresh(begin, 6));
+}
+
 // The platform is dark and a steward can ask only one of two others: the majority of three (it and that
 // one) is enough; alone it must not confirm, since the other two may have accepted a withdrawal.
 TEST(revision_evidence, a_majority_confirms_while_the_platform_is_dark) {
--- a/test/node_test.cpp
+++ b/test/node_test.cpp
@@ -287,6 +287,22 @@
     EXPECT_EQ(simulated.runs_of("m2"), 0);
 }
 
+// A roll-out has taken a session at one entry; its next request reaches an entry that has not heard of the
+// roll-out yet, within the seconds that this may take. By its older configuration the pinned version is not
+// allowed, and it would move the session back. The token says which configuration made the pin: it waits.
+TEST_F(failure, an_entry_behind_the_token_does_not_move_the_session) {
+    world simulated{quiet_options()};
+    simulated.start();
+    simulated.isolate("entry-0", seconds(4));
+    simulated.run_for(milliseconds(50));
+    const std::string token = encode_session(
+        {"team-0", "s", {{"cheap", "2"}}, simulated.entry(1)->revision() + 1}, "session-key-of-the-world");
+    const std::uint64_t asked = simulated.ask_with_token(0, question(), token);
+    simulated.run_for(seconds(3));
+    EXPECT_EQ(kind_of(simulated.reply_to(asked)), "not_fresh");
+    EXPECT_EQ(ran_of(simulated.reply_to(asked)), "no");
+}
+
 // The booking service does the call and its answer is lost. Sending it again would book twice; saying "not
 // run" would make the caller do it. The truth is "unknown".
 TEST_F(failure, a_lost_answer_of_a_booking_is_neither_repeated_nor_denied) {
--- a/test/routing_test.cpp
+++ b/test/routing_test.cpp
@@ -40,13 +40,13 @@
 } // namespace
 
 TEST(session_token, pins_survive_the_way_over_the_caller) {
-    const session_pins pins{"osijek", "s1", {{"nacrt", "1"}}};
+    const session_pins pins{"osijek", "s1", {{"nacrt", "1"}}, 7};
     EXPECT_EQ(read_session(encode_session(pins, key), "osijek", key, "fresh"), pins);
 }
 
 // A caller copies another team's token, or alters one, to reach a version it may not use.
 TEST(session_token, an_altered_or_foreign_token_pins_nothing) {
-    const std::string token = encode_session({"osijek", "s1", {{"nacrt", "9"}}}, key);
+    const std::string token = encode_session({"osijek", "s1", {{"nacrt", "9"}}, 7}, key);
     EXPECT_TRUE(read_session(token, "vukovar", key, "fresh").version_by_model.empty());
     EXPECT_TRUE(read_session(token, "osijek", "another key", "fresh").version_by_model.empty());
     std::string altered = token;
@@ -57,9 +57,9 @@
 }
 
 TEST(session_token, a_withdrawn_pin_moves_to_an_allowed_version) {
-    EXPECT_EQ(resolve_ladder(*sample_view(), {"osijek", "s", {{"nacrt", "7"}}}).front(), "nacrt@1");
+    EXPECT_EQ(resolve_ladder(*sample_view(), {"osijek", "s", {{"nacrt", "7"}}, 1}).front(), "nacrt@1");
     const std::vector<version_name> left =
-        resolve_ladder(*sample_view({{"nacrt@1", {}}}), {"osijek", "s", {}});
+        resolve_ladder(*sample_view({{"nacrt@1", {}}}), {"osijek", "s", {}, 1});
     EXPECT_EQ(left, std::vector<version_name>{"savjet@1"});
 }
 
--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -6,7 +6,7 @@
 runs=${1:-40} length=${2:-60}
 guards="allowed_at_dispatch bill_before_release claim drop_stale_rating freshness leaving_endpoints majority
   named_version not_run_truth only_forward own_answer retry_only_idempotent settle_lost_write stop_in_flight
-  stream_order reroute_on_change reroute_on_change,allowed_at_dispatch"
+  stream_order token_revision reroute_on_change reroute_on_change,allowed_at_dispatch"
 check() {
   local line
   line=$(build/release/bin/laurel-soak --runs="$2" --seconds="$3" --disable="$1" 2>/dev/null | grep '^{"after' || true)
