The brake tells versions apart that are moderately bad

Change: between baseline + 2 and + 30 points. A good version passes after 21.8 answers instead of 13.5. Conclusion: still under 1 false brake in 1,000; a step waits for 30 answers anyway.

--- a/src/bundle/bundle_types.h
+++ b/src/bundle/bundle_types.h
@@ -92,9 +92,9 @@
 struct rollout_plan {
     std::vector<rollout_step> steps;
     /// How much the share of answers below the score may exceed the baseline in a good version.
-    double tolerated_drop = 0.03;
+    double tolerated_drop = 0.02;
     /// By how much it exceeds the baseline in a version that must be braked.
-    double braked_drop = 0.4;
+    double braked_drop = 0.3;
     /// Rated answers of each new version before a step after the first. Sessions stay on their version, so
     /// without new sessions time alone shows nothing of the new one.
     int min_rated = 30;
