A dark rating service no longer costs every answer its time limit

Change: after three missing ratings answers go on unrated; one is sent beside, once a second, to see whether it is back, without holding up the answer it is about.

--- a/src/node/entry_core.cpp
+++ b/src/node/entry_core.cpp
@@ -514,7 +514,15 @@
     request.answer = arrived;
 }
 
+// A dark rating service would cost every answer its whole time limit, twice after a step up. After a few
+// missing ratings answers go on without; one is sent beside now and then, to see whether it is back.
 void entry_core::ask_rating(context& request) {
+    if (is_rater_dark()) {
+        numbers_.count("ratings_skipped");
+        rate_in_background(request);
+        fire(request.id, "rated");
+        return;
+    }
     // A rating still under way is of an answer that was dropped; it must not be taken for this one's.
     if (!is_disabled("drop_stale_rating")) {
         request_by_call_.erase(request.rating_id);
@@ -527,6 +535,7 @@
 
 void entry_core::on_rating(const std::string& call_id, std::optional<double> score, time_point now) {
     now_ = now;
+    ratings_missed_ = score ? 0 : ratings_missed_ + 1;
     const auto background = background_ratings_.find(call_id);
     if (background != background_ratings_.end()) {
         const background_rating rated = background->second;
--- a/src/node/entry_core.h
+++ b/src/node/entry_core.h
@@ -187,6 +187,7 @@
     void start_on(context& request, const endpoint_record& endpoint);
     endpoint_wish wish_for(const context& request) const;
     void end_call(context& request, call_result result);
+    bool is_rater_dark() const { return ratings_missed_ >= ratings_missed_to_skip; }
     void take_answer(context& request, const endpoint_answer& answer);
     void check_time(context& request);
     void check_billed(context& request);
@@ -253,6 +254,9 @@
     bill_outbox outbox_;
     std::map<bill_key, std::string> billing_; ///< requests whose answers wait for their bills
     bool is_pumping_ = false;
+    static constexpr int ratings_missed_to_skip = 3;
+    int ratings_missed_ = 0; ///< since the last rating that came
+    time_point next_rater_probe_;
 };
 
 /** Lower-case hexadecimal SHA-256 under which a team's key is kept. */
--- a/src/node/entry_replies.cpp
+++ b/src/node/entry_replies.cpp
@@ -12,6 +12,7 @@
 constexpr std::size_t most_kept_replies = 2000;
 constexpr duration degraded_billing_wait = milliseconds(200);
 constexpr int retry_soon_ms = 500;
+constexpr duration rater_probe_interval = seconds(1);
 
 bool names_any(const version_name& version, const std::vector<version_name>& ladder) {
     return std::find(ladder.begin(), ladder.end(), version) != ladder.end();
@@ -210,9 +211,11 @@
 // A stream has been sent before it could be rated; its rating teaches the next choice and the brake.
 void entry_core::rate_in_background(const context& request) {
     constexpr std::size_t most_background_ratings = 500;
-    if (background_ratings_.size() >= most_background_ratings) {
+    const bool is_probe_due = now_ >= next_rater_probe_;
+    if (background_ratings_.size() >= most_background_ratings || (is_rater_dark() && !is_probe_due)) {
         return;
     }
+    next_rater_probe_ = now_ + rater_probe_interval;
     const std::string id = random_.identifier("rate-");
     const model_entry* model = view_->model(request.answer->version);
     background_ratings_[id] = {subject_of(request, request.answer->version), request.answer->version,
--- a/test/node_test.cpp
+++ b/test/node_test.cpp
@@ -485,6 +485,13 @@
     simulated.run_for(seconds(8));
     ASSERT_NE(simulated.reply_to(asked), nullptr);
     EXPECT_EQ(simulated.reply_to(asked)->version, "costly@1");
+    // Not every answer waits out the time limit of a service that is known to be dark.
+    simulated.ask(0, question());
+    simulated.run_for(seconds(8));
+    const std::uint64_t later = simulated.ask(0, question());
+    simulated.run_for(seconds(1));
+    EXPECT_EQ(kind_of(simulated.reply_to(later)), "answered");
+    EXPECT_GT(simulated.entry_numbers(0).counter("ratings_skipped"), 0U);
 }
 
 // A hall loses power: an entry, a steward and a quarter of the engines are gone at once, while the platform
