--- a/src/base/metrics.cpp
+++ b/src/base/metrics.cpp
@@ -11,7 +11,9 @@
 #include <sys/resource.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
+#include <cmath>
 #include <fstream>
 #include <sstream>
 
@@ -87,6 +89,15 @@
     return text.str();
 }
 
+double quantile_of(std::vector<double> values, double share) {
+    if (values.empty()) {
+        return 0;
+    }
+    std::sort(values.begin(), values.end());
+    const auto rank = static_cast<std::size_t>(std::ceil(share * static_cast<double>(values.size())));
+    return values[std::min(values.size() - 1, rank == 0 ? 0 : rank - 1)];
+}
+
 double process_cpu_seconds() {
     rusage usage{};
     getrusage(RUSAGE_SELF, &usage);
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace laurelhoist {
 
@@ -50,6 +51,10 @@
     std::map<std::string, distribution> distributions_;
 };
 
+/** \return the \p share quantile of \p values, exactly; 0 if there are none. For reports, where all are kept.
+ */
+double quantile_of(std::vector<double> values, double share);
+
 /** \return this process's processor time in seconds, user and system. */
 double process_cpu_seconds();
 /** \return this process's resident memory in bytes. */
--- a/src/programs/laurel_burn.cpp
+++ b/src/programs/laurel_burn.cpp
@@ -31,19 +31,12 @@
 /** \return the JSON that the first steward to answer has for \p target; ends the program if none does. */
 json read_page(const std::string& target) {
     for (const std::string& address : split_list(FLAGS_stewards)) {
-        event_loop loop;
-        http_client client(loop);
         http_call call;
         call.address = require_address("stewards", address);
         call.target = target;
         call.headers = {{"Authorization", "Bearer " + FLAGS_operator_key}};
         call.timeout = milliseconds(FLAGS_timeout_ms);
-        http_answer answer;
-        client.send(call, [&](const http_answer& arrived) {
-            answer = arrived;
-            loop.stop();
-        });
-        loop.run();
+        const http_answer answer = ask_and_wait(call);
         if (answer.status == 200) {
             return json::parse(answer.body);
         }
--- a/src/programs/laurel_load.cpp
+++ b/src/programs/laurel_load.cpp
@@ -65,15 +65,6 @@
     bool has_first = false;
 };
 
-double quantile(std::vector<double> values, double share) {
-    if (values.empty()) {
-        return 0;
-    }
-    std::sort(values.begin(), values.end());
-    const auto rank = static_cast<std::size_t>(std::ceil(share * static_cast<double>(values.size())));
-    return values[std::min(values.size() - 1, rank == 0 ? 0 : rank - 1)];
-}
-
 class load_program {
 public:
     load_program();
@@ -406,10 +397,10 @@
 
 void load_program::finish() {
     report_.lost = open_;
-    report_.p50_ms = quantile(latencies_, 0.5);
-    report_.p95_ms = quantile(latencies_, 0.95);
-    report_.p99_ms = quantile(latencies_, 0.99);
-    report_.first_token_p95_ms = quantile(first_tokens_, 0.95);
+    report_.p50_ms = quantile_of(latencies_, 0.5);
+    report_.p95_ms = quantile_of(latencies_, 0.95);
+    report_.p99_ms = quantile_of(latencies_, 0.99);
+    report_.first_token_p95_ms = quantile_of(first_tokens_, 0.95);
     constexpr double per_thousand = 1000;
     report_.cost_always_costly = static_cast<double>(report_.tokens) * FLAGS_costly_price / per_thousand;
     if (FLAGS_json) {
--- a/src/programs/laurelctl.cpp
+++ b/src/programs/laurelctl.cpp
@@ -73,8 +73,6 @@
 private:
     http_answer ask_one(const socket_address& address, const std::string& method, const std::string& target,
                         const std::string& body) {
-        event_loop loop;
-        http_client client(loop);
         http_call call;
         call.address = address;
         call.method = method;
@@ -84,13 +82,7 @@
         call.body = body;
         call.timeout = seconds(15);
         call.needs_fresh_connection = true;
-        http_answer answer;
-        client.send(call, [&](const http_answer& arrived) {
-            answer = arrived;
-            loop.stop();
-        });
-        loop.run();
-        return answer;
+        return ask_and_wait(call);
     }
 };
 
--- a/src/simulation/world.cpp
+++ b/src/simulation/world.cpp
@@ -30,15 +30,6 @@
     return options;
 }
 
-double quantile_of(std::vector<double> values, double share) {
-    if (values.empty()) {
-        return 0;
-    }
-    std::sort(values.begin(), values.end());
-    const auto rank = static_cast<std::size_t>(std::ceil(share * static_cast<double>(values.size())));
-    return values[std::min(values.size() - 1, rank == 0 ? 0 : rank - 1)];
-}
-
 world::world(world_options options)
     : platform{std::make_unique<fake_platform>(clock, options.seed + 11)},
       options_{std::move(options)},
--- a/src/simulation/world.h
+++ b/src/simulation/world.h
@@ -96,9 +96,6 @@
     std::vector<double> in_force_ms; ///< from accepted to in force on all running entries
 };
 
-/** \return the \p share quantile of \p values, 0 if there are none. */
-double quantile_of(std::vector<double> values, double share);
-
 class world {
 public:
     explicit world(world_options options);
@@ -203,6 +200,8 @@
     void build_endpoints();
     void publish_hosts();
     void repeat(duration interval, std::function<void()> work);
+    template <class Node>
+    void when_stopped(Node& node, const std::string& incarnation, std::function<void()> work);
 
     // Callers (world_callers.cpp).
     void next_arrival();
--- a/src/simulation/world_faults.cpp
+++ b/src/simulation/world_faults.cpp
@@ -47,35 +47,35 @@
     stewards_[index]->pause(span);
 }
 
+template <class Node>
+void world::when_stopped(Node& node, const std::string& incarnation, std::function<void()> work) {
+    clock.after(milliseconds(100), [this, &node, incarnation, work = std::move(work)] {
+        if (!node.is_up() || node.incarnation() != incarnation) {
+            return; // Killed on the way.
+        }
+        if (node.core->is_stopped()) {
+            work();
+        } else {
+            when_stopped(node, incarnation, work);
+        }
+    });
+}
+
 void world::stop_entry(std::size_t index, duration down_for) {
     entry_node& node = *entries_[index];
     if (!node.is_up()) {
         return;
     }
-    const std::string incarnation = node.incarnation();
     node.run_here([&node] { node.core->begin_stop(node.local_now()); });
-    const auto check = std::make_shared<std::function<void()>>();
-    *check = [this, &node, incarnation, down_for, check] {
-        const bool is_same = node.is_up() && node.incarnation() == incarnation;
-        if (is_same && !node.core->is_stopped()) {
-            clock.after(milliseconds(100), *check);
-            return;
-        }
-        if (is_same) {
-            const bool has_open = std::any_of(operations_.begin(), operations_.end(), [&](const auto& item) {
-                return item.second.entry_incarnation == incarnation && item.second.tries > 0 &&
-                       item.second.parts > 0;
-            });
-            invariant("planned_stop_cuts_nothing", !has_open, [&] { return json{{"entry", incarnation}}; });
-            kill_entry(
-                static_cast<std::size_t>(std::find_if(entries_.begin(), entries_.end(),
-                                                      [&node](const auto& e) { return e.get() == &node; }) -
-                                         entries_.begin()),
-                down_for);
-        }
-        *check = nullptr;
-    };
-    clock.after(milliseconds(100), *check);
+    when_stopped(node, node.incarnation(), [this, &node, index, down_for] {
+        const bool has_open = std::any_of(operations_.begin(), operations_.end(), [&node](const auto& item) {
+            return item.second.entry_incarnation == node.incarnation() && item.second.parts > 0;
+        });
+        invariant("planned_stop_cuts_nothing", !has_open, [&] {
+            return json{{"entry", node.incarnation()}};
+        });
+        kill_entry(index, down_for);
+    });
 }
 
 void world::stop_steward(std::size_t index, duration down_for) {
@@ -83,26 +83,15 @@
     if (!node.is_up()) {
         return;
     }
-    const std::string incarnation = node.incarnation();
     node.run_here([&node] { node.core->begin_stop(node.local_now()); });
-    const auto check = std::make_shared<std::function<void()>>();
-    *check = [this, &node, incarnation, down_for, check] {
-        const bool is_same = node.is_up() && node.incarnation() == incarnation;
-        if (is_same && !node.core->is_stopped()) {
-            clock.after(milliseconds(100), *check);
-            return;
-        }
-        if (is_same) {
-            node.kill();
-            clock.after(down_for, [&node] {
-                if (!node.is_up()) {
-                    node.start();
-                }
-            });
-        }
-        *check = nullptr;
-    };
-    clock.after(milliseconds(100), *check);
+    when_stopped(node, node.incarnation(), [this, &node, down_for] {
+        node.kill();
+        clock.after(down_for, [&node] {
+            if (!node.is_up()) {
+                node.start();
+            }
+        });
+    });
 }
 
 // ---- network ----
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -274,4 +274,16 @@
     return [started] { started->cancel(); };
 }
 
+http_answer ask_and_wait(const http_call& call) {
+    event_loop loop;
+    http_client client(loop);
+    http_answer answer;
+    client.send(call, [&](const http_answer& arrived) {
+        answer = arrived;
+        loop.stop();
+    });
+    loop.run();
+    return answer;
+}
+
 } // namespace laurelhoist
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -56,4 +56,7 @@
     std::shared_ptr<state> state_;
 };
 
+/** Sends \p call and waits for its answer on a loop of its own; for command lines and tests. */
+http_answer ask_and_wait(const http_call& call);
+
 } // namespace laurelhoist
