State that nobody read, and one answer to whether a peer is alive

Cause: reading the whole change once more: when an entry last heard a steward was noted and never read, a claim's operation was a second name for the request's id, two accessors had no caller, and three places compared a peer's silence with two constants of the same value. Change: the unread is gone; steward_core::is_alive serves all three. Behaviour and tests unchanged.

--- a/src/node/entry_control.cpp
+++ b/src/node/entry_control.cpp
@@ -34,7 +34,7 @@
 
 void entry_core::on_steward_up(const std::string& incarnation, const std::string& domain, time_point now) {
     now_ = now;
-    links_[incarnation] = {domain, {}, {}, {}, 0, now};
+    links_[incarnation] = {domain, {}, {}, {}, 0};
     last_ask_ = {};
     ask_stewards();
 }
@@ -53,7 +53,6 @@
     if (link == links_.end()) {
         return;
     }
-    link->second.last_heard = now;
     std::visit([this, &incarnation](const auto& typed) { on(incarnation, typed); }, message);
     pump();
 }
--- a/src/node/entry_core.cpp
+++ b/src/node/entry_core.cpp
@@ -275,9 +275,8 @@
     if (request.claim_attempt.empty()) {
         request.claim_attempt = random_.identifier("attempt-");
     }
-    request.claim_operation = request.id;
     request.claim_sent = now_;
-    claim_request message{request.claim_operation, {}};
+    claim_request message{request.id, {}};
     message.claim.team = request.team.name;
     message.claim.key = request.asked.idempotency_key;
     message.claim.attempt = request.claim_attempt;
--- a/src/node/entry_core.h
+++ b/src/node/entry_core.h
@@ -72,7 +72,6 @@
     /** \return whether the planned stop is complete: nothing runs and every record is handed over. */
     bool is_stopped() const { return host_state_ == "stopped"; }
     bool is_ready(time_point now) const;
-    const std::string& host_state() const { return host_state_; }
     std::size_t open_requests() const { return requests_.size(); }
     std::int64_t revision() const { return base_view_->revision(); }
     const fleet_view& view() const { return *view_; }
@@ -89,7 +88,6 @@
         std::map<std::string, team_counts> sent_teams;
         entry_record sent_record;
         int asks_since_record = 0;
-        time_point last_heard;
     };
     struct kept_reply {
         caller_reply reply;
--- a/src/node/request_context.h
+++ b/src/node/request_context.h
@@ -42,7 +42,6 @@
     bool stepped_without_rating = false;
     std::string claim_attempt;
     bool holds_claim = false;
-    std::string claim_operation;
     std::optional<claim_record> taken_claim;
     time_point claim_sent;
     int attempts = 0;
--- a/src/node/steward_core.h
+++ b/src/node/steward_core.h
@@ -131,6 +131,7 @@
     void fetch_for_command(const fleet_head& head);
 
     // Fleet (steward_fleet.cpp).
+    static bool is_alive(const peer_link& link, time_point now);
     void on_entry_ask(const std::string& incarnation, entry_link& link, const entry_ask& ask);
     void on_peer_ask(const std::string& incarnation, const peer_ask& ask);
     void on_peer_config(const std::string& incarnation, const config_update& update);
--- a/src/node/steward_fleet.cpp
+++ b/src/node/steward_fleet.cpp
@@ -21,6 +21,10 @@
 
 } // namespace
 
+bool steward_core::is_alive(const peer_link& link, time_point now) {
+    return now - link.last_heard < peer_silence_limit;
+}
+
 // ---- entries ----
 
 void steward_core::on_entry_ask(const std::string& incarnation, entry_link& link, const entry_ask& ask) {
@@ -73,7 +77,7 @@
         }
     };
     for (const auto& [peer, link] : peers_) {
-        if (now - link.last_heard >= peer_silence_limit) {
+        if (!is_alive(link, now)) {
             continue;
         }
         for (const auto& [incarnation, record] : link.entries) {
--- a/src/node/steward_rollout.cpp
+++ b/src/node/steward_rollout.cpp
@@ -11,7 +11,6 @@
 namespace {
 
 constexpr duration turn_length = milliseconds(700);
-constexpr duration peer_silence_limit = seconds(3);
 constexpr duration engines_look_interval = milliseconds(500);
 constexpr duration busy_status_interval = milliseconds(500);
 constexpr duration idle_status_interval = seconds(10);
@@ -59,8 +58,7 @@
     const std::string salt = std::to_string(view_->revision());
     const std::uint64_t own = placement_hash(settings_.incarnation + salt);
     for (const auto& [incarnation, link] : peers_) {
-        const bool is_alive = now_ - link.last_heard < peer_silence_limit;
-        rank += is_alive && placement_hash(incarnation + salt) < own ? 1 : 0;
+        rank += is_alive(link, now_) && placement_hash(incarnation + salt) < own ? 1 : 0;
     }
     return waited >= turn_length * static_cast<int>(rank);
 }
@@ -131,8 +129,7 @@
 bool steward_core::is_mine(const std::string& name) const {
     const std::uint64_t own = placement_hash(settings_.incarnation + name);
     return std::none_of(peers_.begin(), peers_.end(), [&](const auto& peer) {
-        const bool is_alive = now_ - peer.second.last_heard < peer_silence_limit;
-        return is_alive && placement_hash(peer.first + name) < own;
+        return is_alive(peer.second, now_) && placement_hash(peer.first + name) < own;
     });
 }
 
--- a/src/simulation/world.h
+++ b/src/simulation/world.h
@@ -163,7 +163,6 @@
     /** \return the last reply to the operation. */
     const caller_reply* reply_to(std::uint64_t operation_id) const;
     std::int64_t runs_of(const std::string& marker) const;
-    std::uint64_t open_operations() const { return operations_.size(); }
     std::string team_name(int team) const { return "team-" + std::to_string(team); }
     std::int64_t control_messages() const { return control_messages_; }
     std::int64_t control_bytes() const { return control_bytes_; }
