--- a/src/base/clock.h
+++ b/src/base/clock.h
@@ -4,6 +4,8 @@
  */
 #pragma once
 
+#include <ctime>
+
 #include <chrono>
 #include <cstdint>
 
@@ -15,9 +17,13 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-/** \return the monotonic time now, in microseconds. */
+/** \return the monotonic time now, in microseconds, with the time that the host was suspended. The steady
+ * clock stands still meanwhile, and beliefs held by a host that wakes would look fresh. */
 inline time_point monotonic_now() {
-    return std::chrono::time_point_cast<duration>(std::chrono::steady_clock::now());
+    timespec now{};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return time_point{seconds(now.tv_sec) +
+                      std::chrono::duration_cast<duration>(std::chrono::nanoseconds(now.tv_nsec))};
 }
 
 /** \return wall-clock milliseconds since 1970, for people and records only, never for decisions. */
--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -2,7 +2,9 @@
 
 #include "base/clock.h"
 
+#include <fcntl.h>
 #include <glog/logging.h>
+#include <unistd.h>
 
 namespace laurelhoist {
 
@@ -18,6 +20,68 @@
     return current;
 }
 
+/// Lines that wait for a slow reader; about a second of the busiest load.
+constexpr std::size_t most_buffered_bytes = 256 << 10;
+/// Written at once when so much is gathered, so that a line costs no system call of its own.
+constexpr std::size_t bytes_per_write = 4 << 10;
+/// Routine lines for each second; warnings and errors are not counted against it.
+constexpr std::uint64_t most_routine_lines = 400;
+
+/** Gathers lines and writes them to standard output without blocking. */
+class stdout_sink : public google::LogSink {
+public:
+    void send(google::LogSeverity severity, const char*, const char*, int, const struct ::tm*,
+              const char* message, std::size_t length) override {
+        if (severity == google::GLOG_INFO && !takes_routine_line()) {
+            ++dropped_;
+            return;
+        }
+        if (buffer_.size() + length > most_buffered_bytes) {
+            ++dropped_;
+            return;
+        }
+        buffer_.append(message, length);
+        buffer_ += '\n';
+        if (buffer_.size() >= bytes_per_write || severity != google::GLOG_INFO) {
+            flush();
+        }
+    }
+
+    void flush() {
+        if (dropped_ > 0) {
+            buffer_ += json{{"event", "log_lines_dropped"}, {"count", dropped_}}.dump() + '\n';
+            dropped_ = 0;
+        }
+        while (!buffer_.empty()) {
+            const ssize_t written = ::write(STDOUT_FILENO, buffer_.data(), buffer_.size());
+            if (written <= 0) {
+                return; // The reader is slow; the lines stay until the next call.
+            }
+            buffer_.erase(0, static_cast<std::size_t>(written));
+        }
+    }
+
+private:
+    bool takes_routine_line() {
+        const std::int64_t second = wall_clock_ms() / 1000;
+        if (second != second_) {
+            second_ = second;
+            lines_ = 0;
+        }
+        return ++lines_ <= most_routine_lines;
+    }
+
+    std::string buffer_;
+    std::uint64_t dropped_ = 0;
+    std::int64_t second_ = 0;
+    std::uint64_t lines_ = 0;
+};
+
+stdout_sink& sink() {
+    static stdout_sink only;
+    return only;
+}
+
 std::string to_line(const char* level, const char* event, const json& fields) {
     json line = {{"at_ms", wall_clock_ms()}, {"level", level}, {"program", context().program}};
     line["event"] = event;
@@ -37,6 +101,25 @@
     google::InitGoogleLogging(program);
 }
 
+void start_log_on_stdout(const char* program, const std::string& host) {
+    context() = {program, host};
+    FLAGS_log_prefix = false;
+    FLAGS_stderrthreshold = google::NUM_SEVERITIES; // The sink alone gets the lines.
+    FLAGS_logtostderr = false;
+    for (const google::LogSeverity severity :
+         {google::GLOG_INFO, google::GLOG_WARNING, google::GLOG_ERROR, google::GLOG_FATAL}) {
+        google::SetLogDestination(severity, ""); // No files.
+    }
+    google::InitGoogleLogging(program);
+    google::AddLogSink(&sink());
+    const int flags = ::fcntl(STDOUT_FILENO, F_GETFL);
+    (void)::fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+}
+
+void flush_log() {
+    sink().flush();
+}
+
 void quiet_log() {
     FLAGS_minloglevel = google::GLOG_ERROR;
 }
--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -25,7 +25,8 @@
 }
 
 bool is_own_flag(const gflags::CommandLineFlagInfo& flag) {
-    return flag.filename.find("programs/") != std::string::npos;
+    return flag.filename.find("programs/") != std::string::npos ||
+           flag.filename.find("platform/") != std::string::npos;
 }
 
 std::vector<gflags::CommandLineFlagInfo> own_flags() {
--- /dev/null
+++ b/src/host/entry_host.cpp
@@ -0,0 +1,408 @@
+#include "host/entry_host.h"
+
+#include <algorithm>
+
+namespace laurelhoist {
+
+namespace {
+
+/// One call of each watch waits this long. The configuration's bounds how old the proof is that keys are in
+/// force; the others only cost calls.
+constexpr duration config_wait = milliseconds(1000);
+constexpr duration endpoint_wait = milliseconds(1500);
+constexpr duration rollout_wait = milliseconds(3000);
+constexpr duration gossip_interval = milliseconds(400);
+constexpr duration upkeep_interval = milliseconds(250);
+constexpr duration stop_interval = milliseconds(100);
+/// Without confirmation from the store for this long, peers are asked; three rounds fit before keys expire.
+constexpr duration stale_after = milliseconds(2200);
+constexpr duration question_life = seconds(2);
+constexpr std::size_t peers_asked = 3;
+constexpr std::size_t most_load_entries = 16; ///< of 20 bytes each in a datagram
+/// Callers keep an answer about this long, so for that time they still come.
+constexpr duration serving_after_stop = milliseconds(3000);
+constexpr duration stop_margin = milliseconds(500); ///< before the end of the grace period
+/// A leader that has not reported by then is taken for dead or cut off.
+constexpr duration leader_patience = milliseconds(1000);
+constexpr std::size_t most_entries_in_answer = 16;
+
+std::int64_t new_incarnation() {
+    return wall_clock_ms();
+}
+
+host_status own_status(const entry_host_settings& settings) {
+    const auto text = [](const socket_address& address) {
+        return address.host + ":" + std::to_string(address.port);
+    };
+    host_status status;
+    status.name = settings.name;
+    status.gossip_address = text(settings.peers);
+    status.entry_address = text(settings.callers);
+    status.domain = settings.failure_domain;
+    status.incarnation = new_incarnation();
+    return status;
+}
+
+relay_settings to_relay_settings(const entry_host_settings& settings) {
+    relay_settings relayed;
+    relayed.host = settings.name;
+    relayed.failure_domain = settings.failure_domain;
+    relayed.revoke_bound = settings.revoke_bound;
+    return relayed;
+}
+
+} // namespace
+
+entry_host::entry_host(event_loop& loop, object_store& store, const object_codec& codec,
+                       const wire_dialect& dialect, const entry_host_charts& charts,
+                       const entry_host_settings& settings)
+    : loop_{loop},
+      store_{store},
+      codec_{codec},
+      settings_{settings},
+      relay_{loop, dialect, rollouts_, charts.endpoint, charts.relay, to_relay_settings(settings)},
+      gossip_{own_status(settings), placement_hash(settings.name)},
+      config_watch_{loop,
+                    store,
+                    charts.watch,
+                    codec.config_kind(),
+                    config_wait,
+                    {[this](const objects_by_name& objects) { on_config(objects); },
+                     [this](time_point as_of) {
+                         if (is_config_readable_) {
+                             relay_.state().fence.confirm(as_of);
+                         }
+                     },
+                     [](bool) {}}},
+      endpoint_watch_{loop,
+                      store,
+                      charts.watch,
+                      codec.endpoint_kind(),
+                      endpoint_wait,
+                      {[this](const objects_by_name& objects) { on_endpoints(objects); }, [](time_point) {},
+                       [this](bool is_lost) {
+                           if (is_lost) {
+                               roster_.on_store_lost();
+                           } else {
+                               roster_.on_store_regained(monotonic_now());
+                           }
+                       }}},
+      rollout_watch_{
+          loop,
+          store,
+          charts.watch,
+          codec.rollout_kind(),
+          rollout_wait,
+          {[this](const objects_by_name& objects) { on_rollouts(objects); }, [](time_point) {}, [](bool) {}}},
+      datagrams_{loop, settings.peers,
+                 [this](const std::string& from, const std::string& bytes) { on_datagram(from, bytes); }},
+      peer_client_{loop} {}
+
+entry_host::~entry_host() = default;
+
+void entry_host::start() {
+    set_seeds(settings_.seeds);
+    relay_.listen(settings_.callers);
+    peer_server_ =
+        listen_or_exit(loop_, "peers", settings_.peers, http_limits{},
+                       [this](const http_request&, const std::shared_ptr<http_responder>& responder) {
+                           const json body = {{"name", config_object_.name},
+                                              {"revision", config_object_.revision},
+                                              {"spec", config_object_.spec}};
+                           responder->reply(200, {}, body.dump());
+                       });
+    config_watch_.start();
+    endpoint_watch_.start();
+    rollout_watch_.start();
+    loop_.every(gossip_interval, [this] { gossip_round(); });
+    loop_.every(upkeep_interval, [this] {
+        flush_log();
+        refresh_endpoints();
+        check_freshness();
+        advance_rollouts();
+    });
+    gossip_round();
+}
+
+void entry_host::set_seeds(const std::vector<std::string>& seeds) {
+    gossip_.set_seeds(seeds);
+}
+
+bool entry_host::is_ready() const {
+    const relay_state& state = relay_.state();
+    return state.routing != nullptr && endpoint_watch_.is_listed() && !state.is_stopping;
+}
+
+std::vector<std::string> entry_host::entries_for_caller(const std::string& domain) const {
+    return entries_for(domain, gossip_.live(monotonic_now()), most_entries_in_answer);
+}
+
+std::string entry_host::metrics_text() {
+    metrics& measured = relay_.state().measured;
+    measured.gauge("requests_active", static_cast<double>(relay_.active()));
+    measured.gauge("endpoints_known", static_cast<double>(relay_.state().endpoints.size()));
+    measured.gauge("hosts_live", static_cast<double>(gossip_.live(monotonic_now()).size()));
+    measured.gauge("config_age_ms", std::min(to_ms(relay_.state().fence.age(monotonic_now())), 1e9));
+    measured.gauge("resident_bytes", static_cast<double>(process_resident_bytes()));
+    return measured.to_text();
+}
+
+void entry_host::on_config(const objects_by_name& objects) {
+    const auto found = objects.find(codec_.config_name());
+    is_config_readable_ = found != objects.end() && apply_config(found->second);
+}
+
+bool entry_host::apply_config(const stored_object& object) {
+    if (relay_.state().routing && object.revision <= config_object_.revision) {
+        return true; // What is in force is as new: revisions only rise, or a lagging reading would undo one.
+    }
+    const outcome<traffic_config> decoded = codec_.config(object);
+    if (const error* failure = error_of(decoded)) {
+        log_error("config_refused", {{"revision", object.revision}, {"remedy", failure->message}});
+        return false;
+    }
+    config_object_ = object;
+    config_object_.status = json();
+    const traffic_config& config = *value_of(decoded);
+    log_info("config_in_force", {{"version", config.version},
+                                 {"revision", config.revision},
+                                 {"routes", config.routes.size()},
+                                 {"teams", config.teams.size()}});
+    const std::size_t hosts = gossip_.live(monotonic_now()).size();
+    relay_.set_routing(std::make_shared<const routing_table>(config), hosts);
+    gossip_.set_config_revision(object.revision);
+    return true;
+}
+
+void entry_host::on_endpoints(const objects_by_name& objects) {
+    std::vector<endpoint_record> listed;
+    for (const auto& [name, object] : objects) {
+        const outcome<endpoint_record> decoded = codec_.endpoint(object);
+        if (const error* failure = error_of(decoded)) {
+            log_error("endpoint_refused", {{"endpoint", name}, {"remedy", failure->message}});
+            continue;
+        }
+        listed.push_back(*value_of(decoded));
+    }
+    roster_.update(listed, monotonic_now());
+    log_info("endpoints_listed", {{"count", listed.size()}, {"lapsed", roster_.has_lapsed()}});
+    refresh_endpoints();
+}
+
+void entry_host::refresh_endpoints() {
+    if (!endpoint_watch_.is_listed()) {
+        return;
+    }
+    const std::vector<endpoint_record> endpoints = roster_.current(monotonic_now());
+    std::map<std::string, std::map<std::string, int>> by_release;
+    for (const endpoint_record& endpoint : endpoints) {
+        by_release[endpoint.pool][endpoint.release] += endpoint.state == "live" ? 1 : 0;
+    }
+    for (const auto& [service, counts] : by_release) {
+        rollouts_.set_endpoint_counts(service, counts);
+    }
+    relay_.set_endpoints(endpoints);
+}
+
+void entry_host::on_rollouts(const objects_by_name& objects) {
+    std::vector<rollout_order> orders;
+    for (const auto& [name, object] : objects) {
+        const outcome<rollout_order> decoded = codec_.rollout(object);
+        if (const error* failure = error_of(decoded)) {
+            log_error("rollout_refused", {{"name", name}, {"remedy", failure->message}});
+            continue;
+        }
+        orders.push_back(*value_of(decoded));
+    }
+    rollouts_.set_orders(orders, monotonic_now());
+}
+
+void entry_host::on_datagram(const std::string& from, const std::string& bytes) {
+    if (const std::optional<peer_message> message = decode_peer_message(bytes)) {
+        std::visit([&](const auto& typed) { take(from, typed); }, *message);
+    }
+}
+
+void entry_host::take(const std::string&, const peer_news& news) {
+    if (news.statuses.empty()) {
+        return;
+    }
+    const time_point now = monotonic_now();
+    const std::string& sender = news.statuses.front().name;
+    gossip_.take(news.statuses, now);
+    load_by_endpoint load;
+    for (const load_entry& entry : news.load) {
+        load[entry.endpoint] = {entry.unread_tokens, entry.running};
+    }
+    relay_.state().endpoints.set_peer_load(sender, std::move(load), now);
+    const std::string reporter = sender + "/" + std::to_string(news.statuses.front().incarnation);
+    rollouts_.merge(reporter, news.counts, news.rollouts, now);
+}
+
+void entry_host::take(const std::string& from, const freshness_question& question) {
+    const relay_state& state = relay_.state();
+    const duration age = state.fence.age(monotonic_now());
+    if (!state.routing || age == duration::max()) {
+        return;
+    }
+    datagrams_.send(
+        from, encode_peer_message(freshness_answer{question.nonce, config_object_.revision, age.count()}));
+}
+
+void entry_host::take(const std::string& from, const freshness_answer& answer) {
+    const auto asked = questions_.find(answer.nonce);
+    if (asked == questions_.end()) {
+        return;
+    }
+    const time_point as_of = asked->second - duration(answer.age_us);
+    if (answer.config_revision > config_object_.revision) {
+        fetch_config(from);
+    } else if (answer.config_revision == config_object_.revision && relay_.state().routing) {
+        relay_.state().fence.confirm(as_of);
+        relay_.state().measured.count("config_vouched_by_peer");
+    }
+}
+
+peer_news entry_host::make_news(time_point now) {
+    peer_news news;
+    news.statuses = gossip_.statuses_to_send(now);
+    for (const auto& [endpoint, load] : relay_.state().endpoints.own_load()) {
+        if (news.load.size() < most_load_entries) {
+            news.load.push_back({endpoint, load.unread_tokens, load.running});
+        }
+    }
+    news.counts = rollouts_.own_counts();
+    news.rollouts = rollouts_.own_news(now);
+    return news;
+}
+
+void entry_host::gossip_round() {
+    const time_point now = monotonic_now();
+    gossip_.set_state(relay_.state().is_stopping ? "leaving" : is_ready() ? "serving" : "starting");
+    const std::vector<std::string> targets = gossip_.next_targets(now);
+    const std::string bytes = encode_peer_message(make_news(now));
+    for (const std::string& target : targets) {
+        datagrams_.send(target, bytes);
+    }
+}
+
+// Against withdrawn keys at a host that the store does not serve while it serves others: a peer that has
+// heard from the store can say that the configuration held here was still the newest.
+void entry_host::check_freshness() {
+    const time_point now = monotonic_now();
+    for (auto item = questions_.begin(); item != questions_.end();) {
+        item = now - item->second > question_life ? questions_.erase(item) : std::next(item);
+    }
+    if (relay_.state().fence.age(now) < stale_after) {
+        return;
+    }
+    const std::int64_t nonce = ++last_nonce_;
+    questions_[nonce] = now;
+    const std::string bytes = encode_peer_message(freshness_question{nonce});
+    for (const host_status& peer : gossip_.random_peers(peers_asked, now)) {
+        datagrams_.send(peer.gossip_address, bytes);
+    }
+}
+
+void entry_host::fetch_config(const std::string& peer) {
+    const outcome<socket_address> address = parse_address(peer);
+    if (is_fetching_config_ || value_of(address) == nullptr) {
+        return;
+    }
+    is_fetching_config_ = true;
+    http_call call;
+    call.address = *value_of(address);
+    call.target = "/config";
+    call.timeout = seconds(1);
+    peer_client_.send(call, [this, peer](const http_answer& answer) {
+        is_fetching_config_ = false;
+        if (answer.what != http_answer::result::answered) {
+            log_warning("peer_config_unavailable", {{"peer", peer}});
+            return;
+        }
+        const json body = json::parse(answer.body, nullptr, false);
+        if (!body.is_object() || !body.contains("spec")) {
+            log_warning("peer_config_unreadable", {{"peer", peer}});
+            return;
+        }
+        stored_object object;
+        object.name = body.value("name", "");
+        object.revision = body.value("revision", std::int64_t{0});
+        object.spec = body.at("spec");
+        is_config_readable_ = apply_config(object);
+    });
+}
+
+bool entry_host::leads(time_point now) const {
+    for (const host_status& host : gossip_.live(now)) {
+        if (host.state == "serving") {
+            return host.name == settings_.name;
+        }
+    }
+    return true;
+}
+
+// Any host may report: the write holds only at the revision that the decision was made on, so that one that
+// was paused meanwhile changes nothing. One host at a time saves calls.
+void entry_host::advance_rollouts() {
+    const time_point now = monotonic_now();
+    std::vector<std::string> reporters;
+    for (const host_status& host : gossip_.live(now)) {
+        reporters.push_back(host.name + "/" + std::to_string(host.incarnation));
+    }
+    rollouts_.keep_hosts(reporters);
+    std::map<std::string, time_point> still_due;
+    for (const rollout_report& due : rollouts_.advance(now)) {
+        const std::string key = due.order.service + "/" + to_string(due.state);
+        const auto known = due_since_.find(key);
+        still_due[key] = known == due_since_.end() ? now : known->second;
+        if (leads(now) || now - still_due[key] > leader_patience) {
+            report(due);
+        }
+    }
+    due_since_ = std::move(still_due);
+}
+
+void entry_host::report(const rollout_report& due) {
+    if (!rollout_watch_.is_listed() || !writing_.insert(due.order.service).second) {
+        return;
+    }
+    log_info("rollout_report", {{"service", due.order.service},
+                                {"release", due.order.release},
+                                {"state", to_string(due.state)},
+                                {"reason", due.reason}});
+    const std::string service = due.order.service;
+    store_.replace_status(codec_.rollout_kind(), service, due.order.revision,
+                          codec_.rollout_status(due.order, due.state),
+                          [this, service](const store_result<stored_object>&) { writing_.erase(service); });
+}
+
+void entry_host::begin_stop() {
+    if (relay_.state().is_stopping) {
+        return;
+    }
+    log_info("stop_begins", {{"active", relay_.active()}});
+    relay_.begin_stop();
+    gossip_.set_state("leaving");
+    const time_point now = monotonic_now();
+    (void)gossip_.next_targets(now);
+    const std::string bytes = encode_peer_message(make_news(now));
+    for (const host_status& peer : gossip_.live(now)) {
+        datagrams_.send(peer.gossip_address, bytes);
+    }
+    loop_.every(stop_interval, [this] { advance_stop(); });
+}
+
+void entry_host::advance_stop() {
+    const duration since = monotonic_now() - relay_.state().stopping_since;
+    if (since < serving_after_stop) {
+        return;
+    }
+    const bool is_done = relay_.close_idle();
+    if (is_done || since > settings_.stop_grace - stop_margin) {
+        log_info("stopped", {{"active", relay_.active()}, {"after_ms", to_ms(since)}});
+        loop_.stop();
+    }
+}
+
+} // namespace laurelhoist
--- /dev/null
+++ b/src/host/entry_host.h
@@ -0,0 +1,112 @@
+/** \file
+ * Defines an entry host: the relay with everything that tells it what to do. It keeps copies of what the
+ * store holds, gossips with the other hosts, carries out roll-outs, answers which hosts callers should use,
+ * and stops without cutting a request.
+ */
+#pragma once
+
+#include "host/peer_messages.h"
+#include "relay/relay.h"
+#include "store/store.h"
+#include "transport/transport.h"
+
+namespace laurelhoist {
+
+/** Decodes what the store holds, and encodes what is written there. */
+class object_codec {
+public:
+    object_codec() = default;
+    object_codec(const object_codec&) = delete;
+    object_codec& operator=(const object_codec&) = delete;
+    virtual ~object_codec() = default;
+
+    virtual std::string config_kind() const = 0;
+    virtual std::string config_name() const = 0;
+    virtual std::string endpoint_kind() const = 0;
+    virtual std::string rollout_kind() const = 0;
+    virtual outcome<traffic_config> config(const stored_object& object) const = 0;
+    virtual outcome<endpoint_record> endpoint(const stored_object& object) const = 0;
+    virtual outcome<rollout_order> rollout(const stored_object& object) const = 0;
+    virtual json rollout_status(const rollout_order& order, rollout_state state) const = 0;
+};
+
+struct entry_host_settings {
+    std::string name;
+    std::string failure_domain;
+    socket_address callers;         ///< where requests are taken
+    socket_address peers;           ///< datagrams and the configuration, between entry hosts
+    std::vector<std::string> seeds; ///< peers' addresses to begin with
+    duration revoke_bound = seconds(5);
+    duration stop_grace = seconds(8);
+};
+
+/** The charts that an entry host interprets. */
+struct entry_host_charts {
+    chart endpoint;
+    chart relay;
+    chart watch;
+};
+
+class entry_host {
+public:
+    entry_host(event_loop& loop, object_store& store, const object_codec& codec, const wire_dialect& dialect,
+               const entry_host_charts& charts, const entry_host_settings& settings);
+    ~entry_host();
+    entry_host(const entry_host&) = delete;
+    entry_host& operator=(const entry_host&) = delete;
+
+    void start();
+    /** Begins the planned stop; \ref event_loop::stop is called when it is over. */
+    void begin_stop();
+    void set_seeds(const std::vector<std::string>& seeds);
+
+    bool is_ready() const;
+    /** \return the addresses that a caller in \p domain may use. */
+    std::vector<std::string> entries_for_caller(const std::string& domain) const;
+    std::string metrics_text();
+    metrics& measured() { return relay_.state().measured; }
+
+private:
+    void on_config(const objects_by_name& objects);
+    bool apply_config(const stored_object& object);
+    void on_endpoints(const objects_by_name& objects);
+    void refresh_endpoints();
+    void on_rollouts(const objects_by_name& objects);
+    void on_datagram(const std::string& from, const std::string& bytes);
+    void take(const std::string& from, const peer_news& news);
+    void take(const std::string& from, const freshness_question& question);
+    void take(const std::string& from, const freshness_answer& answer);
+    void gossip_round();
+    peer_news make_news(time_point now);
+    void check_freshness();
+    void fetch_config(const std::string& peer);
+    void advance_rollouts();
+    bool leads(time_point now) const;
+    void report(const rollout_report& due);
+    void advance_stop();
+
+    event_loop& loop_;
+    object_store& store_;
+    const object_codec& codec_;
+    entry_host_settings settings_;
+    rollout_tracker rollouts_;
+    relay relay_;
+    host_gossip gossip_;
+    endpoint_roster roster_;
+    object_watch config_watch_;
+    object_watch endpoint_watch_;
+    object_watch rollout_watch_;
+    datagram_socket datagrams_;
+    std::unique_ptr<http_server> peer_server_;
+    http_client peer_client_;
+    stored_object config_object_;                  ///< in force, as peers may ask for it
+    bool is_config_readable_ = false;              ///< the newest one could be decoded
+    std::map<std::int64_t, time_point> questions_; ///< asked of peers, by nonce
+    std::int64_t last_nonce_ = 0;
+    bool is_fetching_config_ = false;
+    std::map<std::string, time_point>
+        due_since_;                 ///< reports not yet shown by the store, by service and state
+    std::set<std::string> writing_; ///< services with a write under way
+};
+
+} // namespace laurelhoist
--- /dev/null
+++ b/src/host/host.h
@@ -0,0 +1,7 @@
+/** \file
+ * The one public header of the host library: an entry host on the users' platform.
+ */
+#pragma once
+
+#include "host/entry_host.h"
+#include "host/peer_messages.h"
--- /dev/null
+++ b/src/host/peer_messages.h
@@ -0,0 +1,51 @@
+/** \file
+ * Defines the datagrams between entry hosts (CBOR). A field that is missing takes its default, so that an
+ * older and a newer host understand each other.
+ */
+#pragma once
+
+#include "membership/membership.h"
+#include "placement/placement.h"
+#include "rollout/release_rollout.h"
+
+namespace laurelhoist {
+
+/** Work in flight at one endpoint, by the sender. */
+struct load_entry {
+    std::string endpoint;
+    std::int64_t unread_tokens = 0;
+    int running = 0;
+};
+LAUREL_VALUE_TYPE(load_entry, endpoint, unread_tokens, running)
+
+/** What a host tells a few others, a few times a second. */
+struct peer_news {
+    std::vector<host_status> statuses; ///< the sender's first
+    std::vector<load_entry> load;
+    std::vector<release_counts> counts;
+    std::vector<rollout_news> rollouts;
+};
+LAUREL_VALUE_TYPE(peer_news, statuses, load, counts, rollouts)
+
+/** Asks a peer how recently it knows its configuration to be the newest. */
+struct freshness_question {
+    std::int64_t nonce = 0;
+};
+LAUREL_VALUE_TYPE(freshness_question, nonce)
+
+/** The peer's answer; the age counts from when it was given, so the asker adds it to the moment of asking. */
+struct freshness_answer {
+    std::int64_t nonce = 0;
+    std::int64_t config_revision = 0;
+    std::int64_t age_us = 0;
+};
+LAUREL_VALUE_TYPE(freshness_answer, nonce, config_revision, age_us)
+
+using peer_message = std::variant<peer_news, freshness_question, freshness_answer>;
+
+/** \return the bytes of \p message. */
+std::string encode_peer_message(const peer_message& message);
+/** \return the message in \p bytes, or nothing if they are none. */
+std::optional<peer_message> decode_peer_message(const std::string& bytes);
+
+} // namespace laurelhoist
--- /dev/null
+++ b/src/membership/endpoint_roster.h
@@ -0,0 +1,40 @@
+/** \file
+ * Defines the endpoints that a host believes in, from what the store lists and how the store has fared.
+ *
+ * An endpoint that is missing from the list has left and gets nothing new. The exception: while the store is
+ * away, registrations lapse although their endpoints live, and they return within about two seconds of it.
+ * Taken at its word, a store that comes back would empty the list and turn every caller away. So an endpoint
+ * that vanishes during an outage or within \ref return_time after it is kept for that long.
+ */
+#pragma once
+
+#include "membership/host_list.h"
+
+#include <optional>
+
+namespace laurelhoist {
+
+/// Registrations that lapsed during an outage are back this long after it (the platform's promise).
+constexpr duration return_time = milliseconds(2000);
+
+class endpoint_roster {
+public:
+    /** Takes the list as the store gives it now. */
+    void update(const std::vector<endpoint_record>& listed, time_point now);
+    void on_store_lost() { is_store_lost_ = true; }
+    void on_store_regained(time_point now);
+    /** \return the endpoints to use; those whose return time is over are left out. */
+    std::vector<endpoint_record> current(time_point now) const;
+    /** \return whether an endpoint is kept that the store does not list. */
+    bool has_lapsed() const { return !lapsed_.empty(); }
+
+private:
+    bool is_in_grace(time_point now) const;
+
+    std::vector<endpoint_record> listed_;
+    std::vector<endpoint_record> lapsed_;
+    bool is_store_lost_ = false;
+    std::optional<time_point> regained_at_;
+};
+
+} // namespace laurelhoist
--- a/src/membership/host_list.h
+++ b/src/membership/host_list.h
@@ -16,8 +16,9 @@
     std::string domain;
     std::string pool;
     std::string state = "live"; ///< "live" or "leaving"
+    std::string release{};      ///< of the software it runs; empty: not said
 };
-LAUREL_VALUE_TYPE(endpoint_record, name, address, domain, pool, state)
+LAUREL_VALUE_TYPE(endpoint_record, name, address, domain, pool, state, release)
 
 /** Picks the endpoints of one pool that \p entry uses: at most \p size, the same on every call, evenly
  * shared out over entries, and over the failure domains as far as each has any.
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -4,7 +4,9 @@
  */
 #pragma once
 
+#include "membership/endpoint_roster.h"
 #include "membership/entry_directory.h"
 #include "membership/freshness.h"
+#include "membership/host_gossip.h"
 #include "membership/host_list.h"
 #include "membership/revision_evidence.h"
--- /dev/null
+++ b/src/placement/endpoint_directory.cpp
@@ -0,0 +1,197 @@
+#include "placement/endpoint_directory.h"
+
+#include <algorithm>
+
+namespace laurelhoist {
+
+namespace {
+
+/// Loads older than this are of a host that has gone or is cut off; hosts tell one another every 0.4 s.
+constexpr duration peer_load_memory = seconds(2);
+/// An engine's cache outlasts this at the loads planned for; beyond it the part may have been displaced.
+constexpr duration part_memory = seconds(30);
+constexpr std::size_t most_parts = 512; ///< remembered for each endpoint: 16 KB
+/// Each running stream lengthens every step of its engine; measured from 0.02 to 0.07 ms a token.
+constexpr double running_ms = 2.0;
+/// Worth of staying in the failure domain: two crossings of 1.4 ms and their bytes.
+constexpr double other_domain_ms = 4.0;
+constexpr double slowness_smoothing = 0.15;
+constexpr double least_slowness = 0.5;
+constexpr double most_slowness = 10.0;
+/// Below this a time to the first token is mostly the network's and tells nothing of the engine.
+constexpr double least_telling_ms = 20.0;
+
+} // namespace
+
+endpoint_directory::endpoint_directory(chart life, std::uint64_t seed, std::string domain)
+    : table_{std::move(life), seed, endpoint_policy::least_in_flight},
+      random_{seed},
+      domain_{std::move(domain)} {}
+
+void endpoint_directory::update(const std::vector<endpoint_record>& endpoints, time_point now) {
+    table_.update(endpoints, now);
+    std::set<std::string> listed;
+    for (const endpoint_record& endpoint : endpoints) {
+        listed.insert(endpoint.name);
+    }
+    for (auto item = memory_.begin(); item != memory_.end();) {
+        item = listed.count(item->first) > 0 ? std::next(item) : memory_.erase(item);
+    }
+}
+
+void endpoint_directory::set_slots(const std::string& service, int slots, std::size_t sharers) {
+    table_.set_slots(service, slots, sharers);
+}
+
+void endpoint_directory::set_peer_load(const std::string& host, load_by_endpoint load, time_point now) {
+    peers_[host] = {std::move(load), now};
+}
+
+endpoint_load endpoint_directory::load_of(const std::string& endpoint, time_point now) const {
+    endpoint_load total;
+    const auto add = [&](const load_by_endpoint& loads) {
+        const auto found = loads.find(endpoint);
+        if (found != loads.end()) {
+            total.unread_tokens += found->second.unread_tokens;
+            total.running += found->second.running;
+        }
+    };
+    add(own_);
+    for (const auto& [host, peer] : peers_) {
+        if (now - peer.at < peer_load_memory) {
+            add(peer.load);
+        }
+    }
+    return total;
+}
+
+std::string endpoint_directory::home_of(const std::vector<endpoint_record>& candidates,
+                                        const prompt_shape& prompt) const {
+    constexpr std::size_t least_parts = 2; // The last part is the request's own.
+    if (prompt.parts.size() < least_parts) {
+        return {};
+    }
+    const std::string key = std::to_string(prompt.parts[prompt.parts.size() - 2]);
+    const auto home =
+        std::min_element(candidates.begin(), candidates.end(), [&](const auto& l, const auto& r) {
+            return placement_hash(key + "/" + l.name) < placement_hash(key + "/" + r.name);
+        });
+    return home->name;
+}
+
+std::int64_t endpoint_directory::unread_tokens(const endpoint_record& endpoint, const prompt_shape& prompt,
+                                               const std::string& home, time_point now) const {
+    const auto memory = memory_.find(endpoint.name);
+    std::int64_t known = 0;
+    for (std::size_t i = 0; i < prompt.parts.size(); ++i) {
+        const bool is_own_part = i + 1 == prompt.parts.size();
+        bool is_known = endpoint.name == home && !is_own_part;
+        if (!is_known && memory != memory_.end()) {
+            const auto sent = memory->second.parts.find(prompt.parts[i]);
+            is_known = sent != memory->second.parts.end() && now - sent->second < part_memory;
+        }
+        if (!is_known) {
+            break; // A part counts only if all before it are there.
+        }
+        known += prompt.tokens[i];
+    }
+    return std::max<std::int64_t>(1, prompt.input_tokens - known);
+}
+
+double endpoint_directory::domain_penalty_ms(const endpoint_record& endpoint) const {
+    return endpoint.domain == domain_ ? 0.0 : other_domain_ms;
+}
+
+double endpoint_directory::predicted_ms(const endpoint_record& endpoint, std::int64_t unread,
+                                        double read_ms_per_token, time_point now) const {
+    const endpoint_load load = load_of(endpoint.name, now);
+    const auto memory = memory_.find(endpoint.name);
+    const double slowness = memory == memory_.end() ? 1.0 : memory->second.slowness;
+    const double reading = static_cast<double>(load.unread_tokens + unread) * read_ms_per_token;
+    return slowness * (reading + load.running * running_ms) + domain_penalty_ms(endpoint);
+}
+
+std::optional<placement> endpoint_directory::choose(const endpoint_wish& wish, const prompt_shape& prompt,
+                                                    double read_ms_per_token, time_point now) {
+    const std::vector<endpoint_record> candidates = table_.eligible(wish, now);
+    if (candidates.empty()) {
+        return std::nullopt;
+    }
+    const std::string home = home_of(candidates, prompt);
+    std::optional<placement> best;
+    // Started at a random one, so that equal endpoints share the work.
+    const std::size_t first = random_.below(candidates.size());
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        const endpoint_record& endpoint = candidates[(first + i) % candidates.size()];
+        const std::int64_t unread = prompt.is_empty() ? 0 : unread_tokens(endpoint, prompt, home, now);
+        const double predicted = predicted_ms(endpoint, unread, read_ms_per_token, now);
+        if (!best || predicted < best->predicted_ms) {
+            best = placement{endpoint, unread, predicted};
+        }
+    }
+    return best;
+}
+
+void endpoint_directory::on_sent(const placement& chosen, const prompt_shape& prompt,
+                                 const endpoint_wish& wish, time_point now) {
+    const std::string& name = chosen.endpoint.name;
+    table_.on_call_started(name, wish, now);
+    own_[name].unread_tokens += chosen.unread_tokens;
+    if (prompt.is_empty()) {
+        ++own_[name].running;
+        return;
+    }
+    engine_memory& memory = memory_[name];
+    for (const std::uint64_t part : prompt.parts) {
+        memory.parts[part] = now;
+    }
+    forget_old_parts(memory, now);
+}
+
+void endpoint_directory::forget_old_parts(engine_memory& memory, time_point now) {
+    if (memory.parts.size() <= most_parts) {
+        return;
+    }
+    const duration kept = part_memory / 2;
+    for (auto item = memory.parts.begin(); item != memory.parts.end();) {
+        item = now - item->second > kept ? memory.parts.erase(item) : std::next(item);
+    }
+    if (memory.parts.size() > most_parts) {
+        memory.parts.clear();
+    }
+}
+
+void endpoint_directory::on_first_byte(const placement& chosen, duration took, time_point) {
+    endpoint_load& load = own_[chosen.endpoint.name];
+    load.unread_tokens -= chosen.unread_tokens;
+    if (chosen.unread_tokens == 0) {
+        return;
+    }
+    ++load.running;
+    const double measured = std::max(to_ms(took), least_telling_ms);
+    const double expected = std::max(chosen.predicted_ms, least_telling_ms);
+    engine_memory& memory = memory_[chosen.endpoint.name];
+    const double sample = std::clamp(memory.slowness * measured / expected, least_slowness, most_slowness);
+    memory.slowness += slowness_smoothing * (sample - memory.slowness);
+}
+
+void endpoint_directory::on_ended(const placement& chosen, bool had_first_byte, call_result result,
+                                  duration took, time_point now) {
+    table_.on_call_ended(chosen.endpoint.name, result, took, now);
+    const auto found = own_.find(chosen.endpoint.name);
+    if (found == own_.end()) {
+        return;
+    }
+    endpoint_load& load = found->second;
+    const bool is_engine_call = chosen.unread_tokens > 0;
+    if (is_engine_call && !had_first_byte) {
+        load.unread_tokens -= chosen.unread_tokens;
+    } else {
+        --load.running;
+    }
+    if (load.running <= 0 && load.unread_tokens <= 0) {
+        own_.erase(found);
+    }
+}
+
+} // namespace laurelhoist
--- /dev/null
+++ b/src/placement/endpoint_directory.h
@@ -0,0 +1,104 @@
+/** \file
+ * Defines which endpoint a request goes to.
+ *
+ * Plain services: the endpoint with the fewest requests in flight. Engines: the endpoint that is predicted to
+ * give the first token soonest, from the prompt tokens that are still to be read there, the streams that run
+ * there, and the part of the prompt that it has read before. Load pattern: prompts of 6,000 to 50,000 tokens
+ * arrive among chats of 800; counted by requests, two endpoints look alike where one is a second behind.
+ *
+ * The shared part of a prompt has a home, the same on every host by rendezvous hashing, so that it is read
+ * once and not once for each host; a busy home is passed over once its backlog costs more than reading the
+ * part again.
+ */
+#pragma once
+
+#include "routing/routing.h"
+
+#include <unordered_map>
+
+namespace laurelhoist {
+
+/** The prompt of a request, for placement. */
+struct prompt_shape {
+    std::int64_t input_tokens = 0;
+    std::vector<std::uint64_t> parts; ///< hashes of its parts, in order
+    std::vector<std::int64_t> tokens; ///< of the parts
+    bool is_empty() const { return input_tokens == 0; }
+};
+
+/** Work in flight at one endpoint. */
+struct endpoint_load {
+    std::int64_t unread_tokens = 0; ///< of prompts that have not given their first token
+    int running = 0;                ///< requests whose answer has begun, or of a plain service: in flight
+};
+
+/** Load by endpoint name, as hosts tell one another. */
+using load_by_endpoint = std::map<std::string, endpoint_load>;
+
+/** A chosen endpoint and what the choice rests on. */
+struct placement {
+    endpoint_record endpoint;
+    std::int64_t unread_tokens = 0; ///< that the endpoint has to read for this request
+    double predicted_ms = 0;        ///< to the first token, or of a plain service 0
+};
+
+class endpoint_directory {
+public:
+    /** \param life charts/endpoint.scxml \param domain the failure domain of this host */
+    endpoint_directory(chart life, std::uint64_t seed, std::string domain);
+
+    void update(const std::vector<endpoint_record>& endpoints, time_point now);
+    /** Sets how many requests one endpoint of \p service runs, and how many hosts share it. */
+    void set_slots(const std::string& service, int slots, std::size_t sharers);
+    /** Takes what \p host has in flight; it counts for \ref peer_load_memory. */
+    void set_peer_load(const std::string& host, load_by_endpoint load, time_point now);
+    const load_by_endpoint& own_load() const { return own_; }
+
+    /** \param read_ms_per_token of the model that is meant
+     * \return the endpoint to send to, or nothing if none takes work now */
+    std::optional<placement> choose(const endpoint_wish& wish, const prompt_shape& prompt,
+                                    double read_ms_per_token, time_point now);
+    bool could_serve(const std::string& service, time_point now) const {
+        return table_.could_serve(service, "", now);
+    }
+    bool takes_work(const std::string& endpoint) const { return table_.takes_work(endpoint); }
+    int in_flight(const std::string& service) const { return table_.in_flight(service); }
+    double typical_ms(const std::string& service) const { return table_.typical_ms(service); }
+    std::size_t size() const { return table_.size(); }
+
+    void on_sent(const placement& chosen, const prompt_shape& prompt, const endpoint_wish& wish,
+                 time_point now);
+    /** The answer's first byte; \p took since it was sent. */
+    void on_first_byte(const placement& chosen, duration took, time_point now);
+    /** The attempt has ended. \param had_first_byte whether \ref on_first_byte was called for it */
+    void on_ended(const placement& chosen, bool had_first_byte, call_result result, duration took,
+                  time_point now);
+
+private:
+    struct peer_state {
+        load_by_endpoint load;
+        time_point at;
+    };
+    struct engine_memory {
+        std::unordered_map<std::uint64_t, time_point> parts; ///< sent there by this host
+        double slowness = 1.0; ///< measured over predicted time to the first token, smoothed
+    };
+
+    endpoint_load load_of(const std::string& endpoint, time_point now) const;
+    std::int64_t unread_tokens(const endpoint_record& endpoint, const prompt_shape& prompt,
+                               const std::string& home, time_point now) const;
+    std::string home_of(const std::vector<endpoint_record>& candidates, const prompt_shape& prompt) const;
+    double predicted_ms(const endpoint_record& endpoint, std::int64_t unread, double read_ms_per_token,
+                        time_point now) const;
+    double domain_penalty_ms(const endpoint_record& endpoint) const;
+    void forget_old_parts(engine_memory& memory, time_point now);
+
+    endpoint_table table_;
+    random_source random_;
+    std::string domain_;
+    load_by_endpoint own_;
+    std::map<std::string, peer_state> peers_;
+    std::map<std::string, engine_memory> memory_;
+};
+
+} // namespace laurelhoist
--- /dev/null
+++ b/src/placement/placement.h
@@ -0,0 +1,6 @@
+/** \file
+ * The one public header of the placement library: which endpoint a request goes to.
+ */
+#pragma once
+
+#include "placement/endpoint_directory.h"
--- /dev/null
+++ b/src/relay/attempt_rules.cpp
@@ -0,0 +1,59 @@
+#include "relay/attempt_rules.h"
+
+namespace laurelhoist {
+
+namespace {
+
+bool proves_not_run(attempt_end end) {
+    return end == attempt_end::not_sent || end == attempt_end::refused;
+}
+
+follow_up_step final_step(const attempt_record& record, attempt_end end) {
+    if (record.has_begun_answer) {
+        return follow_up_step::cut;
+    }
+    if (end == attempt_end::failed) {
+        return follow_up_step::deliver;
+    }
+    if (!record.may_have_run) {
+        return follow_up_step::refuse;
+    }
+    return record.is_expired ? follow_up_step::expire : follow_up_step::fail;
+}
+
+} // namespace
+
+const char* to_string(attempt_end end) {
+    switch (end) {
+    case attempt_end::not_sent:
+        return "not_sent";
+    case attempt_end::refused:
+        return "refused";
+    case attempt_end::failed:
+        return "failed";
+    case attempt_end::broken:
+        return "broken";
+    case attempt_end::silent:
+        return "silent";
+    case attempt_end::out_of_order:
+        return "out_of_order";
+    case attempt_end::declined:
+        return "declined";
+    }
+    return "unknown";
+}
+
+follow_up_step after_attempt(const attempt_record& record, attempt_end end) {
+    if (record.is_caller_gone) {
+        return follow_up_step::forget;
+    }
+    const bool may_run_again = record.may_repeat || (!record.may_have_run && proves_not_run(end));
+    // An endpoint that could not be reached was not sent to, but a row of them must end as well.
+    const bool has_attempts_left = record.attempts < record.max_attempts;
+    if (may_run_again && has_attempts_left && !record.is_expired && record.has_budget) {
+        return follow_up_step::try_again;
+    }
+    return final_step(record, end);
+}
+
+} // namespace laurelhoist
--- /dev/null
+++ b/src/relay/caller_connection.cpp
@@ -0,0 +1,201 @@
+#include "relay/caller_connection.h"
+
+#include "relay/socket_options.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+
+namespace laurelhoist {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+using asio_error = boost::system::error_code;
+
+namespace {
+
+constexpr int status_bad_request = 400;
+constexpr int status_request_timeout = 408;
+constexpr int status_body_too_large = 413;
+constexpr int status_headers_too_large = 431;
+/// Kept open a little beyond the idle limit, so that a caller that keeps to it never meets a closing
+/// connection.
+constexpr duration idle_slack = seconds(1);
+
+} // namespace
+
+caller_connection::caller_connection(tcp::socket socket, const caller_limits& limits, const handlers& events)
+    : socket_{std::move(socket)},
+      limits_{limits},
+      events_{events},
+      reader_{limits.header_bytes, limits.body_bytes},
+      quiet_since_{monotonic_now()} {
+    internal::set_liveness_options(socket_);
+}
+
+void caller_connection::start() {
+    read_on();
+}
+
+void caller_connection::read_on() {
+    socket_.async_read_some(asio::buffer(incoming_),
+                            [self = shared_from_this()](asio_error failure, std::size_t bytes) {
+                                if (failure) {
+                                    self->close();
+                                } else if (!self->is_closed_) {
+                                    self->on_read(bytes);
+                                }
+                            });
+}
+
+void caller_connection::on_read(std::size_t bytes) {
+    if (!reader_.is_midway()) {
+        quiet_since_ = monotonic_now();
+    }
+    reader_.feed({incoming_.data(), bytes});
+    if (!is_serving_) {
+        read_requests();
+    }
+    if (!is_closed_) {
+        read_on();
+    }
+}
+
+void caller_connection::read_requests() {
+    switch (reader_.advance()) {
+    case request_reader::progress::needs_more:
+        return;
+    case request_reader::progress::needs_continue:
+        write("HTTP/1.1 100 Continue\r\n\r\n");
+        return;
+    case request_reader::progress::malformed:
+        refuse(status_bad_request, "send a valid HTTP/1.1 request");
+        return;
+    case request_reader::progress::header_too_large:
+        refuse(status_headers_too_large, "send shorter headers");
+        return;
+    case request_reader::progress::body_too_large:
+        refuse(status_body_too_large, "send a smaller body");
+        return;
+    case request_reader::progress::complete:
+        is_serving_ = true;
+        events_.on_request(shared_from_this(), reader_.take());
+        return;
+    }
+}
+
+void caller_connection::refuse(int status, const std::string& remedy) {
+    events_.on_refused(status);
+    const std::string body = json{{"error", "request_refused"}, {"remedy", remedy}}.dump();
+    std::string answer = status_line(status);
+    append_header(answer, "Content-Type", "application/json");
+    append_header(answer, "Content-Length", std::to_string(body.size()));
+    append_header(answer, "Connection", "close");
+    write(answer + "\r\n" + body);
+    finish(false);
+}
+
+void caller_connection::write(std::string_view bytes) {
+    if (is_closed_) {
+        return;
+    }
+    outgoing_.append(bytes);
+    if (!is_flushing_ && !is_flush_posted_) {
+        is_flush_posted_ = true;
+        asio::post(socket_.get_executor(), [self = shared_from_this()] {
+            self->is_flush_posted_ = false;
+            self->flush();
+        });
+    }
+}
+
+void caller_connection::flush() {
+    if (is_closed_ || is_flushing_ || outgoing_.empty()) {
+        return;
+    }
+    is_flushing_ = true;
+    in_flight_.swap(outgoing_);
+    asio::async_write(socket_, asio::buffer(in_flight_),
+                      [self = shared_from_this()](asio_error failure, std::size_t) {
+                          self->on_written(static_cast<bool>(failure));
+                      });
+}
+
+void caller_connection::on_written(bool has_failed) {
+    is_flushing_ = false;
+    in_flight_.clear();
+    if (has_failed) {
+        close();
+    } else if (!outgoing_.empty()) {
+        flush();
+    } else if (is_closing_) {
+        close();
+    }
+}
+
+void caller_connection::finish(bool keeps_alive) {
+    gone_ = nullptr;
+    if (is_closed_) {
+        return;
+    }
+    if (!keeps_alive) {
+        is_closing_ = true;
+        if (unsent_bytes() == 0) {
+            close();
+        }
+        return;
+    }
+    is_serving_ = false;
+    quiet_since_ = monotonic_now();
+    // Not from here: the one that finishes may still be at work on this connection.
+    asio::post(socket_.get_executor(), [self = shared_from_this()] {
+        if (!self->is_closed_ && !self->is_serving_) {
+            self->read_requests();
+        }
+    });
+}
+
+void caller_connection::abort() {
+    gone_ = nullptr;
+    asio_error ignored;
+    // A reset, not an orderly end: an answer without a length would look complete.
+    socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+    close();
+}
+
+void caller_connection::check_time(time_point now) {
+    if (is_serving_ || is_closed_ || is_closing_) {
+        return;
+    }
+    const duration quiet = now - quiet_since_;
+    if (reader_.is_midway() && quiet > limits_.header_time) {
+        refuse(status_request_timeout, "send the whole request without pauses");
+    } else if (quiet > limits_.idle_time + idle_slack) {
+        close();
+    }
+}
+
+bool caller_connection::close_if_idle() {
+    if (is_serving_ || reader_.is_midway()) {
+        return false;
+    }
+    close();
+    return true;
+}
+
+void caller_connection::close() {
+    if (is_closed_) {
+        return;
+    }
+    is_closed_ = true;
+    asio_error ignored;
+    socket_.close(ignored);
+    const std::function<void()> gone = std::move(gone_);
+    gone_ = nullptr;
+    if (gone) {
+        gone();
+    }
+    events_.on_closed(shared_from_this());
+}
+
+} // namespace laurelhoist
--- /dev/null
+++ b/src/relay/endpoint_connection.cpp
@@ -0,0 +1,144 @@
+#include "relay/endpoint_connection.h"
+
+#include "relay/socket_options.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+
+namespace laurelhoist {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+using asio_error = boost::system::error_code;
+
+endpoint_connection::endpoint_connection(asio::io_context& context, std::string address)
+    : socket_{context}, address_{std::move(address)} {}
+
+void endpoint_connection::connect(connection_observer& observer) {
+    observer_ = &observer;
+    const outcome<socket_address> parsed = parse_address(address_);
+    const socket_address* target = value_of(parsed);
+    if (target == nullptr) {
+        log_error("bad_endpoint_address", {{"address", address_}, {"remedy", "register it as IP:PORT"}});
+        asio::post(socket_.get_executor(), [self = shared_from_this()] {
+            if (self->observer_ != nullptr) {
+                self->observer_->on_connect_failed();
+            }
+        });
+        return;
+    }
+    asio_error failure;
+    socket_.open(tcp::v4(), failure);
+    if (!failure) {
+        internal::set_liveness_options(socket_);
+    }
+    socket_.async_connect({asio::ip::make_address(target->host), target->port},
+                          [self = shared_from_this()](asio_error connect_failure) {
+                              if (self->observer_ == nullptr) {
+                                  return;
+                              }
+                              if (connect_failure) {
+                                  self->observer_->on_connect_failed();
+                                  return;
+                              }
+                              self->is_connected_ = true;
+                              self->read_on();
+                              self->observer_->on_connected();
+                          });
+}
+
+void endpoint_connection::send(std::string bytes) {
+    outgoing_.push_back(std::move(bytes));
+    if (outgoing_.size() == 1) {
+        write_on();
+    }
+}
+
+void endpoint_connection::write_on() {
+    asio::async_write(socket_, asio::buffer(outgoing_.front()),
+                      [self = shared_from_this()](asio_error failure, std::size_t) {
+                          if (failure || self->outgoing_.empty()) {
+                              return; // The read ends with the connection and says so.
+                          }
+                          self->outgoing_.pop_front();
+                          if (!self->outgoing_.empty()) {
+                              self->write_on();
+                          }
+                      });
+}
+
+void endpoint_connection::read_on() {
+    socket_.async_read_some(
+        asio::buffer(incoming_), [self = shared_from_this()](asio_error failure, std::size_t bytes) {
+            if (failure) {
+                self->end(failure == asio::error::eof ? connection_end::finished : connection_end::broken);
+                return;
+            }
+            if (self->observer_ == nullptr) {
+                self->close(); // Bytes that no request asked for.
+                return;
+            }
+            self->observer_->on_received({self->incoming_.data(), bytes});
+            if (self->socket_.is_open()) {
+                self->read_on();
+            }
+        });
+}
+
+void endpoint_connection::end(connection_end how) {
+    connection_observer* observer = observer_;
+    close();
+    if (observer != nullptr) {
+        observer->on_closed(how);
+    }
+}
+
+void endpoint_connection::close() {
+    observer_ = nullptr;
+    asio_error ignored;
+    socket_.close(ignored);
+}
+
+std::shared_ptr<endpoint_connection> connection_pool::take_idle(const std::string& address, time_point now) {
+    auto& idle = idle_[address];
+    while (!idle.empty()) {
+        std::shared_ptr<endpoint_connection> connection = std::move(idle.back());
+        idle.pop_back();
+        if (connection->is_open() && connection->idle_until > now) {
+            return connection;
+        }
+        connection->close();
+    }
+    return nullptr;
+}
+
+std::shared_ptr<endpoint_connection> connection_pool::make(const std::string& address) {
+    return std::make_shared<endpoint_connection>(context_, address);
+}
+
+void connection_pool::keep(std::shared_ptr<endpoint_connection> connection, time_point until) {
+    connection->observe(nullptr);
+    connection->idle_until = until;
+    idle_[connection->address()].push_back(std::move(connection));
+}
+
+void connection_pool::expire(time_point now) {
+    for (auto item = idle_.begin(); item != idle_.end();) {
+        auto& idle = item->second;
+        while (!idle.empty() && (!idle.front()->is_open() || idle.front()->idle_until <= now)) {
+            idle.front()->close();
+            idle.pop_front();
+        }
+        item = idle.empty() ? idle_.erase(item) : std::next(item);
+    }
+}
+
+std::size_t connection_pool::idle_count() const {
+    std::size_t count = 0;
+    for (const auto& [address, idle] : idle_) {
+        count += idle.size();
+    }
+    return count;
+}
+
+} // namespace laurelhoist
--- /dev/null
+++ b/src/relay/exchange.cpp
@@ -0,0 +1,659 @@
+#include "relay/exchange.h"
+
+#include <algorithm>
+
+namespace laurelhoist {
+
+namespace {
+
+constexpr int status_unauthorized = 401;
+constexpr int status_not_found = 404;
+constexpr int status_bad_gateway = 502;
+constexpr int status_unavailable = 503;
+constexpr int status_gateway_timeout = 504;
+constexpr int status_class = 100;
+
+/// A connection on one network takes a few ms; a host that does not answer within this has gone.
+constexpr duration connect_limit = milliseconds(1000);
+constexpr int most_failed_connects = 3;
+/// A stream that pauses for so many times its allowed pause has stalled.
+constexpr int silent_gaps = 4;
+constexpr duration least_silence = seconds(2);
+constexpr int silent_objectives = 4;
+/// A planned stop has 8 s; streams last up to 6 s, so later ones would be cut by its end.
+constexpr duration stream_start_window = milliseconds(2500);
+constexpr duration stopping_retry = milliseconds(100);
+constexpr duration unready_retry = milliseconds(500);
+constexpr duration full_retry = milliseconds(700);
+constexpr duration nowhere_retry = milliseconds(1000);
+/// Endpoints close connections that are idle for longer than they say; this is for those that say nothing.
+constexpr duration usual_idle_time = seconds(4);
+constexpr duration idle_margin = seconds(1);
+/// A caller that reads this slowly would fill the memory.
+constexpr std::size_t most_unsent_bytes = 4 << 20;
+
+/** \return the number in `timeout=N` of a Keep-Alive header, or nothing. */
+std::optional<duration> keep_alive_time(const header_list& headers) {
+    const std::string value = headers.value_or_empty("Keep-Alive");
+    const std::size_t at = value.find("timeout=");
+    if (at == std::string::npos) {
+        return std::nullopt;
+    }
+    const std::string rest = value.substr(at + 8);
+    const std::optional<std::int64_t> number =
+        parse_number(rest.substr(0, rest.find_first_not_of("0123456789")));
+    return number ? std::optional<duration>(seconds(*number)) : std::nullopt;
+}
+
+prompt_shape to_shape(const request_terms& terms) {
+    prompt_shape shape;
+    shape.input_tokens = terms.input_tokens;
+    for (const prompt_part& part : terms.prompt) {
+        shape.parts.push_back(placement_hash(part.id));
+        shape.tokens.push_back(part.tokens);
+    }
+    return shape;
+}
+
+} // namespace
+
+exchange::exchange(relay& owner, std::shared_ptr<caller_connection> caller, caller_request request)
+    : owner_{owner},
+      state_{owner.state()},
+      caller_{std::move(caller)},
+      request_{std::move(request)},
+      phase_{state_.request_life.initial()} {}
+
+void exchange::move(const char* event) {
+    const outcome<std::string> next = state_.request_life.next(phase_, event);
+    const std::string* target = value_of(next);
+    if (invariant("relay_follows_its_chart", target != nullptr, [&] {
+            return json{{"phase", phase_}, {"event", event}, {"request", terms_.id}};
+        })) {
+        phase_ = *target;
+    }
+}
+
+void exchange::start() {
+    arrived_at_ = monotonic_now();
+    terms_ = state_.dialect.read_request(request_);
+    routing_ = state_.routing;
+    auto self = shared_from_this();
+    caller_->on_caller_gone([self] { self->on_caller_gone(); });
+    if (!admit()) {
+        return;
+    }
+    duration longest = route_->timeout;
+    if (terms_.time_left > duration::zero()) {
+        longest = std::min(longest, terms_.time_left);
+    }
+    expires_at_ = arrived_at_ + longest;
+    waiting_since_ = arrived_at_;
+    prompt_ = to_shape(terms_);
+    events_ = event_joiner(terms_.last_event_id);
+    pick_service();
+    state_.retry_budgets[service_].on_first_attempt();
+    dispatch();
+}
+
+bool exchange::admit() {
+    if (!routing_) {
+        answer_failure(status_unavailable, "no_configuration", "come back soon: this host has just started",
+                       unready_retry);
+        return false;
+    }
+    route_ = routing_->find_route(terms_.host, request_.path());
+    if (route_ == nullptr) {
+        answer_failure(status_not_found, "no_route", "ask for a host and path that a route names", {});
+        return false;
+    }
+    if (!admit_team()) {
+        return false;
+    }
+    if (starts_too_late_to_stop()) {
+        answer_failure(status_unavailable, "stopping", "connect to another entry: this one is stopping",
+                       stopping_retry);
+        return false;
+    }
+    return true;
+}
+
+bool exchange::admit_team() {
+    if (!routing_->needs_keys()) {
+        return true;
+    }
+    if (terms_.has_key) {
+        team_ = routing_->find_team(terms_.key);
+    }
+    if (team_ == nullptr && (terms_.has_key || !route_->allows_anonymous)) {
+        answer_failure(status_unauthorized, "unknown_key", "send a key that is in force", {});
+        return false;
+    }
+    // Against a key that was withdrawn while this host heard nothing: it must not run, and whether it
+    // was withdrawn cannot be told here.
+    if (terms_.has_key && !state_.fence.admits(arrived_at_)) {
+        answer_failure(status_unavailable, "configuration_unconfirmed",
+                       "connect to another entry: this one cannot check keys now", nowhere_retry);
+        return false;
+    }
+    return true;
+}
+
+bool exchange::starts_too_late_to_stop() const {
+    return state_.is_stopping && route_->kind == route_kind::stream &&
+           arrived_at_ - state_.stopping_since > stream_start_window;
+}
+
+void exchange::pick_service() {
+    int total = 0;
+    for (const weighted_service& destination : route_->services) {
+        total += destination.weight;
+    }
+    const std::string& subject = terms_.session.empty() ? terms_.id : terms_.session;
+    auto point = static_cast<int>(placement_hash(subject) % static_cast<std::uint64_t>(std::max(1, total)));
+    for (const weighted_service& destination : route_->services) {
+        service_ = destination.service;
+        point -= destination.weight;
+        if (point < 0) {
+            return;
+        }
+    }
+}
+
+bool exchange::choose(time_point now) {
+    endpoint_wish wish;
+    wish.pool = service_;
+    wish.avoided = tried_;
+    const release_choice release = state_.releases.choose(service_, terms_.session, terms_.id);
+    wish.release = release.required;
+    wish.unwanted_release = release.unwanted;
+    std::vector<model_option> options;
+    std::vector<placement> placements;
+    const std::size_t sizes = std::max<std::size_t>(1, route_->models.size());
+    for (std::size_t size = 0; size < sizes; ++size) {
+        const std::string model = route_->models.empty() ? std::string{} : route_->models[size];
+        const std::optional<placement> chosen =
+            state_.endpoints.choose(wish, prompt_, state_.read_times.ms_per_token(model, size), now);
+        if (chosen) {
+            options.push_back({size, chosen->predicted_ms});
+            placements.push_back(*chosen);
+        }
+    }
+    if (options.empty()) {
+        return false;
+    }
+    const std::size_t best = choose_model(options, to_ms(route_->latency_objective));
+    attempt_ = attempt{};
+    attempt_.chosen = placements[best];
+    attempt_.model_rank = options[best].size;
+    attempt_.model = route_->models.empty() ? std::string{} : route_->models[attempt_.model_rank];
+    attempt_.wish = std::move(wish);
+    return true;
+}
+
+void exchange::dispatch() {
+    const time_point now = monotonic_now();
+    if (!choose(now)) {
+        if (!tried_.empty()) {
+            tried_.clear(); // Rather again at one that has failed than nowhere.
+            if (choose(now)) {
+                open_connection();
+                return;
+            }
+        }
+        if (!state_.endpoints.could_serve(service_, now)) {
+            answer_failure(may_have_run_ ? status_bad_gateway : status_unavailable, "no_endpoint",
+                           "come back later: no endpoint of the service takes work", nowhere_retry);
+        }
+        return; // Waits; on_tick tries again.
+    }
+    open_connection();
+}
+
+void exchange::open_connection() {
+    move("placed");
+    const time_point now = monotonic_now();
+    state_.endpoints.on_sent(attempt_.chosen, prompt_, attempt_.wish, now);
+    state_.releases.on_started(release_key());
+    attempt_.sent_at = now;
+    attempt_.heard_at = now;
+    const std::string& address = attempt_.chosen.endpoint.address;
+    // A kept connection may have died without a sign, and then it cannot be told whether the request on it
+    // was received. What may not be repeated gets a connection of its own.
+    connection_ = route_->may_repeat() ? state_.pool.take_idle(address, now) : nullptr;
+    if (connection_) {
+        connection_->observe(this);
+        on_connected();
+        return;
+    }
+    connection_ = state_.pool.make(address);
+    state_.measured.count("endpoint_connections_opened");
+    connection_->connect(*this);
+}
+
+void exchange::on_connected() {
+    auto self = shared_from_this();
+    move("connected");
+    send_request();
+}
+
+void exchange::on_connect_failed() {
+    auto self = shared_from_this();
+    ++failed_connects_;
+    end_attempt(attempt_end::not_sent);
+}
+
+void exchange::send_request() {
+    const time_point now = monotonic_now();
+    dispatch_terms terms;
+    terms.time_left = time_left(now);
+    terms.endpoint = attempt_.chosen.endpoint.name;
+    terms.team = team_ == nullptr ? std::string{} : team_->name;
+    terms.model = attempt_.model;
+    const int priority = team_ != nullptr && team_->priority ? *team_->priority : route_->priority;
+    constexpr int most_urgent_used = 3;
+    constexpr int least_urgent = 9;
+    terms.urgency = std::clamp(most_urgent_used + priority, 0, least_urgent);
+    terms.resume_after = events_.last_id() > terms_.last_event_id ? events_.last_id() : 0;
+    ++attempts_;
+    start_reader();
+    connection_->count_use();
+    connection_->send(state_.dialect.write_request(request_, terms));
+}
+
+void exchange::start_reader() {
+    reader_.emplace(request_.method == "HEAD");
+    body_.clear();
+    events_.begin_run();
+    has_surplus_ = false;
+}
+
+void exchange::on_received(std::string_view bytes) {
+    auto self = shared_from_this();
+    attempt_.heard_at = monotonic_now();
+    read_answer(bytes);
+}
+
+bool exchange::is_event_stream() const {
+    constexpr std::string_view type = "text/event-stream";
+    return route_->kind == route_kind::stream && reader_->status() / status_class == 2 &&
+           reader_->headers().value_or_empty("Content-Type").compare(0, type.size(), type) == 0;
+}
+
+// An endpoint may answer an earlier request once more; such an answer comes where ours is expected and is
+// known by its request id.
+bool exchange::is_stray_answer() const {
+    const answer_terms answer = state_.dialect.read_answer(reader_->status(), reader_->headers());
+    return !answer.request_id.empty() && answer.request_id != terms_.id;
+}
+
+void exchange::read_answer(std::string_view bytes) {
+    while (!bytes.empty() && !is_in("finished")) {
+        const std::optional<std::size_t> used = reader_->feed(bytes, body_);
+        if (!used) {
+            end_attempt(attempt_end::broken);
+            return;
+        }
+        bytes.remove_prefix(*used);
+        if (!reader_->has_head()) {
+            return;
+        }
+        if (is_stray_answer()) {
+            has_surplus_ = true;
+            if (!reader_->is_complete()) {
+                body_.clear();
+                return;
+            }
+            state_.measured.count("stray_answers");
+            reader_.emplace(request_.method == "HEAD");
+            body_.clear();
+            continue;
+        }
+        has_surplus_ = has_surplus_ || !bytes.empty();
+        if (is_event_stream()) {
+            pass_on_events();
+        }
+        if (connection_ && reader_->is_complete()) {
+            on_answer_complete();
+        }
+        return;
+    }
+}
+
+void exchange::note_first_byte() {
+    if (attempt_.has_first_byte) {
+        return;
+    }
+    attempt_.has_first_byte = true;
+    const time_point now = monotonic_now();
+    const duration took = now - attempt_.sent_at;
+    attempt_.first_byte_after = took;
+    state_.endpoints.on_first_byte(attempt_.chosen, took, now);
+    if (!attempt_.model.empty()) {
+        state_.read_times.observe(attempt_.model, attempt_.chosen.unread_tokens, took, attempt_.model_rank);
+        state_.measured.time("first_event_ms", took);
+    }
+}
+
+void exchange::pass_on_events() {
+    const answer_terms answer = state_.dialect.read_answer(reader_->status(), reader_->headers());
+    if (!answer.has_receipt) {
+        end_attempt(attempt_end::broken);
+        return;
+    }
+    std::string out;
+    const std::optional<int> count = events_.feed(body_, out);
+    body_.clear();
+    if (!count) {
+        end_attempt(attempt_end::out_of_order);
+        return;
+    }
+    if (out.empty()) {
+        return;
+    }
+    note_first_byte();
+    begin_stream_answer();
+    std::string chunk;
+    append_chunk(chunk, out);
+    caller_->write(chunk);
+    if (caller_->unsent_bytes() > most_unsent_bytes) {
+        end_attempt(attempt_end::silent);
+    }
+}
+
+void exchange::begin_stream_answer() {
+    if (has_begun_answer_) {
+        return;
+    }
+    has_begun_answer_ = true;
+    move("begun");
+    state_.measured.time("time_to_first_event_ms", monotonic_now() - arrived_at_);
+    caller_->write(answer_head(reader_->status(), reader_->headers(), true, 0));
+}
+
+void exchange::complete_stream() {
+    begin_stream_answer();
+    std::string rest;
+    events_.finish(rest);
+    std::string end;
+    append_chunk(end, rest);
+    end.append(last_chunk);
+    caller_->write(end);
+    settle_attempt(call_result::answered, true);
+    release_connection(true);
+    const bool keeps = keeps_caller();
+    finish("served", reader_->status());
+    caller_->finish(keeps);
+}
+
+void exchange::on_answer_complete() {
+    const answer_terms answer = state_.dialect.read_answer(reader_->status(), reader_->headers());
+    constexpr int first_server_error = 500;
+    if (answer.is_not_run) {
+        end_attempt(attempt_end::refused);
+    } else if (reader_->status() >= first_server_error) {
+        end_attempt(attempt_end::failed);
+    } else if (is_event_stream()) {
+        complete_stream();
+    } else if (reader_->status() / status_class == 2 && !answer.has_receipt) {
+        end_attempt(attempt_end::broken);
+    } else {
+        settle_attempt(call_result::answered, true);
+        release_connection(true);
+        deliver_whole("served");
+    }
+}
+
+void exchange::on_closed(connection_end end) {
+    auto self = shared_from_this();
+    const bool is_orderly = end == connection_end::finished;
+    if (is_orderly && reader_->has_head() && !is_stray_answer() && !events_.has_partial_event() &&
+        reader_->finish()) {
+        on_answer_complete();
+        return;
+    }
+    end_attempt(attempt_end::broken);
+}
+
+std::string exchange::answer_head(int status, const header_list& headers, bool is_chunked,
+                                  std::size_t length) const {
+    std::string head = status_line(status);
+    for (const header_field& field : headers.all()) {
+        if (!is_hop_by_hop(field.name, headers) && !is_same_name(field.name, "Content-Length")) {
+            append_header(head, field.name, field.value);
+        }
+    }
+    if (is_chunked) {
+        append_header(head, "Transfer-Encoding", "chunked");
+    } else {
+        append_header(head, "Content-Length", std::to_string(length));
+    }
+    if (!keeps_caller()) {
+        append_header(head, "Connection", "close");
+    }
+    return head + "\r\n";
+}
+
+bool exchange::keeps_caller() const {
+    return request_.keeps_alive && !state_.is_stopping;
+}
+
+void exchange::deliver_whole(const char* outcome) {
+    const bool keeps = keeps_caller();
+    if (!is_caller_gone_) {
+        caller_->write(answer_head(reader_->status(), reader_->headers(), false, body_.size()));
+        if (request_.method != "HEAD") {
+            caller_->write(body_);
+        }
+    }
+    finish(outcome, reader_->status());
+    caller_->finish(keeps);
+}
+
+void exchange::settle_attempt(call_result result, bool is_good) {
+    const time_point now = monotonic_now();
+    const duration took = now - attempt_.sent_at;
+    if (result == call_result::answered) {
+        note_first_byte();
+    }
+    state_.endpoints.on_ended(attempt_.chosen, attempt_.has_first_byte, result, took, now);
+    const std::optional<duration> first =
+        attempt_.has_first_byte ? std::optional(attempt_.first_byte_after) : std::nullopt;
+    state_.releases.on_finished(release_key());
+    if (result == call_result::answered || result == call_result::failed) {
+        state_.releases.on_outcome(release_key(), is_good, first);
+    }
+}
+
+duration exchange::idle_time() const {
+    const std::optional<duration> said = keep_alive_time(reader_->headers());
+    return said ? std::min(usual_idle_time, std::max<duration>(duration::zero(), *said - idle_margin))
+                : usual_idle_time;
+}
+
+void exchange::release_connection(bool is_reusable) {
+    if (!connection_) {
+        return;
+    }
+    const bool may_keep = is_reusable && reader_ && reader_->is_complete() && reader_->keeps_alive() &&
+                          !has_surplus_ && connection_->is_open() && !connection_->has_unsent();
+    if (may_keep) {
+        state_.pool.keep(std::move(connection_), monotonic_now() + idle_time());
+    } else {
+        connection_->close();
+    }
+    connection_ = nullptr;
+}
+
+void exchange::end_attempt(attempt_end end) {
+    const bool is_proof = end == attempt_end::not_sent || end == attempt_end::refused;
+    may_have_run_ = may_have_run_ || !is_proof;
+    const call_result result =
+        end == attempt_end::refused ? call_result::refused_not_run : call_result::failed;
+    settle_attempt(result, false);
+    release_connection(end == attempt_end::refused || end == attempt_end::failed);
+    log_attempt(end);
+    follow_up(end);
+}
+
+release_use exchange::release_key() const {
+    return {service_, attempt_.chosen.endpoint.release, route_->name};
+}
+
+attempt_record exchange::record() const {
+    attempt_record made;
+    made.may_repeat = route_->may_repeat();
+    made.may_have_run = may_have_run_;
+    made.has_begun_answer = has_begun_answer_;
+    made.attempts = attempts_;
+    made.max_attempts = route_->max_attempts;
+    made.is_caller_gone = is_caller_gone_;
+    made.is_expired = time_left(monotonic_now()) <= duration::zero();
+    return made;
+}
+
+void exchange::follow_up(attempt_end end) {
+    attempt_record made = record();
+    made.has_budget = failed_connects_ < most_failed_connects;
+    follow_up_step step = after_attempt(made, end);
+    if (step == follow_up_step::try_again && end != attempt_end::not_sent &&
+        !state_.retry_budgets[service_].try_take()) {
+        made.has_budget = false;
+        state_.measured.count("retry_budget_empty");
+        step = after_attempt(made, end);
+    }
+    switch (step) {
+    case follow_up_step::try_again:
+        tried_.insert(attempt_.chosen.endpoint.name);
+        state_.measured.count("attempts_repeated");
+        waiting_since_ = monotonic_now();
+        move("again");
+        dispatch();
+        return;
+    case follow_up_step::refuse:
+        answer_failure(status_unavailable, "refused", "come back later: the endpoints take no more work",
+                       full_retry);
+        return;
+    case follow_up_step::fail:
+        answer_failure(status_bad_gateway, "endpoint_failed",
+                       "the request may have run: ask for its result before you send it again", {});
+        return;
+    case follow_up_step::expire:
+        answer_failure(status_gateway_timeout, "expired",
+                       "the request may have run: ask for its result before you send it again", {});
+        return;
+    case follow_up_step::deliver:
+        deliver_whole("endpoint_failure");
+        return;
+    case follow_up_step::cut:
+        caller_->abort();
+        finish("cut", 0);
+        return;
+    case follow_up_step::forget:
+        finish("caller_gone", 0);
+        return;
+    }
+}
+
+void exchange::answer_failure(int status, const char* reason, const char* remedy, duration retry_after) {
+    if (has_begun_answer_) {
+        caller_->abort();
+        finish("cut", 0);
+        return;
+    }
+    const std::string body = json{{"error", reason}, {"remedy", remedy}, {"request_id", terms_.id}}.dump();
+    caller_->write(
+        answer_head(status, state_.dialect.own_answer_headers(terms_.id, retry_after), false, body.size()));
+    caller_->write(body);
+    const bool keeps = keeps_caller();
+    finish(reason, status);
+    caller_->finish(keeps);
+}
+
+void exchange::on_caller_gone() {
+    auto self = shared_from_this();
+    is_caller_gone_ = true;
+    const bool is_sent = is_in("asked") || is_in("answering");
+    if (is_sent && route_->kind == route_kind::non_idempotent) {
+        return; // It runs once, now; cut, nobody could say whether it has run.
+    }
+    if (connection_) {
+        settle_attempt(call_result::cancelled, false);
+        release_connection(false);
+    }
+    finish("caller_gone", 0);
+}
+
+duration exchange::silence_limit() const {
+    if (route_->kind == route_kind::non_idempotent) {
+        return duration::max();
+    }
+    if (has_begun_answer_) {
+        return std::max<duration>(least_silence, route_->gap_objective * silent_gaps);
+    }
+    return std::max<duration>(least_silence / 2, route_->latency_objective * silent_objectives);
+}
+
+duration exchange::longest_wait() const {
+    constexpr int share_of_objective = 2;
+    return route_->latency_objective / share_of_objective;
+}
+
+void exchange::on_tick(time_point now) {
+    auto self = shared_from_this();
+    if (is_in("connecting") && now - attempt_.sent_at > connect_limit) {
+        connection_->close();
+        on_connect_failed();
+    } else if (is_in("waiting")) {
+        if (now >= expires_at_ || now - waiting_since_ > longest_wait()) {
+            answer_failure(may_have_run_ ? status_gateway_timeout : status_unavailable, "no_room",
+                           "come back later: every endpoint of the service is full", full_retry);
+        } else {
+            dispatch();
+        }
+    } else if (now >= expires_at_) {
+        end_attempt(attempt_end::silent);
+    } else if (route_->may_repeat() && attempts_ < route_->max_attempts &&
+               now - attempt_.heard_at > silence_limit()) {
+        end_attempt(attempt_end::silent);
+    }
+}
+
+void exchange::log_attempt(attempt_end end) {
+    const placement& chosen = attempt_.chosen;
+    log_info("attempt_ended", {{"request", terms_.id},
+                               {"end", to_string(end)},
+                               {"endpoint", chosen.endpoint.name},
+                               {"release", chosen.endpoint.release},
+                               {"attempt", attempts_},
+                               {"status", reader_ && reader_->has_head() ? reader_->status() : 0},
+                               {"predicted_ms", static_cast<int>(chosen.predicted_ms)},
+                               {"after_ms", static_cast<int>(to_ms(monotonic_now() - attempt_.sent_at))}});
+}
+
+void exchange::finish(const char* outcome, int status) {
+    if (is_in("finished")) {
+        return;
+    }
+    move("ended");
+    const duration took = monotonic_now() - arrived_at_;
+    state_.measured.count(std::string("requests_") + outcome);
+    state_.measured.time("request_ms", took);
+    log_info(
+        "request_ended",
+        {{"request", terms_.id},
+         {"outcome", outcome},
+         {"status", status},
+         {"route", route_ == nullptr ? std::string{} : route_->name},
+         {"team", team_ == nullptr ? std::string{} : team_->name},
+         {"endpoint", attempt_.chosen.endpoint.name},
+         {"model", attempt_.model},
+         {"attempts", attempts_},
+         {"events_to", events_.last_id()},
+         {"config_version", routing_ ? routing_->config().version : 0},
+         {"config_age_ms", static_cast<std::int64_t>(std::min(to_ms(state_.fence.age(arrived_at_)), 1e9))},
+         {"took_ms", static_cast<int>(to_ms(took))}});
+    owner_.active_.erase(shared_from_this());
+}
+
+} // namespace laurelhoist
--- /dev/null
+++ b/src/relay/exchange.h
@@ -0,0 +1,109 @@
+/** \file
+ * Defines the exchange: one request of a caller from its arrival to its answer, over one endpoint or several.
+ */
+#pragma once
+
+#include "relay/attempt_rules.h"
+#include "relay/event_stream.h"
+#include "relay/relay.h"
+
+namespace laurelhoist {
+
+/** One request under way.
+ *
+ * Its states stand in charts/relay.scxml: waiting (for an endpoint that takes work), connecting, asked (sent,
+ * no answer yet), answering (the caller has received a part), finished. */
+class exchange : public connection_observer, public std::enable_shared_from_this<exchange> {
+public:
+    exchange(relay& owner, std::shared_ptr<caller_connection> caller, caller_request request);
+
+    /** Decides whether the request may run, and sends it. */
+    void start();
+    /** Called some twenty times a second: time limits, and another try for one that waits. */
+    void on_tick(time_point now);
+
+    void on_connected() override;
+    void on_connect_failed() override;
+    void on_received(std::string_view bytes) override;
+    void on_closed(connection_end end) override;
+
+private:
+    struct attempt {
+        placement chosen;
+        endpoint_wish wish;
+        std::string model;
+        std::size_t model_rank = 0;
+        time_point sent_at;
+        time_point heard_at;
+        bool has_first_byte = false;
+        duration first_byte_after{};
+    };
+
+    void move(const char* event);
+    bool is_in(const char* phase) const { return phase_ == phase; }
+    bool admit();
+    bool admit_team();
+    void pick_service();
+    void dispatch();
+    bool choose(time_point now);
+    void open_connection();
+    void send_request();
+    void read_answer(std::string_view bytes);
+    void start_reader();
+    bool is_event_stream() const;
+    bool is_stray_answer() const;
+    void note_first_byte();
+    void pass_on_events();
+    void on_answer_complete();
+    void complete_stream();
+    void deliver_whole(const char* outcome);
+    void begin_stream_answer();
+    void end_attempt(attempt_end end);
+    void settle_attempt(call_result result, bool is_good);
+    void release_connection(bool is_reusable);
+    duration idle_time() const;
+    void follow_up(attempt_end end);
+    void answer_failure(int status, const char* reason, const char* remedy, duration retry_after);
+    void on_caller_gone();
+    void finish(const char* outcome, int status);
+    void log_attempt(attempt_end end);
+    std::string answer_head(int status, const header_list& headers, bool is_chunked,
+                            std::size_t length) const;
+    bool keeps_caller() const;
+    duration time_left(time_point now) const { return expires_at_ - now; }
+    duration silence_limit() const;
+    duration longest_wait() const;
+    bool starts_too_late_to_stop() const;
+    attempt_record record() const;
+    release_use release_key() const;
+
+    relay& owner_;
+    relay_state& state_;
+    std::shared_ptr<caller_connection> caller_;
+    caller_request request_;
+    request_terms terms_;
+    prompt_shape prompt_;
+    routing_snapshot routing_;
+    const traffic_route* route_ = nullptr;
+    const traffic_team* team_ = nullptr;
+    std::string service_;
+    time_point arrived_at_;
+    time_point expires_at_;
+    time_point waiting_since_;
+
+    std::string phase_; ///< a state of charts/relay.scxml
+    attempt attempt_;
+    std::shared_ptr<endpoint_connection> connection_;
+    std::optional<answer_reader> reader_;
+    std::string body_;
+    event_joiner events_{0};
+    std::set<std::string> tried_;
+    int attempts_ = 0;
+    int failed_connects_ = 0;
+    bool may_have_run_ = false;
+    bool has_begun_answer_ = false;
+    bool is_caller_gone_ = false;
+    bool has_surplus_ = false; ///< the connection carried bytes that belong to no answer of ours
+};
+
+} // namespace laurelhoist
--- /dev/null
+++ b/src/relay/http_codec.cpp
@@ -0,0 +1,261 @@
+#include "relay/http_codec.h"
+
+#include <boost/beast/http.hpp>
+
+#include <algorithm>
+#include <charconv>
+
+namespace laurelhoist {
+
+namespace http = boost::beast::http;
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::string_view hop_by_hop_names[] = {"Connection",          "Keep-Alive", "Proxy-Authenticate",
+                                                 "Proxy-Authorization", "TE",         "Trailer",
+                                                 "Transfer-Encoding",   "Upgrade",    "Proxy-Connection"};
+
+/// Of an endpoint's answer head; far above any real one, so that a broken endpoint cannot fill the memory.
+constexpr std::uint32_t most_answer_header_bytes = 64 << 10;
+
+template <class Fields>
+header_list to_header_list(const Fields& message) {
+    header_list headers;
+    for (const auto& field : message) {
+        headers.add(std::string(field.name_string()), std::string(field.value()));
+    }
+    return headers;
+}
+
+char to_lower(char letter) {
+    return letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter - 'A' + 'a') : letter;
+}
+
+bool lists_token(std::string_view list, std::string_view token) {
+    while (!list.empty()) {
+        const std::size_t comma = list.find(',');
+        std::string_view item = list.substr(0, comma);
+        while (!item.empty() && item.front() == ' ') {
+            item.remove_prefix(1);
+        }
+        while (!item.empty() && item.back() == ' ') {
+            item.remove_suffix(1);
+        }
+        if (is_same_name(item, token)) {
+            return true;
+        }
+        list = comma == std::string_view::npos ? std::string_view{} : list.substr(comma + 1);
+    }
+    return false;
+}
+
+} // namespace
+
+bool is_same_name(std::string_view left, std::string_view right) {
+    return left.size() == right.size() &&
+           std::equal(left.begin(), left.end(), right.begin(),
+                      [](char l, char r) { return to_lower(l) == to_lower(r); });
+}
+
+std::optional<std::int64_t> parse_number(std::string_view text) {
+    std::int64_t number = 0;
+    const char* end = text.data() + text.size();
+    const auto [stop, failure] = std::from_chars(text.data(), end, number);
+    return failure == std::errc{} && stop == end ? std::optional(number) : std::nullopt;
+}
+
+const std::string* header_list::find(std::string_view name) const {
+    for (const header_field& field : fields_) {
+        if (is_same_name(field.name, name)) {
+            return &field.value;
+        }
+    }
+    return nullptr;
+}
+
+std::string header_list::value_or_empty(std::string_view name) const {
+    const std::string* value = find(name);
+    return value == nullptr ? std::string{} : *value;
+}
+
+bool is_hop_by_hop(std::string_view name, const header_list& headers) {
+    const bool is_known = std::any_of(std::begin(hop_by_hop_names), std::end(hop_by_hop_names),
+                                      [&](std::string_view known) { return is_same_name(name, known); });
+    const std::string* connection = headers.find("Connection");
+    return is_known || (connection != nullptr && lists_token(*connection, name));
+}
+
+void append_header(std::string& head, std::string_view name, std::string_view value) {
+    head.append(name);
+    head.append(": ");
+    head.append(value);
+    head.append("\r\n");
+}
+
+std::string status_line(int status) {
+    return "HTTP/1.1 " + std::to_string(status) + " " +
+           std::string(http::obsolete_reason(static_cast<http::status>(status))) + "\r\n";
+}
+
+void append_chunk(std::string& out, std::string_view bytes) {
+    if (bytes.empty()) {
+        return; // An empty chunk would end the body.
+    }
+    constexpr int hexadecimal = 16;
+    char size[20];
+    const auto [end, failure] = std::to_chars(std::begin(size), std::end(size), bytes.size(), hexadecimal);
+    out.append(size, static_cast<std::size_t>(end - size));
+    out.append("\r\n");
+    out.append(bytes);
+    out.append("\r\n");
+}
+
+struct request_reader::state {
+    state(std::size_t header_bytes, std::size_t body_bytes) {
+        parser.header_limit(static_cast<std::uint32_t>(header_bytes));
+        parser.body_limit(body_bytes);
+        parser.eager(true);
+    }
+    http::request_parser<http::string_body> parser;
+    bool has_asked_to_continue = false;
+};
+
+request_reader::request_reader(std::size_t header_bytes, std::size_t body_bytes)
+    : state_{std::make_unique<state>(header_bytes, body_bytes)},
+      header_bytes_{header_bytes},
+      body_bytes_{body_bytes} {}
+request_reader::~request_reader() = default;
+request_reader::request_reader(request_reader&&) noexcept = default;
+request_reader& request_reader::operator=(request_reader&&) noexcept = default;
+
+request_reader::progress request_reader::advance() {
+    auto& parser = state_->parser;
+    while (!pending_.empty() && !parser.is_done()) {
+        boost::beast::error_code failure;
+        const std::size_t used = parser.put(asio::buffer(pending_), failure);
+        pending_.erase(0, used);
+        if (failure == http::error::need_more) {
+            break;
+        }
+        if (failure == http::error::header_limit) {
+            return progress::header_too_large;
+        }
+        if (failure == http::error::body_limit) {
+            return progress::body_too_large;
+        }
+        if (failure) {
+            return progress::malformed;
+        }
+    }
+    if (parser.is_done()) {
+        return progress::complete;
+    }
+    if (parser.is_header_done() && !state_->has_asked_to_continue &&
+        is_same_name(std::string(parser.get()[http::field::expect]), "100-continue")) {
+        state_->has_asked_to_continue = true;
+        return progress::needs_continue;
+    }
+    return progress::needs_more;
+}
+
+caller_request request_reader::take() {
+    auto message = state_->parser.release();
+    caller_request request;
+    request.method = std::string(message.method_string());
+    request.target = std::string(message.target());
+    request.headers = to_header_list(message);
+    request.keeps_alive = message.keep_alive();
+    request.body = std::move(message.body());
+    state_ = std::make_unique<state>(header_bytes_, body_bytes_);
+    return request;
+}
+
+bool request_reader::is_midway() const {
+    return !pending_.empty() || state_->parser.got_some();
+}
+
+bool request_reader::has_body_begun() const {
+    return state_->parser.is_header_done();
+}
+
+struct answer_reader::state {
+    explicit state(bool is_for_head) {
+        parser.header_limit(most_answer_header_bytes);
+        parser.body_limit(boost::none);
+        parser.eager(true);
+        parser.skip(is_for_head);
+    }
+    http::response_parser<http::string_body> parser;
+    std::string head_bytes; ///< of a head that has not arrived whole
+};
+
+answer_reader::answer_reader(bool is_for_head)
+    : state_{std::make_unique<state>(is_for_head)}, is_for_head_{is_for_head} {}
+answer_reader::~answer_reader() = default;
+answer_reader::answer_reader(answer_reader&&) noexcept = default;
+answer_reader& answer_reader::operator=(answer_reader&&) noexcept = default;
+
+std::optional<std::size_t> answer_reader::feed(std::string_view bytes, std::string& body) {
+    constexpr int informational = 1;
+    constexpr int class_size = 100;
+    std::string& held = state_->head_bytes;
+    const std::size_t held_before = held.size();
+    held.append(bytes);
+    std::size_t used = 0;
+    while (used < held.size() && !state_->parser.is_done()) {
+        boost::beast::error_code failure;
+        used += state_->parser.put(asio::buffer(held.data() + used, held.size() - used), failure);
+        if (failure == http::error::need_more) {
+            break;
+        }
+        if (failure) {
+            return std::nullopt;
+        }
+        if (state_->parser.is_done() && status() / class_size == informational) {
+            std::string rest = held.substr(used);
+            state_ = std::make_unique<state>(is_for_head_);
+            const std::optional<std::size_t> used_of_rest = feed(rest, body);
+            return used_of_rest ? std::optional(bytes.size() - (rest.size() - *used_of_rest)) : std::nullopt;
+        }
+    }
+    if (has_head() && headers_.all().empty()) {
+        headers_ = to_header_list(state_->parser.get());
+    }
+    body.append(state_->parser.get().body());
+    state_->parser.get().body().clear();
+    const bool is_done = state_->parser.is_done();
+    held.erase(0, used);
+    if (is_done) {
+        held.clear();
+        return used >= held_before ? used - held_before : 0;
+    }
+    return bytes.size();
+}
+
+bool answer_reader::finish() {
+    if (!has_head() || is_complete()) {
+        return is_complete();
+    }
+    boost::beast::error_code failure;
+    state_->parser.put_eof(failure);
+    return !failure && is_complete();
+}
+
+bool answer_reader::has_head() const {
+    return state_->parser.is_header_done();
+}
+
+bool answer_reader::is_complete() const {
+    return state_->parser.is_done();
+}
+
+int answer_reader::status() const {
+    return static_cast<int>(state_->parser.get().result_int());
+}
+
+bool answer_reader::keeps_alive() const {
+    return state_->parser.get().keep_alive() && !state_->parser.need_eof();
+}
+
+} // namespace laurelhoist
--- /dev/null
+++ b/src/relay/model_choice.cpp
@@ -0,0 +1,45 @@
+#include "relay/model_choice.h"
+
+namespace laurelhoist {
+
+namespace {
+
+/// Of the objective; the rest is for what the prediction cannot see (work that peers have just sent).
+constexpr double usable_share = 0.6;
+/// Before anything was measured, in ms a token, by size from the smallest; larger ones count as the last.
+constexpr double initial_ms_per_token[] = {0.004, 0.01, 0.03};
+constexpr double smoothing = 0.05;
+constexpr std::int64_t least_telling_tokens = 500;
+
+} // namespace
+
+std::size_t choose_model(const std::vector<model_option>& options, double objective_ms) {
+    for (std::size_t i = options.size(); i-- > 1;) {
+        if (options[i].predicted_ms <= objective_ms * usable_share) {
+            return i;
+        }
+    }
+    return 0;
+}
+
+double read_time_estimate::ms_per_token(const std::string& model, std::size_t rank) const {
+    const auto found = by_model_.find(model);
+    if (found != by_model_.end()) {
+        return found->second;
+    }
+    return initial_ms_per_token[std::min(rank, std::size(initial_ms_per_token) - 1)];
+}
+
+void read_time_estimate::observe(const std::string& model, std::int64_t tokens, duration took,
+                                 std::size_t rank) {
+    if (tokens < least_telling_tokens) {
+        return;
+    }
+    const double held = ms_per_token(model, rank);
+    const double sample = to_ms(took) / static_cast<double>(tokens);
+    // A single slow answer tells of a queue, not of the model.
+    const double bounded = std::min(sample, held * 2);
+    by_model_[model] = held + smoothing * (bounded - held);
+}
+
+} // namespace laurelhoist
--- /dev/null
+++ b/src/relay/relay.cpp
@@ -0,0 +1,120 @@
+#include "relay/relay.h"
+
+#include "relay/exchange.h"
+
+#include <boost/asio/ip/tcp.hpp>
+
+namespace laurelhoist {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+/// Time limits are looked at this often; one wake-up for all requests, where a timer each would cost one
+/// each.
+constexpr duration tick_interval = milliseconds(50);
+constexpr std::uint64_t ticks_between_sweeps = 5; ///< of callers' and idle connections
+/// Slots of a plain service's endpoint; the limit then follows what it answers.
+constexpr int plain_slots = 6;
+
+} // namespace
+
+relay::relay(event_loop& loop, const wire_dialect& dialect, rollout_tracker& releases, chart endpoint_life,
+             chart request_life, const relay_settings& settings)
+    : state_{loop, dialect, releases, std::move(endpoint_life), std::move(request_life), settings} {
+    caller_events_.on_request = [this](const auto& caller, caller_request request) {
+        on_request(caller, std::move(request));
+    };
+    caller_events_.on_refused = [this](int status) {
+        state_.measured.count("malformed_requests");
+        log_info("request_unreadable", {{"status", status}});
+    };
+    caller_events_.on_closed = [this](const auto& caller) { callers_.erase(caller); };
+    loop.every(tick_interval, [this] { on_tick(); });
+}
+
+relay::~relay() = default;
+
+void relay::listen(const socket_address& address) {
+    const tcp::endpoint endpoint(asio::ip::make_address(address.host), address.port);
+    try {
+        acceptor_ = std::make_unique<tcp::acceptor>(state_.loop.context(), endpoint);
+    } catch (const std::exception& failure) {
+        refuse_setting("--front", address.host + ":" + std::to_string(address.port),
+                       std::string("cannot listen there (") + failure.what() +
+                           "); give an address of this host that is free");
+    }
+    accept_next();
+}
+
+void relay::accept_next() {
+    acceptor_->async_accept([this](boost::system::error_code failure, tcp::socket socket) {
+        if (failure == asio::error::operation_aborted) {
+            return;
+        }
+        if (!failure) {
+            const caller_limits limits = state_.routing ? state_.routing->config().limits : caller_limits{};
+            auto caller = std::make_shared<caller_connection>(std::move(socket), limits, caller_events_);
+            callers_.insert(caller);
+            caller->start();
+        } else {
+            state_.measured.count("accept_failures");
+            log_warning("accept_failed", {{"reason", failure.message()}});
+        }
+        accept_next();
+    });
+}
+
+void relay::on_request(const std::shared_ptr<caller_connection>& caller, caller_request request) {
+    auto made = std::make_shared<exchange>(*this, caller, std::move(request));
+    active_.insert(made);
+    made->start();
+}
+
+void relay::on_tick() {
+    const time_point now = monotonic_now();
+    const std::vector<std::shared_ptr<exchange>> active(active_.begin(), active_.end());
+    for (const auto& each : active) {
+        if (active_.count(each) > 0) {
+            each->on_tick(now);
+        }
+    }
+    if (++ticks_ % ticks_between_sweeps == 0) {
+        const std::vector<std::shared_ptr<caller_connection>> callers(callers_.begin(), callers_.end());
+        for (const auto& caller : callers) {
+            caller->check_time(now);
+        }
+        state_.pool.expire(now);
+    }
+}
+
+void relay::set_routing(routing_snapshot routing, std::size_t hosts) {
+    state_.routing = std::move(routing);
+    set_slots(hosts);
+}
+
+void relay::set_slots(std::size_t hosts) {
+    for (const traffic_service& service : state_.routing->config().services) {
+        state_.endpoints.set_slots(service.name, service.engine ? service.engine->slots : plain_slots, hosts);
+    }
+}
+
+void relay::set_endpoints(const std::vector<endpoint_record>& endpoints) {
+    state_.endpoints.update(endpoints, monotonic_now());
+}
+
+void relay::begin_stop() {
+    state_.is_stopping = true;
+    state_.stopping_since = monotonic_now();
+}
+
+bool relay::close_idle() {
+    const std::vector<std::shared_ptr<caller_connection>> callers(callers_.begin(), callers_.end());
+    for (const auto& caller : callers) {
+        caller->close_if_idle();
+    }
+    return active_.empty() && callers_.empty();
+}
+
+} // namespace laurelhoist
--- /dev/null
+++ b/src/relay/relay.h
@@ -0,0 +1,99 @@
+/** \file
+ * Defines the relay: it accepts callers' requests, decides whether they may run, and carries each through an
+ * \ref exchange with endpoints.
+ */
+#pragma once
+
+#include "relay/caller_connection.h"
+#include "relay/endpoint_connection.h"
+#include "relay/model_choice.h"
+#include "relay/wire_dialect.h"
+#include "rollout/release_rollout.h"
+
+#include <functional>
+#include <list>
+#include <set>
+#include <unordered_set>
+
+namespace laurelhoist {
+
+class exchange;
+
+struct relay_settings {
+    std::string host;
+    std::string failure_domain;
+    duration revoke_bound = seconds(5); ///< for how long a withdrawn key may still be honoured
+    duration session_life = seconds(5);
+};
+
+/** Everything that the exchanges of one relay share. */
+struct relay_state {
+    relay_state(event_loop& event_loop_in, const wire_dialect& wire, rollout_tracker& tracker,
+                chart endpoint_life, chart request_life_in, const relay_settings& relay_settings_in)
+        : loop{event_loop_in},
+          dialect{wire},
+          releases{tracker},
+          settings{relay_settings_in},
+          request_life{std::move(request_life_in)},
+          endpoints{std::move(endpoint_life), placement_hash(relay_settings_in.host),
+                    relay_settings_in.failure_domain},
+          pool{event_loop_in.context()},
+          fence{relay_settings_in.revoke_bound, fence_margin} {}
+
+    /// Of the revocation bound: for the caller's link, and the rate of clocks.
+    static constexpr duration fence_margin = milliseconds(300);
+
+    event_loop& loop;
+    const wire_dialect& dialect;
+    rollout_tracker& releases;
+    relay_settings settings;
+    chart request_life; ///< charts/relay.scxml
+    endpoint_directory endpoints;
+    connection_pool pool;
+    config_fence fence;
+    read_time_estimate read_times;
+    std::map<std::string, retry_budget> retry_budgets; ///< by service
+    metrics measured;
+    routing_snapshot routing; ///< null until a configuration has been read
+    bool is_stopping = false;
+    time_point stopping_since;
+};
+
+class relay {
+public:
+    relay(event_loop& loop, const wire_dialect& dialect, rollout_tracker& releases, chart endpoint_life,
+          chart request_life, const relay_settings& settings);
+    ~relay();
+    relay(const relay&) = delete;
+    relay& operator=(const relay&) = delete;
+
+    /** Starts to accept callers at \p address; ends the process if it is taken. */
+    void listen(const socket_address& address);
+    /** Puts a configuration in force for all requests that come from now on. */
+    void set_routing(routing_snapshot routing, std::size_t hosts);
+    void set_endpoints(const std::vector<endpoint_record>& endpoints);
+    relay_state& state() { return state_; }
+    const relay_state& state() const { return state_; }
+
+    /** Begins the planned stop: answers say that the connection closes; nothing is cut. */
+    void begin_stop();
+    /** Closes what is idle. \return whether nothing is under way any more */
+    bool close_idle();
+    std::size_t active() const { return active_.size(); }
+
+private:
+    friend class exchange;
+    void accept_next();
+    void on_request(const std::shared_ptr<caller_connection>& caller, caller_request request);
+    void on_tick();
+    void set_slots(std::size_t hosts);
+
+    relay_state state_;
+    caller_connection::handlers caller_events_;
+    std::unique_ptr<boost::asio::ip::tcp::acceptor> acceptor_;
+    std::unordered_set<std::shared_ptr<caller_connection>> callers_;
+    std::set<std::shared_ptr<exchange>> active_;
+    std::uint64_t ticks_ = 0;
+};
+
+} // namespace laurelhoist
--- /dev/null
+++ b/src/relay/socket_options.cpp
@@ -0,0 +1,34 @@
+#include "relay/socket_options.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+namespace laurelhoist::internal {
+
+namespace {
+
+/// Bytes unacknowledged for this long end the connection, in ms; well above a few lost packets in a row.
+constexpr int unacknowledged_ms = 4000;
+constexpr int keep_alive_idle_s = 2;     ///< of silence before the first probe
+constexpr int keep_alive_interval_s = 1; ///< between probes
+constexpr int keep_alive_probes = 3;     ///< unanswered ones that end the connection
+
+template <class Value>
+void set_option(int handle, int level, int name, Value value) {
+    // Best effort: a system without the option still has the timeouts of the relay itself.
+    (void)::setsockopt(handle, level, name, &value, sizeof value);
+}
+
+} // namespace
+
+void set_liveness_options(boost::asio::ip::tcp::socket& socket) {
+    const int handle = socket.native_handle();
+    set_option(handle, IPPROTO_TCP, TCP_NODELAY, 1);
+    set_option(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledged_ms);
+    set_option(handle, SOL_SOCKET, SO_KEEPALIVE, 1);
+    set_option(handle, IPPROTO_TCP, TCP_KEEPIDLE, keep_alive_idle_s);
+    set_option(handle, IPPROTO_TCP, TCP_KEEPINTVL, keep_alive_interval_s);
+    set_option(handle, IPPROTO_TCP, TCP_KEEPCNT, keep_alive_probes);
+}
+
+} // namespace laurelhoist::internal
--- /dev/null
+++ b/src/rollout/release_rollout.cpp
@@ -0,0 +1,371 @@
+#include "rollout/release_rollout.h"
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+
+namespace laurelhoist {
+
+namespace {
+
+/// Of the requests without a session, before the release has shown itself: well below the exposure bound of
+/// 15% of all requests, and some ten answers a second at the smaller site.
+constexpr double trial_share = 0.12;
+/// Of everything, at the start of the second half: what a bad release could still do is bounded by this for
+/// \ref second_step.
+constexpr double first_move_share = 0.3;
+constexpr duration second_step = milliseconds(2500);
+/// The old release is reported unused only after every host has had time to move (they act within 0.5 s).
+constexpr duration settling_time = milliseconds(1500);
+/// Before the time limit, the report is made although some streams still run on the old release.
+constexpr duration report_margin = milliseconds(2500);
+/// Evidence that brakes: a good release reaches it once in 2,000 roll-outs.
+constexpr double braking_evidence = 7.6;
+/// A release is good up to this much above the old one's share of bad answers, and bad from the other on.
+constexpr double usual_quality = 0.98; ///< share of good answers, until the old release has shown its own
+constexpr double tolerated_drop = 0.04;
+constexpr double braked_drop = 0.25;
+constexpr std::int64_t enough_for_mean = 20;
+constexpr double slow_factor = 5.0;
+constexpr double least_slow_ms =
+    150.0; ///< more than the old release's mean, so that small times do not count
+constexpr double smoothing = 0.05;
+
+double share_point(const std::string& subject) {
+    constexpr std::uint64_t parts = 10'000;
+    return static_cast<double>(placement_hash("release/" + subject) % parts) / static_cast<double>(parts);
+}
+
+brake_limits release_limits(std::int64_t good, std::int64_t bad) {
+    version_counts established;
+    established.rated = good;
+    established.failed = bad;
+    rollout_plan plan;
+    plan.tolerated_drop = tolerated_drop;
+    plan.braked_drop = braked_drop;
+    return limits_for(usual_quality, established, plan);
+}
+
+} // namespace
+
+const char* to_string(rollout_state state) {
+    switch (state) {
+    case rollout_state::ordered:
+        return "ordered";
+    case rollout_state::running:
+        return "running";
+    case rollout_state::completed:
+        return "completed";
+    case rollout_state::rolled_back:
+        return "rolled_back";
+    }
+    return "unknown";
+}
+
+void rollout_tracker::set_orders(const std::vector<rollout_order>& orders, time_point now) {
+    std::set<std::string> services;
+    for (const rollout_order& order : orders) {
+        services.insert(order.service);
+        const auto found = tracks_.find(order.service);
+        if (found != tracks_.end() && found->second.order.release == order.release) {
+            found->second.order = order;
+            continue;
+        }
+        track started;
+        started.order = order;
+        started.since = now;
+        tracks_[order.service] = started;
+        log_info("rollout_seen", {{"service", order.service},
+                                  {"release", order.release},
+                                  {"state", to_string(order.state)},
+                                  {"limit_ms", to_ms(order.time_limit)}});
+    }
+    for (auto item = tracks_.begin(); item != tracks_.end();) {
+        item = services.count(item->first) > 0 ? std::next(item) : tracks_.erase(item);
+    }
+}
+
+void rollout_tracker::set_endpoint_counts(const std::string& service,
+                                          const std::map<std::string, int>& by_release) {
+    endpoints_[service] = by_release;
+}
+
+int rollout_tracker::endpoints_of(const std::string& service, const std::string& release) const {
+    const auto found = endpoints_.find(service);
+    if (found == endpoints_.end()) {
+        return 0;
+    }
+    const auto count = found->second.find(release);
+    return count == found->second.end() ? 0 : count->second;
+}
+
+int rollout_tracker::endpoints_of_others(const std::string& service, const std::string& release) const {
+    const auto found = endpoints_.find(service);
+    int count = 0;
+    if (found != endpoints_.end()) {
+        for (const auto& [name, endpoints] : found->second) {
+            count += name == release ? 0 : endpoints;
+        }
+    }
+    return count;
+}
+
+release_choice rollout_tracker::choose(const std::string& service, const std::string& session,
+                                       const std::string& request) const {
+    const auto found = tracks_.find(service);
+    if (found == tracks_.end()) {
+        return {};
+    }
+    const track& rollout = found->second;
+    const std::string& release = rollout.order.release;
+    if (rollout.is_braked || rollout.order.state == rollout_state::rolled_back) {
+        return {"", release};
+    }
+    const bool has_fresh = endpoints_of(service, release) > 0;
+    if (rollout.order.state == rollout_state::completed) {
+        return {has_fresh ? release : std::string{}, ""};
+    }
+    const double share = session.empty() ? rollout.sessionless_share : rollout.session_share;
+    const bool is_fresh = share_point(session.empty() ? request : session) < share;
+    const bool has_old = endpoints_of_others(service, release) > 0;
+    if ((is_fresh && has_fresh) || !has_old) {
+        return {release, ""};
+    }
+    return {"", release};
+}
+
+void rollout_tracker::on_started(const release_use& use) {
+    release_counts& counts = own_[use];
+    counts.service = use.service;
+    counts.release = use.release;
+    counts.route = use.route;
+    ++counts.in_flight;
+}
+
+void rollout_tracker::on_finished(const release_use& use) {
+    release_counts& counts = own_[use];
+    counts.in_flight = std::max<std::int64_t>(0, counts.in_flight - 1);
+}
+
+void rollout_tracker::on_outcome(const release_use& use, bool is_good, std::optional<duration> first_byte) {
+    release_counts& counts = own_[use];
+    const auto found = tracks_.find(use.service);
+    const bool is_fresh = found != tracks_.end() && found->second.order.release == use.release;
+    if (is_good && first_byte && !is_fresh) {
+        response_time& seen = first_bytes_[{use.service, "", use.route}];
+        seen.mean_ms += (seen.count == 0 ? 1.0 : smoothing) * (to_ms(*first_byte) - seen.mean_ms);
+        ++seen.count;
+    }
+    bool is_slow = false;
+    if (is_good && first_byte && is_fresh) {
+        const response_time& seen = first_bytes_[{use.service, "", use.route}];
+        const double bound = std::max(seen.mean_ms * slow_factor, seen.mean_ms + least_slow_ms);
+        is_slow = seen.count >= enough_for_mean && to_ms(*first_byte) > bound;
+    }
+    ++(is_good && !is_slow ? counts.good : counts.bad);
+}
+
+std::vector<release_counts> rollout_tracker::own_counts() const {
+    std::vector<release_counts> counts;
+    for (const auto& [use, seen] : own_) {
+        if (tracks_.count(use.service) > 0) {
+            counts.push_back(seen);
+        }
+    }
+    return counts;
+}
+
+std::vector<rollout_news> rollout_tracker::own_news(time_point now) const {
+    std::vector<rollout_news> news;
+    for (const auto& [service, rollout] : tracks_) {
+        const auto age = std::chrono::duration_cast<milliseconds>(now - rollout.since).count();
+        news.push_back({service, rollout.order.release, age, rollout.is_braked});
+    }
+    return news;
+}
+
+void rollout_tracker::merge(const std::string& host, const std::vector<release_counts>& counts,
+                            const std::vector<rollout_news>& news, time_point now) {
+    for (const release_counts& seen : counts) {
+        release_counts& held = by_host_[host][{seen.service, seen.release, seen.route}];
+        const std::int64_t good = std::max(held.good, seen.good);
+        const std::int64_t bad = std::max(held.bad, seen.bad);
+        held = seen;
+        held.good = good;
+        held.bad = bad;
+    }
+    for (const rollout_news& item : news) {
+        const auto found = tracks_.find(item.service);
+        if (found == tracks_.end() || found->second.order.release != item.release) {
+            continue;
+        }
+        // The eldest age heard: a host that has just started takes over the time of the others.
+        found->second.since = std::min(found->second.since, now - milliseconds(item.age_ms));
+        found->second.is_braked = found->second.is_braked || item.is_braked;
+    }
+}
+
+void rollout_tracker::keep_hosts(const std::vector<std::string>& hosts) {
+    const std::set<std::string> kept(hosts.begin(), hosts.end());
+    for (auto& [host, uses] : by_host_) {
+        if (kept.count(host) == 0) {
+            for (auto& [use, counts] : uses) {
+                counts.in_flight = 0;
+            }
+        }
+    }
+}
+
+rollout_tracker::totals rollout_tracker::total_of(const release_use& use) const {
+    totals sum;
+    const auto add = [&](const std::map<release_use, release_counts>& uses) {
+        const auto found = uses.find(use);
+        if (found != uses.end()) {
+            sum.good += found->second.good;
+            sum.bad += found->second.bad;
+        }
+    };
+    add(own_);
+    for (const auto& [host, uses] : by_host_) {
+        add(uses);
+    }
+    return sum;
+}
+
+rollout_tracker::totals rollout_tracker::total_of_others(const track& rollout,
+                                                         const std::string& route) const {
+    totals sum;
+    const auto add = [&](const std::map<release_use, release_counts>& uses) {
+        for (const auto& [use, counts] : uses) {
+            if (use.service == rollout.order.service && use.release != rollout.order.release &&
+                use.route == route) {
+                sum.good += counts.good;
+                sum.bad += counts.bad;
+            }
+        }
+    };
+    add(own_);
+    for (const auto& [host, uses] : by_host_) {
+        add(uses);
+    }
+    return sum;
+}
+
+std::int64_t rollout_tracker::others_in_flight(const track& rollout) const {
+    std::int64_t sum = 0;
+    const auto add = [&](const std::map<release_use, release_counts>& uses) {
+        for (const auto& [use, counts] : uses) {
+            const bool is_other =
+                use.service == rollout.order.service && use.release != rollout.order.release;
+            sum += is_other ? counts.in_flight : 0;
+        }
+    };
+    add(own_);
+    for (const auto& [host, uses] : by_host_) {
+        add(uses);
+    }
+    return sum;
+}
+
+// Evidence never falls below zero: a release that turns bad after hundreds of good answers is braked as
+// soon as one that was bad from the start.
+void rollout_tracker::weigh(track& rollout) {
+    std::set<std::string> routes;
+    const auto collect = [&](const std::map<release_use, release_counts>& uses) {
+        for (const auto& [use, counts] : uses) {
+            if (use.service == rollout.order.service && use.release == rollout.order.release) {
+                routes.insert(use.route);
+            }
+        }
+    };
+    collect(own_);
+    for (const auto& [host, uses] : by_host_) {
+        collect(uses);
+    }
+    for (const std::string& route : routes) {
+        const totals fresh = total_of({rollout.order.service, rollout.order.release, route});
+        const totals old = total_of_others(rollout, route);
+        const brake_limits limits = release_limits(old.good, old.bad);
+        totals& judged = rollout.judged[route];
+        const auto new_bad = static_cast<double>(std::max<std::int64_t>(0, fresh.bad - judged.bad));
+        const auto new_good = static_cast<double>(std::max<std::int64_t>(0, fresh.good - judged.good));
+        judged = fresh;
+        const double change = new_bad * std::log(limits.bad_bad_share / limits.good_bad_share) +
+                              new_good * std::log((1 - limits.bad_bad_share) / (1 - limits.good_bad_share));
+        double& evidence = rollout.evidence[route];
+        evidence = std::max(0.0, evidence + change);
+        if (evidence >= braking_evidence && !rollout.is_braked) {
+            rollout.is_braked = true;
+            log_warning("rollout_braked", {{"service", rollout.order.service},
+                                           {"release", rollout.order.release},
+                                           {"route", route},
+                                           {"good", fresh.good},
+                                           {"bad", fresh.bad},
+                                           {"old_good", old.good},
+                                           {"old_bad", old.bad}});
+        }
+    }
+}
+
+void rollout_tracker::set_shares(track& rollout, time_point now) const {
+    const int fresh = endpoints_of(rollout.order.service, rollout.order.release);
+    const int old = endpoints_of_others(rollout.order.service, rollout.order.release);
+    const duration age = now - rollout.since;
+    const duration half = rollout.order.time_limit / 2;
+    if (fresh == 0) {
+        rollout.session_share = 0;
+        rollout.sessionless_share = 0;
+        return;
+    }
+    if (age < half) {
+        rollout.sessionless_share = std::max(rollout.sessionless_share, trial_share);
+        return;
+    }
+    const double largest = age < half + second_step ? first_move_share : 1.0;
+    // Never more than the new endpoints can carry while the old ones are still there.
+    const double room = old == 0 ? 1.0 : std::min(1.0, 2.0 * fresh / old);
+    rollout.session_share = std::max(rollout.session_share, std::min(largest, room));
+    rollout.sessionless_share = std::max(rollout.sessionless_share, rollout.session_share);
+    if (rollout.session_share >= 1.0 && !rollout.moved_at) {
+        rollout.moved_at = now;
+    }
+}
+
+std::optional<rollout_state> rollout_tracker::due_state(const track& rollout, time_point now) const {
+    if (rollout.order.state == rollout_state::completed ||
+        rollout.order.state == rollout_state::rolled_back) {
+        return std::nullopt;
+    }
+    if (rollout.is_braked) {
+        return rollout_state::rolled_back;
+    }
+    const bool has_settled = rollout.moved_at && now - *rollout.moved_at > settling_time;
+    const bool is_last_moment = now - rollout.since > rollout.order.time_limit - report_margin;
+    if (has_settled && (others_in_flight(rollout) == 0 || is_last_moment)) {
+        return rollout_state::completed;
+    }
+    if (rollout.order.state == rollout_state::ordered) {
+        return rollout_state::running;
+    }
+    return std::nullopt;
+}
+
+std::vector<rollout_report> rollout_tracker::advance(time_point now) {
+    std::vector<rollout_report> due;
+    for (auto& [service, rollout] : tracks_) {
+        const rollout_state state = rollout.order.state;
+        if (state == rollout_state::completed || state == rollout_state::rolled_back) {
+            continue;
+        }
+        weigh(rollout);
+        if (!rollout.is_braked) {
+            set_shares(rollout, now);
+        }
+        if (const std::optional<rollout_state> next = due_state(rollout, now)) {
+            due.push_back({rollout.order, *next, rollout.is_braked ? "braked by evidence" : "on schedule"});
+        }
+    }
+    return due;
+}
+
+} // namespace laurelhoist
--- a/src/rollout/rollout.h
+++ b/src/rollout/rollout.h
@@ -6,4 +6,5 @@
 
 #include "rollout/brake.h"
 #include "rollout/evidence.h"
+#include "rollout/release_rollout.h"
 #include "rollout/step_plan.h"
--- a/src/routing/endpoint_table.cpp
+++ b/src/routing/endpoint_table.cpp
@@ -138,6 +138,11 @@
     if (endpoint.record.pool != wish.pool || wish.avoided.count(endpoint.record.name) > 0) {
         return false;
     }
+    const std::string& release = endpoint.record.release;
+    if ((!wish.release.empty() && release != wish.release) ||
+        (!wish.unwanted_release.empty() && release == wish.unwanted_release)) {
+        return false;
+    }
     if (endpoint.state == "ejected" && now >= endpoint.ejected_until) {
         move(endpoint, "rested");
     }
@@ -202,6 +207,16 @@
     return choose_ours(eligible, wish, now)->record;
 }
 
+std::vector<endpoint_record> endpoint_table::eligible(const endpoint_wish& wish, time_point now) {
+    std::vector<endpoint_record> records;
+    for (auto& [name, endpoint] : endpoints_) {
+        if (is_eligible(endpoint, wish, now)) {
+            records.push_back(endpoint.record);
+        }
+    }
+    return records;
+}
+
 void endpoint_table::on_call_started(const std::string& name, const endpoint_wish& wish, time_point now) {
     const auto found = endpoints_.find(name);
     if (found == endpoints_.end()) {
--- a/src/routing/endpoint_table.h
+++ b/src/routing/endpoint_table.h
@@ -32,9 +32,11 @@
 /** A wish for an endpoint. */
 struct endpoint_wish {
     std::string pool;
-    std::string version;           ///< model@version, empty for services
-    std::string prefix;            ///< of the prompt, for the prefix cache; empty: none
-    std::set<std::string> avoided; ///< endpoints that have failed this request
+    std::string version;            ///< model@version, empty for services
+    std::string prefix;             ///< of the prompt, for the prefix cache; empty: none
+    std::set<std::string> avoided;  ///< endpoints that have failed this request
+    std::string release{};          ///< of the endpoint's software; empty: any
+    std::string unwanted_release{}; ///< that the endpoint's software must not be; empty: none
 };
 
 /** How an endpoint is chosen; the experiment program compares them. */
@@ -55,6 +57,8 @@
 
     /** \return the endpoint to call, or nothing if every one is full or out. */
     std::optional<endpoint_record> choose(const endpoint_wish& wish, time_point now);
+    /** \return the endpoints that may be called for \p wish now; empty if every one is full or out. */
+    std::vector<endpoint_record> eligible(const endpoint_wish& wish, time_point now);
     /** \return whether \p name may be given new work. */
     bool takes_work(const std::string& name) const;
     /** \return whether some endpoint of \p pool, full or not, serves \p version now or very soon. */
--- /dev/null
+++ b/src/store/object_watch.cpp
@@ -0,0 +1,170 @@
+#include "store/object_watch.h"
+
+namespace laurelhoist {
+
+namespace {
+
+/// Rests after failures in a row. Calls are rationed for all hosts together, refused ones too; a host must
+/// still confirm its configuration well within the revocation bound of a few seconds.
+constexpr duration rests[] = {milliseconds(50), milliseconds(150), milliseconds(300), milliseconds(500)};
+
+} // namespace
+
+const char* to_string(store_failure failure) {
+    switch (failure) {
+    case store_failure::refused:
+        return "refused";
+    case store_failure::unanswered:
+        return "unanswered";
+    case store_failure::conflict:
+        return "conflict";
+    case store_failure::missing:
+        return "missing";
+    case store_failure::history_gone:
+        return "history_gone";
+    case store_failure::unreadable:
+        return "unreadable";
+    }
+    return "unknown";
+}
+
+object_watch::object_watch(event_loop& loop, object_store& store, chart life, std::string kind, duration wait,
+                           handlers events)
+    : loop_{loop},
+      store_{store},
+      life_{std::move(life)},
+      state_{life_.initial()},
+      kind_{std::move(kind)},
+      wait_{wait},
+      events_{std::move(events)} {}
+
+void object_watch::move(const char* event) {
+    const outcome<std::string> next = life_.next(state_, event);
+    const std::string* target = value_of(next);
+    if (invariant("watch_follows_its_chart", target != nullptr, [&] {
+            return json{{"state", state_}, {"event", event}, {"kind", kind_}};
+        })) {
+        state_ = *target;
+    }
+}
+
+void object_watch::start() {
+    listed_.clear();
+    listing_since_ = monotonic_now();
+    list_from("");
+}
+
+void object_watch::list_from(const std::string& after) {
+    const time_point sent_at = monotonic_now();
+    store_.list(kind_, after, [this, sent_at](const auto& result) { on_page(result, sent_at); });
+}
+
+void object_watch::on_page(const store_result<object_page>& result, time_point) {
+    if (const store_failure* failure = std::get_if<store_failure>(&result)) {
+        on_failure(*failure);
+        return;
+    }
+    const object_page& page = std::get<object_page>(result);
+    if (listed_.empty()) {
+        // Followed from the first page: what changed while the others were read comes again as events.
+        listing_revision_ = page.as_of_revision;
+    }
+    for (const stored_object& item : page.items) {
+        listed_[item.name] = item;
+    }
+    if (page.has_more && !page.items.empty()) {
+        list_from(page.items.back().name);
+        return;
+    }
+    note_reachable(true);
+    move("listed");
+    // A listing older than what is held comes from a store that lags; what is held stays.
+    if (listing_revision_ >= revision_) {
+        objects_ = std::move(listed_);
+        revision_ = listing_revision_;
+        is_listed_ = true;
+        events_.on_change(objects_);
+        events_.on_confirmed(listing_since_);
+    }
+    listed_.clear();
+    follow();
+}
+
+void object_watch::follow() {
+    const time_point sent_at = monotonic_now();
+    store_.watch(kind_, revision_, wait_,
+                 [this, sent_at](const auto& result) { on_events(result, sent_at); });
+}
+
+bool object_watch::take(const object_event& event) {
+    const auto held = objects_.find(event.object.name);
+    if (event.is_removed) {
+        if (held != objects_.end()) {
+            objects_.erase(held);
+            return true;
+        }
+        return false;
+    }
+    if (held != objects_.end() && held->second.revision >= event.object.revision) {
+        return false;
+    }
+    objects_[event.object.name] = event.object;
+    return true;
+}
+
+void object_watch::on_events(const store_result<object_events>& result, time_point sent_at) {
+    if (const store_failure* failure = std::get_if<store_failure>(&result)) {
+        on_failure(*failure);
+        return;
+    }
+    note_reachable(true);
+    move("heard");
+    const object_events& heard = std::get<object_events>(result);
+    bool has_changed = false;
+    for (const object_event& event : heard.events) {
+        has_changed = take(event) || has_changed;
+    }
+    revision_ = std::max(revision_, heard.as_of_revision);
+    if (has_changed) {
+        events_.on_change(objects_);
+    }
+    // The moment of sending, not of the answer: news may have been on their way when it was given.
+    events_.on_confirmed(sent_at);
+    follow();
+}
+
+void object_watch::on_failure(store_failure failure) {
+    if (failure == store_failure::history_gone) {
+        log_warning("store_history_gone", {{"kind", kind_}, {"revision", revision_}});
+        move("history_gone");
+        start();
+        return;
+    }
+    note_reachable(false);
+    log_warning("store_call_failed",
+                {{"kind", kind_}, {"reason", to_string(failure)}, {"in_a_row", failures_}});
+    move("failed");
+    const std::size_t step =
+        std::min<std::size_t>(static_cast<std::size_t>(failures_++), std::size(rests) - 1);
+    loop_.after(rests[step], [this] {
+        move("rested");
+        if (state_ == "following") {
+            follow();
+        } else {
+            start();
+        }
+    });
+}
+
+void object_watch::note_reachable(bool is_reachable) {
+    if (is_reachable) {
+        failures_ = 0;
+    }
+    if (is_reachable != is_reachable_) {
+        is_reachable_ = is_reachable;
+        log_warning(is_reachable ? "store_regained" : "store_lost", {{"kind", kind_}});
+        events_.on_reachability(!is_reachable);
+    }
+}
+
+} // namespace laurelhoist
--- /dev/null
+++ b/src/store/object_watch.h
@@ -0,0 +1,66 @@
+/** \file
+ * Defines the watch over all objects of one kind: list, then follow, and start over when the history is gone.
+ */
+#pragma once
+
+#include "chart/chart.h"
+#include "store/object_store.h"
+#include "transport/event_loop.h"
+
+namespace laurelhoist {
+
+using objects_by_name = std::map<std::string, stored_object>;
+
+/** Keeps a copy of the objects of one kind.
+ *
+ * Its states stand in charts/object_watch.scxml: listing, following, resting (after a failure). Revisions
+ * only rise: a page or event that is older than what is held is left out, so that a reading that was delayed
+ * on its way never puts an old object back. */
+class object_watch {
+public:
+    struct handlers {
+        /// The copy has changed.
+        std::function<void(const objects_by_name&)> on_change;
+        /// What is held was complete and current at \c as_of.
+        std::function<void(time_point as_of)> on_confirmed;
+        /// Calls fail (true) or succeed again (false).
+        std::function<void(bool is_lost)> on_reachability;
+    };
+
+    /** \param wait how long one call waits for news; what is held is confirmed at least this often */
+    object_watch(event_loop& loop, object_store& store, chart life, std::string kind, duration wait,
+                 handlers events);
+
+    void start();
+    const objects_by_name& objects() const { return objects_; }
+    bool is_listed() const { return is_listed_; }
+    bool is_reachable() const { return is_reachable_; }
+
+private:
+    void move(const char* event);
+    void list_from(const std::string& after);
+    void on_page(const store_result<object_page>& result, time_point sent_at);
+    void follow();
+    void on_events(const store_result<object_events>& result, time_point sent_at);
+    void on_failure(store_failure failure);
+    void note_reachable(bool is_reachable);
+    bool take(const object_event& event);
+
+    event_loop& loop_;
+    object_store& store_;
+    chart life_;
+    std::string state_;
+    std::string kind_;
+    duration wait_;
+    handlers events_;
+    objects_by_name objects_;
+    objects_by_name listed_; ///< pages of a listing under way
+    std::int64_t listing_revision_ = 0;
+    std::int64_t revision_ = 0;
+    time_point listing_since_;
+    int failures_ = 0;
+    bool is_listed_ = false;
+    bool is_reachable_ = true;
+};
+
+} // namespace laurelhoist
--- /dev/null
+++ b/src/traffic/routing_table.h
@@ -0,0 +1,37 @@
+/** \file
+ * Defines the routing table: an immutable, indexed form of one \ref traffic_config. A request keeps the
+ * table it was admitted under to its end, so that a change of configuration never splits it.
+ */
+#pragma once
+
+#include "traffic/traffic_types.h"
+
+#include <memory>
+#include <string_view>
+#include <unordered_map>
+
+namespace laurelhoist {
+
+class routing_table {
+public:
+    explicit routing_table(traffic_config config);
+
+    const traffic_config& config() const { return config_; }
+    /** \return the route of \p host with the longest prefix that begins \p path, or null. A port in \p host
+     * and the case of its letters do not count. */
+    const traffic_route* find_route(std::string_view host, std::string_view path) const;
+    /** \return the team that holds \p key, or null. */
+    const traffic_team* find_team(const std::string& key) const;
+    const traffic_service* find_service(const std::string& name) const;
+    bool needs_keys() const { return !config_.teams.empty(); }
+
+private:
+    traffic_config config_;
+    std::unordered_map<std::string, std::vector<std::size_t>> routes_by_host_; ///< longest prefix first
+    std::unordered_map<std::string, std::size_t> team_by_key_;
+    std::unordered_map<std::string, std::size_t> service_by_name_;
+};
+
+using routing_snapshot = std::shared_ptr<const routing_table>;
+
+} // namespace laurelhoist
--- /dev/null
+++ b/src/transport/datagram.cpp
@@ -0,0 +1,81 @@
+#include "transport/datagram.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/ip/udp.hpp>
+
+#include <array>
+
+namespace laurelhoist {
+
+namespace asio = boost::asio;
+using udp = asio::ip::udp;
+
+namespace {
+
+constexpr std::size_t largest_datagram = 64 << 10;
+
+} // namespace
+
+struct datagram_socket::state : std::enable_shared_from_this<state> {
+    state(asio::io_context& context, handler received) : socket{context}, on_received{std::move(received)} {}
+
+    void receive() {
+        socket.async_receive_from(
+            asio::buffer(incoming), sender,
+            [self = shared_from_this()](boost::system::error_code failure, std::size_t bytes) {
+                if (failure == asio::error::operation_aborted) {
+                    return;
+                }
+                if (!failure) {
+                    const std::string from =
+                        self->sender.address().to_string() + ":" + std::to_string(self->sender.port());
+                    self->on_received(from, {self->incoming.data(), bytes});
+                }
+                self->receive();
+            });
+    }
+
+    udp::socket socket;
+    handler on_received;
+    std::array<char, largest_datagram> incoming{};
+    udp::endpoint sender;
+    std::uint64_t sent = 0;
+};
+
+datagram_socket::datagram_socket(event_loop& loop, const socket_address& address, handler on_received)
+    : state_{std::make_shared<state>(loop.context(), std::move(on_received))} {
+    try {
+        const udp::endpoint endpoint(asio::ip::make_address(address.host), address.port);
+        state_->socket.open(endpoint.protocol());
+        state_->socket.bind(endpoint);
+        state_->socket.non_blocking(true);
+    } catch (const std::exception& failure) {
+        refuse_setting("datagram address", address.host + ":" + std::to_string(address.port),
+                       std::string("cannot be bound (") + failure.what() +
+                           "); give a free port of this host");
+    }
+    state_->receive();
+}
+
+datagram_socket::~datagram_socket() {
+    boost::system::error_code ignored;
+    state_->socket.close(ignored);
+}
+
+void datagram_socket::send(const std::string& address, const std::string& bytes) {
+    const outcome<socket_address> parsed = parse_address(address);
+    const socket_address* target = value_of(parsed);
+    if (target == nullptr) {
+        return;
+    }
+    boost::system::error_code dropped; // A datagram may be lost on its way as well; nothing depends on one.
+    state_->socket.send_to(asio::buffer(bytes), {asio::ip::make_address(target->host), target->port}, 0,
+                           dropped);
+    state_->sent += dropped ? 0 : bytes.size();
+}
+
+std::uint64_t datagram_socket::bytes_sent() const {
+    return state_->sent;
+}
+
+} // namespace laurelhoist
--- a/src/transport/transport.h
+++ b/src/transport/transport.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "transport/datagram.h"
 #include "transport/event_loop.h"
 #include "transport/http_client.h"
 #include "transport/http_server.h"
