A cascade over model sizes by the answer's own confidence; what may start during a planned stop

A request taken late in a planned stop was cut by the process's end. Change: smallest model first, a larger one where the confidence is low and the objective still allows it; during a stop a request starts only if its time limit ends before the process. Waiting calls of the store last 2 s and 8 s, with keep-alive on their connections.

--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -8,14 +8,14 @@
 
 /// One call of each watch waits this long. The configuration's bounds how old the proof is that keys are in
 /// force; the others only cost calls.
-constexpr duration config_wait = milliseconds(1000);
-constexpr duration endpoint_wait = milliseconds(1500);
-constexpr duration rollout_wait = milliseconds(3000);
+constexpr duration config_wait = milliseconds(2000);
+constexpr duration endpoint_wait = milliseconds(8000);
+constexpr duration rollout_wait = milliseconds(8000);
 constexpr duration gossip_interval = milliseconds(400);
 constexpr duration upkeep_interval = milliseconds(250);
 constexpr duration stop_interval = milliseconds(100);
 /// Without confirmation from the store for this long, peers are asked; three rounds fit before keys expire.
-constexpr duration stale_after = milliseconds(2200);
+constexpr duration stale_after = milliseconds(3200);
 constexpr duration question_life = seconds(2);
 constexpr std::size_t peers_asked = 3;
 constexpr std::size_t most_load_entries = 16; ///< of 20 bytes each in a datagram
@@ -48,6 +48,8 @@
     relayed.host = settings.name;
     relayed.failure_domain = settings.failure_domain;
     relayed.revoke_bound = settings.revoke_bound;
+    relayed.stop_time = settings.stop_grace - stop_margin;
+    relayed.cascade = settings.cascade;
     return relayed;
 }
 
@@ -73,20 +75,14 @@
                              relay_.state().fence.confirm(as_of);
                          }
                      },
-                     [](bool) {}}},
+                     [this](bool is_lost) { on_store_reachability(is_lost); }}},
       endpoint_watch_{loop,
                       store,
                       charts.watch,
                       codec.endpoint_kind(),
                       endpoint_wait,
                       {[this](const objects_by_name& objects) { on_endpoints(objects); }, [](time_point) {},
-                       [this](bool is_lost) {
-                           if (is_lost) {
-                               roster_.on_store_lost();
-                           } else {
-                               roster_.on_store_regained(monotonic_now());
-                           }
-                       }}},
+                       [this](bool is_lost) { note_reachability(is_lost); }}},
       rollout_watch_{
           loop,
           store,
@@ -147,6 +143,23 @@
     return measured.to_text();
 }
 
+void entry_host::note_reachability(bool is_lost) {
+    if (is_lost) {
+        roster_.on_store_lost();
+    } else {
+        roster_.on_store_regained(monotonic_now());
+    }
+}
+
+// The configuration's watch is the one that asks most often, so it notices first, both ways.
+void entry_host::on_store_reachability(bool is_lost) {
+    note_reachability(is_lost);
+    if (!is_lost) {
+        endpoint_watch_.ask_again();
+        rollout_watch_.ask_again();
+    }
+}
+
 void entry_host::on_config(const objects_by_name& objects) {
     const auto found = objects.find(codec_.config_name());
     is_config_readable_ = found != objects.end() && apply_config(found->second);
--- a/src/host/entry_host.h
+++ b/src/host/entry_host.h
@@ -38,6 +38,7 @@
     std::vector<std::string> seeds; ///< peers' addresses to begin with
     duration revoke_bound = seconds(5);
     duration stop_grace = seconds(8);
+    cascade_settings cascade;
 };
 
 /** The charts that an entry host interprets. */
@@ -67,6 +68,8 @@
     metrics& measured() { return relay_.state().measured; }
 
 private:
+    void note_reachability(bool is_lost);
+    void on_store_reachability(bool is_lost);
     void on_config(const objects_by_name& objects);
     bool apply_config(const stored_object& object);
     void on_endpoints(const objects_by_name& objects);
--- a/src/relay/attempt_rules.cpp
+++ b/src/relay/attempt_rules.cpp
@@ -21,6 +21,9 @@
     return record.is_expired ? follow_up_step::expire : follow_up_step::fail;
 }
 
+/// Streams last up to 5 s at the usual load, so one that starts within this of a stop of 7.5 s ends in it.
+constexpr duration stream_start_window = milliseconds(2500);
+
 } // namespace
 
 const char* to_string(attempt_end end) {
@@ -56,4 +59,11 @@
     return final_step(record, end);
 }
 
+bool may_start_while_stopping(const traffic_route& route, duration since, duration stop_time) {
+    if (route.kind == route_kind::stream) {
+        return since < stream_start_window;
+    }
+    return since + route.timeout < stop_time;
+}
+
 } // namespace laurelhoist
--- a/src/relay/attempt_rules.h
+++ b/src/relay/attempt_rules.h
@@ -46,4 +46,9 @@
 /** \return what to do after an attempt that ended with \p end. */
 follow_up_step after_attempt(const attempt_record& record, attempt_end end);
 
+/** \param since the planned stop began \param stop_time from its beginning to the end of the process
+ * \return whether a request on \p route that arrives now is over before the process ends, whatever happens;
+ * of a stream, whose time limit is longer than any stop, whether it usually is */
+bool may_start_while_stopping(const traffic_route& route, duration since, duration stop_time);
+
 } // namespace laurelhoist
--- a/src/relay/caller_connection.cpp
+++ b/src/relay/caller_connection.cpp
@@ -1,6 +1,6 @@
 #include "relay/caller_connection.h"
 
-#include "relay/socket_options.h"
+#include "transport/socket_options.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
@@ -30,7 +30,7 @@
       events_{events},
       reader_{limits.header_bytes, limits.body_bytes},
       quiet_since_{monotonic_now()} {
-    internal::set_liveness_options(socket_);
+    set_liveness_options(socket_);
 }
 
 void caller_connection::start() {
--- a/src/relay/endpoint_connection.cpp
+++ b/src/relay/endpoint_connection.cpp
@@ -1,6 +1,6 @@
 #include "relay/endpoint_connection.h"
 
-#include "relay/socket_options.h"
+#include "transport/socket_options.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
@@ -30,7 +30,7 @@
     asio_error failure;
     socket_.open(tcp::v4(), failure);
     if (!failure) {
-        internal::set_liveness_options(socket_);
+        set_liveness_options(socket_);
     }
     socket_.async_connect({asio::ip::make_address(target->host), target->port},
                           [self = shared_from_this()](asio_error connect_failure) {
--- a/src/relay/exchange.cpp
+++ b/src/relay/exchange.cpp
@@ -20,8 +20,6 @@
 constexpr int silent_gaps = 4;
 constexpr duration least_silence = seconds(2);
 constexpr int silent_objectives = 4;
-/// A planned stop has 8 s; streams last up to 6 s, so later ones would be cut by its end.
-constexpr duration stream_start_window = milliseconds(2500);
 constexpr duration stopping_retry = milliseconds(100);
 constexpr duration unready_retry = milliseconds(500);
 constexpr duration full_retry = milliseconds(700);
@@ -32,6 +30,17 @@
 /// A caller that reads this slowly would fill the memory.
 constexpr std::size_t most_unsent_bytes = 4 << 20;
 
+call_result to_call_result(attempt_end end) {
+    switch (end) {
+    case attempt_end::refused:
+        return call_result::refused_not_run;
+    case attempt_end::declined:
+        return call_result::cancelled;
+    default:
+        return call_result::failed;
+    }
+}
+
 /** \return the number in `timeout=N` of a Keep-Alive header, or nothing. */
 std::optional<duration> keep_alive_time(const header_list& headers) {
     const std::string value = headers.value_or_empty("Keep-Alive");
@@ -76,6 +85,7 @@
 
 void exchange::start() {
     arrived_at_ = monotonic_now();
+    config_age_ = state_.fence.age(arrived_at_);
     terms_ = state_.dialect.read_request(request_);
     routing_ = state_.routing;
     auto self = shared_from_this();
@@ -93,6 +103,7 @@
     events_ = event_joiner(terms_.last_event_id);
     pick_service();
     state_.retry_budgets[service_].on_first_attempt();
+    state_.cascade_budgets[service_].on_first_attempt();
     dispatch();
 }
 
@@ -140,8 +151,11 @@
 }
 
 bool exchange::starts_too_late_to_stop() const {
-    return state_.is_stopping && route_->kind == route_kind::stream &&
-           arrived_at_ - state_.stopping_since > stream_start_window;
+    if (!state_.is_stopping) {
+        return false;
+    }
+    const duration since = arrived_at_ - state_.stopping_since;
+    return !may_start_while_stopping(*route_, since, state_.settings.stop_time);
 }
 
 void exchange::pick_service() {
@@ -160,37 +174,69 @@
     }
 }
 
-bool exchange::choose(time_point now) {
+endpoint_wish exchange::make_wish() const {
+    const release_choice release = state_.releases.choose(service_, terms_.session, terms_.id);
     endpoint_wish wish;
     wish.pool = service_;
     wish.avoided = tried_;
-    const release_choice release = state_.releases.choose(service_, terms_.session, terms_.id);
     wish.release = release.required;
     wish.unwanted_release = release.unwanted;
-    std::vector<model_option> options;
-    std::vector<placement> placements;
+    return wish;
+}
+
+exchange::model_placements exchange::placements_from(std::size_t least_size, const endpoint_wish& wish,
+                                                     time_point now) {
+    model_placements found;
     const std::size_t sizes = std::max<std::size_t>(1, route_->models.size());
-    for (std::size_t size = 0; size < sizes; ++size) {
+    for (std::size_t size = least_size; size < sizes; ++size) {
         const std::string model = route_->models.empty() ? std::string{} : route_->models[size];
-        const std::optional<placement> chosen =
-            state_.endpoints.choose(wish, prompt_, state_.read_times.ms_per_token(model, size), now);
-        if (chosen) {
-            options.push_back({size, chosen->predicted_ms});
-            placements.push_back(*chosen);
+        const double read_time = state_.read_times.ms_per_token(model, size);
+        if (const auto chosen = state_.endpoints.choose(wish, prompt_, read_time, now)) {
+            found.options.push_back({size, chosen->predicted_ms});
+            found.placements.push_back(*chosen);
         }
     }
-    if (options.empty()) {
+    return found;
+}
+
+bool exchange::choose(time_point now) {
+    const endpoint_wish wish = make_wish();
+    const model_placements found = placements_from(least_size_, wish, now);
+    if (found.options.empty()) {
         return false;
     }
-    const std::size_t best = choose_model(options, to_ms(route_->latency_objective));
+    // The smallest first; one whose answer was not good enough goes to the largest that is still in time.
+    std::size_t best = 0;
+    if (least_size_ > 0) {
+        best = largest_in_time(found.options, objective_left_ms(now)).value_or(0);
+    }
     attempt_ = attempt{};
-    attempt_.chosen = placements[best];
-    attempt_.model_rank = options[best].size;
+    attempt_.chosen = found.placements[best];
+    attempt_.model_rank = found.options[best].size;
     attempt_.model = route_->models.empty() ? std::string{} : route_->models[attempt_.model_rank];
-    attempt_.wish = std::move(wish);
+    attempt_.wish = wish;
     return true;
 }
 
+double exchange::objective_left_ms(time_point now) const {
+    return to_ms(route_->latency_objective - (now - arrived_at_));
+}
+
+bool exchange::is_good_enough(const answer_terms& answer) {
+    const bool has_larger = attempt_.model_rank + 1 < route_->models.size();
+    if (!answer.confidence || !has_larger || has_begun_answer_ || !route_->may_repeat()) {
+        return true;
+    }
+    if (*answer.confidence >= state_.settings.cascade.confidence_for(route_->priority) ||
+        attempts_ >= route_->max_attempts) {
+        return true;
+    }
+    const time_point now = monotonic_now();
+    const model_placements larger = placements_from(attempt_.model_rank + 1, make_wish(), now);
+    return !largest_in_time(larger.options, objective_left_ms(now)) ||
+           !state_.cascade_budgets[service_].try_take();
+}
+
 void exchange::dispatch() {
     const time_point now = monotonic_now();
     if (!choose(now)) {
@@ -310,10 +356,10 @@
             continue;
         }
         has_surplus_ = has_surplus_ || !bytes.empty();
-        if (is_event_stream()) {
-            pass_on_events();
+        if (is_event_stream() && !pass_on_events()) {
+            return;
         }
-        if (connection_ && reader_->is_complete()) {
+        if (reader_->is_complete()) {
             on_answer_complete();
         }
         return;
@@ -335,21 +381,28 @@
     }
 }
 
-void exchange::pass_on_events() {
+bool exchange::pass_on_events() {
     const answer_terms answer = state_.dialect.read_answer(reader_->status(), reader_->headers());
     if (!answer.has_receipt) {
         end_attempt(attempt_end::broken);
-        return;
+        return false;
     }
+    confidence_ = answer.confidence.value_or(-1);
+    if (!attempt_.is_accepted && !is_good_enough(answer)) {
+        least_size_ = attempt_.model_rank + 1;
+        end_attempt(attempt_end::declined);
+        return false;
+    }
+    attempt_.is_accepted = true;
     std::string out;
     const std::optional<int> count = events_.feed(body_, out);
     body_.clear();
     if (!count) {
         end_attempt(attempt_end::out_of_order);
-        return;
+        return false;
     }
     if (out.empty()) {
-        return;
+        return true;
     }
     note_first_byte();
     begin_stream_answer();
@@ -358,7 +411,9 @@
     caller_->write(chunk);
     if (caller_->unsent_bytes() > most_unsent_bytes) {
         end_attempt(attempt_end::silent);
+        return false;
     }
+    return true;
 }
 
 void exchange::begin_stream_answer() {
@@ -488,9 +543,7 @@
 void exchange::end_attempt(attempt_end end) {
     const bool is_proof = end == attempt_end::not_sent || end == attempt_end::refused;
     may_have_run_ = may_have_run_ || !is_proof;
-    const call_result result =
-        end == attempt_end::refused ? call_result::refused_not_run : call_result::failed;
-    settle_attempt(result, false);
+    settle_attempt(to_call_result(end), end == attempt_end::declined);
     release_connection(end == attempt_end::refused || end == attempt_end::failed);
     log_attempt(end);
     follow_up(end);
@@ -516,15 +569,17 @@
     attempt_record made = record();
     made.has_budget = failed_connects_ < most_failed_connects;
     follow_up_step step = after_attempt(made, end);
-    if (step == follow_up_step::try_again && end != attempt_end::not_sent &&
-        !state_.retry_budgets[service_].try_take()) {
+    const bool costs_retry = end != attempt_end::not_sent && end != attempt_end::declined;
+    if (step == follow_up_step::try_again && costs_retry && !state_.retry_budgets[service_].try_take()) {
         made.has_budget = false;
         state_.measured.count("retry_budget_empty");
         step = after_attempt(made, end);
     }
     switch (step) {
     case follow_up_step::try_again:
-        tried_.insert(attempt_.chosen.endpoint.name);
+        if (end != attempt_end::declined) {
+            tried_.insert(attempt_.chosen.endpoint.name);
+        }
         state_.measured.count("attempts_repeated");
         waiting_since_ = monotonic_now();
         move("again");
@@ -639,20 +694,20 @@
     const duration took = monotonic_now() - arrived_at_;
     state_.measured.count(std::string("requests_") + outcome);
     state_.measured.time("request_ms", took);
-    log_info(
-        "request_ended",
-        {{"request", terms_.id},
-         {"outcome", outcome},
-         {"status", status},
-         {"route", route_ == nullptr ? std::string{} : route_->name},
-         {"team", team_ == nullptr ? std::string{} : team_->name},
-         {"endpoint", attempt_.chosen.endpoint.name},
-         {"model", attempt_.model},
-         {"attempts", attempts_},
-         {"events_to", events_.last_id()},
-         {"config_version", routing_ ? routing_->config().version : 0},
-         {"config_age_ms", static_cast<std::int64_t>(std::min(to_ms(state_.fence.age(arrived_at_)), 1e9))},
-         {"took_ms", static_cast<int>(to_ms(took))}});
+    log_info("request_ended",
+             {{"request", terms_.id},
+              {"outcome", outcome},
+              {"status", status},
+              {"route", route_ == nullptr ? std::string{} : route_->name},
+              {"team", team_ == nullptr ? std::string{} : team_->name},
+              {"endpoint", attempt_.chosen.endpoint.name},
+              {"model", attempt_.model},
+              {"confidence", confidence_},
+              {"attempts", attempts_},
+              {"events_to", events_.last_id()},
+              {"config_version", routing_ ? routing_->config().version : 0},
+              {"config_age_ms", static_cast<std::int64_t>(std::min(to_ms(config_age_), 1e9))},
+              {"took_ms", static_cast<int>(to_ms(took))}});
     owner_.active_.erase(shared_from_this());
 }
 
--- a/src/relay/exchange.h
+++ b/src/relay/exchange.h
@@ -37,6 +37,7 @@
         time_point heard_at;
         bool has_first_byte = false;
         duration first_byte_after{};
+        bool is_accepted = false; ///< the answer is good enough to be passed on
     };
 
     void move(const char* event);
@@ -45,7 +46,15 @@
     bool admit_team();
     void pick_service();
     void dispatch();
+    struct model_placements {
+        std::vector<model_option> options;
+        std::vector<placement> placements;
+    };
+    endpoint_wish make_wish() const;
+    model_placements placements_from(std::size_t least_size, const endpoint_wish& wish, time_point now);
     bool choose(time_point now);
+    double objective_left_ms(time_point now) const;
+    bool is_good_enough(const answer_terms& answer);
     void open_connection();
     void send_request();
     void read_answer(std::string_view bytes);
@@ -53,7 +62,8 @@
     bool is_event_stream() const;
     bool is_stray_answer() const;
     void note_first_byte();
-    void pass_on_events();
+    /** \return whether the attempt goes on. */
+    bool pass_on_events();
     void on_answer_complete();
     void complete_stream();
     void deliver_whole(const char* outcome);
@@ -98,6 +108,9 @@
     std::string body_;
     event_joiner events_{0};
     std::set<std::string> tried_;
+    std::size_t least_size_ = 0; ///< of the model; raised when a smaller one's answer was not good enough
+    duration config_age_{};      ///< at arrival
+    int confidence_ = -1;        ///< of the answer; -1: none said
     int attempts_ = 0;
     int failed_connects_ = 0;
     bool may_have_run_ = false;
--- a/src/relay/model_choice.cpp
+++ b/src/relay/model_choice.cpp
@@ -13,13 +13,13 @@
 
 } // namespace
 
-std::size_t choose_model(const std::vector<model_option>& options, double objective_ms) {
-    for (std::size_t i = options.size(); i-- > 1;) {
-        if (options[i].predicted_ms <= objective_ms * usable_share) {
+std::optional<std::size_t> largest_in_time(const std::vector<model_option>& options, double left_ms) {
+    for (std::size_t i = options.size(); i-- > 0;) {
+        if (options[i].predicted_ms <= left_ms * usable_share) {
             return i;
         }
     }
-    return 0;
+    return std::nullopt;
 }
 
 double read_time_estimate::ms_per_token(const std::string& model, std::size_t rank) const {
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "relay/caller_connection.h"
+#include "relay/cascade_budget.h"
 #include "relay/endpoint_connection.h"
 #include "relay/model_choice.h"
 #include "relay/wire_dialect.h"
@@ -22,8 +23,9 @@
 struct relay_settings {
     std::string host;
     std::string failure_domain;
-    duration revoke_bound = seconds(5); ///< for how long a withdrawn key may still be honoured
-    duration session_life = seconds(5);
+    duration revoke_bound = seconds(5);      ///< for how long a withdrawn key may still be honoured
+    duration stop_time = milliseconds(7500); ///< from the planned stop's beginning to the process's end
+    cascade_settings cascade;
 };
 
 /** Everything that the exchanges of one relay share. */
@@ -52,7 +54,8 @@
     connection_pool pool;
     config_fence fence;
     read_time_estimate read_times;
-    std::map<std::string, retry_budget> retry_budgets; ///< by service
+    std::map<std::string, retry_budget> retry_budgets;     ///< by service
+    std::map<std::string, cascade_budget> cascade_budgets; ///< by service
     metrics measured;
     routing_snapshot routing; ///< null until a configuration has been read
     bool is_stopping = false;
--- a/src/store/object_watch.cpp
+++ b/src/store/object_watch.cpp
@@ -8,6 +8,9 @@
 /// still confirm its configuration well within the revocation bound of a few seconds.
 constexpr duration rests[] = {milliseconds(50), milliseconds(150), milliseconds(300), milliseconds(500)};
 
+/// For up to a second before a store drops its history, its watches may miss changes.
+constexpr duration deaf_time = milliseconds(1100);
+
 } // namespace
 
 const char* to_string(store_failure failure) {
@@ -54,6 +57,12 @@
     list_from("");
 }
 
+void object_watch::ask_again() {
+    if (state_ == "following") {
+        follow();
+    }
+}
+
 void object_watch::list_from(const std::string& after) {
     const time_point sent_at = monotonic_now();
     store_.list(kind_, after, [this, sent_at](const auto& result) { on_page(result, sent_at); });
@@ -112,6 +121,15 @@
     return true;
 }
 
+// An answer proves what was current when the call was sent. One that says, after the whole wait, that nothing
+// happened proves more, but for the time in which a store that reorganises its history may hear nothing.
+duration object_watch::proven_wait(const object_events& heard, duration took) const {
+    if (!heard.events.empty() || took < wait_) {
+        return duration::zero();
+    }
+    return std::max<duration>(duration::zero(), wait_ - deaf_time);
+}
+
 void object_watch::on_events(const store_result<object_events>& result, time_point sent_at) {
     if (const store_failure* failure = std::get_if<store_failure>(&result)) {
         on_failure(*failure);
@@ -128,8 +146,7 @@
     if (has_changed) {
         events_.on_change(objects_);
     }
-    // The moment of sending, not of the answer: news may have been on their way when it was given.
-    events_.on_confirmed(sent_at);
+    events_.on_confirmed(sent_at + proven_wait(heard, monotonic_now() - sent_at));
     follow();
 }
 
--- a/src/store/object_watch.h
+++ b/src/store/object_watch.h
@@ -32,6 +32,9 @@
                  handlers events);
 
     void start();
+    /** Asks again now: a call under way may wait on a connection that was lost without a sign, as another
+     * one to the same store was. */
+    void ask_again();
     const objects_by_name& objects() const { return objects_; }
     bool is_listed() const { return is_listed_; }
     bool is_reachable() const { return is_reachable_; }
@@ -42,6 +45,7 @@
     void on_page(const store_result<object_page>& result, time_point sent_at);
     void follow();
     void on_events(const store_result<object_events>& result, time_point sent_at);
+    duration proven_wait(const object_events& heard, duration took) const;
     void on_failure(store_failure failure);
     void note_reachable(bool is_reachable);
     bool take(const object_event& event);
@@ -59,6 +63,7 @@
     std::int64_t revision_ = 0;
     time_point listing_since_;
     int failures_ = 0;
+    std::uint64_t call_ = 0; ///< the one whose answer counts
     bool is_listed_ = false;
     bool is_reachable_ = true;
 };
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -1,5 +1,7 @@
 #include "transport/http_client.h"
 
+#include "transport/socket_options.h"
+
 #include <boost/asio.hpp>
 #include <boost/beast.hpp>
 
@@ -119,8 +121,7 @@
                 self->finish(http_answer::result::not_sent);
                 return;
             }
-            beast::error_code ignored;
-            self->stream_->socket().set_option(tcp::no_delay{true}, ignored);
+            set_liveness_options(self->stream_->socket());
             self->write();
         });
     }
--- a/src/relay/socket_options.cpp
+++ b/src/transport/socket_options.cpp
@@ -1,9 +1,9 @@
-#include "relay/socket_options.h"
+#include "transport/socket_options.h"
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 
-namespace laurelhoist::internal {
+namespace laurelhoist {
 
 namespace {
 
@@ -31,4 +31,4 @@
     set_option(handle, IPPROTO_TCP, TCP_KEEPCNT, keep_alive_probes);
 }
 
-} // namespace laurelhoist::internal
+} // namespace laurelhoist
