A release is slow by its measured over its expected time; a dropped history lists every kind anew

The order itself was seen 8.3 s late: the store dropped its history and the roll-outs' call waited on, deaf. Change: the ratio to the predicted time is compared, for both releases alike; one watch's lost history makes the others list anew.

--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -76,21 +76,22 @@
                              relay_.state().fence.confirm(as_of);
                          }
                      },
-                     [this](bool is_lost) { on_store_reachability(is_lost); }}},
+                     [this](bool is_lost) { on_store_reachability(is_lost); },
+                     [this] { on_history_gone(); }}},
       endpoint_watch_{loop,
                       store,
                       charts.watch,
                       codec.endpoint_kind(),
                       endpoint_timing,
                       {[this](const objects_by_name& objects) { on_endpoints(objects); }, [](time_point) {},
-                       [this](bool is_lost) { note_reachability(is_lost); }}},
-      rollout_watch_{
-          loop,
-          store,
-          charts.watch,
-          codec.rollout_kind(),
-          rollout_timing,
-          {[this](const objects_by_name& objects) { on_rollouts(objects); }, [](time_point) {}, [](bool) {}}},
+                       [this](bool is_lost) { note_reachability(is_lost); }, [this] { on_history_gone(); }}},
+      rollout_watch_{loop,
+                     store,
+                     charts.watch,
+                     codec.rollout_kind(),
+                     rollout_timing,
+                     {[this](const objects_by_name& objects) { on_rollouts(objects); }, [](time_point) {},
+                      [](bool) {}, [this] { on_history_gone(); }}},
       datagrams_{loop, settings.peers,
                  [this](const std::string& from, const std::string& bytes) { on_datagram(from, bytes); }},
       peer_client_{loop} {}
@@ -161,6 +162,12 @@
     }
 }
 
+void entry_host::on_history_gone() {
+    for (object_watch* watch : {&config_watch_, &endpoint_watch_, &rollout_watch_}) {
+        watch->list_again(); // Has no effect on the one that noticed: it lists already.
+    }
+}
+
 void entry_host::on_config(const objects_by_name& objects) {
     const auto found = objects.find(codec_.config_name());
     is_config_readable_ = found != objects.end() && apply_config(found->second);
--- a/src/host/entry_host.h
+++ b/src/host/entry_host.h
@@ -70,6 +70,7 @@
 private:
     void note_reachability(bool is_lost);
     void on_store_reachability(bool is_lost);
+    void on_history_gone();
     void on_config(const objects_by_name& objects);
     bool apply_config(const stored_object& object);
     void on_endpoints(const objects_by_name& objects);
--- a/src/relay/exchange.cpp
+++ b/src/relay/exchange.cpp
@@ -520,11 +520,14 @@
         note_first_byte();
     }
     state_.endpoints.on_ended(attempt_.chosen, attempt_.has_first_byte, result, took, now);
-    const std::optional<duration> first =
-        attempt_.has_first_byte ? std::optional(attempt_.first_byte_after) : std::nullopt;
+    response_timing timing;
+    if (attempt_.has_first_byte) {
+        timing.first_byte = attempt_.first_byte_after;
+    }
+    timing.expected_ms = prompt_.is_empty() ? 0 : attempt_.chosen.predicted_ms;
     state_.releases.on_finished(release_key());
     if (result == call_result::answered || result == call_result::failed) {
-        state_.releases.on_outcome(release_key(), is_good, first);
+        state_.releases.on_outcome(release_key(), is_good, timing);
     }
 }
 
--- a/src/rollout/release_rollout.cpp
+++ b/src/rollout/release_rollout.cpp
@@ -26,7 +26,8 @@
 constexpr double tolerated_drop = 0.04;
 constexpr double braked_drop = 0.25;
 constexpr std::int64_t enough_for_mean = 20;
-constexpr double slow_factor = 5.0;
+constexpr double slow_factor = 4.0;
+constexpr double least_expected_ms = 20.0; ///< below it a time is mostly the network's
 constexpr double least_slow_ms =
     150.0; ///< more than the old release's mean, so that small times do not count
 constexpr double smoothing = 0.05;
@@ -147,22 +148,32 @@
     counts.in_flight = std::max<std::int64_t>(0, counts.in_flight - 1);
 }
 
-void rollout_tracker::on_outcome(const release_use& use, bool is_good, std::optional<duration> first_byte) {
-    release_counts& counts = own_[use];
+// Told by the ratio of the measured to the expected time: a larger model or a longer prompt takes several
+// times as long on any release, and that must not speak against one of them. Both releases are judged alike.
+bool rollout_tracker::is_slow(const release_use& use, const response_timing& timing) {
+    if (!timing.first_byte) {
+        return false;
+    }
+    const double ms = to_ms(*timing.first_byte);
+    const bool has_expectation = timing.expected_ms > 0;
+    const double measure = has_expectation ? ms / std::max(timing.expected_ms, least_expected_ms) : ms;
+    usual_time& usual = usual_times_[{use.service, "", use.route}];
+    const double expected = has_expectation ? timing.expected_ms : usual.mean;
+    const bool is_far_off = ms > expected + least_slow_ms && measure > usual.mean * slow_factor;
+    const bool is_judged = usual.count >= enough_for_mean;
     const auto found = tracks_.find(use.service);
     const bool is_fresh = found != tracks_.end() && found->second.order.release == use.release;
-    if (is_good && first_byte && !is_fresh) {
-        response_time& seen = first_bytes_[{use.service, "", use.route}];
-        seen.mean_ms += (seen.count == 0 ? 1.0 : smoothing) * (to_ms(*first_byte) - seen.mean_ms);
-        ++seen.count;
-    }
-    bool is_slow = false;
-    if (is_good && first_byte && is_fresh) {
-        const response_time& seen = first_bytes_[{use.service, "", use.route}];
-        const double bound = std::max(seen.mean_ms * slow_factor, seen.mean_ms + least_slow_ms);
-        is_slow = seen.count >= enough_for_mean && to_ms(*first_byte) > bound;
+    if (!is_fresh) {
+        usual.mean += (usual.count == 0 ? 1.0 : smoothing) * (measure - usual.mean);
+        ++usual.count;
     }
-    ++(is_good && !is_slow ? counts.good : counts.bad);
+    return is_judged && is_far_off;
+}
+
+void rollout_tracker::on_outcome(const release_use& use, bool is_good, const response_timing& timing) {
+    release_counts& counts = own_[use];
+    const bool is_bad = !is_good || is_slow(use, timing);
+    ++(is_bad ? counts.bad : counts.good);
 }
 
 std::vector<release_counts> rollout_tracker::own_counts() const {
--- a/src/rollout/release_rollout.h
+++ b/src/rollout/release_rollout.h
@@ -54,6 +54,12 @@
 };
 LAUREL_VALUE_TYPE(release_counts, service, release, route, good, bad, in_flight)
 
+/** How long an answer took to begin. */
+struct response_timing {
+    std::optional<duration> first_byte; ///< none: it never began
+    double expected_ms = 0;             ///< from the model, the prompt and the load; 0: not predicted
+};
+
 /** What hosts tell one another about one roll-out. */
 struct rollout_news {
     std::string service;
@@ -90,8 +96,7 @@
 
     void on_started(const release_use& use);
     void on_finished(const release_use& use);
-    /** \param first_byte how long the answer took to begin, if it did */
-    void on_outcome(const release_use& use, bool is_good, std::optional<duration> first_byte);
+    void on_outcome(const release_use& use, bool is_good, const response_timing& timing);
 
     std::vector<release_counts> own_counts() const;
     std::vector<rollout_news> own_news(time_point now) const;
@@ -120,8 +125,9 @@
         std::map<std::string, totals> judged;   ///< by route: what the evidence includes
         std::map<std::string, double> evidence; ///< by route: for "bad" over "good", never below 0
     };
-    struct response_time {
-        double mean_ms = 0;
+    /// Mean of measured over expected times, or where none are expected of the times themselves.
+    struct usual_time {
+        double mean = 0;
         std::int64_t count = 0;
     };
 
@@ -138,7 +144,10 @@
     std::map<release_use, release_counts> own_;
     std::map<std::string, std::map<release_use, release_counts>> by_host_;
     std::map<std::string, std::map<std::string, int>> endpoints_;
-    std::map<release_use, response_time> first_bytes_;
+    bool is_slow(const release_use& use, const response_timing& timing);
+
+    std::map<release_use, usual_time>
+        usual_times_; ///< of the releases that are not new, by service and route
 };
 
 } // namespace laurelhoist
--- a/src/store/object_watch.cpp
+++ b/src/store/object_watch.cpp
@@ -64,6 +64,14 @@
     }
 }
 
+void object_watch::list_again() {
+    if (state_ == "following") {
+        ++call_; // The answer of the call that waits counts no more.
+        move("history_gone");
+        start();
+    }
+}
+
 void object_watch::list_from(const std::string& after) {
     const time_point sent_at = monotonic_now();
     store_.list(kind_, after, [this, sent_at](const auto& result) { on_page(result, sent_at); });
@@ -175,6 +183,7 @@
         log_warning("store_history_gone", {{"kind", kind_}, {"revision", revision_}});
         move("history_gone");
         start();
+        events_.on_history_gone();
         return;
     }
     note_reachable(false);
--- a/src/store/object_watch.h
+++ b/src/store/object_watch.h
@@ -31,6 +31,8 @@
         std::function<void(time_point as_of)> on_confirmed;
         /// Calls fail (true) or succeed again (false).
         std::function<void(bool is_lost)> on_reachability;
+        /// The store has dropped the history that the watch went by.
+        std::function<void()> on_history_gone;
     };
 
     object_watch(event_loop& loop, object_store& store, chart life, std::string kind, watch_timing timing,
@@ -40,6 +42,9 @@
     /** Asks again now: a call under way may wait on a connection that was lost without a sign, as another
      * one to the same store was. */
     void ask_again();
+    /** Lists anew now. When the store drops its history, a watch of another kind may go on waiting to its
+     * end without hearing what has happened meanwhile. */
+    void list_again();
     const objects_by_name& objects() const { return objects_; }
     bool is_listed() const { return is_listed_; }
     bool is_reachable() const { return is_reachable_; }
--- a/test/rollout_test.cpp
+++ b/test/rollout_test.cpp
@@ -129,7 +129,7 @@
             tracker.on_started({"pool", release, "drafts"});
             tracker.on_finished({"pool", release, "drafts"});
             tracker.on_outcome({"pool", release, "drafts"}, period == 0 || i % period != 0,
-                               milliseconds(100));
+                               {milliseconds(100), 90});
         }
     }
     double share_of_sessions() const {
@@ -210,6 +210,29 @@
     EXPECT_EQ(rollout.due(seconds(3)), rollout_state::running);
 }
 
+// The small model answers in 40 ms and the large one in 500. A host that had just started took the small
+// model's time for usual and braked a good release, because a quarter of its answers came from the large one.
+TEST(release_rollout, a_larger_model_is_no_sign_of_a_slow_release) {
+    tracked_rollout rollout;
+    for (int i = 0; i < 60; ++i) {
+        rollout.tracker.on_outcome({"pool", "v1", "drafts"}, true, {milliseconds(40), 35});
+        const bool is_large = i % 4 == 0;
+        rollout.tracker.on_outcome({"pool", "v2", "drafts"}, true,
+                                   {milliseconds(is_large ? 500 : 40), is_large ? 450.0 : 35.0});
+    }
+    EXPECT_EQ(rollout.due(seconds(3)), rollout_state::running);
+}
+
+TEST(release_rollout, a_release_that_takes_eight_times_as_long_is_braked) {
+    tracked_rollout rollout;
+    for (int i = 0; i < 60; ++i) {
+        rollout.tracker.on_outcome({"pool", "v1", "drafts"}, true, {milliseconds(100), 90});
+        rollout.tracker.on_outcome({"pool", "v2", "drafts"}, true,
+                                   {milliseconds(i % 2 == 0 ? 800 : 100), 90});
+    }
+    EXPECT_EQ(rollout.due(seconds(3)), rollout_state::rolled_back);
+}
+
 // A host that starts in the middle of a roll-out would count its time from there and hold the others up.
 TEST(release_rollout, a_new_host_takes_over_the_age_of_the_others) {
     tracked_rollout rollout;
--- a/test/store_test.cpp
+++ b/test/store_test.cpp
@@ -48,7 +48,7 @@
                 {seconds(2), duration::zero()},
                 {[this](const objects_by_name& objects) { held = objects; },
                  [this](time_point as_of) { confirmed = as_of; },
-                 [this](bool is_lost) { reachability.push_back(is_lost); }}} {
+                 [this](bool is_lost) { reachability.push_back(is_lost); }, [this] { ++histories_gone; }}} {
         watch.start();
     }
 
@@ -75,6 +75,7 @@
     objects_by_name held;
     std::optional<time_point> confirmed;
     std::vector<bool> reachability;
+    int histories_gone = 0;
 };
 
 TEST(object_watch, lists_every_page_and_follows_from_the_first) {
@@ -104,6 +105,7 @@
     watched copy;
     copy.answer_list(object_page{{object("main", 9)}, false, 9});
     copy.answer_watch(store_failure::history_gone);
+    EXPECT_EQ(copy.histories_gone, 1);
     copy.answer_list(object_page{{object("main", 5)}, false, 6});
     EXPECT_EQ(copy.held.at("main").revision, 9);
     EXPECT_EQ(copy.store.watches.front().revision, 9);
@@ -142,6 +144,19 @@
     EXPECT_EQ(copy.held.at("a").revision, 3);
 }
 
+// The store drops its history, and one watch is told. That of the roll-outs went on waiting for eight seconds
+// in which it heard nothing: the order of a roll-out was seen eight seconds late.
+TEST(object_watch, listing_again_leaves_a_deaf_call_behind) {
+    watched copy;
+    copy.answer_list(object_page{{object("a", 1)}, false, 1});
+    copy.watch.list_again();
+    ASSERT_EQ(copy.store.lists.size(), 1U);
+    copy.answer_watch(object_events{{}, 1});
+    copy.answer_list(object_page{{object("a", 1), object("b", 4)}, false, 4});
+    EXPECT_EQ(copy.held.size(), 2U);
+    EXPECT_EQ(copy.store.watches.back().revision, 4);
+}
+
 // Before a store drops its history, its watches may hear nothing of changes for a second. An empty answer
 // that came early, or that is taken for more than it proves, would keep a withdrawn key alive.
 TEST(object_watch, an_empty_answer_that_came_early_proves_only_its_sending) {
