A store that is back is known at once

A host was cut off until 19.8 s; its first call waited 2 s for news, so the store's return was noted at 22.6 s and endpoints that left then were kept to 24.8 s. The test failed first.

--- a/src/store/object_watch.cpp
+++ b/src/store/object_watch.cpp
@@ -6,7 +6,7 @@
 
 /// Rests after failures in a row. Calls are rationed for all hosts together, refused ones too; a host must
 /// still confirm its configuration well within the revocation bound of a few seconds.
-constexpr duration rests[] = {milliseconds(50), milliseconds(150), milliseconds(300), milliseconds(500)};
+constexpr duration rests[] = {milliseconds(50), milliseconds(150), milliseconds(250)};
 
 /// For up to a second before a store drops its history, its watches may miss changes.
 constexpr duration deaf_time = milliseconds(1100);
@@ -111,7 +111,10 @@
 void object_watch::follow() {
     const time_point sent_at = monotonic_now();
     const std::uint64_t call = ++call_;
-    store_.watch(kind_, revision_, wait_, [this, sent_at, call](const auto& result) {
+    // The first call after a failure does not wait: that the store is back must be known at once, because the
+    // time for which vanished endpoints are kept runs from there.
+    const duration wait = is_reachable_ ? wait_ : duration::zero();
+    store_.watch(kind_, revision_, wait, [this, sent_at, call](const auto& result) {
         if (call == call_) {
             on_events(result, sent_at);
         }
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -18,7 +18,6 @@
 
 namespace {
 
-constexpr duration connect_timeout = seconds(1);
 constexpr duration kept_connection_time = seconds(2);
 constexpr std::size_t kept_connections_per_address = 64;
 constexpr std::size_t largest_answer = 8 << 20;
@@ -113,7 +112,7 @@
 
     void connect() {
         stream_ = std::make_unique<beast::tcp_stream>(client_->context);
-        stream_->expires_after(connect_timeout);
+        stream_->expires_after(call_.connect_timeout);
         auto self = this->shared_from_this();
         const tcp::endpoint endpoint(asio::ip::make_address(call_.address.host), call_.address.port);
         stream_->async_connect(endpoint, [self](beast::error_code failure) {
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -15,6 +15,7 @@
     http_headers headers;
     std::string body;
     duration timeout = seconds(5); ///< for the whole answer, or between two pieces of a streamed one
+    duration connect_timeout = seconds(1);
     bool is_streamed = false;
     /** A kept connection may have died without a sign, and then it is not known whether a request on it
      * was received. A call that may not be repeated therefore gets a connection of its own. */
--- a/test/store_test.cpp
+++ b/test/store_test.cpp
@@ -16,14 +16,15 @@
     };
     struct watch_call {
         std::int64_t revision = 0;
+        duration wait{};
         events_handler done;
     };
 
     void list(const std::string&, const std::string& after, page_handler done) override {
         lists.push_back({after, std::move(done)});
     }
-    void watch(const std::string&, std::int64_t revision, duration, events_handler done) override {
-        watches.push_back({revision, std::move(done)});
+    void watch(const std::string&, std::int64_t revision, duration wait, events_handler done) override {
+        watches.push_back({revision, wait, std::move(done)});
     }
     void create(const std::string&, const std::string&, const json&, object_handler) override {}
     void replace_status(const std::string&, const std::string&, std::int64_t, const json&,
@@ -131,6 +132,21 @@
     EXPECT_EQ(copy.reachability, std::vector<bool>({true, false}));
 }
 
+// A host is cut off, and the cut heals. Its first call waited two seconds for news before the store's return
+// was known; endpoints that had left meanwhile were kept that much longer and got new requests.
+TEST(object_watch, the_first_call_after_a_failure_does_not_wait) {
+    watched copy;
+    copy.answer_list(object_page{{object("a", 1)}, false, 1});
+    EXPECT_EQ(copy.store.watches.back().wait, seconds(2));
+    copy.answer_watch(store_failure::unanswered);
+    copy.loop.after(milliseconds(80), [&] { copy.loop.stop(); });
+    copy.loop.run();
+    ASSERT_FALSE(copy.store.watches.empty());
+    EXPECT_EQ(copy.store.watches.back().wait, duration::zero());
+    copy.answer_watch(object_events{{}, 1});
+    EXPECT_EQ(copy.store.watches.back().wait, seconds(2));
+}
+
 // Something between this host and the store has lost track of one connection; another still works. The call
 // on the first would wait for its whole time. Its answer, should it come, must not count twice.
 TEST(object_watch, asking_again_leaves_the_answer_of_the_call_before_out) {
