A few hosts read the store on a large fleet; long prompts are told to other hosts at once

Change: six hosts read, the others go by their copies, fetched when a notice names a newer one; load news within 20 ms to the hosts that share endpoints; on a large fleet the own failure domain's endpoints come first. Idle connections to an endpoint are at most three; a planned stop keeps a second in hand.

--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -17,12 +17,15 @@
 constexpr duration stop_interval = milliseconds(100);
 /// Without confirmation from the store for this long, peers are asked; three rounds fit before keys expire.
 constexpr duration stale_after = milliseconds(3200);
+/// A host that goes by copies asks sooner: the answer's own age, up to 3 s, comes on top.
+constexpr duration stale_copy_after = milliseconds(1200);
+constexpr duration load_gathering = milliseconds(20); ///< so that a burst of requests is told at once
 constexpr duration question_life = seconds(2);
 constexpr std::size_t peers_asked = 3;
 constexpr std::size_t most_load_entries = 16; ///< of 20 bytes each in a datagram
 /// Callers keep an answer about this long, so for that time they still come.
 constexpr duration serving_after_stop = milliseconds(3000);
-constexpr duration stop_margin = milliseconds(500); ///< before the end of the grace period
+constexpr duration stop_margin = milliseconds(1000); ///< before the end of the grace period, for slow hosts
 /// A leader that has not reported by then is taken for dead or cut off.
 constexpr duration leader_patience = milliseconds(600);
 constexpr std::size_t most_entries_in_answer = 16;
@@ -100,15 +103,12 @@
 
 void entry_host::start() {
     set_seeds(settings_.seeds);
+    relay_.state().on_load_changed = [this] { on_load_changed(); };
     relay_.listen(settings_.callers);
-    peer_server_ =
-        listen_or_exit(loop_, "peers", settings_.peers, http_limits{},
-                       [this](const http_request&, const std::shared_ptr<http_responder>& responder) {
-                           const json body = {{"name", config_object_.name},
-                                              {"revision", config_object_.revision},
-                                              {"spec", config_object_.spec}};
-                           responder->reply(200, {}, body.dump());
-                       });
+    started_at_ = monotonic_now();
+    peer_server_ = listen_or_exit(
+        loop_, "peers", settings_.peers, http_limits{},
+        [this](const http_request& request, const auto& responder) { serve_copy(request, responder); });
     config_watch_.start();
     endpoint_watch_.start();
     rollout_watch_.start();
@@ -116,6 +116,7 @@
     loop_.every(upkeep_interval, [this] {
         flush_log();
         refresh_endpoints();
+        share_reading();
         check_freshness();
         advance_rollouts();
     });
@@ -174,7 +175,7 @@
 }
 
 bool entry_host::apply_config(const stored_object& object) {
-    if (relay_.state().routing && object.revision <= config_object_.revision) {
+    if (relay_.state().routing && object.revision <= config_revision_) {
         return true; // What is in force is as new: revisions only rise, or a lagging reading would undo one.
     }
     const outcome<traffic_config> decoded = codec_.config(object);
@@ -182,8 +183,7 @@
         log_error("config_refused", {{"revision", object.revision}, {"remedy", failure->message}});
         return false;
     }
-    config_object_ = object;
-    config_object_.status = json();
+    config_revision_ = object.revision;
     const traffic_config& config = *value_of(decoded);
     log_info("config_in_force", {{"version", config.version},
                                  {"revision", config.revision},
@@ -192,6 +192,7 @@
     const std::size_t hosts = gossip_.live(monotonic_now()).size();
     relay_.set_routing(std::make_shared<const routing_table>(config), hosts);
     gossip_.set_config_revision(object.revision);
+    tell_copies();
     return true;
 }
 
@@ -208,9 +209,11 @@
     roster_.update(listed, monotonic_now());
     log_info("endpoints_listed", {{"count", listed.size()}, {"lapsed", roster_.has_lapsed()}});
     refresh_endpoints();
+    tell_copies();
 }
 
 void entry_host::refresh_endpoints() {
+    relay_.state().endpoints.prefer_own_domain(is_large_fleet(monotonic_now()));
     if (!endpoint_watch_.is_listed()) {
         return;
     }
@@ -236,6 +239,7 @@
         orders.push_back(*value_of(decoded));
     }
     rollouts_.set_orders(orders, monotonic_now());
+    tell_copies();
 }
 
 void entry_host::on_datagram(const std::string& from, const std::string& bytes) {
@@ -251,13 +255,58 @@
     const time_point now = monotonic_now();
     const std::string& sender = news.statuses.front().name;
     gossip_.take(news.statuses, now);
+    take_load(sender, news.load, now);
+    const std::string reporter = sender + "/" + std::to_string(news.statuses.front().incarnation);
+    rollouts_.merge(reporter, news.counts, news.rollouts, now);
+}
+
+void entry_host::take(const std::string&, const load_news& news) {
+    take_load(news.sender, news.load, monotonic_now());
+}
+
+void entry_host::take_load(const std::string& sender, const std::vector<load_entry>& entries,
+                           time_point now) {
     load_by_endpoint load;
-    for (const load_entry& entry : news.load) {
+    for (const load_entry& entry : entries) {
         load[entry.endpoint] = {entry.unread_tokens, entry.running};
     }
     relay_.state().endpoints.set_peer_load(sender, std::move(load), now);
-    const std::string reporter = sender + "/" + std::to_string(news.statuses.front().incarnation);
-    rollouts_.merge(reporter, news.counts, news.rollouts, now);
+}
+
+std::vector<load_entry> entry_host::own_load() const {
+    std::vector<load_entry> entries;
+    for (const auto& [endpoint, load] : relay_.state().endpoints.own_load()) {
+        if (entries.size() < most_load_entries) {
+            entries.push_back({endpoint, load.unread_tokens, load.running});
+        }
+    }
+    return entries;
+}
+
+// Load pattern: several hosts get a long prompt within the same tenth of a second. Told of one another's only
+// with the next round, they send them to the same idle endpoint, where the last waits for all.
+void entry_host::on_load_changed() {
+    if (is_load_to_tell_) {
+        return;
+    }
+    is_load_to_tell_ = true;
+    loop_.after(load_gathering, [this] {
+        is_load_to_tell_ = false;
+        tell_load();
+    });
+}
+
+void entry_host::tell_load() {
+    const time_point now = monotonic_now();
+    const bool is_large = is_large_fleet(now);
+    const std::string bytes = encode_peer_message(load_news{settings_.name, own_load()});
+    for (const host_status& peer : gossip_.live(now)) {
+        // On a large fleet only hosts of the same domain share endpoints as a rule.
+        const bool shares_endpoints = !is_large || peer.domain == settings_.failure_domain;
+        if (peer.name != settings_.name && shares_endpoints) {
+            datagrams_.send(peer.gossip_address, bytes);
+        }
+    }
 }
 
 void entry_host::take(const std::string& from, const freshness_question& question) {
@@ -266,8 +315,8 @@
     if (!state.routing || age == duration::max()) {
         return;
     }
-    datagrams_.send(
-        from, encode_peer_message(freshness_answer{question.nonce, config_object_.revision, age.count()}));
+    datagrams_.send(from,
+                    encode_peer_message(freshness_answer{question.nonce, config_revision_, age.count()}));
 }
 
 void entry_host::take(const std::string& from, const freshness_answer& answer) {
@@ -276,9 +325,9 @@
         return;
     }
     const time_point as_of = asked->second - duration(answer.age_us);
-    if (answer.config_revision > config_object_.revision) {
-        fetch_config(from);
-    } else if (answer.config_revision == config_object_.revision && relay_.state().routing) {
+    if (answer.config_revision > config_revision_) {
+        fetch_copy(from, config_watch_, codec_.config_kind());
+    } else if (answer.config_revision == config_revision_ && relay_.state().routing) {
         relay_.state().fence.confirm(as_of);
         relay_.state().measured.count("config_vouched_by_peer");
     }
@@ -287,11 +336,7 @@
 peer_news entry_host::make_news(time_point now) {
     peer_news news;
     news.statuses = gossip_.statuses_to_send(now);
-    for (const auto& [endpoint, load] : relay_.state().endpoints.own_load()) {
-        if (news.load.size() < most_load_entries) {
-            news.load.push_back({endpoint, load.unread_tokens, load.running});
-        }
-    }
+    news.load = own_load();
     news.counts = rollouts_.own_counts();
     news.rollouts = rollouts_.own_news(now);
     return news;
@@ -305,6 +350,7 @@
     for (const std::string& target : targets) {
         datagrams_.send(target, bytes);
     }
+    tell_copies();
 }
 
 // Against withdrawn keys at a host that the store does not serve while it serves others: a peer that has
@@ -314,7 +360,7 @@
     for (auto item = questions_.begin(); item != questions_.end();) {
         item = now - item->second > question_life ? questions_.erase(item) : std::next(item);
     }
-    if (relay_.state().fence.age(now) < stale_after) {
+    if (relay_.state().fence.age(now) < (is_reading_ ? stale_after : stale_copy_after)) {
         return;
     }
     const std::int64_t nonce = ++last_nonce_;
@@ -325,35 +371,6 @@
     }
 }
 
-void entry_host::fetch_config(const std::string& peer) {
-    const outcome<socket_address> address = parse_address(peer);
-    if (is_fetching_config_ || value_of(address) == nullptr) {
-        return;
-    }
-    is_fetching_config_ = true;
-    http_call call;
-    call.address = *value_of(address);
-    call.target = "/config";
-    call.timeout = seconds(1);
-    peer_client_.send(call, [this, peer](const http_answer& answer) {
-        is_fetching_config_ = false;
-        if (answer.what != http_answer::result::answered) {
-            log_warning("peer_config_unavailable", {{"peer", peer}});
-            return;
-        }
-        const json body = json::parse(answer.body, nullptr, false);
-        if (!body.is_object() || !body.contains("spec")) {
-            log_warning("peer_config_unreadable", {{"peer", peer}});
-            return;
-        }
-        stored_object object;
-        object.name = body.value("name", "");
-        object.revision = body.value("revision", std::int64_t{0});
-        object.spec = body.at("spec");
-        is_config_readable_ = apply_config(object);
-    });
-}
-
 bool entry_host::leads(time_point now) const {
     for (const host_status& host : gossip_.live(now)) {
         if (host.state == "serving") {
--- a/src/host/entry_host.h
+++ b/src/host/entry_host.h
@@ -80,10 +80,22 @@
     void take(const std::string& from, const peer_news& news);
     void take(const std::string& from, const freshness_question& question);
     void take(const std::string& from, const freshness_answer& answer);
+    void take(const std::string& from, const load_news& news);
+    void take_load(const std::string& sender, const std::vector<load_entry>& entries, time_point now);
+    std::vector<load_entry> own_load() const;
+    void on_load_changed();
+    void tell_load();
     void gossip_round();
     peer_news make_news(time_point now);
+    void take(const std::string& from, const copy_notice& notice);
     void check_freshness();
-    void fetch_config(const std::string& peer);
+    void share_reading();
+    bool should_read(time_point now) const;
+    bool is_large_fleet(time_point now) const;
+    void tell_copies();
+    void serve_copy(const http_request& request, const std::shared_ptr<http_responder>& responder);
+    void fetch_copy(const std::string& peer, object_watch& watch, const std::string& kind);
+    void take_copy(object_watch& watch, const std::string& kind, const json& copy);
     void advance_rollouts();
     bool leads(time_point now) const;
     void report(const rollout_report& due);
@@ -103,11 +115,14 @@
     datagram_socket datagrams_;
     std::unique_ptr<http_server> peer_server_;
     http_client peer_client_;
-    stored_object config_object_;                  ///< in force, as peers may ask for it
+    std::int64_t config_revision_ = 0;             ///< of the configuration in force
     bool is_config_readable_ = false;              ///< the newest one could be decoded
     std::map<std::int64_t, time_point> questions_; ///< asked of peers, by nonce
     std::int64_t last_nonce_ = 0;
-    bool is_fetching_config_ = false;
+    bool is_load_to_tell_ = false;
+    std::set<std::string> fetching_; ///< kinds of which a peer's copy is on its way
+    time_point started_at_;
+    bool is_reading_ = true; ///< calls the store itself; otherwise it goes by the copies of those that do
     std::map<std::string, time_point>
         due_since_;                 ///< reports not yet shown by the store, by service and state
     std::set<std::string> writing_; ///< services with a write under way
--- /dev/null
+++ b/src/host/entry_host_copies.cpp
@@ -0,0 +1,142 @@
+// How entry hosts share what they read from the store. Calls of the store are rationed for all hosts
+// together, and each change answers everybody's. On a large fleet a few hosts read and the others go by their
+// copies; any of them reads itself as soon as it hears too little.
+#include "host/entry_host.h"
+
+#include <algorithm>
+
+namespace laurelhoist {
+
+namespace {
+
+constexpr duration reading_after_start = milliseconds(1500); ///< until the other hosts are known
+constexpr duration own_reading_after = milliseconds(3800);   ///< without confirmation, before keys expire
+/// Up to so many hosts all read: what copies would save is not worth their delay.
+constexpr std::size_t readers_of_small_fleet = 10;
+constexpr std::ptrdiff_t readers_of_large_fleet = 6; ///< so that those asked at random include a live one
+constexpr std::size_t peers_told = 3;
+constexpr duration copy_limit = milliseconds(800);
+constexpr int status_ok = 200;
+constexpr int status_unavailable = 503;
+
+} // namespace
+
+bool entry_host::is_large_fleet(time_point now) const {
+    return gossip_.live(now).size() > readers_of_small_fleet;
+}
+
+bool entry_host::should_read(time_point now) const {
+    if (now - started_at_ < reading_after_start || relay_.state().fence.age(now) > own_reading_after) {
+        return true;
+    }
+    if (!is_large_fleet(now)) {
+        return true;
+    }
+    const auto rank_of = [](const std::string& name) { return placement_hash("reader/" + name); };
+    const std::uint64_t own = rank_of(settings_.name);
+    const std::vector<host_status> hosts = gossip_.live(now);
+    const auto before = std::count_if(hosts.begin(), hosts.end(), [&](const host_status& host) {
+        return host.state == "serving" && rank_of(host.name) < own;
+    });
+    return before < readers_of_large_fleet;
+}
+
+void entry_host::share_reading() {
+    const bool reads = should_read(monotonic_now());
+    if (reads == is_reading_) {
+        return;
+    }
+    is_reading_ = reads;
+    log_info("store_reading", {{"reads", reads}});
+    for (object_watch* watch : {&config_watch_, &endpoint_watch_, &rollout_watch_}) {
+        if (reads) {
+            watch->resume();
+        } else {
+            watch->pause();
+        }
+    }
+}
+
+void entry_host::tell_copies() {
+    const time_point now = monotonic_now();
+    if (!is_large_fleet(now)) {
+        return;
+    }
+    const copy_notice notice{config_watch_.revision(), endpoint_watch_.revision(), rollout_watch_.revision()};
+    const std::string bytes = encode_peer_message(notice);
+    for (const host_status& peer : gossip_.random_peers(peers_told, now)) {
+        datagrams_.send(peer.gossip_address, bytes);
+    }
+}
+
+void entry_host::take(const std::string& from, const copy_notice& notice) {
+    if (is_reading_) {
+        return; // It hears of changes itself, and at first hand.
+    }
+    const auto fetch_if_newer = [&](object_watch& watch, std::int64_t revision, const std::string& kind) {
+        if (revision > watch.revision()) {
+            fetch_copy(from, watch, kind);
+        }
+    };
+    fetch_if_newer(config_watch_, notice.config_revision, codec_.config_kind());
+    fetch_if_newer(endpoint_watch_, notice.endpoint_revision, codec_.endpoint_kind());
+    fetch_if_newer(rollout_watch_, notice.rollout_revision, codec_.rollout_kind());
+}
+
+void entry_host::serve_copy(const http_request& request, const std::shared_ptr<http_responder>& responder) {
+    const std::string kind = request.parameter("kind");
+    const object_watch& watch = kind == codec_.endpoint_kind()  ? endpoint_watch_
+                                : kind == codec_.rollout_kind() ? rollout_watch_
+                                                                : config_watch_;
+    json objects = json::array();
+    for (const auto& [name, object] : watch.objects()) {
+        objects.push_back({{"name", name},
+                           {"revision", object.revision},
+                           {"spec", object.spec},
+                           {"status", object.status}});
+    }
+    const json body = {{"revision", watch.revision()},
+                       {"is_steady", !roster_.is_unsteady(monotonic_now())},
+                       {"objects", objects}};
+    responder->reply(watch.is_listed() ? status_ok : status_unavailable, {}, body.dump());
+}
+
+void entry_host::fetch_copy(const std::string& peer, object_watch& watch, const std::string& kind) {
+    const outcome<socket_address> address = parse_address(peer);
+    if (value_of(address) == nullptr || !fetching_.insert(kind).second) {
+        return;
+    }
+    http_call call;
+    call.address = *value_of(address);
+    call.target = "/copy?kind=" + kind;
+    call.timeout = copy_limit;
+    call.connect_timeout = copy_limit / 2;
+    peer_client_.send(call, [this, peer, kind, &watch](const http_answer& answer) {
+        fetching_.erase(kind);
+        const json copy = json::parse(answer.body, nullptr, false);
+        if (answer.what != http_answer::result::answered || answer.status != status_ok || !copy.is_object()) {
+            log_warning("peer_copy_unavailable", {{"peer", peer}, {"kind", kind}});
+            return;
+        }
+        take_copy(watch, kind, copy);
+    });
+}
+
+void entry_host::take_copy(object_watch& watch, const std::string& kind, const json& copy) {
+    objects_by_name objects;
+    for (const json& item : copy.value("objects", json::array())) {
+        stored_object object{item.value("name", ""), item.value("revision", std::int64_t{0}),
+                             item.value("spec", json()), item.value("status", json())};
+        const std::string name = object.name;
+        objects[name] = std::move(object);
+    }
+    if (!copy.value("is_steady", true)) {
+        roster_.on_store_regained(monotonic_now());
+    }
+    const std::int64_t revision = copy.value("revision", std::int64_t{0});
+    if (watch.take_copy(std::move(objects), revision)) {
+        log_info("peer_copy_taken", {{"kind", kind}, {"revision", revision}});
+    }
+}
+
+} // namespace laurelhoist
--- a/src/host/peer_messages.h
+++ b/src/host/peer_messages.h
@@ -41,7 +41,22 @@
 };
 LAUREL_VALUE_TYPE(freshness_answer, nonce, config_revision, age_us)
 
-using peer_message = std::variant<peer_news, freshness_question, freshness_answer>;
+/** Work in flight at the endpoints, by the sender; sent when it has changed by much. */
+struct load_news {
+    std::string sender;
+    std::vector<load_entry> load;
+};
+LAUREL_VALUE_TYPE(load_news, sender, load)
+
+/** Says how new the sender's copies of the store are; whoever holds older ones asks the sender for them. */
+struct copy_notice {
+    std::int64_t config_revision = 0;
+    std::int64_t endpoint_revision = 0;
+    std::int64_t rollout_revision = 0;
+};
+LAUREL_VALUE_TYPE(copy_notice, config_revision, endpoint_revision, rollout_revision)
+
+using peer_message = std::variant<peer_news, freshness_question, freshness_answer, copy_notice, load_news>;
 
 /** \return the bytes of \p message. */
 std::string encode_peer_message(const peer_message& message);
--- a/src/membership/endpoint_roster.h
+++ b/src/membership/endpoint_roster.h
@@ -28,6 +28,9 @@
     /** \return whether an endpoint is kept that the store does not list. */
     bool has_lapsed() const { return !lapsed_.empty(); }
 
+    /** \return whether the store is away or has just returned, so that its list may lack live endpoints. */
+    bool is_unsteady(time_point now) const { return is_in_grace(now); }
+
 private:
     bool is_in_grace(time_point now) const;
 
--- a/src/placement/endpoint_directory.cpp
+++ b/src/placement/endpoint_directory.cpp
@@ -15,6 +15,8 @@
 constexpr double running_ms = 2.0;
 /// Worth of staying in the failure domain: two crossings of 1.4 ms and their bytes.
 constexpr double other_domain_ms = 4.0;
+/// The load of another domain that is not known: about that of an endpoint at the usual load.
+constexpr double unseen_domain_ms = 120.0;
 constexpr double slowness_smoothing = 0.15;
 constexpr double least_slowness = 0.5;
 constexpr double most_slowness = 10.0;
@@ -99,7 +101,10 @@
 }
 
 double endpoint_directory::domain_penalty_ms(const endpoint_record& endpoint) const {
-    return endpoint.domain == domain_ ? 0.0 : other_domain_ms;
+    if (endpoint.domain == domain_) {
+        return 0.0;
+    }
+    return prefers_own_domain_ ? unseen_domain_ms : other_domain_ms;
 }
 
 double endpoint_directory::predicted_ms(const endpoint_record& endpoint, std::int64_t unread,
--- a/src/placement/endpoint_directory.h
+++ b/src/placement/endpoint_directory.h
@@ -50,6 +50,9 @@
     void update(const std::vector<endpoint_record>& endpoints, time_point now);
     /** Sets how many requests one endpoint of \p service runs, and how many hosts share it. */
     void set_slots(const std::string& service, int slots, std::size_t sharers);
+    /** Sets whether another failure domain's endpoints are used only when this one's are busy: on a large
+     * fleet hosts know the load of those in their own domain alone. */
+    void prefer_own_domain(bool is_preferred) { prefers_own_domain_ = is_preferred; }
     /** Takes what \p host has in flight; it counts for \ref peer_load_memory. */
     void set_peer_load(const std::string& host, load_by_endpoint load, time_point now);
     const load_by_endpoint& own_load() const { return own_; }
@@ -96,6 +99,7 @@
     endpoint_table table_;
     random_source random_;
     std::string domain_;
+    bool prefers_own_domain_ = false;
     load_by_endpoint own_;
     std::map<std::string, peer_state> peers_;
     std::map<std::string, engine_memory> memory_;
--- a/src/relay/endpoint_connection.cpp
+++ b/src/relay/endpoint_connection.cpp
@@ -11,6 +11,14 @@
 using tcp = asio::ip::tcp;
 using asio_error = boost::system::error_code;
 
+namespace {
+
+/// To one endpoint. Endpoints bound their connections over all hosts and reset what is beyond; requests that
+/// may not repeat each bring a new one, and kept, these used up the bound.
+constexpr std::size_t most_idle = 3;
+
+} // namespace
+
 endpoint_connection::endpoint_connection(asio::io_context& context, std::string address)
     : socket_{context}, address_{std::move(address)} {}
 
@@ -117,9 +125,14 @@
 }
 
 void connection_pool::keep(std::shared_ptr<endpoint_connection> connection, time_point until) {
+    auto& idle = idle_[connection->address()];
+    if (idle.size() >= most_idle) {
+        connection->close();
+        return;
+    }
     connection->observe(nullptr);
     connection->idle_until = until;
-    idle_[connection->address()].push_back(std::move(connection));
+    idle.push_back(std::move(connection));
 }
 
 void connection_pool::expire(time_point now) {
--- a/src/relay/exchange.cpp
+++ b/src/relay/exchange.cpp
@@ -14,6 +14,8 @@
 constexpr int status_class = 100;
 
 /// A connection on one network takes a few ms; a host that does not answer within this has gone.
+/// Prompts that hold an engine for a twentieth of a second or more, and so matter to other hosts' choices.
+constexpr std::int64_t long_prompt_tokens = 1500;
 constexpr duration connect_limit = milliseconds(1000);
 /// Endpoints that turn out to be gone, one after another, before a request is given up.
 constexpr int most_detours = 3;
@@ -263,6 +265,7 @@
     move("placed");
     const time_point now = monotonic_now();
     state_.endpoints.on_sent(attempt_.chosen, prompt_, attempt_.wish, now);
+    note_load_change();
     state_.releases.on_started(release_key());
     attempt_.sent_at = now;
     attempt_.heard_at = now;
@@ -369,6 +372,12 @@
     }
 }
 
+void exchange::note_load_change() {
+    if (attempt_.chosen.unread_tokens >= long_prompt_tokens && state_.on_load_changed) {
+        state_.on_load_changed();
+    }
+}
+
 void exchange::note_first_byte() {
     if (attempt_.has_first_byte) {
         return;
@@ -378,6 +387,7 @@
     const duration took = now - attempt_.sent_at;
     attempt_.first_byte_after = took;
     state_.endpoints.on_first_byte(attempt_.chosen, took, now);
+    note_load_change();
     if (!attempt_.model.empty()) {
         state_.read_times.observe(attempt_.model, attempt_.chosen.unread_tokens, took, attempt_.model_rank);
         state_.measured.time("first_event_ms", took);
--- a/src/relay/exchange.h
+++ b/src/relay/exchange.h
@@ -62,6 +62,7 @@
     bool is_event_stream() const;
     bool is_stray_answer() const;
     void note_first_byte();
+    void note_load_change();
     /** \return whether the attempt goes on. */
     bool pass_on_events();
     void on_answer_complete();
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -57,7 +57,8 @@
     std::map<std::string, retry_budget> retry_budgets;     ///< by service
     std::map<std::string, cascade_budget> cascade_budgets; ///< by service
     metrics measured;
-    routing_snapshot routing; ///< null until a configuration has been read
+    routing_snapshot routing;              ///< null until a configuration has been read
+    std::function<void()> on_load_changed; ///< this host's load has changed by a long prompt
     bool is_stopping = false;
     time_point stopping_since;
 };
--- a/src/store/object_watch.cpp
+++ b/src/store/object_watch.cpp
@@ -59,13 +59,13 @@
 }
 
 void object_watch::ask_again() {
-    if (state_ == "following") {
+    if (state_ == "following" && !is_resting_) {
         follow();
     }
 }
 
 void object_watch::list_again() {
-    if (state_ == "following") {
+    if (state_ == "following" && !is_resting_) {
         ++call_; // The answer of the call that waits counts no more.
         move("history_gone");
         start();
@@ -108,7 +108,30 @@
     follow();
 }
 
+void object_watch::resume() {
+    is_paused_ = false;
+    if (is_resting_) {
+        is_resting_ = false;
+        follow();
+    }
+}
+
+bool object_watch::take_copy(objects_by_name objects, std::int64_t revision) {
+    if (revision <= revision_) {
+        return false;
+    }
+    objects_ = std::move(objects);
+    revision_ = revision;
+    is_listed_ = true;
+    events_.on_change(objects_);
+    return true;
+}
+
 void object_watch::follow() {
+    if (is_paused_) {
+        is_resting_ = true;
+        return;
+    }
     const time_point sent_at = monotonic_now();
     const std::uint64_t call = ++call_;
     // The first call after a failure does not wait: that the store is back must be known at once, because the
--- a/src/store/object_watch.h
+++ b/src/store/object_watch.h
@@ -45,6 +45,12 @@
     /** Lists anew now. When the store drops its history, a watch of another kind may go on waiting to its
      * end without hearing what has happened meanwhile. */
     void list_again();
+    /** Makes no further calls until \ref resume; a call under way is heard to its end. */
+    void pause() { is_paused_ = true; }
+    void resume();
+    /** Takes what another host holds, if it is newer. \return whether it was */
+    bool take_copy(objects_by_name objects, std::int64_t revision);
+    std::int64_t revision() const { return revision_; }
     const objects_by_name& objects() const { return objects_; }
     bool is_listed() const { return is_listed_; }
     bool is_reachable() const { return is_reachable_; }
@@ -78,6 +84,8 @@
     std::uint64_t call_ = 0; ///< the one whose answer counts
     bool is_listed_ = false;
     bool is_reachable_ = true;
+    bool is_paused_ = false;
+    bool is_resting_ = false; ///< paused, with no call under way
 };
 
 } // namespace laurelhoist
