A fault soak of real entry processes on loopback

Change: test/soak plays the store, endpoints, a proxy and callers; processes are paused, killed, stopped and restarted, connections delayed, reset and silenced, in series and overlapping. exchange.cpp split in two.

--- /dev/null
+++ b/src/relay/exchange_answers.cpp
@@ -0,0 +1,256 @@
+// How an exchange reads what an endpoint answers and what it passes on of it.
+#include "relay/exchange.h"
+
+namespace laurelhoist {
+
+namespace {
+
+/// A caller that reads this slowly would fill the memory.
+constexpr std::size_t most_unsent_bytes = 4 << 20;
+/// Prompts that hold an engine for a twentieth of a second or more, and so matter to other hosts' choices.
+constexpr std::int64_t long_prompt_tokens = 1500;
+constexpr int status_class = 100;
+
+} // namespace
+
+bool exchange::is_good_enough(const answer_terms& answer) {
+    const bool has_larger = attempt_.model_rank + 1 < route_->models.size();
+    if (!answer.confidence || !has_larger || has_begun_answer_ || !route_->may_repeat()) {
+        return true;
+    }
+    if (*answer.confidence >= state_.settings.cascade.confidence_for(route_->priority) ||
+        attempts_ >= route_->max_attempts) {
+        return true;
+    }
+    const time_point now = monotonic_now();
+    const model_placements larger = placements_from(attempt_.model_rank + 1, make_wish(), now);
+    return !largest_in_time(larger.options, objective_left_ms(now)) ||
+           !state_.cascade_budgets[service_].try_take();
+}
+
+void exchange::start_reader() {
+    reader_.emplace(request_.method == "HEAD");
+    body_.clear();
+    events_.begin_run();
+    has_surplus_ = false;
+}
+
+void exchange::on_received(std::string_view bytes) {
+    auto self = shared_from_this();
+    attempt_.heard_at = monotonic_now();
+    read_answer(bytes);
+}
+
+bool exchange::is_event_stream() const {
+    constexpr std::string_view type = "text/event-stream";
+    return route_->kind == route_kind::stream && reader_->status() / status_class == 2 &&
+           reader_->headers().value_or_empty("Content-Type").compare(0, type.size(), type) == 0;
+}
+
+// An endpoint may answer an earlier request once more; such an answer comes where ours is expected and is
+// known by its request id.
+bool exchange::is_stray_answer() const {
+    const answer_terms answer = state_.dialect.read_answer(reader_->status(), reader_->headers());
+    return !answer.request_id.empty() && answer.request_id != terms_.id;
+}
+
+void exchange::read_answer(std::string_view bytes) {
+    while (!bytes.empty() && !is_in("finished")) {
+        const std::optional<std::size_t> used = reader_->feed(bytes, body_);
+        if (!used) {
+            end_attempt(attempt_end::broken);
+            return;
+        }
+        bytes.remove_prefix(*used);
+        if (!reader_->has_head()) {
+            return;
+        }
+        if (is_stray_answer()) {
+            has_surplus_ = true;
+            if (!reader_->is_complete()) {
+                body_.clear();
+                return;
+            }
+            state_.measured.count("stray_answers");
+            reader_.emplace(request_.method == "HEAD");
+            body_.clear();
+            continue;
+        }
+        has_surplus_ = has_surplus_ || !bytes.empty();
+        if (is_event_stream() && !pass_on_events()) {
+            return;
+        }
+        if (reader_->is_complete()) {
+            on_answer_complete();
+        }
+        return;
+    }
+}
+
+void exchange::note_load_change() {
+    if (attempt_.chosen.unread_tokens >= long_prompt_tokens && state_.on_load_changed) {
+        state_.on_load_changed();
+    }
+}
+
+void exchange::note_first_byte() {
+    if (attempt_.has_first_byte) {
+        return;
+    }
+    attempt_.has_first_byte = true;
+    const time_point now = monotonic_now();
+    const duration took = now - attempt_.sent_at;
+    attempt_.first_byte_after = took;
+    state_.endpoints.on_first_byte(attempt_.chosen, took, now);
+    note_load_change();
+    if (!attempt_.model.empty()) {
+        state_.read_times.observe(attempt_.model, attempt_.chosen.unread_tokens, took, attempt_.model_rank);
+        state_.measured.time("first_event_ms", took);
+    }
+}
+
+bool exchange::pass_on_events() {
+    const answer_terms answer = state_.dialect.read_answer(reader_->status(), reader_->headers());
+    if (!answer.has_receipt) {
+        end_attempt(attempt_end::broken);
+        return false;
+    }
+    confidence_ = answer.confidence.value_or(-1);
+    if (!attempt_.is_accepted && !is_good_enough(answer)) {
+        least_size_ = attempt_.model_rank + 1;
+        end_attempt(attempt_end::declined);
+        return false;
+    }
+    attempt_.is_accepted = true;
+    std::string out;
+    const std::optional<int> count = events_.feed(body_, out);
+    body_.clear();
+    if (!count) {
+        end_attempt(attempt_end::out_of_order);
+        return false;
+    }
+    if (out.empty()) {
+        return true;
+    }
+    note_first_byte();
+    begin_stream_answer();
+    std::string chunk;
+    append_chunk(chunk, out);
+    caller_->write(chunk);
+    if (caller_->unsent_bytes() > most_unsent_bytes) {
+        end_attempt(attempt_end::silent);
+        return false;
+    }
+    return true;
+}
+
+void exchange::begin_stream_answer() {
+    if (has_begun_answer_) {
+        return;
+    }
+    has_begun_answer_ = true;
+    move("begun");
+    state_.measured.time("time_to_first_event_ms", monotonic_now() - arrived_at_);
+    caller_->write(answer_head(reader_->status(), reader_->headers(), true, 0));
+}
+
+void exchange::complete_stream() {
+    begin_stream_answer();
+    std::string rest;
+    events_.finish(rest);
+    std::string end;
+    append_chunk(end, rest);
+    end.append(last_chunk);
+    caller_->write(end);
+    settle_attempt(call_result::answered, true);
+    release_connection(true);
+    const bool keeps = keeps_caller();
+    finish("served", reader_->status());
+    caller_->finish(keeps);
+}
+
+void exchange::on_answer_complete() {
+    const answer_terms answer = state_.dialect.read_answer(reader_->status(), reader_->headers());
+    constexpr int first_server_error = 500;
+    if (answer.is_misdirected) {
+        // The one that was meant has gone, so this was no attempt at it; but a row of such must end as well.
+        --attempts_;
+        ++detours_;
+        end_attempt(attempt_end::misdirected);
+    } else if (answer.is_not_run) {
+        end_attempt(attempt_end::refused);
+    } else if (reader_->status() >= first_server_error) {
+        end_attempt(attempt_end::failed);
+    } else if (is_event_stream()) {
+        complete_stream();
+    } else if (reader_->status() / status_class == 2 && !answer.has_receipt) {
+        end_attempt(attempt_end::broken);
+    } else {
+        settle_attempt(call_result::answered, true);
+        release_connection(true);
+        deliver_whole("served");
+    }
+}
+
+void exchange::on_closed(connection_end end) {
+    auto self = shared_from_this();
+    const bool is_orderly = end == connection_end::finished;
+    if (is_orderly && reader_->has_head() && !is_stray_answer() && !events_.has_partial_event() &&
+        reader_->finish()) {
+        on_answer_complete();
+        return;
+    }
+    end_attempt(attempt_end::broken);
+}
+
+std::string exchange::answer_head(int status, const header_list& headers, bool is_chunked,
+                                  std::size_t length) const {
+    std::string head = status_line(status);
+    for (const header_field& field : headers.all()) {
+        if (!is_hop_by_hop(field.name, headers) && !is_same_name(field.name, "Content-Length")) {
+            append_header(head, field.name, field.value);
+        }
+    }
+    if (is_chunked) {
+        append_header(head, "Transfer-Encoding", "chunked");
+    } else {
+        append_header(head, "Content-Length", std::to_string(length));
+    }
+    if (!keeps_caller()) {
+        append_header(head, "Connection", "close");
+    }
+    return head + "\r\n";
+}
+
+bool exchange::keeps_caller() const {
+    return request_.keeps_alive && !state_.is_stopping;
+}
+
+void exchange::deliver_whole(const char* outcome) {
+    const bool keeps = keeps_caller();
+    if (!is_caller_gone_) {
+        caller_->write(answer_head(reader_->status(), reader_->headers(), false, body_.size()));
+        if (request_.method != "HEAD") {
+            caller_->write(body_);
+        }
+    }
+    finish(outcome, reader_->status());
+    caller_->finish(keeps);
+}
+
+void exchange::answer_failure(int status, const char* reason, const char* remedy, duration retry_after) {
+    if (has_begun_answer_) {
+        caller_->abort();
+        finish("cut", 0);
+        return;
+    }
+    const std::string body = json{{"error", reason}, {"remedy", remedy}, {"request_id", terms_.id}}.dump();
+    caller_->write(
+        answer_head(status, state_.dialect.own_answer_headers(terms_.id, retry_after), false, body.size()));
+    caller_->write(body);
+    const bool keeps = keeps_caller();
+    finish(reason, status);
+    caller_->finish(keeps);
+}
+
+} // namespace laurelhoist
--- /dev/null
+++ b/test/soak/standins.py
@@ -0,0 +1,236 @@
+"""Stand-ins for what entry hosts meet on the platform: the store of objects, plain services, engines that stream,
+and a loopback proxy that delays, resets or silences connections. One asyncio process; faults are attributes."""
+import asyncio
+import hashlib
+import json
+import time
+import urllib.parse
+
+
+def receipt_of(request_id, body):
+    """What an endpoint signs an answer with; a caller checks its whole answer by it."""
+    return hashlib.sha256(request_id.encode() + b"/" + body).hexdigest()[:16]
+
+
+async def read_request(reader):
+    """Reads one HTTP request. Returns (method, target, headers by lower-case name, body), or None at the end."""
+    try:
+        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin1").split("\r\n")
+    except (asyncio.IncompleteReadError, ConnectionError, asyncio.LimitOverrunError):
+        return None
+    method, target, _ = head[0].split(" ", 2)
+    headers = {}
+    for line in head[1:]:
+        if ":" in line:
+            name, value = line.split(":", 1)
+            headers[name.strip().lower()] = value.strip()
+    try:
+        body = await reader.readexactly(int(headers.get("content-length", "0")))
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return None
+    return method, target, headers, body
+
+
+def answer(status, body, fields=()):
+    text = f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n"
+    return (text + "".join(f"{name}: {value}\r\n" for name, value in fields) + "\r\n").encode() + body
+
+
+def reset(writer):
+    """Closes so that the other side sees a reset, not an orderly end."""
+    writer.transport.abort()
+
+
+class Listener:
+    """A server on a free loopback port."""
+
+    async def listen(self):
+        self.server = await asyncio.start_server(self.serve_safely, "127.0.0.1", 0, limit=1 << 20)
+        self.port = self.server.sockets[0].getsockname()[1]
+        return self
+
+    async def serve_safely(self, reader, writer):
+        try:
+            await self.serve(reader, writer)
+        except (ConnectionError, asyncio.CancelledError, OSError):
+            pass
+        finally:
+            if not writer.is_closing():
+                writer.close()
+
+    def close(self):
+        self.server.close()
+
+
+class Store(Listener):
+    """The store of objects: versions, watches, conditional writes. `mode`: "", "busy", "silent" or "lost"."""
+
+    def __init__(self):
+        self.kinds, self.events, self.revision = {}, [], 0
+        self.mode, self.changed = "", asyncio.Event()
+        self.steady_since = time.monotonic()
+
+    def set_mode(self, mode):
+        self.mode, self.steady_since = mode, time.monotonic()
+
+    def put(self, kind, name, spec=None, status=None):
+        self.revision += 1
+        objects = self.kinds.setdefault(kind, {})
+        old = objects.get(name, {})
+        objects[name] = {"metadata": {"name": name, "revision": self.revision},
+                         "spec": old.get("spec") if spec is None else spec,
+                         "status": old.get("status") if status is None else status}
+        self.note(kind, objects[name], False)
+        return objects[name]
+
+    def remove(self, kind, name):
+        gone = self.kinds.get(kind, {}).pop(name, None)
+        if gone:
+            self.revision += 1
+            self.note(kind, gone, True)
+
+    def note(self, kind, item, removed):
+        copy = json.loads(json.dumps(item))
+        self.events.append((self.revision, kind, {"removed": removed, "object": copy}))
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    async def serve(self, reader, writer):
+        while (request := await read_request(reader)) is not None:
+            if self.mode == "silent":
+                await asyncio.sleep(30)
+            if self.mode == "busy":
+                writer.write(answer(503, b"{}"))
+                continue
+            method, target, _, body = request
+            reply = await self.handle(method, target, body)
+            if self.mode == "lost" and method != "GET":
+                reset(writer)
+                return
+            writer.write(reply)
+            await writer.drain()
+
+    async def handle(self, method, target, body):
+        parts = urllib.parse.urlsplit(target)
+        path = parts.path.split("/")[2:]
+        query = dict(urllib.parse.parse_qsl(parts.query))
+        if method == "GET" and "watch" in query:
+            return await self.watch(path[0], int(query["watch"]), int(query.get("wait_ms", "0")) / 1000)
+        if method == "GET":
+            items = [self.kinds[path[0]][name] for name in sorted(self.kinds.get(path[0], {}))
+                     if name > query.get("after", "")]
+            page = {"items": items[:20], "has_more": len(items) > 20, "at": self.revision}
+            return answer(200, json.dumps(page).encode())
+        if method == "PUT" and path[-1] == "status":
+            sent = json.loads(body)
+            held = self.kinds.get(path[0], {}).get(path[1])
+            if held is None:
+                return answer(404, b"{}")
+            expected = sent["metadata"].get("revision")
+            if expected is not None and expected != held["metadata"]["revision"]:
+                return answer(409, json.dumps(held).encode())
+            return answer(200, json.dumps(self.put(path[0], path[1], status=sent["status"])).encode())
+        return answer(404, b"{}")
+
+    async def watch(self, kind, since, wait):
+        end = time.monotonic() + wait
+        while True:
+            events = [event for revision, of, event in self.events if of == kind and revision > since]
+            left = end - time.monotonic()
+            if events or left <= 0:
+                return answer(200, json.dumps({"events": events, "at": self.revision}).encode())
+            try:
+                await asyncio.wait_for(self.changed.wait(), left)
+            except asyncio.TimeoutError:
+                pass
+
+
+class Endpoint(Listener):
+    """A plain service, or with `streams` an engine. Keeps every run in `record` by request id.
+    `fault`: "", "lost" (runs, answer reset), "half" (answer broken off), "hang", "extra" (a second answer)."""
+
+    def __init__(self, name, record, random, streams):
+        self.name, self.record, self.random, self.streams = name, record, random, streams
+        self.fault, self.leaving_since = "", None
+
+    async def serve(self, reader, writer):
+        while (request := await read_request(reader)) is not None:
+            _, _, headers, body = request
+            now = time.monotonic()
+            if headers.get("x-expect-instance") != self.name:
+                writer.write(answer(421, b"", [("X-Instance-Id", self.name)]))
+                continue
+            request_id = headers.get("x-request-id", "")
+            self.record.append({"id": request_id, "at": now, "endpoint": self.name, "headers": headers,
+                                "leaving_since": self.leaving_since, "fault": self.fault})
+            if self.fault == "hang":
+                await asyncio.sleep(30)
+            if self.streams:
+                await self.stream(writer, headers, request_id)
+            else:
+                await self.answer_plain(writer, request_id, body)
+            await writer.drain()
+
+    async def answer_plain(self, writer, request_id, body):
+        await asyncio.sleep(self.random.uniform(0.005, 0.05))
+        text = f"done {request_id} by {self.name} with {len(body)} bytes".encode()
+        fields = [("X-Request-Id", request_id), ("X-Response-Signature", receipt_of(request_id, text))]
+        whole = answer(200, text, fields)
+        if self.fault == "lost":
+            reset(writer)
+            raise ConnectionResetError
+        if self.fault == "half":
+            writer.write(whole[:-5])
+            await writer.drain()
+            reset(writer)
+            raise ConnectionResetError
+        writer.write(whole * (2 if self.fault == "extra" else 1))
+
+    async def stream(self, writer, headers, request_id):
+        count = 6 + int(hashlib.sha256(request_id.encode()).hexdigest(), 16) % 20
+        first = int(headers.get("last-event-id", "0")) + 1
+        confidence = self.random.choice([20, 80])
+        writer.write((f"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Request-Id: {request_id}\r\n"
+                      f"X-Response-Signature: {receipt_of(request_id, b'')}\r\nX-Confidence: {confidence}\r\n"
+                      "Transfer-Encoding: chunked\r\n\r\n").encode())
+        for number in range(first, count + 1):
+            event = f"id: {number}\ndata: {request_id} {number}/{count}\n\n".encode()
+            if self.fault in ("lost", "half") and number > first + 2:
+                writer.write(b"%x\r\n" % len(event) + event[:7])
+                await writer.drain()
+                reset(writer)
+                raise ConnectionResetError
+            writer.write(b"%x\r\n" % len(event) + event + b"\r\n")
+            await writer.drain()
+            await asyncio.sleep(0.01)
+        writer.write(b"0\r\n\r\n")
+
+
+class Proxy(Listener):
+    """Passes connections on to `target`. `mode`: "", "delay", "reset", "silent" (both ways), "deaf" (one way)."""
+
+    def __init__(self, target):
+        self.target, self.mode = target, ""
+
+    async def serve(self, reader, writer):
+        if self.mode == "reset":
+            reset(writer)
+            return
+        there_reader, there_writer = await asyncio.open_connection("127.0.0.1", self.target)
+        await asyncio.gather(self.pump(reader, there_writer, False), self.pump(there_reader, writer, True),
+                             return_exceptions=True)
+
+    async def pump(self, reader, writer, is_answer):
+        while data := await reader.read(65536):
+            if self.mode == "silent" or (self.mode == "deaf" and is_answer):
+                continue
+            if self.mode == "reset":
+                break
+            if self.mode == "delay":
+                await asyncio.sleep(0.08)
+            writer.write(data)
+            await writer.drain()
+        if self.mode == "reset":
+            reset(writer)
+        elif not writer.is_closing():
+            writer.close()
