--- a/src/relay/caller_connection.cpp
+++ b/src/relay/caller_connection.cpp
@@ -124,12 +124,11 @@
 void caller_connection::on_written(bool has_failed) {
     is_flushing_ = false;
     in_flight_.clear();
-    if (has_failed) {
+    const bool has_more = !outgoing_.empty();
+    if (has_failed || (!has_more && is_closing_)) {
         close();
-    } else if (!outgoing_.empty()) {
+    } else if (has_more) {
         flush();
-    } else if (is_closing_) {
-        close();
     }
 }
 
--- a/src/relay/exchange.cpp
+++ b/src/relay/exchange.cpp
@@ -41,6 +41,12 @@
     }
 }
 
+/** \return what an attempt that ended so says of the endpoint's release. Only whole answers count: an
+ * endpoint that crashes breaks many requests at once, which says nothing of its release. */
+release_evidence evidence_of(attempt_end end) {
+    return end == attempt_end::failed ? release_evidence::bad : release_evidence::none;
+}
+
 /** \return the number in `timeout=N` of a Keep-Alive header, or nothing. */
 std::optional<duration> keep_alive_time(const header_list& headers) {
     const std::string value = headers.value_or_empty("Keep-Alive");
@@ -293,7 +299,7 @@
     connection_->send(state_.dialect.write_request(request_, terms));
 }
 
-void exchange::settle_attempt(call_result result, bool is_good) {
+void exchange::settle_attempt(call_result result, release_evidence evidence) {
     const time_point now = monotonic_now();
     const duration took = now - attempt_.sent_at;
     if (result == call_result::answered) {
@@ -306,8 +312,8 @@
     }
     timing.expected_ms = prompt_.is_empty() ? 0 : attempt_.chosen.predicted_ms;
     state_.releases.on_finished(release_key());
-    if (result == call_result::answered || result == call_result::failed) {
-        state_.releases.on_outcome(release_key(), is_good, timing);
+    if (evidence != release_evidence::none) {
+        state_.releases.on_outcome(release_key(), evidence == release_evidence::good, timing);
     }
 }
 
@@ -333,7 +339,7 @@
 
 void exchange::end_attempt(attempt_end end) {
     may_have_run_ = may_have_run_ || !proves_not_run(end);
-    settle_attempt(to_call_result(end), end == attempt_end::declined);
+    settle_attempt(to_call_result(end), evidence_of(end));
     release_connection(end == attempt_end::refused || end == attempt_end::failed ||
                        end == attempt_end::misdirected);
     log_attempt(end);
@@ -409,7 +415,7 @@
         return; // It runs once, now; cut, nobody could say whether it has run.
     }
     if (connection_) {
-        settle_attempt(call_result::cancelled, false);
+        settle_attempt(call_result::cancelled, release_evidence::none);
         release_connection(false);
     }
     finish("caller_gone", 0);
@@ -442,14 +448,16 @@
         } else {
             dispatch();
         }
-    } else if (now >= expires_at_) {
-        end_attempt(attempt_end::silent);
-    } else if (route_->may_repeat() && attempts_ < route_->max_attempts &&
-               now - attempt_.heard_at > silence_limit()) {
+    } else if (now >= expires_at_ || has_stalled(now)) {
         end_attempt(attempt_end::silent);
     }
 }
 
+bool exchange::has_stalled(time_point now) const {
+    const bool may_go_elsewhere = route_->may_repeat() && attempts_ < route_->max_attempts;
+    return may_go_elsewhere && now - attempt_.heard_at > silence_limit();
+}
+
 void exchange::log_attempt(attempt_end end) {
     const placement& chosen = attempt_.chosen;
     log_info("attempt_ended", {{"request", terms_.id},
--- a/src/relay/exchange.h
+++ b/src/relay/exchange.h
@@ -70,7 +70,7 @@
     void deliver_whole(const char* outcome);
     void begin_stream_answer();
     void end_attempt(attempt_end end);
-    void settle_attempt(call_result result, bool is_good);
+    void settle_attempt(call_result result, release_evidence evidence);
     void release_connection(bool is_reusable);
     duration idle_time() const;
     void follow_up(attempt_end end);
@@ -83,6 +83,7 @@
     bool keeps_caller() const;
     duration time_left(time_point now) const { return expires_at_ - now; }
     duration silence_limit() const;
+    bool has_stalled(time_point now) const;
     duration longest_wait() const;
     bool starts_too_late_to_stop() const;
     attempt_record record() const;
--- a/src/relay/exchange_answers.cpp
+++ b/src/relay/exchange_answers.cpp
@@ -162,7 +162,7 @@
     append_chunk(end, rest);
     end.append(last_chunk);
     caller_->write(end);
-    settle_attempt(call_result::answered, true);
+    settle_attempt(call_result::answered, release_evidence::good);
     release_connection(true);
     const bool keeps = keeps_caller();
     finish("served", reader_->status());
@@ -186,7 +186,7 @@
     } else if (reader_->status() / status_class == 2 && !answer.has_receipt) {
         end_attempt(attempt_end::broken);
     } else {
-        settle_attempt(call_result::answered, true);
+        settle_attempt(call_result::answered, release_evidence::good);
         release_connection(true);
         deliver_whole("served");
     }
--- a/src/rollout/release_rollout.cpp
+++ b/src/rollout/release_rollout.cpp
@@ -14,6 +14,7 @@
 /// Of everything, at the start of the second half: what a bad release could still do is bounded by this for
 /// \ref second_step.
 constexpr double first_move_share = 0.3;
+constexpr std::int64_t least_good_answers = 10; ///< before everything is moved
 constexpr duration second_step = milliseconds(2500);
 /// The old release is reported unused only after every host has had time to move (they act within 0.5 s).
 constexpr duration settling_time = milliseconds(1500);
@@ -278,6 +279,20 @@
     return sum;
 }
 
+std::int64_t rollout_tracker::good_answers_of(const std::string& service, const std::string& release) const {
+    std::int64_t sum = 0;
+    const auto add = [&](const std::map<release_use, release_counts>& uses) {
+        for (const auto& [use, counts] : uses) {
+            sum += use.service == service && use.release == release ? counts.good : 0;
+        }
+    };
+    add(own_);
+    for (const auto& [host, uses] : by_host_) {
+        add(uses);
+    }
+    return sum;
+}
+
 // Evidence never falls below zero: a release that turns bad after hundreds of good answers is braked as
 // soon as one that was bad from the start.
 void rollout_tracker::weigh(track& rollout) {
@@ -332,7 +347,10 @@
         rollout.sessionless_share = std::max(rollout.sessionless_share, trial_share);
         return;
     }
-    const double largest = age < half + second_step ? first_move_share : 1.0;
+    // A release whose endpoints only crash gives no bad answers; it has to give good ones.
+    const bool has_shown_itself =
+        good_answers_of(rollout.order.service, rollout.order.release) >= least_good_answers;
+    const double largest = age < half + second_step || !has_shown_itself ? first_move_share : 1.0;
     // Never more than the new endpoints can carry while the old ones are still there.
     const double room = old == 0 ? 1.0 : std::min(1.0, 2.0 * fresh / old);
     rollout.session_share = std::max(rollout.session_share, std::min(largest, room));
--- a/src/rollout/release_rollout.h
+++ b/src/rollout/release_rollout.h
@@ -54,6 +54,9 @@
 };
 LAUREL_VALUE_TYPE(release_counts, service, release, route, good, bad, in_flight)
 
+/** What one attempt says of the release that it went to. */
+enum class release_evidence { none, good, bad };
+
 /** How long an answer took to begin. */
 struct response_timing {
     std::optional<duration> first_byte; ///< none: it never began
@@ -134,6 +137,7 @@
     totals total_of(const release_use& use) const;
     totals total_of_others(const track& rollout, const std::string& route) const;
     std::int64_t others_in_flight(const track& rollout) const;
+    std::int64_t good_answers_of(const std::string& service, const std::string& release) const;
     void weigh(track& rollout);
     void set_shares(track& rollout, time_point now) const;
     std::optional<rollout_state> due_state(const track& rollout, time_point now) const;
--- a/test/relay_test.cpp
+++ b/test/relay_test.cpp
@@ -8,6 +8,7 @@
 
 #include <boost/asio.hpp>
 
+#include <future>
 #include <thread>
 
 namespace laurelhoist {
@@ -503,6 +504,26 @@
     EXPECT_TRUE(has(first.requests()[1], "Resume: 1"));
 }
 
+// Nine engines crash, four of them with the new release: the requests they break at once were taken for bad
+// answers, and a good release was braked.
+TEST_F(relay_fixture, a_crash_says_nothing_of_the_release) {
+    scripted_endpoint endpoint({{"", false, true}, {answer_of("8", "served"), false, false}});
+    begin(route(route_kind::non_idempotent, 1), {endpoint.address()});
+    rollout_order order;
+    order.service = "claims";
+    order.release = "v1";
+    order.time_limit = seconds(24);
+    std::promise<std::vector<release_counts>> counted;
+    loop_.post([&] { releases_.set_orders({order}, monotonic_now()); });
+    ask("7");
+    ask("8");
+    loop_.post([&] { counted.set_value(releases_.own_counts()); });
+    const std::vector<release_counts> counts = counted.get_future().get();
+    ASSERT_EQ(counts.size(), 1U);
+    EXPECT_EQ(counts[0].bad, 0);
+    EXPECT_EQ(counts[0].good, 1);
+}
+
 TEST_F(relay_fixture, a_stream_that_cannot_go_on_does_not_look_whole) {
     scripted_endpoint endpoint({{stream_head("7") + chunk_of(event(1)), false, true}});
     begin(route(route_kind::stream, 1), {endpoint.address()});
--- a/test/rollout_test.cpp
+++ b/test/rollout_test.cpp
@@ -183,6 +183,15 @@
     EXPECT_EQ(rollout.tracker.choose("pool", "", "r").unwanted, "v2");
 }
 
+// Every endpoint of a new release crashes at its first request: no answer speaks against it, and none for it.
+TEST(release_rollout, a_release_that_has_answered_nothing_gets_no_more_than_a_part) {
+    tracked_rollout rollout;
+    rollout.see("v1", 200, 0);
+    rollout.due(seconds(13));
+    rollout.due(seconds(20));
+    EXPECT_LT(rollout.share_of_sessions(), 0.4);
+}
+
 // A release answers well for ten seconds and then fails every third request. What it did well must not be
 // counted for it.
 TEST(release_rollout, a_release_that_turns_bad_late_is_braked_as_soon) {
@@ -236,7 +245,8 @@
 // A host that starts in the middle of a roll-out would count its time from there and hold the others up.
 TEST(release_rollout, a_new_host_takes_over_the_age_of_the_others) {
     tracked_rollout rollout;
-    rollout.tracker.merge("h2/1", {}, {{"pool", "v2", 16'000, false}}, rollout.start + seconds(1));
+    rollout.tracker.merge("h2/1", {{"pool", "v2", "drafts", 40, 0, 0}}, {{"pool", "v2", 16'000, false}},
+                          rollout.start + seconds(1));
     rollout.due(seconds(1));
     EXPECT_EQ(rollout.share_of_sessions(), 1.0);
 }
