--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -70,5 +70,8 @@
 
 run_site brazda claims submit osijek,vukovar,vinkovci,dakovo,nasice 20
 run_site consorzio bookings book studio-amari,studio-bellini,studio-caruso,studio-dangelo,studio-esposito 15
+echo "the same program family behind the platform's interface: 3 entry hosts between stand-ins, first calm, then with faults"
+python3 test/soak/platform_soak.py --program "$BIN/laurel-platform-entry" --calm --seeds 1 --seconds 5 || failed=1
+python3 test/soak/platform_soak.py --program "$BIN/laurel-platform-entry" --seeds 2 --seconds 8 || failed=1
 if [ $failed = 0 ]; then echo "every promise held"; else echo "a promise was broken" >&2; fi
 exit $failed
