A host that goes by copies again does not keep what vanished

Change: the state ends with the reading. The test shows the case; it does not compile without the new call.

--- a/src/host/entry_host_copies.cpp
+++ b/src/host/entry_host_copies.cpp
@@ -51,6 +51,9 @@
     }
     is_reading_ = reads;
     log_info("store_reading", {{"reads", reads}});
+    if (!reads) {
+        roster_.on_reading_ended();
+    }
     for (object_watch* watch : {&config_watch_, &endpoint_watch_, &rollout_watch_}) {
         if (reads) {
             watch->resume();
--- a/src/membership/endpoint_roster.h
+++ b/src/membership/endpoint_roster.h
@@ -23,6 +23,9 @@
     void update(const std::vector<endpoint_record>& listed, time_point now);
     void on_store_lost() { is_store_lost_ = true; }
     void on_store_regained(time_point now);
+    /** This host reads the store no longer and goes by other hosts' copies, which say how long to keep what
+     * vanished. Without this, one that stopped reading in an outage would keep it for ever. */
+    void on_reading_ended() { is_store_lost_ = false; }
     /** \return the endpoints to use; those whose return time is over are left out. */
     std::vector<endpoint_record> current(time_point now) const;
     /** \return whether an endpoint is kept that the store does not list. */
--- a/test/membership_test.cpp
+++ b/test/membership_test.cpp
@@ -209,6 +209,19 @@
     EXPECT_TRUE(rosters[1].current(now).empty());
 }
 
+// A host is cut off, reads the store itself for want of news, and goes by copies again once the cut has
+// healed. It had noted the store as lost and never its return: an endpoint that left 4 s ago still got
+// requests.
+TEST(endpoint_roster, a_host_that_goes_by_copies_again_keeps_nothing) {
+    endpoint_roster roster;
+    const time_point now = time_point{} + seconds(50);
+    roster.update({live_endpoint("a")}, now);
+    roster.on_store_lost();
+    roster.on_reading_ended();
+    roster.update({}, now + seconds(3));
+    EXPECT_TRUE(roster.current(now + seconds(3)).empty());
+}
+
 TEST(endpoint_roster, one_that_said_it_was_leaving_is_not_kept) {
     endpoint_roster roster;
     const time_point now = time_point{} + seconds(50);
