--- a/src/routing/retry_budget.h
+++ b/src/routing/retry_budget.h
@@ -1,6 +1,6 @@
 /** \file
- * Defines the bound on second runs: a token bucket that first attempts fill, so that second runs cannot multiply
- * the load of a pool.
+ * Defines the bound on second runs: a token bucket that first attempts fill, so that second runs cannot
+ * multiply the load of a pool.
  */
 #pragma once
 
