A completed roll-out goes before a brake that crosses it

Cause: choose() asked whether this host holds the release for braked before it asked what the store says. A brake that crosses another host's report of completion left every host that heard of it without an endpoint: the old ones had stopped with the report. What made a host brake a good release there is not traced and stays open. Change: the store's word first. The test fails without it (unwanted v2, required none).

--- a/src/rollout/release_rollout.cpp
+++ b/src/rollout/release_rollout.cpp
@@ -120,13 +120,16 @@
     }
     const track& rollout = found->second;
     const std::string& release = rollout.order.release;
-    if (rollout.is_braked || rollout.order.state == rollout_state::rolled_back) {
-        return {"", release};
-    }
     const bool has_fresh = endpoints_of(service, release) > 0;
+    // Against a brake that crosses another host's report of completion: the old endpoints stop with that
+    // report, and hosts that went by the brake would find no endpoint at all. What the store says is over
+    // holds for every host alike.
     if (rollout.order.state == rollout_state::completed) {
         return {has_fresh ? release : std::string{}, ""};
     }
+    if (rollout.is_braked || rollout.order.state == rollout_state::rolled_back) {
+        return {"", release};
+    }
     const double share = session.empty() ? rollout.sessionless_share : rollout.session_share;
     const bool is_fresh = share_point(session.empty() ? request : session) < share;
     const bool has_old = endpoints_of_others(service, release) > 0;
--- a/test/rollout_test.cpp
+++ b/test/rollout_test.cpp
@@ -242,6 +242,20 @@
     EXPECT_EQ(rollout.due(seconds(3)), rollout_state::rolled_back);
 }
 
+// Every advisory chat is refused for the rest of a calm day, with a hundred idle engines. One host had braked
+// the release by a few slow answers in the same second in which another reported it completed. The old
+// endpoints had stopped with that report, and hosts that heard of the brake wanted nothing else.
+TEST(release_rollout, what_the_store_says_is_over_goes_before_a_brake) {
+    tracked_rollout rollout;
+    rollout.tracker.merge("h2/1", {}, {{"pool", "v2", 16'000, true}}, rollout.start + seconds(1));
+    ASSERT_EQ(rollout.tracker.choose("pool", "s", "r").unwanted, "v2");
+    rollout_order over = order_of("v2");
+    over.state = rollout_state::completed;
+    rollout.tracker.set_orders({over}, rollout.start + seconds(1));
+    EXPECT_EQ(rollout.tracker.choose("pool", "s", "r").unwanted, "");
+    EXPECT_EQ(rollout.tracker.choose("pool", "s", "r").required, "v2");
+}
+
 // A host that starts in the middle of a roll-out would count its time from there and hold the others up.
 TEST(release_rollout, a_new_host_takes_over_the_age_of_the_others) {
     tracked_rollout rollout;
