A paused watch no longer holds the store for lost

Its log: it read the store itself for 0.25 s while the store turned it away, paused, and the calls under way failed 1.2 s after the pause. The failure set the roster to 'store lost', and no further call could take it back, so vanished endpoints were kept for 23 s, to the end of its process. Change: a failure while paused says nothing of the store. The test fails without it (lost told once).

--- a/src/store/object_watch.cpp
+++ b/src/store/object_watch.cpp
@@ -215,7 +215,11 @@
         events_.on_history_gone();
         return;
     }
-    note_reachable(false);
+    // A paused watch makes no further call, so it would hold a store for lost until it is resumed, and its
+    // host would keep endpoints that have left: it leaves that judgement to the hosts that read.
+    if (!is_paused_) {
+        note_reachable(false);
+    }
     log_warning("store_call_failed",
                 {{"kind", kind_}, {"reason", to_string(failure)}, {"in_a_row", failures_}});
     move("failed");
--- a/test/store_test.cpp
+++ b/test/store_test.cpp
@@ -170,6 +170,23 @@
     EXPECT_EQ(copy.store.watches.size(), 1U);
 }
 
+// A host reads the store itself for a moment while it is cut off, and stops again. The call that was under way
+// fails a second later; the host took the store for lost, never looked again, and went on sending requests to
+// endpoints that had left, until it was restarted.
+TEST(object_watch, what_fails_after_a_pause_says_nothing_of_the_store) {
+    watched copy;
+    copy.answer_list(object_page{{object("a", 1)}, false, 1});
+    copy.watch.pause();
+    copy.answer_watch(store_failure::unanswered);
+    EXPECT_TRUE(copy.reachability.empty());
+    copy.loop.after(milliseconds(80), [&] { copy.loop.stop(); });
+    copy.loop.run();
+    EXPECT_TRUE(copy.store.watches.empty());
+    copy.watch.resume();
+    copy.answer_watch(store_failure::unanswered);
+    EXPECT_EQ(copy.reachability, std::vector<bool>({true}));
+}
+
 // Something between this host and the store has lost track of one connection; another still works. The call
 // on the first would wait for its whole time. Its answer, should it come, must not count twice.
 TEST(object_watch, asking_again_leaves_the_answer_of_the_call_before_out) {
