What waits at an engine counts in the time that its model takes to read it

Unread tokens of all models were added up and priced at the asker's model; the large one takes ten times as long a token, so its backlog looked like nothing and the cascade's valve never closed. Change: hosts count and tell one another reading_ms in place of unread_tokens.

--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -268,7 +268,7 @@
                            time_point now) {
     load_by_endpoint load;
     for (const load_entry& entry : entries) {
-        load[entry.endpoint] = {entry.unread_tokens, entry.running};
+        load[entry.endpoint] = {entry.reading_ms, entry.running};
     }
     relay_.state().endpoints.set_peer_load(sender, std::move(load), now);
 }
@@ -277,7 +277,7 @@
     std::vector<load_entry> entries;
     for (const auto& [endpoint, load] : relay_.state().endpoints.own_load()) {
         if (entries.size() < most_load_entries) {
-            entries.push_back({endpoint, load.unread_tokens, load.running});
+            entries.push_back({endpoint, load.reading_ms, load.running});
         }
     }
     return entries;
--- a/src/host/peer_messages.h
+++ b/src/host/peer_messages.h
@@ -13,10 +13,10 @@
 /** Work in flight at one endpoint, by the sender. */
 struct load_entry {
     std::string endpoint;
-    std::int64_t unread_tokens = 0;
+    double reading_ms = 0; ///< \see endpoint_load::reading_ms
     int running = 0;
 };
-LAUREL_VALUE_TYPE(load_entry, endpoint, unread_tokens, running)
+LAUREL_VALUE_TYPE(load_entry, endpoint, reading_ms, running)
 
 /** What a host tells a few others, a few times a second. */
 struct peer_news {
--- a/src/placement/endpoint_directory.cpp
+++ b/src/placement/endpoint_directory.cpp
@@ -15,6 +15,7 @@
 constexpr double running_ms = 2.0;
 /// Worth of staying in the failure domain: two crossings of 1.4 ms and their bytes.
 constexpr double other_domain_ms = 4.0;
+constexpr double least_reading_ms = 0.001; ///< less is what rounding left of sums and differences
 /// The load of another domain that is not known: about that of an endpoint at the usual load.
 constexpr double unseen_domain_ms = 120.0;
 constexpr double slowness_smoothing = 0.15;
@@ -54,7 +55,7 @@
     const auto add = [&](const load_by_endpoint& loads) {
         const auto found = loads.find(endpoint);
         if (found != loads.end()) {
-            total.unread_tokens += found->second.unread_tokens;
+            total.reading_ms += found->second.reading_ms;
             total.running += found->second.running;
         }
     };
@@ -107,13 +108,13 @@
     return prefers_own_domain_ ? unseen_domain_ms : other_domain_ms;
 }
 
-double endpoint_directory::predicted_ms(const endpoint_record& endpoint, std::int64_t unread,
-                                        double read_ms_per_token, time_point now) const {
+double endpoint_directory::predicted_ms(const endpoint_record& endpoint, double reading_ms,
+                                        time_point now) const {
     const endpoint_load load = load_of(endpoint.name, now);
     const auto memory = memory_.find(endpoint.name);
     const double slowness = memory == memory_.end() ? 1.0 : memory->second.slowness;
-    const double reading = static_cast<double>(load.unread_tokens + unread) * read_ms_per_token;
-    return slowness * (reading + load.running * running_ms) + domain_penalty_ms(endpoint);
+    return slowness * (load.reading_ms + reading_ms + load.running * running_ms) +
+           domain_penalty_ms(endpoint);
 }
 
 std::optional<placement> endpoint_directory::choose(const endpoint_wish& wish, const prompt_shape& prompt,
@@ -129,9 +130,10 @@
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         const endpoint_record& endpoint = candidates[(first + i) % candidates.size()];
         const std::int64_t unread = prompt.is_empty() ? 0 : unread_tokens(endpoint, prompt, home, now);
-        const double predicted = predicted_ms(endpoint, unread, read_ms_per_token, now);
+        const double reading = static_cast<double>(unread) * read_ms_per_token;
+        const double predicted = predicted_ms(endpoint, reading, now);
         if (!best || predicted < best->predicted_ms) {
-            best = placement{endpoint, unread, predicted};
+            best = placement{endpoint, unread, reading, predicted};
         }
     }
     return best;
@@ -141,7 +143,7 @@
                                  const endpoint_wish& wish, time_point now) {
     const std::string& name = chosen.endpoint.name;
     table_.on_call_started(name, wish, now);
-    own_[name].unread_tokens += chosen.unread_tokens;
+    own_[name].reading_ms += chosen.reading_ms;
     if (prompt.is_empty()) {
         ++own_[name].running;
         return;
@@ -168,7 +170,7 @@
 
 void endpoint_directory::on_first_byte(const placement& chosen, duration took, time_point) {
     endpoint_load& load = own_[chosen.endpoint.name];
-    load.unread_tokens -= chosen.unread_tokens;
+    load.reading_ms -= chosen.reading_ms;
     if (chosen.unread_tokens == 0) {
         return;
     }
@@ -190,11 +192,11 @@
     endpoint_load& load = found->second;
     const bool is_engine_call = chosen.unread_tokens > 0;
     if (is_engine_call && !had_first_byte) {
-        load.unread_tokens -= chosen.unread_tokens;
+        load.reading_ms -= chosen.reading_ms;
     } else {
         --load.running;
     }
-    if (load.running <= 0 && load.unread_tokens <= 0) {
+    if (load.running <= 0 && load.reading_ms < least_reading_ms) {
         own_.erase(found);
     }
 }
--- a/src/placement/endpoint_directory.h
+++ b/src/placement/endpoint_directory.h
@@ -2,7 +2,7 @@
  * Defines which endpoint a request goes to.
  *
  * Plain services: the endpoint with the fewest requests in flight. Engines: the endpoint that is predicted to
- * give the first token soonest, from the prompt tokens that are still to be read there, the streams that run
+ * give the first token soonest, from the time that prompts there still take to read, the streams that run
  * there, and the part of the prompt that it has read before. Load pattern: prompts of 6,000 to 50,000 tokens
  * arrive among chats of 800; counted by requests, two endpoints look alike where one is a second behind.
  *
@@ -28,8 +28,10 @@
 
 /** Work in flight at one endpoint. */
 struct endpoint_load {
-    std::int64_t unread_tokens = 0; ///< of prompts that have not given their first token
-    int running = 0;                ///< requests whose answer has begun, or of a plain service: in flight
+    /// That prompts without a first token take to read, each by its own model. Counted in tokens, what waits
+    /// for a large model would look ten times smaller to a request for a small one.
+    double reading_ms = 0;
+    int running = 0; ///< requests whose answer has begun, or of a plain service: in flight
 };
 
 /** Load by endpoint name, as hosts tell one another. */
@@ -39,6 +41,7 @@
 struct placement {
     endpoint_record endpoint;
     std::int64_t unread_tokens = 0; ///< that the endpoint has to read for this request
+    double reading_ms = 0;          ///< that it takes to read them
     double predicted_ms = 0;        ///< to the first token, or of a plain service 0
 };
 
@@ -91,8 +94,7 @@
     std::int64_t unread_tokens(const endpoint_record& endpoint, const prompt_shape& prompt,
                                const std::string& home, time_point now) const;
     std::string home_of(const std::vector<endpoint_record>& candidates, const prompt_shape& prompt) const;
-    double predicted_ms(const endpoint_record& endpoint, std::int64_t unread, double read_ms_per_token,
-                        time_point now) const;
+    double predicted_ms(const endpoint_record& endpoint, double reading_ms, time_point now) const;
     double domain_penalty_ms(const endpoint_record& endpoint) const;
     void forget_old_parts(engine_memory& memory, time_point now);
 
