Shared parts of prompts have a home for each model, and on a large fleet in each domain

Change: cache keys and homes by model; homes within the own domain where hosts prefer it. Two tests fail without it.

--- a/src/placement/endpoint_directory.cpp
+++ b/src/placement/endpoint_directory.cpp
@@ -24,6 +24,10 @@
 /// Below this a time to the first token is mostly the network's and tells nothing of the engine.
 constexpr double least_telling_ms = 20.0;
 
+std::uint64_t cache_key(std::uint64_t part, const std::string& model) {
+    return part ^ placement_hash(model);
+}
+
 } // namespace
 
 endpoint_directory::endpoint_directory(chart life, std::uint64_t seed, std::string domain)
@@ -69,28 +73,42 @@
 }
 
 std::string endpoint_directory::home_of(const std::vector<endpoint_record>& candidates,
-                                        const prompt_shape& prompt) const {
+                                        const prompt_shape& prompt, const std::string& model) const {
     constexpr std::size_t least_parts = 2; // The last part is the request's own.
     if (prompt.parts.size() < least_parts) {
         return {};
     }
-    const std::string key = std::to_string(prompt.parts[prompt.parts.size() - 2]);
-    const auto home =
-        std::min_element(candidates.begin(), candidates.end(), [&](const auto& l, const auto& r) {
-            return placement_hash(key + "/" + l.name) < placement_hash(key + "/" + r.name);
-        });
-    return home->name;
+    // Where hosts keep to their own domain, a home in another one would hardly ever be used.
+    const bool has_near = std::any_of(candidates.begin(), candidates.end(),
+                                      [this](const auto& each) { return each.domain == domain_; });
+    const bool is_near_only = prefers_own_domain_ && has_near;
+    const std::string key =
+        std::to_string(cache_key(prompt.parts[prompt.parts.size() - 2], model)) + "/";
+    std::string home;
+    std::uint64_t least = 0;
+    for (const endpoint_record& candidate : candidates) {
+        if (is_near_only && candidate.domain != domain_) {
+            continue;
+        }
+        const std::uint64_t rank = placement_hash(key + candidate.name);
+        if (home.empty() || rank < least) {
+            home = candidate.name;
+            least = rank;
+        }
+    }
+    return home;
 }
 
 std::int64_t endpoint_directory::unread_tokens(const endpoint_record& endpoint, const prompt_shape& prompt,
-                                               const std::string& home, time_point now) const {
+                                               const std::string& model, const std::string& home,
+                                               time_point now) const {
     const auto memory = memory_.find(endpoint.name);
     std::int64_t known = 0;
     for (std::size_t i = 0; i < prompt.parts.size(); ++i) {
         const bool is_own_part = i + 1 == prompt.parts.size();
         bool is_known = endpoint.name == home && !is_own_part;
         if (!is_known && memory != memory_.end()) {
-            const auto sent = memory->second.parts.find(prompt.parts[i]);
+            const auto sent = memory->second.parts.find(cache_key(prompt.parts[i], model));
             is_known = sent != memory->second.parts.end() && now - sent->second < part_memory;
         }
         if (!is_known) {
@@ -118,22 +136,23 @@
 }
 
 std::optional<placement> endpoint_directory::choose(const endpoint_wish& wish, const prompt_shape& prompt,
-                                                    double read_ms_per_token, time_point now) {
+                                                    const model_demand& model, time_point now) {
     const std::vector<endpoint_record> candidates = table_.eligible(wish, now);
     if (candidates.empty()) {
         return std::nullopt;
     }
-    const std::string home = home_of(candidates, prompt);
+    const std::string home = home_of(candidates, prompt, model.name);
     std::optional<placement> best;
     // Started at a random one, so that equal endpoints share the work.
     const std::size_t first = random_.below(candidates.size());
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         const endpoint_record& endpoint = candidates[(first + i) % candidates.size()];
-        const std::int64_t unread = prompt.is_empty() ? 0 : unread_tokens(endpoint, prompt, home, now);
-        const double reading = static_cast<double>(unread) * read_ms_per_token;
+        const std::int64_t unread =
+            prompt.is_empty() ? 0 : unread_tokens(endpoint, prompt, model.name, home, now);
+        const double reading = static_cast<double>(unread) * model.read_ms_per_token;
         const double predicted = predicted_ms(endpoint, reading, now);
         if (!best || predicted < best->predicted_ms) {
-            best = placement{endpoint, unread, reading, predicted};
+            best = placement{endpoint, model.name, unread, reading, predicted};
         }
     }
     return best;
@@ -150,7 +169,7 @@
     }
     engine_memory& memory = memory_[name];
     for (const std::uint64_t part : prompt.parts) {
-        memory.parts[part] = now;
+        memory.parts[cache_key(part, chosen.model)] = now;
     }
     forget_old_parts(memory, now);
 }
--- a/src/placement/endpoint_directory.h
+++ b/src/placement/endpoint_directory.h
@@ -6,9 +6,10 @@
  * there, and the part of the prompt that it has read before. Load pattern: prompts of 6,000 to 50,000 tokens
  * arrive among chats of 800; counted by requests, two endpoints look alike where one is a second behind.
  *
- * The shared part of a prompt has a home, the same on every host by rendezvous hashing, so that it is read
- * once and not once for each host; a busy home is passed over once its backlog costs more than reading the
- * part again.
+ * The shared part of a prompt has a home for each model, the same on every host by rendezvous hashing, so that
+ * it is read once and not once for each host; a busy home is passed over once its backlog costs more than
+ * reading the part again. Engines keep what each model has read apart: what the small one has read saves the
+ * large one nothing.
  */
 #pragma once
 
@@ -26,6 +27,12 @@
     bool is_empty() const { return input_tokens == 0; }
 };
 
+/** The model that is meant to answer a request. */
+struct model_demand {
+    std::string name; ///< empty: of a plain service
+    double read_ms_per_token = 0;
+};
+
 /** Work in flight at one endpoint. */
 struct endpoint_load {
     /// That prompts without a first token take to read, each by its own model. Counted in tokens, what waits
@@ -40,6 +47,7 @@
 /** A chosen endpoint and what the choice rests on. */
 struct placement {
     endpoint_record endpoint;
+    std::string model;              ///< \see model_demand::name
     std::int64_t unread_tokens = 0; ///< that the endpoint has to read for this request
     double reading_ms = 0;          ///< that it takes to read them
     double predicted_ms = 0;        ///< to the first token, or of a plain service 0
@@ -60,10 +68,9 @@
     void set_peer_load(const std::string& host, load_by_endpoint load, time_point now);
     const load_by_endpoint& own_load() const { return own_; }
 
-    /** \param read_ms_per_token of the model that is meant
-     * \return the endpoint to send to, or nothing if none takes work now */
+    /** \return the endpoint to send to, or nothing if none takes work now */
     std::optional<placement> choose(const endpoint_wish& wish, const prompt_shape& prompt,
-                                    double read_ms_per_token, time_point now);
+                                    const model_demand& model, time_point now);
     bool could_serve(const std::string& service, time_point now) const {
         return table_.could_serve(service, "", now);
     }
@@ -86,14 +93,15 @@
         time_point at;
     };
     struct engine_memory {
-        std::unordered_map<std::uint64_t, time_point> parts; ///< sent there by this host
+        std::unordered_map<std::uint64_t, time_point> parts; ///< sent there by this host, by \ref cache_key
         double slowness = 1.0; ///< measured over predicted time to the first token, smoothed
     };
 
     endpoint_load load_of(const std::string& endpoint, time_point now) const;
     std::int64_t unread_tokens(const endpoint_record& endpoint, const prompt_shape& prompt,
-                               const std::string& home, time_point now) const;
-    std::string home_of(const std::vector<endpoint_record>& candidates, const prompt_shape& prompt) const;
+                               const std::string& model, const std::string& home, time_point now) const;
+    std::string home_of(const std::vector<endpoint_record>& candidates, const prompt_shape& prompt,
+                        const std::string& model) const;
     double predicted_ms(const endpoint_record& endpoint, double reading_ms, time_point now) const;
     double domain_penalty_ms(const endpoint_record& endpoint) const;
     void forget_old_parts(engine_memory& memory, time_point now);
--- a/test/placement_test.cpp
+++ b/test/placement_test.cpp
@@ -6,7 +6,8 @@
 namespace laurelhoist {
 namespace {
 
-constexpr double read_ms = 0.03;
+const model_demand large{"large", 0.03};
+const model_demand small{"small", 0.003};
 
 chart endpoint_life() {
     return load_chart_or_exit(LAUREL_SOURCE_DIR "/charts", "endpoint");
@@ -37,8 +38,8 @@
         directory.update(engines(6), now);
         directory.set_slots("pool", 32, 1);
     }
-    placement send(const prompt_shape& shape, double ms_per_token = read_ms) {
-        const auto chosen = directory.choose(wish_for("pool"), shape, ms_per_token, now);
+    placement send(const prompt_shape& shape, const model_demand& model = large) {
+        const auto chosen = directory.choose(wish_for("pool"), shape, model, now);
         EXPECT_TRUE(chosen);
         directory.on_sent(*chosen, shape, wish_for("pool"), now);
         return *chosen;
@@ -56,6 +57,38 @@
     EXPECT_LT(second.unread_tokens, first.unread_tokens + 1);
 }
 
+// A draft is stepped up from the small model to the large one and waits twice as long as predicted: the parts
+// that only the small model had read at an engine were taken for read by the large one as well.
+TEST(endpoint_directory, what_another_model_has_read_is_read_again) {
+    directory_fixture fixture;
+    fixture.directory.update(engines(1), fixture.now);
+    const prompt_shape own{8000, {1}, {8000}};
+    EXPECT_EQ(fixture.send(own, small).unread_tokens, 8000);
+    EXPECT_EQ(fixture.send(own, large).unread_tokens, 8000);
+    EXPECT_EQ(fixture.send(own, large).unread_tokens, 1);
+}
+
+// On a large fleet hosts keep to their own domain; with one home in the whole fleet, three domains in four
+// read a shared part at whichever engine was idle, again and again.
+TEST(endpoint_directory, each_domain_of_a_large_fleet_has_a_home_of_its_own) {
+    std::set<std::string> homes;
+    for (const char* domain : {"hall1", "hall2"}) {
+        std::set<std::string> used;
+        for (std::uint64_t host = 0; host < 4; ++host) {
+            endpoint_directory directory(endpoint_life(), host, domain);
+            directory.update(engines(8), time_point{} + seconds(100));
+            directory.prefer_own_domain(true);
+            const auto chosen = directory.choose(wish_for("pool"), prompt(42, host, 8000), large,
+                                                 time_point{} + seconds(100));
+            EXPECT_EQ(chosen->endpoint.domain, domain);
+            used.insert(chosen->endpoint.name);
+        }
+        EXPECT_EQ(used.size(), 1U);
+        homes.insert(used.begin(), used.end());
+    }
+    EXPECT_EQ(homes.size(), 2U);
+}
+
 // A team sends many requests about one subject. All would queue at the endpoint that has read it, each behind
 // the whole prompts of those before, while the others stand idle: callers wait seconds for the first token.
 TEST(endpoint_directory, a_busy_home_is_passed_over) {
@@ -71,23 +104,22 @@
 // for the large model; counted in tokens and priced as the small model's, 50,000 of them looked like nothing.
 TEST(endpoint_directory, what_a_large_model_has_to_read_counts_in_its_own_time) {
     directory_fixture fixture;
-    constexpr double small_read_ms = 0.003;
     fixture.directory.update(engines(1), fixture.now);
     fixture.send(prompt(42, 1, 50'000));
-    const placement chat = fixture.send(prompt(7, 2, 800), small_read_ms);
+    const placement chat = fixture.send(prompt(7, 2, 800), small);
     EXPECT_GT(chat.predicted_ms, 700);
 }
 
 TEST(endpoint_directory, what_peers_have_sent_counts) {
     directory_fixture fixture;
-    const auto alone = fixture.directory.choose(wish_for("pool"), prompt(42, 1, 8000), read_ms, fixture.now);
+    const auto alone = fixture.directory.choose(wish_for("pool"), prompt(42, 1, 8000), large, fixture.now);
     load_by_endpoint load;
     load[alone->endpoint.name] = {6'000, 20};
     fixture.directory.set_peer_load("other", load, fixture.now);
-    const auto beside = fixture.directory.choose(wish_for("pool"), prompt(42, 1, 8000), read_ms, fixture.now);
+    const auto beside = fixture.directory.choose(wish_for("pool"), prompt(42, 1, 8000), large, fixture.now);
     EXPECT_NE(beside->endpoint.name, alone->endpoint.name);
     const time_point later = fixture.now + seconds(5);
-    const auto after = fixture.directory.choose(wish_for("pool"), prompt(42, 1, 8000), read_ms, later);
+    const auto after = fixture.directory.choose(wish_for("pool"), prompt(42, 1, 8000), large, later);
     EXPECT_EQ(after->endpoint.name, alone->endpoint.name)
         << "the load of a host that fell silent is forgotten";
 }
@@ -99,10 +131,10 @@
     fixture.directory.update(records, fixture.now);
     endpoint_wish wish = wish_for("pool");
     wish.unwanted_release = "v1";
-    EXPECT_EQ(fixture.directory.choose(wish, prompt(1, 2, 900), read_ms, fixture.now)->endpoint.name, "e1");
+    EXPECT_EQ(fixture.directory.choose(wish, prompt(1, 2, 900), large, fixture.now)->endpoint.name, "e1");
     wish.unwanted_release = "v2";
     wish.release = "v1";
-    EXPECT_NE(fixture.directory.choose(wish, prompt(1, 2, 900), read_ms, fixture.now)->endpoint.name, "e1");
+    EXPECT_NE(fixture.directory.choose(wish, prompt(1, 2, 900), large, fixture.now)->endpoint.name, "e1");
 }
 
 // Load that is counted up and never down would make an endpoint look busy for ever.
@@ -114,7 +146,7 @@
     for (const auto& [subject, has_first_byte] : steps) {
         const prompt_shape shape =
             subject % 5 == 0 ? prompt_shape{} : prompt(subject, subject + 1U, 700 + subject);
-        const auto chosen = fixture.directory.choose(wish_for("pool"), shape, read_ms, fixture.now);
+        const auto chosen = fixture.directory.choose(wish_for("pool"), shape, large, fixture.now);
         if (!chosen) {
             break;
         }
