A host restarted after its time of day went back is heard again

Change: told of its own past a host moves beyond it; a silent host is replaced by whatever speaks in its name. Two tests, both fail without it.

--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -10,8 +10,10 @@
 /// force; the others only cost calls.
 /// What is gathered is in force well within the 2 s that a change or a leaving endpoint may take.
 constexpr watch_timing config_timing{milliseconds(2000), milliseconds(200)};
-constexpr watch_timing endpoint_timing{milliseconds(8000), milliseconds(250)};
-constexpr watch_timing rollout_timing{milliseconds(8000), milliseconds(300)};
+/// While the store is lost, the configuration's watch alone looks for its return and wakes the others.
+constexpr duration woken_rest = milliseconds(2000);
+constexpr watch_timing endpoint_timing{milliseconds(8000), milliseconds(250), woken_rest};
+constexpr watch_timing rollout_timing{milliseconds(8000), milliseconds(300), woken_rest};
 constexpr duration gossip_interval = milliseconds(400);
 constexpr duration upkeep_interval = milliseconds(250);
 constexpr duration stop_interval = milliseconds(100);
@@ -28,7 +30,8 @@
 constexpr duration stop_margin = milliseconds(1000); ///< before the end of the grace period, for slow hosts
 /// A leader that has not reported by then is taken for dead or cut off.
 constexpr duration leader_patience = milliseconds(600);
-constexpr std::size_t most_entries_in_answer = 16;
+/// Callers take up to 64 addresses. With 16, three hosts in a domain of 19 got no callers.
+constexpr std::size_t most_entries_in_answer = 64;
 
 std::int64_t new_incarnation() {
     return wall_clock_ms();
@@ -75,6 +78,7 @@
                     config_timing,
                     {[this](const objects_by_name& objects) { on_config(objects); },
                      [this](time_point as_of) {
+                         heard_store_at_ = monotonic_now();
                          if (is_config_readable_) {
                              relay_.state().fence.confirm(as_of);
                          }
@@ -106,6 +110,7 @@
     relay_.state().on_load_changed = [this] { on_load_changed(); };
     relay_.listen(settings_.callers);
     started_at_ = monotonic_now();
+    reading_since_ = started_at_;
     peer_server_ = listen_or_exit(
         loop_, "peers", settings_.peers, http_limits{},
         [this](const http_request& request, const auto& responder) { serve_copy(request, responder); });
@@ -360,7 +365,7 @@
     for (auto item = questions_.begin(); item != questions_.end();) {
         item = now - item->second > question_life ? questions_.erase(item) : std::next(item);
     }
-    if (relay_.state().fence.age(now) < (is_reading_ ? stale_after : stale_copy_after)) {
+    if (relay_.state().fence.age(now) < (reads_everything() ? stale_after : stale_copy_after)) {
         return;
     }
     const std::int64_t nonce = ++last_nonce_;
--- a/src/host/entry_host.h
+++ b/src/host/entry_host.h
@@ -90,7 +90,8 @@
     void take(const std::string& from, const copy_notice& notice);
     void check_freshness();
     void share_reading();
-    bool should_read(time_point now) const;
+    reading_view view_of_reading(time_point now) const;
+    bool reads_everything() const { return reading_ == reading_mode::all; }
     bool is_large_fleet(time_point now) const;
     enum class notice_scope { change, round };
     void tell_copies(notice_scope scope);
@@ -123,7 +124,9 @@
     bool is_load_to_tell_ = false;
     std::set<std::string> fetching_; ///< kinds of which a peer's copy is on its way
     time_point started_at_;
-    bool is_reading_ = true; ///< calls the store itself; otherwise it goes by the copies of those that do
+    reading_mode reading_ = reading_mode::all;
+    time_point reading_since_;
+    std::optional<time_point> heard_store_at_; ///< when the store last confirmed the configuration here
     std::map<std::string, time_point>
         due_since_;                 ///< reports not yet shown by the store, by service and state
     std::set<std::string> writing_; ///< services with a write under way
--- a/src/host/entry_host_copies.cpp
+++ b/src/host/entry_host_copies.cpp
@@ -10,11 +10,11 @@
 
 namespace {
 
-constexpr duration reading_after_start = milliseconds(1500); ///< until the other hosts are known
-constexpr duration own_reading_after = milliseconds(3800);   ///< without confirmation, before keys expire
-/// Up to so many hosts all read: what copies would save is not worth their delay.
-constexpr std::size_t readers_of_small_fleet = 10;
-constexpr std::ptrdiff_t readers_of_large_fleet = 6; ///< so that those asked at random include a live one
+/// From here on hosts share what they read, and keep to the endpoints of their own failure domain.
+constexpr std::size_t hosts_of_small_fleet = 10;
+/// A reader must notice the store's return soon, as the others go by it; the others need not.
+constexpr duration readers_rest = milliseconds(250);
+constexpr duration others_rest = milliseconds(1500);
 constexpr std::size_t peers_told = 4;
 constexpr duration copy_limit =
     milliseconds(400); ///< a cut-off peer must not keep this host from asking another
@@ -25,37 +25,47 @@
 } // namespace
 
 bool entry_host::is_large_fleet(time_point now) const {
-    return gossip_.live(now).size() > readers_of_small_fleet;
+    return gossip_.live(now).size() > hosts_of_small_fleet;
 }
 
-bool entry_host::should_read(time_point now) const {
-    if (now - started_at_ < reading_after_start || relay_.state().fence.age(now) > own_reading_after) {
-        return true;
-    }
-    if (!is_large_fleet(now)) {
-        return true;
-    }
+reading_view entry_host::view_of_reading(time_point now) const {
     const auto rank_of = [](const std::string& name) { return placement_hash("reader/" + name); };
     const std::uint64_t own = rank_of(settings_.name);
     const std::vector<host_status> hosts = gossip_.live(now);
     const auto before = std::count_if(hosts.begin(), hosts.end(), [&](const host_status& host) {
         return host.state == "serving" && rank_of(host.name) < own;
     });
-    return before < readers_of_large_fleet;
+    reading_view view;
+    view.mode = reading_;
+    view.in_mode = now - reading_since_;
+    view.since_start = now - started_at_;
+    view.config_age = relay_.state().fence.age(now);
+    view.has_heard_itself = heard_store_at_ && *heard_store_at_ >= reading_since_;
+    view.hosts = hosts.size();
+    view.hosts_before = static_cast<std::size_t>(before);
+    return view;
 }
 
 void entry_host::share_reading() {
-    const bool reads = should_read(monotonic_now());
-    if (reads == is_reading_) {
+    const time_point now = monotonic_now();
+    const reading_view view = view_of_reading(now);
+    const reading_mode mode = choose_reading(view);
+    if (mode == reading_) {
         return;
     }
-    is_reading_ = reads;
-    log_info("store_reading", {{"reads", reads}});
-    if (!reads) {
+    reading_ = mode;
+    reading_since_ = now;
+    log_info("store_reading", {{"reads", to_string(mode)},
+                               {"config_age_ms", std::min(to_ms(view.config_age), 1e9)},
+                               {"hosts", view.hosts},
+                               {"hosts_before", view.hosts_before}});
+    if (mode == reading_mode::copies) {
         roster_.on_reading_ended();
     }
+    config_watch_.set_longest_rest(mode == reading_mode::all ? readers_rest : others_rest);
     for (object_watch* watch : {&config_watch_, &endpoint_watch_, &rollout_watch_}) {
-        if (reads) {
+        const bool is_confirming = mode == reading_mode::confirming && watch == &config_watch_;
+        if (mode == reading_mode::all || is_confirming) {
             watch->resume();
         } else {
             watch->pause();
@@ -70,7 +80,7 @@
     }
     // Those that read tell everybody of a change: from hand to hand, news of 112 endpoints that left at once
     // took 1.3 s to the last host, and requests went to them meanwhile.
-    const bool tells_all = scope == notice_scope::change && is_reading_;
+    const bool tells_all = scope == notice_scope::change && reads_everything();
     const std::vector<host_status> peers =
         tells_all ? gossip_.live(now) : gossip_.random_peers(peers_told, now);
     const copy_notice notice{config_watch_.changed_at(), endpoint_watch_.changed_at(),
@@ -84,7 +94,7 @@
 }
 
 void entry_host::take(const std::string& from, const copy_notice& notice) {
-    if (is_reading_) {
+    if (reads_everything()) {
         return; // It hears of changes itself, and at first hand.
     }
     const auto fetch_if_newer = [&](object_watch& watch, std::int64_t revision, const std::string& kind) {
--- a/src/membership/host_gossip.cpp
+++ b/src/membership/host_gossip.cpp
@@ -53,13 +53,25 @@
     return statuses;
 }
 
+// Against a time of day that jumped back before a restart: the new process counts as older than the one that
+// has ended, and nobody listens to it until that one is forgotten. Told of its own past, it moves beyond it.
+void host_gossip::outdo(const host_status& past) {
+    if (past.incarnation > self_.incarnation) {
+        log_warning("incarnation_raised", {{"from", self_.incarnation}, {"past", past.incarnation}});
+        self_.incarnation = past.incarnation + 1;
+    }
+}
+
 void host_gossip::take(const std::vector<host_status>& statuses, time_point now) {
     for (const host_status& status : statuses) {
         if (status.name == self_.name) {
+            outdo(status);
             continue;
         }
         const auto found = others_.find(status.name);
-        if (found == others_.end() || is_newer(status, found->second.status)) {
+        const bool is_silent = found != others_.end() && now - found->second.heard_at > silence_of_dead;
+        const bool is_another = is_silent && status.incarnation != found->second.status.incarnation;
+        if (found == others_.end() || is_another || is_newer(status, found->second.status)) {
             others_[status.name] = {status, now};
         }
     }
--- a/src/membership/host_gossip.h
+++ b/src/membership/host_gossip.h
@@ -56,6 +56,8 @@
         host_status status;
         time_point heard_at; ///< when its beat last rose here
     };
+    void outdo(const host_status& past);
+
     host_status self_;
     random_source random_;
     std::vector<std::string> seeds_;
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -10,3 +10,4 @@
 #include "membership/host_gossip.h"
 #include "membership/host_list.h"
 #include "membership/revision_evidence.h"
+#include "membership/store_reading.h"
--- /dev/null
+++ b/src/membership/store_reading.cpp
@@ -0,0 +1,45 @@
+#include "membership/store_reading.h"
+
+namespace laurelhoist {
+
+namespace {
+
+constexpr duration reading_after_start = milliseconds(1500); ///< until the other hosts are known
+constexpr duration own_reading_after = milliseconds(3800);   ///< without confirmation, before keys expire
+/// A host whose question was answered when the readers' were not reads for them so long: the store serves some
+/// hosts and turns others away for several seconds.
+constexpr duration reading_for_others = milliseconds(4000);
+/// Up to so many hosts all read: what copies would save is not worth their delay.
+constexpr std::size_t readers_of_small_fleet = 10;
+constexpr std::size_t readers_of_large_fleet = 6; ///< so that those asked at random include a live one
+
+} // namespace
+
+const char* to_string(reading_mode mode) {
+    switch (mode) {
+    case reading_mode::copies:
+        return "copies";
+    case reading_mode::confirming:
+        return "confirming";
+    case reading_mode::all:
+        return "all";
+    }
+    return "unknown";
+}
+
+reading_mode choose_reading(const reading_view& view) {
+    const bool is_reader =
+        view.hosts <= readers_of_small_fleet || view.hosts_before < readers_of_large_fleet;
+    if (is_reader || view.since_start < reading_after_start) {
+        return reading_mode::all;
+    }
+    if (view.mode == reading_mode::confirming && view.has_heard_itself) {
+        return reading_mode::all;
+    }
+    if (view.mode == reading_mode::all && view.has_heard_itself && view.in_mode < reading_for_others) {
+        return reading_mode::all;
+    }
+    return view.config_age > own_reading_after ? reading_mode::confirming : reading_mode::copies;
+}
+
+} // namespace laurelhoist
--- a/src/store/object_watch.cpp
+++ b/src/store/object_watch.cpp
@@ -4,9 +4,9 @@
 
 namespace {
 
-/// Rests after failures in a row. Calls are rationed for all hosts together, refused ones too; a host must
-/// still confirm its configuration well within the revocation bound of a few seconds.
-constexpr duration rests[] = {milliseconds(50), milliseconds(150), milliseconds(250)};
+/// Rests after the first failures in a row, most of which are of one call alone. Calls are rationed for all
+/// hosts together, refused ones too.
+constexpr duration first_rests[] = {milliseconds(50), milliseconds(150), milliseconds(250)};
 
 /// For up to a second before a store drops its history, its watches may miss changes.
 constexpr duration deaf_time = milliseconds(1100);
@@ -40,6 +40,7 @@
       kind_{std::move(kind)},
       wait_{timing.wait},
       gathering_{timing.gathering},
+      longest_rest_{timing.longest_rest},
       events_{std::move(events)} {}
 
 void object_watch::move(const char* event) {
@@ -61,6 +62,9 @@
 void object_watch::ask_again() {
     if (state_ == "following" && !is_resting_) {
         follow();
+    } else if (state_ == "resting" || state_ == "resting_unlisted") {
+        ++call_; // The rest that was begun ends here.
+        end_rest();
     }
 }
 
@@ -113,6 +117,7 @@
     is_paused_ = false;
     if (is_resting_) {
         is_resting_ = false;
+        is_to_hurry_ = true; // What others have vouched for is old by now.
         follow();
     }
 }
@@ -138,7 +143,8 @@
     const std::uint64_t call = ++call_;
     // The first call after a failure does not wait: that the store is back must be known at once, because the
     // time for which vanished endpoints are kept runs from there.
-    const duration wait = is_reachable_ ? wait_ : duration::zero();
+    const duration wait = is_reachable_ && !is_to_hurry_ ? wait_ : duration::zero();
+    is_to_hurry_ = false;
     store_.watch(kind_, revision_, wait, [this, sent_at, call](const auto& result) {
         if (call == call_) {
             on_events(result, sent_at);
@@ -223,18 +229,29 @@
     log_warning("store_call_failed",
                 {{"kind", kind_}, {"reason", to_string(failure)}, {"in_a_row", failures_}});
     move("failed");
-    const std::size_t step =
-        std::min<std::size_t>(static_cast<std::size_t>(failures_++), std::size(rests) - 1);
-    loop_.after(rests[step], [this] {
-        move("rested");
-        if (state_ == "following") {
-            follow();
-        } else {
-            start();
+    rest();
+}
+
+void object_watch::rest() {
+    const auto step = static_cast<std::size_t>(failures_++);
+    const duration length = step < std::size(first_rests) ? first_rests[step] : longest_rest_;
+    const std::uint64_t call = ++call_;
+    loop_.after(length, [this, call] {
+        if (call == call_) {
+            end_rest();
         }
     });
 }
 
+void object_watch::end_rest() {
+    move("rested");
+    if (state_ == "following") {
+        follow();
+    } else {
+        start();
+    }
+}
+
 void object_watch::note_reachable(bool is_reachable) {
     if (is_reachable) {
         failures_ = 0;
--- a/src/store/object_watch.h
+++ b/src/store/object_watch.h
@@ -15,6 +15,8 @@
 struct watch_timing {
     duration wait{};      ///< one call waits so long for news; what is held is confirmed at least this often
     duration gathering{}; ///< after news, before the next call, so that a series costs few calls
+    /// Between calls that fail one after another, from the fourth on.
+    duration longest_rest = milliseconds(250);
 };
 
 /** Keeps a copy of the objects of one kind.
@@ -40,8 +42,9 @@
 
     void start();
     /** Asks again now: a call under way may wait on a connection that was lost without a sign, as another
-     * one to the same store was. */
+     * one to the same store was; and one that rests after a failure need not, as the store answers. */
     void ask_again();
+    void set_longest_rest(duration longest) { longest_rest_ = longest; }
     /** Lists anew now. When the store drops its history, a watch of another kind may go on waiting to its
      * end without hearing what has happened meanwhile. */
     void list_again();
@@ -66,6 +69,8 @@
     void on_events(const store_result<object_events>& result, time_point sent_at);
     duration proven_wait(const object_events& heard, duration took) const;
     void on_failure(store_failure failure);
+    void rest();
+    void end_rest();
     void note_reachable(bool is_reachable);
     bool take(const object_event& event);
 
@@ -76,6 +81,7 @@
     std::string kind_;
     duration wait_;
     duration gathering_;
+    duration longest_rest_;
     handlers events_;
     objects_by_name objects_;
     objects_by_name listed_; ///< pages of a listing under way
@@ -88,7 +94,8 @@
     bool is_listed_ = false;
     bool is_reachable_ = true;
     bool is_paused_ = false;
-    bool is_resting_ = false; ///< paused, with no call under way
+    bool is_resting_ = false;     ///< paused, with no call under way
+    bool is_to_hurry_ = false;    ///< the next call does not wait for news
 };
 
 } // namespace laurelhoist
--- a/test/membership_test.cpp
+++ b/test/membership_test.cpp
@@ -308,4 +308,99 @@
 }
 
 } // namespace
+namespace {
+
+/** One of 74 hosts, long started, that goes by copies which are up to date. */
+reading_view view_of_one_among_many() {
+    reading_view view;
+    view.mode = reading_mode::copies;
+    view.in_mode = seconds(30);
+    view.since_start = seconds(60);
+    view.config_age = milliseconds(900);
+    view.hosts = 74;
+    view.hosts_before = 40;
+    return view;
+}
+
+} // namespace
+
+// A host's time of day jumps back and its process is restarted: it takes itself for older than the one that
+// ended. Callers were not sent there for half a minute, until the others had forgotten the one before.
+TEST(host_gossip, a_restarted_host_whose_clock_went_back_is_heard) {
+    host_status before;
+    before.name = "h1";
+    before.incarnation = 5'000;
+    before.state = "serving";
+    host_status restarted = before;
+    restarted.incarnation = 3'000;
+    host_gossip own(restarted, 1);
+    host_status neighbour;
+    neighbour.name = "h2";
+    host_gossip other(neighbour, 2);
+    other.take({before}, begin);
+    own.take(other.statuses_to_send(begin), begin);
+    own.set_state("serving");
+    other.take({own.statuses_to_send(begin).front()}, begin + seconds(2));
+    const auto live = other.live(begin + seconds(4));
+    ASSERT_EQ(live.size(), 2U);
+    EXPECT_GT(live.front().incarnation, before.incarnation);
+}
+
+// The same, but the host was away for five seconds: nobody tells it of its past any more.
+TEST(host_gossip, a_silent_host_is_replaced_by_whatever_speaks_in_its_name) {
+    host_status before;
+    before.name = "h1";
+    before.incarnation = 5'000;
+    host_status restarted = before;
+    restarted.incarnation = 3'000;
+    host_status neighbour;
+    neighbour.name = "h2";
+    host_gossip other(neighbour, 2);
+    other.take({before}, begin);
+    other.take({restarted}, begin + seconds(1));
+    EXPECT_EQ(other.live(begin + seconds(1)).front().incarnation, 5'000);
+    other.take({restarted}, begin + seconds(5));
+    ASSERT_EQ(other.live(begin + seconds(5)).size(), 2U);
+    EXPECT_EQ(other.live(begin + seconds(5)).front().incarnation, 3'000);
+}
+
+TEST(store_reading, few_hosts_of_a_large_fleet_read) {
+    reading_view view = view_of_one_among_many();
+    EXPECT_EQ(choose_reading(view), reading_mode::copies);
+    view.hosts_before = 5;
+    EXPECT_EQ(choose_reading(view), reading_mode::all);
+    view.hosts_before = 6;
+    EXPECT_EQ(choose_reading(view), reading_mode::copies);
+    view.hosts = 10;
+    EXPECT_EQ(choose_reading(view), reading_mode::all);
+}
+
+// The store is down for eight seconds. Every host of a large fleet tries all its watches four times a second;
+// 6,000 refused calls use up the allowance that is needed at its return.
+TEST(store_reading, in_an_outage_the_others_ask_for_the_configuration_alone) {
+    reading_view view = view_of_one_among_many();
+    view.config_age = seconds(4);
+    EXPECT_EQ(choose_reading(view), reading_mode::confirming);
+    view.mode = reading_mode::confirming;
+    view.in_mode = seconds(3);
+    EXPECT_EQ(choose_reading(view), reading_mode::confirming);
+    view.config_age = milliseconds(300); // A peer vouches again.
+    EXPECT_EQ(choose_reading(view), reading_mode::copies);
+}
+
+// The store turns every reader away and serves this host. Were it only to confirm its configuration, nobody
+// would hear of endpoints that leave.
+TEST(store_reading, a_host_that_is_served_reads_for_those_that_are_not) {
+    reading_view view = view_of_one_among_many();
+    view.mode = reading_mode::confirming;
+    view.in_mode = milliseconds(250);
+    view.config_age = milliseconds(10);
+    view.has_heard_itself = true;
+    EXPECT_EQ(choose_reading(view), reading_mode::all);
+    view.mode = reading_mode::all;
+    EXPECT_EQ(choose_reading(view), reading_mode::all);
+    view.in_mode = seconds(5);
+    EXPECT_EQ(choose_reading(view), reading_mode::copies);
+}
+
 } // namespace laurelhoist
--- a/test/store_test.cpp
+++ b/test/store_test.cpp
@@ -187,6 +187,19 @@
     EXPECT_EQ(copy.reachability, std::vector<bool>({true}));
 }
 
+// The store is away for seconds. Of three watches one looks for its return; the others rest long, and are woken.
+TEST(object_watch, one_that_rests_can_be_woken) {
+    watched copy;
+    copy.answer_list(object_page{{object("a", 1)}, false, 1});
+    copy.watch.set_longest_rest(seconds(60));
+    copy.answer_watch(store_failure::unanswered);
+    copy.watch.ask_again();
+    ASSERT_EQ(copy.store.watches.size(), 1U);
+    copy.loop.after(milliseconds(120), [&] { copy.loop.stop(); });
+    copy.loop.run();
+    EXPECT_EQ(copy.store.watches.size(), 1U) << "the rest that was ended asks once more";
+}
+
 // Something between this host and the store has lost track of one connection; another still works. The call
 // on the first would wait for its whole time. Its answer, should it come, must not count twice.
 TEST(object_watch, asking_again_leaves_the_answer_of_the_call_before_out) {
