--- a/src/membership/store_reading.cpp
+++ b/src/membership/store_reading.cpp
@@ -6,9 +6,10 @@
 
 constexpr duration reading_after_start = milliseconds(1500); ///< until the other hosts are known
 constexpr duration own_reading_after = milliseconds(3800);   ///< without confirmation, before keys expire
-/// A host whose question was answered when the readers' were not reads for them so long: the store serves some
-/// hosts and turns others away for several seconds.
-constexpr duration reading_for_others = milliseconds(4000);
+/// A host that the store answers while the readers are turned away looks at everything once; the calls that it
+/// has under way at the end of this go on waiting for news. With 4 s, hosts that were stale for a moment made
+/// 1,700 calls more in 48 s.
+constexpr duration reading_for_others = milliseconds(500);
 /// Up to so many hosts all read: what copies would save is not worth their delay.
 constexpr std::size_t readers_of_small_fleet = 10;
 constexpr std::size_t readers_of_large_fleet = 6; ///< so that those asked at random include a live one
--- a/src/placement/endpoint_directory.cpp
+++ b/src/placement/endpoint_directory.cpp
@@ -136,13 +136,9 @@
     return prefers_own_domain_ ? unseen_domain_ms : other_domain_ms;
 }
 
-double endpoint_directory::predicted_ms(const endpoint_record& endpoint, double reading_ms,
-                                        time_point now) const {
-    const endpoint_load load = load_of(endpoint.name, now);
-    const auto memory = memory_.find(endpoint.name);
-    const double slowness = memory == memory_.end() ? 1.0 : memory->second.slowness;
-    return slowness * (load.reading_ms + reading_ms + load.running * running_ms) +
-           domain_penalty_ms(endpoint);
+double endpoint_directory::slowness_of(const std::string& endpoint) const {
+    const auto memory = memory_.find(endpoint);
+    return memory == memory_.end() ? 1.0 : memory->second.slowness;
 }
 
 std::optional<placement> endpoint_directory::choose(const endpoint_wish& wish, const prompt_shape& prompt,
@@ -160,11 +156,14 @@
         const endpoint_record& endpoint = candidates[(first + i) % candidates.size()];
         const unread_prompt unread =
             prompt.is_empty() ? unread_prompt{} : unread_at(endpoint, prompt, model.name, home, now);
-        const double reading = static_cast<double>(unread.tokens) * model.read_ms_per_token;
-        const double predicted = predicted_ms(endpoint, reading, now);
+        const endpoint_load load = load_of(endpoint.name, now);
+        const double reading = static_cast<double>(unread.tokens) * model.costs.read_ms_per_token;
+        const double waiting = load.reading_ms * model.costs.backlog_share + load.running * running_ms;
+        const double predicted =
+            slowness_of(endpoint.name) * (reading + waiting) + domain_penalty_ms(endpoint);
         const double cost = predicted + static_cast<double>(unread.shared_tokens) * reread_ms_per_token;
         if (!best || cost < least_cost) {
-            best = placement{endpoint, model.name, unread.tokens, reading, predicted};
+            best = placement{endpoint, model.name, unread.tokens, reading, load.reading_ms, predicted};
             least_cost = cost;
         }
     }
--- a/src/placement/endpoint_directory.h
+++ b/src/placement/endpoint_directory.h
@@ -13,6 +13,7 @@
  */
 #pragma once
 
+#include "placement/first_event_estimate.h"
 #include "routing/routing.h"
 
 #include <unordered_map>
@@ -30,7 +31,7 @@
 /** The model that is meant to answer a request. */
 struct model_demand {
     std::string name; ///< empty: of a plain service
-    double read_ms_per_token = 0;
+    first_event_costs costs;
 };
 
 /** Work in flight at one endpoint. */
@@ -50,6 +51,7 @@
     std::string model;              ///< \see model_demand::name
     std::int64_t unread_tokens = 0; ///< that the endpoint has to read for this request
     double reading_ms = 0;          ///< that it takes to read them
+    double backlog_ms = 0;          ///< that the prompts of others there still take to read
     double predicted_ms = 0;        ///< to the first token, or of a plain service 0
 };
 
@@ -107,7 +109,7 @@
                             const std::string& model, const std::string& home, time_point now) const;
     std::string home_of(const std::vector<endpoint_record>& candidates, const prompt_shape& prompt,
                         const std::string& model) const;
-    double predicted_ms(const endpoint_record& endpoint, double reading_ms, time_point now) const;
+    double slowness_of(const std::string& endpoint) const;
     double domain_penalty_ms(const endpoint_record& endpoint) const;
     void forget_old_parts(engine_memory& memory, time_point now);
 
--- /dev/null
+++ b/src/placement/first_event_estimate.cpp
@@ -0,0 +1,91 @@
+#include "placement/first_event_estimate.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace laurelhoist {
+
+namespace {
+
+/// Before anything was measured, in ms a token, by size from the smallest; larger ones count as the last.
+constexpr double initial_ms_per_token[] = {0.004, 0.01, 0.03};
+/// The initial costs count as much as so many answers about a prompt of the usual size and backlog.
+constexpr double prior_answers = 10;
+constexpr double prior_tokens = 2'000;
+constexpr double prior_backlog_ms = 100;
+/// Of an answer's weight with each later one: some 50 answers count, a few seconds of a host's traffic.
+constexpr double decay = 0.98;
+constexpr double least_telling_tokens = 500; ///< fewer take less than the network's own variation
+constexpr double least_ms = 20;              ///< smaller times are told apart by the network, not by the engine
+/// A single answer that took more than this multiple tells of a failing engine, not of the model.
+constexpr double most_over_expected = 3;
+constexpr double range = 20; ///< of the initial cost, up and down
+constexpr double most_backlog_share = 1.5;
+
+double initial_cost(std::size_t rank) {
+    return initial_ms_per_token[std::min(rank, std::size(initial_ms_per_token) - 1)];
+}
+
+} // namespace
+
+void first_event_estimate::add(sums& total, const first_event_sample& sample, double weight) {
+    total.tokens_tokens += weight * sample.unread_tokens * sample.unread_tokens;
+    total.tokens_backlog += weight * sample.unread_tokens * sample.backlog_ms;
+    total.backlog_backlog += weight * sample.backlog_ms * sample.backlog_ms;
+    total.tokens_took += weight * sample.unread_tokens * sample.took_ms;
+    total.backlog_took += weight * sample.backlog_ms * sample.took_ms;
+}
+
+// Two kinds of sample, one with a backlog and one without, so that the initial costs are the solution.
+first_event_estimate::sums first_event_estimate::prior(std::size_t rank) {
+    const double reading = initial_cost(rank) * prior_tokens;
+    const double weight = prior_answers / std::pow(std::max(reading, least_ms), 2);
+    sums total;
+    add(total, {prior_tokens, 0, reading}, weight);
+    add(total, {0, prior_backlog_ms, prior_backlog_ms}, prior_answers / std::pow(prior_backlog_ms, 2));
+    return total;
+}
+
+first_event_costs first_event_estimate::solve(const sums& total, std::size_t rank) {
+    const double determinant =
+        total.tokens_tokens * total.backlog_backlog - total.tokens_backlog * total.tokens_backlog;
+    const double initial = initial_cost(rank);
+    if (determinant <= 0) {
+        return {initial, 1};
+    }
+    const double by_token =
+        (total.tokens_took * total.backlog_backlog - total.backlog_took * total.tokens_backlog) /
+        determinant;
+    const double by_backlog =
+        (total.backlog_took * total.tokens_tokens - total.tokens_took * total.tokens_backlog) / determinant;
+    return {std::clamp(by_token, initial / range, initial * range),
+            std::clamp(by_backlog, 0.0, most_backlog_share)};
+}
+
+first_event_costs first_event_estimate::costs(const std::string& model, std::size_t rank) const {
+    const auto found = by_model_.find(model);
+    return found == by_model_.end() ? first_event_costs{initial_cost(rank), 1} : solve(found->second, rank);
+}
+
+void first_event_estimate::observe(const std::string& model, std::size_t rank,
+                                   const first_event_sample& sample) {
+    if (sample.unread_tokens < least_telling_tokens) {
+        return;
+    }
+    const first_event_costs held = costs(model, rank);
+    const double expected = std::max(least_ms, sample.unread_tokens * held.read_ms_per_token +
+                                                   sample.backlog_ms * held.backlog_share);
+    first_event_sample bounded = sample;
+    bounded.took_ms = std::clamp(sample.took_ms, 0.0, expected * most_over_expected);
+    sums& total = by_model_.try_emplace(model, prior(rank)).first->second;
+    // What the initial costs count fades as well, but never to nothing: without backlogs for a while the
+    // share of them could not be told.
+    const sums floor = prior(rank);
+    for (double sums::*field : {&sums::tokens_tokens, &sums::tokens_backlog, &sums::backlog_backlog,
+                                &sums::tokens_took, &sums::backlog_took}) {
+        total.*field = total.*field * decay + floor.*field * (1 - decay) / prior_answers;
+    }
+    add(total, bounded, 1 / (expected * expected));
+}
+
+} // namespace laurelhoist
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -4,3 +4,4 @@
 #pragma once
 
 #include "placement/endpoint_directory.h"
+#include "placement/first_event_estimate.h"
--- a/src/relay/exchange.cpp
+++ b/src/relay/exchange.cpp
@@ -196,7 +196,7 @@
     const std::size_t sizes = std::max<std::size_t>(1, route_->models.size());
     for (std::size_t size = least_size; size < sizes; ++size) {
         const std::string model = route_->models.empty() ? std::string{} : route_->models[size];
-        const model_demand demand{model, state_.read_times.ms_per_token(model, size)};
+        const model_demand demand{model, state_.first_events.costs(model, size)};
         if (const auto chosen = state_.endpoints.choose(wish, prompt_, demand, now)) {
             found.options.push_back({size, chosen->predicted_ms});
             found.placements.push_back(*chosen);
--- a/src/relay/exchange_answers.cpp
+++ b/src/relay/exchange_answers.cpp
@@ -10,6 +10,8 @@
 /// Prompts that hold an engine for a twentieth of a second or more, and so matter to other hosts' choices.
 constexpr std::int64_t long_prompt_tokens = 1500;
 constexpr int status_class = 100;
+/// Of the time to the first event: two crossings of the network and the engine's first step (5 ms).
+constexpr double fixed_ms = 8;
 
 } // namespace
 
@@ -104,7 +106,9 @@
     state_.endpoints.on_first_byte(attempt_.chosen, took, now);
     note_load_change();
     if (!attempt_.model.empty()) {
-        state_.read_times.observe(attempt_.model, attempt_.chosen.unread_tokens, took, attempt_.model_rank);
+        const auto unread = static_cast<double>(attempt_.chosen.unread_tokens);
+        state_.first_events.observe(attempt_.model, attempt_.model_rank,
+                                    {unread, attempt_.chosen.backlog_ms, to_ms(took) - fixed_ms});
         state_.measured.time("first_event_ms", took);
     }
 }
