A host that starts is told of all others at once, and reads the store only until it knows enough

Change: whoever hears of a starting host introduces everybody, in messages of the usual size; a host that has its copies and knows a large fleet goes by copies at once.

--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -253,18 +253,35 @@
     }
 }
 
-void entry_host::take(const std::string&, const peer_news& news) {
+void entry_host::take(const std::string& from, const peer_news& news) {
     if (news.statuses.empty()) {
         return;
     }
     const time_point now = monotonic_now();
     const std::string& sender = news.statuses.front().name;
+    const bool is_newcomer =
+        news.statuses.front().state == "starting" && !gossip_.knows(news.statuses.front());
     gossip_.take(news.statuses, now);
+    if (is_newcomer) {
+        introduce(from, now);
+    }
     take_load(sender, news.load, now);
     const std::string reporter = sender + "/" + std::to_string(news.statuses.front().incarnation);
     rollouts_.merge(reporter, news.counts, news.rollouts, now);
 }
 
+// Without it a host that starts hears of the others when one of them picks it at random, and reads everything
+// in the store itself meanwhile: nine calls each, and on a day with kills half of all calls.
+void entry_host::introduce(const std::string& newcomer, time_point now) {
+    peer_news news = make_news(now);
+    for (const std::vector<host_status>& statuses : gossip_.introduction(now)) {
+        news.statuses = statuses;
+        datagrams_.send(newcomer, encode_peer_message(news));
+        news.load.clear(); // Once is enough.
+        news.counts.clear();
+    }
+}
+
 void entry_host::take(const std::string&, const load_news& news) {
     take_load(news.sender, news.load, monotonic_now());
 }
--- a/src/host/entry_host.h
+++ b/src/host/entry_host.h
@@ -81,6 +81,7 @@
     void take(const std::string& from, const freshness_question& question);
     void take(const std::string& from, const freshness_answer& answer);
     void take(const std::string& from, const load_news& news);
+    void introduce(const std::string& newcomer, time_point now);
     void take_load(const std::string& sender, const std::vector<load_entry>& entries, time_point now);
     std::vector<load_entry> own_load() const;
     void on_load_changed();
--- a/src/host/entry_host_copies.cpp
+++ b/src/host/entry_host_copies.cpp
@@ -41,6 +41,8 @@
     view.since_start = now - started_at_;
     view.config_age = relay_.state().fence.age(now);
     view.has_heard_itself = heard_store_at_ && *heard_store_at_ >= reading_since_;
+    view.holds_copies =
+        config_watch_.is_listed() && endpoint_watch_.is_listed() && rollout_watch_.is_listed();
     view.hosts = hosts.size();
     view.hosts_before = static_cast<std::size_t>(before);
     return view;
--- a/src/membership/host_gossip.cpp
+++ b/src/membership/host_gossip.cpp
@@ -80,6 +80,24 @@
     }
 }
 
+bool host_gossip::knows(const host_status& status) const {
+    const auto found = others_.find(status.name);
+    return found != others_.end() && found->second.status.incarnation == status.incarnation;
+}
+
+std::vector<std::vector<host_status>> host_gossip::introduction(time_point now) const {
+    std::vector<std::vector<host_status>> messages;
+    for (const host_status& host : live(now)) {
+        if (messages.empty() || messages.back().size() == most_statuses) {
+            messages.push_back({self_});
+        }
+        if (host.name != self_.name) {
+            messages.back().push_back(host);
+        }
+    }
+    return messages;
+}
+
 std::vector<host_status> host_gossip::live(time_point now) const {
     std::vector<host_status> hosts{self_};
     for (const auto& [name, held] : others_) {
--- a/src/membership/host_gossip.h
+++ b/src/membership/host_gossip.h
@@ -44,6 +44,11 @@
     /** \return this host and a random part of the others, for one message. */
     std::vector<host_status> statuses_to_send(time_point now);
     void take(const std::vector<host_status>& statuses, time_point now);
+    /** \return whether this incarnation of a host has been heard of. */
+    bool knows(const host_status& status) const;
+    /** \return all live hosts in messages of the usual size, each with this host first: for one that has just
+     * started and must not wait until somebody picks it at random. */
+    std::vector<std::vector<host_status>> introduction(time_point now) const;
 
     const host_status& self() const { return self_; }
     /** \return the live hosts, this one included, by name. */
--- a/src/membership/store_reading.cpp
+++ b/src/membership/store_reading.cpp
@@ -4,7 +4,7 @@
 
 namespace {
 
-constexpr duration reading_after_start = milliseconds(1500); ///< until the other hosts are known
+constexpr duration reading_after_start = milliseconds(1500); ///< unless the other hosts are known before
 constexpr duration own_reading_after = milliseconds(3800);   ///< without confirmation, before keys expire
 /// A host that the store answers while the readers are turned away looks at everything once; the calls that it
 /// has under way at the end of this go on waiting for news. With 4 s, hosts that were stale for a moment made
@@ -31,7 +31,8 @@
 reading_mode choose_reading(const reading_view& view) {
     const bool is_reader =
         view.hosts <= readers_of_small_fleet || view.hosts_before < readers_of_large_fleet;
-    if (is_reader || view.since_start < reading_after_start) {
+    const bool knows_too_little = view.since_start < reading_after_start && !view.holds_copies;
+    if (is_reader || knows_too_little) {
         return reading_mode::all;
     }
     if (view.mode == reading_mode::confirming && view.has_heard_itself) {
--- a/src/membership/store_reading.h
+++ b/src/membership/store_reading.h
@@ -26,6 +26,7 @@
     duration in_mode{};                 ///< since it was chosen
     duration since_start{};             ///< of the process
     duration config_age{};              ///< since the configuration was last known to be the newest
+    bool holds_copies = false;          ///< has read or been given all kinds of object
     bool has_heard_itself = false;      ///< the store has answered this host since the mode was chosen
     std::size_t hosts = 1;              ///< live ones, this one included
     std::size_t hosts_before = 0;       ///< that come before this one in the order of readers
--- a/test/membership_test.cpp
+++ b/test/membership_test.cpp
@@ -375,6 +375,44 @@
     EXPECT_EQ(choose_reading(view), reading_mode::all);
 }
 
+// Forty hosts of a large fleet are killed and start again. Each read the store for one and a half seconds,
+// though it had listed everything, and had been told of the others, within fifty milliseconds.
+TEST(store_reading, a_host_that_has_just_started_reads_until_it_knows_the_others) {
+    reading_view view = view_of_one_among_many();
+    view.mode = reading_mode::all;
+    view.since_start = view.in_mode = milliseconds(250);
+    EXPECT_EQ(choose_reading(view), reading_mode::all);
+    view.holds_copies = true;
+    EXPECT_EQ(choose_reading(view), reading_mode::copies);
+    view.hosts = 3;
+    EXPECT_EQ(choose_reading(view), reading_mode::all);
+}
+
+TEST(host_gossip, an_introduction_names_every_live_host) {
+    host_status self;
+    self.name = "h0";
+    host_gossip gossip(self, 3);
+    std::vector<host_status> others;
+    for (int i = 1; i <= 40; ++i) {
+        host_status other;
+        other.name = "h" + std::to_string(i);
+        others.push_back(other);
+    }
+    gossip.take(others, begin);
+    std::set<std::string> named;
+    for (const auto& message : gossip.introduction(begin)) {
+        EXPECT_EQ(message.front().name, "h0");
+        EXPECT_LE(message.size(), 12U);
+        for (const host_status& host : message) {
+            named.insert(host.name);
+        }
+    }
+    EXPECT_EQ(named.size(), 41U);
+    EXPECT_TRUE(gossip.knows(others.front()));
+    others.front().incarnation = 7;
+    EXPECT_FALSE(gossip.knows(others.front()));
+}
+
 // The store is down for eight seconds. Every host of a large fleet tries all its watches four times a second;
 // 6,000 refused calls use up the allowance that is needed at its return.
 TEST(store_reading, in_an_outage_the_others_ask_for_the_configuration_alone) {
