--- a/src/placement/endpoint_directory.h
+++ b/src/placement/endpoint_directory.h
@@ -76,9 +76,6 @@
     bool could_serve(const std::string& service, time_point now) const {
         return table_.could_serve(service, "", now);
     }
-    bool takes_work(const std::string& endpoint) const { return table_.takes_work(endpoint); }
-    int in_flight(const std::string& service) const { return table_.in_flight(service); }
-    double typical_ms(const std::string& service) const { return table_.typical_ms(service); }
     std::size_t size() const { return table_.size(); }
 
     void on_sent(const placement& chosen, const prompt_shape& prompt, const endpoint_wish& wish,
--- a/src/relay/endpoint_connection.cpp
+++ b/src/relay/endpoint_connection.cpp
@@ -146,12 +146,4 @@
     }
 }
 
-std::size_t connection_pool::idle_count() const {
-    std::size_t count = 0;
-    for (const auto& [address, idle] : idle_) {
-        count += idle.size();
-    }
-    return count;
-}
-
 } // namespace laurelhoist
--- a/src/relay/endpoint_connection.h
+++ b/src/relay/endpoint_connection.h
@@ -50,8 +50,6 @@
     const std::string& address() const { return address_; }
     bool is_open() const { return is_connected_ && socket_.is_open(); }
     bool has_unsent() const { return !outgoing_.empty(); }
-    bool is_reused() const { return uses_ > 1; }
-    void count_use() { ++uses_; }
 
     time_point idle_until; ///< when the pool drops it
 
@@ -65,7 +63,6 @@
     connection_observer* observer_ = nullptr;
     std::array<char, 8192> incoming_{}; ///< holds about a hundred events; larger gains nothing
     std::deque<std::string> outgoing_;
-    int uses_ = 0;
     bool is_connected_ = false;
 };
 
@@ -82,7 +79,6 @@
     void keep(std::shared_ptr<endpoint_connection> connection, time_point until);
     /** Drops those whose time is up; to be called a few times a second. */
     void expire(time_point now);
-    std::size_t idle_count() const;
 
 private:
     boost::asio::io_context& context_;
--- a/src/relay/exchange.cpp
+++ b/src/relay/exchange.cpp
@@ -295,7 +295,6 @@
     terms.resume_after = events_.last_id() > terms_.last_event_id ? events_.last_id() : 0;
     ++attempts_;
     start_reader();
-    connection_->count_use();
     connection_->send(state_.dialect.write_request(request_, terms));
 }
 
--- a/src/relay/http_codec.cpp
+++ b/src/relay/http_codec.cpp
@@ -175,10 +175,6 @@
     return !pending_.empty() || state_->parser.got_some();
 }
 
-bool request_reader::has_body_begun() const {
-    return state_->parser.is_header_done();
-}
-
 struct answer_reader::state {
     explicit state(bool is_for_head) {
         parser.header_limit(most_answer_header_bytes);
--- a/src/relay/http_codec.h
+++ b/src/relay/http_codec.h
@@ -75,7 +75,6 @@
     caller_request take();
     /** \return whether a request has begun to arrive and is not yet complete. */
     bool is_midway() const;
-    bool has_body_begun() const;
 
 private:
     struct state;
--- a/src/relay/wire_dialect.h
+++ b/src/relay/wire_dialect.h
@@ -24,7 +24,6 @@
     std::int64_t last_event_id = 0; ///< the event that a resumed stream goes on after; 0: from the start
     std::string session;
     std::int64_t input_tokens = 0;
-    std::int64_t most_output_tokens = 0;
     std::vector<prompt_part> prompt; ///< in order; the last part is the request's or its session's own
 };
 
--- a/src/store/object_watch.cpp
+++ b/src/store/object_watch.cpp
@@ -77,11 +77,10 @@
 }
 
 void object_watch::list_from(const std::string& after) {
-    const time_point sent_at = monotonic_now();
-    store_.list(kind_, after, [this, sent_at](const auto& result) { on_page(result, sent_at); });
+    store_.list(kind_, after, [this](const auto& result) { on_page(result); });
 }
 
-void object_watch::on_page(const store_result<object_page>& result, time_point) {
+void object_watch::on_page(const store_result<object_page>& result) {
     if (const store_failure* failure = std::get_if<store_failure>(&result)) {
         on_failure(*failure);
         return;
--- a/src/store/object_watch.h
+++ b/src/store/object_watch.h
@@ -58,12 +58,11 @@
     std::int64_t changed_at() const { return changed_at_; }
     const objects_by_name& objects() const { return objects_; }
     bool is_listed() const { return is_listed_; }
-    bool is_reachable() const { return is_reachable_; }
 
 private:
     void move(const char* event);
     void list_from(const std::string& after);
-    void on_page(const store_result<object_page>& result, time_point sent_at);
+    void on_page(const store_result<object_page>& result);
     void follow();
     void follow_after_events();
     void on_events(const store_result<object_events>& result, time_point sent_at);
--- a/src/traffic/traffic_types.h
+++ b/src/traffic/traffic_types.h
@@ -38,7 +38,6 @@
     int priority = 0;                       ///< 0 is the most urgent
     int max_attempts = 1;                   ///< endpoints that one request may be sent to
     bool allows_anonymous = false;          ///< no key needed
-    bool has_prefix_affinity = false;       ///< its prompts share prefixes
     std::vector<std::string> models;        ///< smallest first; empty: the caller names the model
     std::vector<weighted_service> services; ///< at least one
 
@@ -50,15 +49,11 @@
 /** What the engines of a service are like. */
 struct engine_profile {
     int slots = 0;                 ///< requests that run at once on one endpoint
-    std::int64_t cache_tokens = 0; ///< memory of one endpoint for running requests and cached prefixes
     std::vector<std::string> models;
-    std::vector<double> model_costs; ///< for 1,000 generated tokens, in the order of \c models
 };
 
 struct traffic_service {
     std::string name;
-    std::string health_path;
-    int max_connections = 0;              ///< of one endpoint, over all callers
     std::optional<engine_profile> engine; ///< none: a plain service
 };
 
