A configuration whose copy does not come is read from the store

Hosts that go by copies asked six hosts for half a megabyte each with a limit of 0.4 s, over links of 10 Mbit/s; each try that ran out took bandwidth from the others, and the store was asked only when the proof of the old configuration was 3.8 s old. Change: a copy that is overdue by 0.3 s is read from the store. Decision with its test in store_reading, which fails without it.

--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -79,6 +79,7 @@
                     {[this](const objects_by_name& objects) { on_config(objects); },
                      [this](time_point as_of) {
                          heard_store_at_ = monotonic_now();
+                         behind_since_.reset(); // What is held is the newest, whatever its number.
                          if (is_config_readable_) {
                              relay_.state().fence.confirm(as_of);
                          }
@@ -177,6 +178,7 @@
 void entry_host::on_config(const objects_by_name& objects) {
     const auto found = objects.find(codec_.config_name());
     is_config_readable_ = found != objects.end() && apply_config(found->second);
+    note_config_heard(0);
 }
 
 bool entry_host::apply_config(const stored_object& object) {
@@ -347,6 +349,7 @@
         return;
     }
     const time_point as_of = asked->second - duration(answer.age_us);
+    note_config_heard(answer.config_revision);
     if (answer.config_revision > config_revision_) {
         fetch_copy(from, config_watch_, codec_.config_kind());
     } else if (answer.config_revision == config_revision_ && relay_.state().routing) {
--- a/src/host/entry_host.h
+++ b/src/host/entry_host.h
@@ -98,6 +98,7 @@
     void tell_copies(notice_scope scope);
     void serve_copy(const http_request& request, const std::shared_ptr<http_responder>& responder);
     void fetch_copy(const std::string& peer, object_watch& watch, const std::string& kind);
+    void note_config_heard(std::int64_t revision);
     void take_copy(object_watch& watch, const std::string& kind, const json& copy);
     void advance_rollouts();
     bool leads(time_point now) const;
@@ -125,6 +126,8 @@
     bool is_load_to_tell_ = false;
     std::set<std::string> fetching_; ///< kinds of which a peer's copy is on its way
     time_point started_at_;
+    std::int64_t newest_config_heard_ = 0;          ///< revision; of peers or of the store
+    std::optional<time_point> behind_since_;        ///< a newer configuration was heard of than is held
     reading_mode reading_ = reading_mode::all;
     time_point reading_since_;
     std::optional<time_point> heard_store_at_; ///< when the store last confirmed the configuration here
--- a/src/host/entry_host_copies.cpp
+++ b/src/host/entry_host_copies.cpp
@@ -41,6 +41,7 @@
     view.since_start = now - started_at_;
     view.config_age = relay_.state().fence.age(now);
     view.has_heard_itself = heard_store_at_ && *heard_store_at_ >= reading_since_;
+    view.copy_overdue = behind_since_ ? now - *behind_since_ : duration::zero();
     view.holds_copies =
         config_watch_.is_listed() && endpoint_watch_.is_listed() && rollout_watch_.is_listed();
     view.hosts = hosts.size();
@@ -95,7 +96,17 @@
     }
 }
 
+void entry_host::note_config_heard(std::int64_t revision) {
+    newest_config_heard_ = std::max(newest_config_heard_, revision);
+    if (config_watch_.changed_at() >= newest_config_heard_) {
+        behind_since_.reset();
+    } else if (!behind_since_) {
+        behind_since_ = monotonic_now();
+    }
+}
+
 void entry_host::take(const std::string& from, const copy_notice& notice) {
+    note_config_heard(notice.config_revision);
     if (reads_everything()) {
         return; // It hears of changes itself, and at first hand.
     }
@@ -104,7 +115,9 @@
             fetch_copy(from, watch, kind);
         }
     };
-    fetch_if_newer(config_watch_, notice.config_revision, codec_.config_kind());
+    if (reading_ == reading_mode::copies) { // Otherwise it comes from the store, and a second copy only delays it.
+        fetch_if_newer(config_watch_, notice.config_revision, codec_.config_kind());
+    }
     fetch_if_newer(endpoint_watch_, notice.endpoint_revision, codec_.endpoint_kind());
     fetch_if_newer(rollout_watch_, notice.rollout_revision, codec_.rollout_kind());
 }
--- a/src/membership/store_reading.h
+++ b/src/membership/store_reading.h
@@ -26,6 +26,7 @@
     duration in_mode{};                 ///< since it was chosen
     duration since_start{};             ///< of the process
     duration config_age{};              ///< since the configuration was last known to be the newest
+    duration copy_overdue{};            ///< since a configuration was heard of that is newer than the one held
     bool holds_copies = false;          ///< has read or been given all kinds of object
     bool has_heard_itself = false;      ///< the store has answered this host since the mode was chosen
     std::size_t hosts = 1;              ///< live ones, this one included
--- a/test/membership_test.cpp
+++ b/test/membership_test.cpp
@@ -375,6 +375,16 @@
     EXPECT_EQ(choose_reading(view), reading_mode::all);
 }
 
+// Operators add 1,800 routes. Fifty hosts ask six for half a megabyte each, over links of 10 Mbit/s; the copies
+// time out one after another, and callers of the new routes get 404 for four seconds.
+TEST(store_reading, a_copy_that_does_not_come_is_read_from_the_store) {
+    reading_view view = view_of_one_among_many();
+    view.copy_overdue = milliseconds(200);
+    EXPECT_EQ(choose_reading(view), reading_mode::copies);
+    view.copy_overdue = milliseconds(400);
+    EXPECT_EQ(choose_reading(view), reading_mode::confirming);
+}
+
 // Forty hosts of a large fleet are killed and start again. Each read the store for one and a half seconds,
 // though it had listed everything, and had been told of the others, within fifty milliseconds.
 TEST(store_reading, a_host_that_has_just_started_reads_until_it_knows_the_others) {
