--- a/test/relay_test.cpp
+++ b/test/relay_test.cpp
@@ -476,6 +476,19 @@
     EXPECT_LE(first.requests().size(), 1U) << "once it is known to be gone it gets nothing";
 }
 
+// Two engines in three crash at once. A request that met three of the dead ones was refused while a third of the
+// fleet stood ready; each connection that is refused takes a few milliseconds and proves that nothing ran.
+TEST_F(relay_fixture, a_row_of_dead_endpoints_ends_at_a_live_one) {
+    scripted_endpoint live({{answer_of("7", "served"), false, false}});
+    std::vector<std::string> addresses;
+    for (int i = 0; i < 6; ++i) {
+        addresses.push_back("127.0.0.1:" + std::to_string(free_port()));
+    }
+    addresses.push_back(live.address());
+    begin(route(route_kind::non_idempotent, 1), addresses);
+    EXPECT_TRUE(has(ask("7"), "served"));
+}
+
 // An endpoint answers request 6 twice; the second copy comes when request 7 is expected. Passed on, one
 // caller would read another's answer.
 TEST_F(relay_fixture, an_answer_to_another_request_is_left_out) {
