Large configurations: read from the store by every host, and as long as pieces of them come

The host's log: four calls for a configuration of 1,862 routes ended as unanswered 0.7 s after each began, and four copies from peers after 0.4 s: about a megabyte over 10 Mbit/s takes longer than the silence that these limits stand for, and each new call began at the first byte. Tests in transport and store_reading fail without it.

--- a/src/host/entry_host.h
+++ b/src/host/entry_host.h
@@ -126,8 +126,8 @@
     bool is_load_to_tell_ = false;
     std::set<std::string> fetching_; ///< kinds of which a peer's copy is on its way
     time_point started_at_;
-    std::int64_t newest_config_heard_ = 0;          ///< revision; of peers or of the store
-    std::optional<time_point> behind_since_;        ///< a newer configuration was heard of than is held
+    std::int64_t newest_config_heard_ = 0;   ///< revision; of peers or of the store
+    std::optional<time_point> behind_since_; ///< a newer configuration was heard of than is held
     reading_mode reading_ = reading_mode::all;
     time_point reading_since_;
     std::optional<time_point> heard_store_at_; ///< when the store last confirmed the configuration here
--- a/src/host/entry_host_copies.cpp
+++ b/src/host/entry_host_copies.cpp
@@ -15,6 +15,9 @@
 /// A reader must notice the store's return soon, as the others go by it; the others need not.
 constexpr duration readers_rest = milliseconds(250);
 constexpr duration others_rest = milliseconds(1500);
+/// Some 100 KB; larger ones take the links of the few hosts that read longer than the store takes for
+/// everybody.
+constexpr std::size_t routes_of_large_config = 300;
 constexpr std::size_t peers_told = 4;
 constexpr duration copy_limit =
     milliseconds(400); ///< a cut-off peer must not keep this host from asking another
@@ -42,6 +45,8 @@
     view.config_age = relay_.state().fence.age(now);
     view.has_heard_itself = heard_store_at_ && *heard_store_at_ >= reading_since_;
     view.copy_overdue = behind_since_ ? now - *behind_since_ : duration::zero();
+    view.is_config_large =
+        relay_.state().routing && relay_.state().routing->config().routes.size() > routes_of_large_config;
     view.holds_copies =
         config_watch_.is_listed() && endpoint_watch_.is_listed() && rollout_watch_.is_listed();
     view.hosts = hosts.size();
@@ -115,7 +120,8 @@
             fetch_copy(from, watch, kind);
         }
     };
-    if (reading_ == reading_mode::copies) { // Otherwise it comes from the store, and a second copy only delays it.
+    if (reading_ ==
+        reading_mode::copies) { // Otherwise it comes from the store, and a second copy only delays it.
         fetch_if_newer(config_watch_, notice.config_revision, codec_.config_kind());
     }
     fetch_if_newer(endpoint_watch_, notice.endpoint_revision, codec_.endpoint_kind());
@@ -158,6 +164,7 @@
     call.target = "/copy?kind=" + kind + "&since=" + std::to_string(watch.changed_at());
     call.timeout = copy_limit;
     call.connect_timeout = copy_limit / 2;
+    call.is_large = true;
     peer_client_.send(call, [this, peer, kind, &watch](const http_answer& answer) {
         fetching_.erase(kind);
         const json copy = json::parse(answer.body, nullptr, false);
--- a/src/membership/store_reading.cpp
+++ b/src/membership/store_reading.cpp
@@ -6,14 +6,14 @@
 
 constexpr duration reading_after_start = milliseconds(1500); ///< unless the other hosts are known before
 constexpr duration own_reading_after = milliseconds(3800);   ///< without confirmation, before keys expire
-/// A host that the store answers while the readers are turned away looks at everything once; the calls that it
-/// has under way at the end of this go on waiting for news. With 4 s, hosts that were stale for a moment made
-/// 1,700 calls more in 48 s.
+/// A host that the store answers while the readers are turned away looks at everything once; the calls that
+/// it has under way at the end of this go on waiting for news. With 4 s, hosts that were stale for a moment
+/// made 1,700 calls more in 48 s.
 constexpr duration reading_for_others = milliseconds(500);
-/// A usual configuration comes from a peer within 100 ms. One of 1,800 routes (0.5 MB) that fifty hosts ask of
-/// six takes seconds over links of 10 Mbit/s; the store gives it at once. With 300 ms, 55 of 74 hosts asked the store
-/// at each change: on hosts with an eighth of a core copies take that long now and then.
-constexpr duration most_copy_delay = milliseconds(800);
+/// A usual configuration comes from a peer within 100 ms. One of 1,800 routes (0.5 MB) that fifty hosts ask
+/// of six takes seconds over links of 10 Mbit/s; the store gives it at once. With 300 ms, 55 of 74 hosts
+/// asked the store at each change: on hosts with an eighth of a core copies take that long now and then.
+constexpr duration most_copy_delay = milliseconds(500);
 /// Up to so many hosts all read: what copies would save is not worth their delay.
 constexpr std::size_t readers_of_small_fleet = 10;
 constexpr std::size_t readers_of_large_fleet = 6; ///< so that those asked at random include a live one
@@ -35,8 +35,7 @@
 }
 
 reading_mode choose_reading(const reading_view& view) {
-    const bool is_reader =
-        view.hosts <= readers_of_small_fleet || view.hosts_before < readers_of_large_fleet;
+    const bool is_reader = view.hosts <= readers_of_small_fleet || view.hosts_before < readers_of_large_fleet;
     const bool knows_too_little = view.since_start < reading_after_start && !view.holds_copies;
     if (is_reader || knows_too_little) {
         return reading_mode::all;
@@ -50,7 +49,8 @@
     if (view.config_age > own_reading_after) {
         return reading_mode::confirming;
     }
-    return view.copy_overdue > most_copy_delay ? reading_mode::fetching : reading_mode::copies;
+    const duration patience = view.is_config_large ? duration::zero() : most_copy_delay;
+    return view.copy_overdue > patience ? reading_mode::fetching : reading_mode::copies;
 }
 
 } // namespace laurelhoist
--- a/src/placement/endpoint_directory.cpp
+++ b/src/placement/endpoint_directory.cpp
@@ -21,9 +21,9 @@
 constexpr double slowness_smoothing = 0.15;
 constexpr double least_slowness = 0.5;
 constexpr double most_slowness = 10.0;
-/// What reading a shared token again costs the fleet beside this request's own wait: the engine's time for all
-/// others that run there, and the memory of what yields to a second copy. Without it the small model, which
-/// reads fast, read shared parts at whichever engine was idle: 24 M tokens of them again in 52 s.
+/// What reading a shared token again costs the fleet beside this request's own wait: the engine's time for
+/// all others that run there, and the memory of what yields to a second copy. Without it the small model,
+/// which reads fast, read shared parts at whichever engine was idle: 24 M tokens of them again in 52 s.
 constexpr double reread_ms_per_token = 0.02;
 /// Below this a time to the first token is mostly the network's and tells nothing of the engine.
 constexpr double least_telling_ms = 20.0;
@@ -86,8 +86,7 @@
     const bool has_near = std::any_of(candidates.begin(), candidates.end(),
                                       [this](const auto& each) { return each.domain == domain_; });
     const bool is_near_only = prefers_own_domain_ && has_near;
-    const std::string key =
-        std::to_string(cache_key(prompt.parts[prompt.parts.size() - 2], model)) + "/";
+    const std::string key = std::to_string(cache_key(prompt.parts[prompt.parts.size() - 2], model)) + "/";
     std::string home;
     std::uint64_t least = 0;
     for (const endpoint_record& candidate : candidates) {
@@ -103,11 +102,9 @@
     return home;
 }
 
-endpoint_directory::unread_prompt endpoint_directory::unread_at(const endpoint_record& endpoint,
-                                                                const prompt_shape& prompt,
-                                                                const std::string& model,
-                                                                const std::string& home,
-                                                                time_point now) const {
+endpoint_directory::unread_prompt
+endpoint_directory::unread_at(const endpoint_record& endpoint, const prompt_shape& prompt,
+                              const std::string& model, const std::string& home, time_point now) const {
     const auto memory = memory_.find(endpoint.name);
     unread_prompt unread{prompt.input_tokens, 0};
     bool is_known = true;
--- a/src/placement/endpoint_directory.h
+++ b/src/placement/endpoint_directory.h
@@ -6,10 +6,10 @@
  * there, and the part of the prompt that it has read before. Load pattern: prompts of 6,000 to 50,000 tokens
  * arrive among chats of 800; counted by requests, two endpoints look alike where one is a second behind.
  *
- * The shared part of a prompt has a home for each model, the same on every host by rendezvous hashing, so that
- * it is read once and not once for each host; a busy home is passed over once its backlog costs more than
- * reading the part again. Engines keep what each model has read apart: what the small one has read saves the
- * large one nothing.
+ * The shared part of a prompt has a home for each model, the same on every host by rendezvous hashing, so
+ * that it is read once and not once for each host; a busy home is passed over once its backlog costs more
+ * than reading the part again. Engines keep what each model has read apart: what the small one has read saves
+ * the large one nothing.
  */
 #pragma once
 
--- a/src/placement/first_event_estimate.cpp
+++ b/src/placement/first_event_estimate.cpp
@@ -16,7 +16,7 @@
 /// Of an answer's weight with each later one: some 50 answers count, a few seconds of a host's traffic.
 constexpr double decay = 0.98;
 constexpr double least_telling_tokens = 500; ///< fewer take less than the network's own variation
-constexpr double least_ms = 20;              ///< smaller times are told apart by the network, not by the engine
+constexpr double least_ms = 20; ///< smaller times are told apart by the network, not by the engine
 /// A single answer that took more than this multiple tells of a failing engine, not of the model.
 constexpr double most_over_expected = 3;
 constexpr double range = 20; ///< of the initial cost, up and down
@@ -54,8 +54,7 @@
         return {initial, 1};
     }
     const double by_token =
-        (total.tokens_took * total.backlog_backlog - total.backlog_took * total.tokens_backlog) /
-        determinant;
+        (total.tokens_took * total.backlog_backlog - total.backlog_took * total.tokens_backlog) / determinant;
     const double by_backlog =
         (total.backlog_took * total.tokens_tokens - total.tokens_took * total.tokens_backlog) / determinant;
     return {std::clamp(by_token, initial / range, initial * range),
--- a/src/relay/exchange.cpp
+++ b/src/relay/exchange.cpp
@@ -14,8 +14,8 @@
 
 /// A connection on one network takes a few ms; a host that does not answer within this has gone.
 constexpr duration connect_limit = milliseconds(1000);
-/// Endpoints that turn out to be gone, one after another, before a request is given up. With two in three gone, a
-/// row of eight comes once in 25 requests; with 3, one in three was refused beside sound endpoints.
+/// Endpoints that turn out to be gone, one after another, before a request is given up. With two in three
+/// gone, a row of eight comes once in 25 requests; with 3, one in three was refused beside sound endpoints.
 constexpr int most_detours = 8;
 /// A stream that pauses for so many times its allowed pause has stalled.
 constexpr int silent_gaps = 4;
--- a/src/store/object_watch.h
+++ b/src/store/object_watch.h
@@ -93,8 +93,8 @@
     bool is_listed_ = false;
     bool is_reachable_ = true;
     bool is_paused_ = false;
-    bool is_resting_ = false;     ///< paused, with no call under way
-    bool is_to_hurry_ = false;    ///< the next call does not wait for news
+    bool is_resting_ = false;  ///< paused, with no call under way
+    bool is_to_hurry_ = false; ///< the next call does not wait for news
 };
 
 } // namespace laurelhoist
--- a/src/traffic/traffic_types.h
+++ b/src/traffic/traffic_types.h
@@ -48,7 +48,7 @@
 
 /** What the engines of a service are like. */
 struct engine_profile {
-    int slots = 0;                 ///< requests that run at once on one endpoint
+    int slots = 0; ///< requests that run at once on one endpoint
     std::vector<std::string> models;
 };
 
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -199,7 +199,7 @@
             return;
         }
         if (!parser_->is_done()) {
-            if (call_.is_streamed) {
+            if (call_.is_streamed || call_.is_large) {
                 arm();
             }
             read();
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -17,6 +17,9 @@
     duration timeout = seconds(5); ///< for the whole answer, or between two pieces of a streamed one
     duration connect_timeout = seconds(1);
     bool is_streamed = false;
+    /** Each piece of the answer restarts \ref timeout, as for a streamed one: a megabyte over 10 Mbit/s takes
+     * longer than the silence after which a connection counts as lost. */
+    bool is_large = false;
     /** A kept connection may have died without a sign, and then it is not known whether a request on it
      * was received. A call that may not be repeated therefore gets a connection of its own. */
     bool needs_fresh_connection = false;
--- a/test/membership_test.cpp
+++ b/test/membership_test.cpp
@@ -375,12 +375,16 @@
     EXPECT_EQ(choose_reading(view), reading_mode::all);
 }
 
-// Operators add 1,800 routes. Fifty hosts ask six for half a megabyte each, over links of 10 Mbit/s; the copies
-// time out one after another, and callers of the new routes get 404 for four seconds.
+// Operators add 1,800 routes. Fifty hosts ask six for half a megabyte each, over links of 10 Mbit/s; the
+// copies time out one after another, and callers of the new routes get 404 for four seconds.
 TEST(store_reading, a_copy_that_does_not_come_is_read_from_the_store) {
     reading_view view = view_of_one_among_many();
-    view.copy_overdue = milliseconds(700);
+    view.copy_overdue = milliseconds(400);
     EXPECT_EQ(choose_reading(view), reading_mode::copies);
+    view.is_config_large = true;
+    EXPECT_EQ(choose_reading(view), reading_mode::fetching)
+        << "the next change of one that is known to be large";
+    view.is_config_large = false;
     view.copy_overdue = milliseconds(900);
     EXPECT_EQ(choose_reading(view), reading_mode::fetching);
     view.mode = reading_mode::fetching;
--- a/test/placement_test.cpp
+++ b/test/placement_test.cpp
@@ -148,8 +148,8 @@
     EXPECT_NE(fixture.directory.choose(wish, prompt(1, 2, 900), large, fixture.now)->endpoint.name, "e1");
 }
 
-// Chats wait for a third of the long prompts ahead of them. Taken to wait for all of it, they leave the engine
-// that has read their shared part; taken to wait for none, they pile up there.
+// Chats wait for a third of the long prompts ahead of them. Taken to wait for all of it, they leave the
+// engine that has read their shared part; taken to wait for none, they pile up there.
 TEST(first_event_estimate, learns_what_each_model_waits_for) {
     first_event_estimate estimate;
     random_source random(5);
--- a/test/relay_decisions_test.cpp
+++ b/test/relay_decisions_test.cpp
@@ -21,7 +21,8 @@
 }
 
 // Half of the engines are lost. What every route steps up to does not fit any more; short checks, worth a
-// fifth of a chat for the same engine time, keep the small model's answers so that chats and drafts stay good.
+// fifth of a chat for the same engine time, keep the small model's answers so that chats and drafts stay
+// good.
 TEST(model_choice, the_least_urgent_routes_give_way_first) {
     const std::vector<model_option> busy = {{0, 160}, {1, 400}, {2, 800}};
     constexpr double left_ms = 1'000;
--- a/test/relay_test.cpp
+++ b/test/relay_test.cpp
@@ -476,8 +476,9 @@
     EXPECT_LE(first.requests().size(), 1U) << "once it is known to be gone it gets nothing";
 }
 
-// Two engines in three crash at once. A request that met three of the dead ones was refused while a third of the
-// fleet stood ready; each connection that is refused takes a few milliseconds and proves that nothing ran.
+// Two engines in three crash at once. A request that met three of the dead ones was refused while a third of
+// the fleet stood ready; each connection that is refused takes a few milliseconds and proves that nothing
+// ran.
 TEST_F(relay_fixture, a_row_of_dead_endpoints_ends_at_a_live_one) {
     scripted_endpoint live({{answer_of("7", "served"), false, false}});
     std::vector<std::string> addresses;
--- a/test/store_test.cpp
+++ b/test/store_test.cpp
@@ -170,9 +170,9 @@
     EXPECT_EQ(copy.store.watches.size(), 1U);
 }
 
-// A host reads the store itself for a moment while it is cut off, and stops again. The call that was under way
-// fails a second later; the host took the store for lost, never looked again, and went on sending requests to
-// endpoints that had left, until it was restarted.
+// A host reads the store itself for a moment while it is cut off, and stops again. The call that was under
+// way fails a second later; the host took the store for lost, never looked again, and went on sending
+// requests to endpoints that had left, until it was restarted.
 TEST(object_watch, what_fails_after_a_pause_says_nothing_of_the_store) {
     watched copy;
     copy.answer_list(object_page{{object("a", 1)}, false, 1});
@@ -187,7 +187,8 @@
     EXPECT_EQ(copy.reachability, std::vector<bool>({true}));
 }
 
-// The store is away for seconds. Of three watches one looks for its return; the others rest long, and are woken.
+// The store is away for seconds. Of three watches one looks for its return; the others rest long, and are
+// woken.
 TEST(object_watch, one_that_rests_can_be_woken) {
     watched copy;
     copy.answer_list(object_page{{object("a", 1)}, false, 1});
--- a/test/transport_test.cpp
+++ b/test/transport_test.cpp
@@ -142,6 +142,31 @@
     EXPECT_EQ(answer.what, http_answer::result::not_sent);
 }
 
+// A host with a link of 10 Mbit/s reads a configuration of a megabyte. It takes longer than the silence after
+// which a connection counts as lost; given up half-way and begun anew, it never came, and callers got the old
+// routes.
+TEST_F(http_pair, a_large_answer_may_take_longer_than_a_silence) {
+    constexpr int pieces = 6;
+    serve({}, [this](const http_request&, const std::shared_ptr<http_responder>& responder) {
+        responder->begin_stream(200, {});
+        for (int i = 1; i <= pieces; ++i) {
+            loop.after(milliseconds(300) * i, [responder, i] {
+                responder->write("piece");
+                if (i == pieces) {
+                    responder->end_stream();
+                }
+            });
+        }
+    });
+    http_call call;
+    call.timeout = milliseconds(1500);
+    EXPECT_EQ(ask(call).what, http_answer::result::silent);
+    call.is_large = true;
+    const http_answer answer = ask(call);
+    EXPECT_EQ(answer.what, http_answer::result::answered);
+    EXPECT_EQ(answer.body.size(), pieces * std::string("piece").size());
+}
+
 TEST_F(http_pair, a_caller_that_goes_away_is_noticed) {
     bool is_gone = false;
     serve({}, [&](const http_request&, const std::shared_ptr<http_responder>& responder) {
