--- a/src/membership/store_reading.h
+++ b/src/membership/store_reading.h
@@ -29,7 +29,7 @@
     duration since_start{};        ///< of the process
     duration config_age{};         ///< since the configuration was last known to be the newest
     duration copy_overdue{};       ///< since a configuration was heard of that is newer than the one held
-    bool is_config_large = false;       ///< too large for the links of the hosts that read
+    bool is_config_large = false;  ///< too large for the links of the hosts that read
     bool holds_copies = false;     ///< has read or been given all kinds of object
     bool has_heard_itself = false; ///< the store has answered this host since the mode was chosen
     std::size_t hosts = 1;         ///< live ones, this one included
