--- a/src/relay/model_choice.h
+++ b/src/relay/model_choice.h
@@ -26,7 +26,7 @@
     /// By the route's priority, 0 to 100; the last one holds for all that are less urgent. Less urgent routes
     /// are content with less, because for them the larger model costs a larger part of what the answer is
     /// worth.
-    std::vector<int> least_confidence = {60, 60, 45};
+    std::vector<int> least_confidence = {50, 50, 35};
 
     int confidence_for(int priority) const {
         const auto last = static_cast<int>(least_confidence.size()) - 1;
