An endpoint that starts again under its name is another process; foreign entries cost no other

An entry with a missing field was taken as ready, and one with an unreadable name, revision or bytes made the whole list unreadable. Change: the start time orders the processes of a name (an earlier one is believed once it has stayed for 1.5 s); what was believed ends with the process; entries are read one by one, refused ones logged once by name and revision. Tests of each with the change.

--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -23,6 +23,7 @@
 constexpr duration stale_copy_after = milliseconds(1200);
 constexpr duration load_gathering = milliseconds(20); ///< so that a burst of requests is told at once
 constexpr duration question_life = seconds(2);
+constexpr std::size_t most_refused_endpoints = 1000; ///< remembered, so that each is logged once
 constexpr std::size_t peers_asked = 3;
 constexpr std::size_t most_load_entries = 16; ///< of 20 bytes each in a datagram
 /// Callers keep an answer about this long, so for that time they still come.
@@ -209,7 +210,7 @@
     for (const auto& [name, object] : objects) {
         const outcome<endpoint_record> decoded = codec_.endpoint(object);
         if (const error* failure = error_of(decoded)) {
-            log_error("endpoint_refused", {{"endpoint", name}, {"remedy", failure->message}});
+            note_refused_endpoint(object, failure->message);
             continue;
         }
         listed.push_back(*value_of(decoded));
@@ -220,6 +221,20 @@
     tell_copies(notice_scope::change);
 }
 
+// Once for each revision: the list is read anew at every change, of which there are several a second.
+void entry_host::note_refused_endpoint(const stored_object& object, const std::string& remedy) {
+    std::int64_t& logged = refused_endpoints_[object.name];
+    if (logged == object.revision) {
+        return;
+    }
+    logged = object.revision;
+    log_error("endpoint_refused",
+              {{"endpoint", object.name}, {"revision", object.revision}, {"remedy", remedy}});
+    if (refused_endpoints_.size() > most_refused_endpoints) {
+        refused_endpoints_.clear();
+    }
+}
+
 void entry_host::refresh_endpoints() {
     relay_.state().endpoints.prefer_own_domain(is_large_fleet(monotonic_now()));
     if (!endpoint_watch_.is_listed()) {
--- a/src/host/entry_host.h
+++ b/src/host/entry_host.h
@@ -75,6 +75,7 @@
     void on_config(const objects_by_name& objects);
     bool apply_config(const stored_object& object);
     void on_endpoints(const objects_by_name& objects);
+    void note_refused_endpoint(const stored_object& object, const std::string& remedy);
     void refresh_endpoints();
     void on_rollouts(const objects_by_name& objects);
     void on_datagram(const std::string& from, const std::string& bytes);
@@ -137,6 +138,8 @@
     std::map<std::string, time_point>
         due_since_;                 ///< reports not yet shown by the store, by service and state
     std::set<std::string> writing_; ///< services with a write under way
+    std::map<std::string, std::int64_t>
+        refused_endpoints_; ///< revision of the entry that was logged, by name
 };
 
 } // namespace laurelhoist
--- a/src/host/entry_host_copies.cpp
+++ b/src/host/entry_host_copies.cpp
@@ -151,7 +151,8 @@
                        {"grace_ms", to_ms(roster_.grace_left(monotonic_now()))},
                        {"names", names},
                        {"objects", objects}};
-    responder->reply(watch.is_listed() ? status_ok : status_unavailable, {}, body.dump());
+    const std::string text = body.dump(-1, ' ', false, json::error_handler_t::replace);
+    responder->reply(watch.is_listed() ? status_ok : status_unavailable, {}, text);
 }
 
 void entry_host::fetch_copy(const std::string& peer, object_watch& watch, const std::string& kind) {
--- a/src/membership/endpoint_roster.cpp
+++ b/src/membership/endpoint_roster.cpp
@@ -27,6 +27,25 @@
     return grace_left(now) > duration::zero();
 }
 
+endpoint_record endpoint_roster::believed(const endpoint_record& listed, time_point now) {
+    const auto held = std::find_if(listed_.begin(), listed_.end(),
+                                   [&](const endpoint_record& each) { return each.name == listed.name; });
+    if (held == listed_.end() || !is_restart_of(*held, listed) || listed.started_at_ms == 0) {
+        late_.erase(listed.name);
+        return listed;
+    }
+    const bool is_first = late_.count(listed.name) == 0;
+    late_entry& late = late_[listed.name];
+    late.record = listed;
+    if (is_first) {
+        late.since = now;
+        log_warning("late_endpoint_entry", {{"endpoint", listed.name},
+                                            {"started_at_ms", listed.started_at_ms},
+                                            {"believed_start_ms", held->started_at_ms}});
+    }
+    return now - late.since < late_entry_life ? *held : listed;
+}
+
 void endpoint_roster::update(const std::vector<endpoint_record>& listed, time_point now) {
     std::set<std::string> names;
     for (const endpoint_record& endpoint : listed) {
@@ -46,11 +65,21 @@
         keep_if_missing(lapsed_);
     }
     lapsed_ = std::move(kept);
-    listed_ = listed;
+    std::vector<endpoint_record> taken;
+    for (const endpoint_record& endpoint : listed) {
+        taken.push_back(believed(endpoint, now));
+    }
+    listed_ = std::move(taken);
 }
 
 std::vector<endpoint_record> endpoint_roster::current(time_point now) const {
     std::vector<endpoint_record> endpoints = listed_;
+    for (endpoint_record& endpoint : endpoints) {
+        const auto late = late_.find(endpoint.name);
+        if (late != late_.end() && now - late->second.since >= late_entry_life) {
+            endpoint = late->second.record;
+        }
+    }
     if (is_in_grace(now)) {
         endpoints.insert(endpoints.end(), lapsed_.begin(), lapsed_.end());
     }
--- a/src/membership/host_list.h
+++ b/src/membership/host_list.h
@@ -17,8 +17,16 @@
     std::string pool;
     std::string state = "live"; ///< "live" or "leaving"
     std::string release{};      ///< of the software it runs; empty: not said
+    /// Time of day at which its process started, in ms; 0: not said. A higher one under the same name is
+    /// another process, which holds and knows nothing of what the one before did.
+    std::int64_t started_at_ms = 0;
 };
-LAUREL_VALUE_TYPE(endpoint_record, name, address, domain, pool, state, release)
+LAUREL_VALUE_TYPE(endpoint_record, name, address, domain, pool, state, release, started_at_ms)
+
+/** \return whether \p later is a process that has taken the place of the one that \p earlier names. */
+inline bool is_restart_of(const endpoint_record& later, const endpoint_record& earlier) {
+    return earlier.started_at_ms != 0 && later.started_at_ms > earlier.started_at_ms;
+}
 
 /** Picks the endpoints of one pool that \p entry uses: at most \p size, the same on every call, evenly
  * shared out over entries, and over the failure domains as far as each has any.
--- a/src/placement/endpoint_directory.cpp
+++ b/src/placement/endpoint_directory.cpp
@@ -42,15 +42,35 @@
 
 void endpoint_directory::update(const std::vector<endpoint_record>& endpoints, time_point now) {
     table_.update(endpoints, now);
+    for (const endpoint_record& endpoint : restarted_among(endpoints)) {
+        memory_.erase(endpoint.name); // It holds no part of a prompt, and was never slow.
+    }
     std::set<std::string> listed;
     for (const endpoint_record& endpoint : endpoints) {
         listed.insert(endpoint.name);
+        started_at_ms_[endpoint.name] = endpoint.started_at_ms;
+    }
+    for (auto item = started_at_ms_.begin(); item != started_at_ms_.end();) {
+        item = listed.count(item->first) > 0 ? std::next(item) : started_at_ms_.erase(item);
     }
     for (auto item = memory_.begin(); item != memory_.end();) {
         item = listed.count(item->first) > 0 ? std::next(item) : memory_.erase(item);
     }
 }
 
+std::vector<endpoint_record>
+endpoint_directory::restarted_among(const std::vector<endpoint_record>& endpoints) const {
+    std::vector<endpoint_record> restarted;
+    for (const endpoint_record& endpoint : endpoints) {
+        const auto known = started_at_ms_.find(endpoint.name);
+        const bool is_known = known != started_at_ms_.end() && known->second != 0;
+        if (is_known && endpoint.started_at_ms > known->second) {
+            restarted.push_back(endpoint);
+        }
+    }
+    return restarted;
+}
+
 void endpoint_directory::set_slots(const std::string& service, int slots, std::size_t sharers) {
     table_.set_slots(service, slots, sharers);
 }
--- a/src/placement/endpoint_directory.h
+++ b/src/placement/endpoint_directory.h
@@ -61,6 +61,8 @@
     endpoint_directory(chart life, std::uint64_t seed, std::string domain);
 
     void update(const std::vector<endpoint_record>& endpoints, time_point now);
+    /** \return those of \p endpoints whose process is another than the one known here. */
+    std::vector<endpoint_record> restarted_among(const std::vector<endpoint_record>& endpoints) const;
     /** Sets how many requests one endpoint of \p service runs, and how many hosts share it. */
     void set_slots(const std::string& service, int slots, std::size_t sharers);
     /** Sets whether another failure domain's endpoints are used only when this one's are busy: on a large
@@ -117,6 +119,7 @@
     load_by_endpoint own_;
     std::map<std::string, peer_state> peers_;
     std::map<std::string, engine_memory> memory_;
+    std::map<std::string, std::int64_t> started_at_ms_; ///< by endpoint
 };
 
 } // namespace laurelhoist
--- a/src/relay/endpoint_connection.cpp
+++ b/src/relay/endpoint_connection.cpp
@@ -135,6 +135,17 @@
     idle.push_back(std::move(connection));
 }
 
+void connection_pool::drop(const std::string& address) {
+    const auto found = idle_.find(address);
+    if (found == idle_.end()) {
+        return;
+    }
+    for (const auto& connection : found->second) {
+        connection->close();
+    }
+    idle_.erase(found);
+}
+
 void connection_pool::expire(time_point now) {
     for (auto item = idle_.begin(); item != idle_.end();) {
         auto& idle = item->second;
--- a/src/relay/endpoint_connection.h
+++ b/src/relay/endpoint_connection.h
@@ -77,6 +77,8 @@
     std::shared_ptr<endpoint_connection> make(const std::string& address);
     /** Keeps \p connection until \p until. */
     void keep(std::shared_ptr<endpoint_connection> connection, time_point until);
+    /** Drops all to \p address: the process that held their other end has gone. */
+    void drop(const std::string& address);
     /** Drops those whose time is up; to be called a few times a second. */
     void expire(time_point now);
 
--- a/src/relay/exchange.cpp
+++ b/src/relay/exchange.cpp
@@ -455,6 +455,14 @@
     }
 }
 
+void exchange::on_endpoint_restarted(const endpoint_record& endpoint) {
+    const bool is_under_way = is_in("connecting") || is_in("asked") || is_in("answering");
+    if (is_under_way && is_restart_of(endpoint, attempt_.chosen.endpoint)) {
+        auto self = shared_from_this();
+        end_attempt(is_in("connecting") ? attempt_end::not_sent : attempt_end::broken);
+    }
+}
+
 bool exchange::has_stalled(time_point now) const {
     const bool may_go_elsewhere = route_->may_repeat() && attempts_ < route_->max_attempts;
     return may_go_elsewhere && now - attempt_.heard_at > silence_limit();
--- a/src/relay/exchange.h
+++ b/src/relay/exchange.h
@@ -21,6 +21,9 @@
     void start();
     /** Called some twenty times a second: time limits, and another try for one that waits. */
     void on_tick(time_point now);
+    /** \p endpoint is a new process under a known name: what the earlier one was asked will not be answered.
+     */
+    void on_endpoint_restarted(const endpoint_record& endpoint);
 
     void on_connected() override;
     void on_connect_failed() override;
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -101,7 +101,25 @@
 }
 
 void relay::set_endpoints(const std::vector<endpoint_record>& endpoints) {
+    const std::vector<endpoint_record> restarted = state_.endpoints.restarted_among(endpoints);
     state_.endpoints.update(endpoints, monotonic_now());
+    for (const endpoint_record& endpoint : restarted) {
+        on_restarted(endpoint);
+    }
+}
+
+// Against an endpoint that crashed behind a cut and came back: its connections were never closed, and what
+// was sent on them waits for an answer until it counts as silent.
+void relay::on_restarted(const endpoint_record& endpoint) {
+    log_info("endpoint_restarted", {{"endpoint", endpoint.name}, {"started_at_ms", endpoint.started_at_ms}});
+    state_.measured.count("endpoints_restarted");
+    state_.pool.drop(endpoint.address);
+    const std::vector<std::shared_ptr<exchange>> active(active_.begin(), active_.end());
+    for (const auto& each : active) {
+        if (active_.count(each) > 0) {
+            each->on_endpoint_restarted(endpoint);
+        }
+    }
 }
 
 void relay::begin_stop() {
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -96,6 +96,7 @@
     void on_request(const std::shared_ptr<caller_connection>& caller, caller_request request);
     void on_tick();
     void set_slots(std::size_t hosts);
+    void on_restarted(const endpoint_record& endpoint);
 
     relay_state state_;
     caller_connection::handlers caller_events_;
--- a/src/routing/endpoint_table.cpp
+++ b/src/routing/endpoint_table.cpp
@@ -40,7 +40,15 @@
         listed.insert(record.name);
         const bool is_new = endpoints_.count(record.name) == 0;
         endpoint_state& endpoint = endpoints_[record.name];
-        if (is_new) {
+        const bool is_restarted = !is_new && is_restart_of(record, endpoint.record);
+        if (is_restarted) {
+            // What the earlier process did says nothing of this one: an ejected endpoint that came back empty
+            // and sound would rest for up to 30 s.
+            const int in_flight = endpoint.in_flight;
+            endpoint = endpoint_state{};
+            endpoint.in_flight = in_flight;
+        }
+        if (is_new || is_restarted) {
             endpoint.state = life_.initial();
             endpoint.limit = limits_of(record.pool).initial;
         }
--- a/test/membership_test.cpp
+++ b/test/membership_test.cpp
@@ -171,6 +171,43 @@
     EXPECT_EQ(roster.current(now).size(), 1U);
 }
 
+// An engine crashes and starts again under its name. The word of its earlier process that it leaves takes
+// effect in the store a second later, and the engine, idle and sound, gets nothing; or requests go to its old
+// address.
+TEST(endpoint_roster, a_late_entry_of_an_earlier_process_changes_nothing) {
+    endpoint_roster roster;
+    const time_point now{seconds(10)};
+    endpoint_record first = live_endpoint("a");
+    first.started_at_ms = 1000;
+    endpoint_record second = first;
+    second.started_at_ms = 9000;
+    second.address = "10.0.0.9:80";
+    endpoint_record late = first;
+    late.state = "leaving";
+    roster.update({first}, now);
+    roster.update({second}, now + seconds(1));
+    roster.update({late}, now + seconds(2));
+    EXPECT_EQ(roster.current(now + seconds(2)).front(), second);
+    roster.update({second}, now + seconds(3));
+    EXPECT_EQ(roster.current(now + seconds(9)).front(), second);
+}
+
+// The clock of an engine's machine jumped back between two starts. Its entries name an earlier start than
+// those before, and the word that it leaves must count all the same.
+TEST(endpoint_roster, an_earlier_start_that_stays_is_believed) {
+    endpoint_roster roster;
+    const time_point now{seconds(10)};
+    endpoint_record first = live_endpoint("a");
+    first.started_at_ms = 9000;
+    endpoint_record second = first;
+    second.started_at_ms = 8000;
+    second.state = "leaving";
+    roster.update({first}, now);
+    roster.update({second}, now + seconds(1));
+    EXPECT_EQ(roster.current(now + seconds(1)).front().state, "live");
+    EXPECT_EQ(roster.current(now + milliseconds(2600)).front().state, "leaving");
+}
+
 // While the store is away, registrations lapse. It comes back with an empty list, and every caller is turned
 // away although all endpoints live. Two seconds later all are registered again.
 TEST(endpoint_roster, registrations_that_lapsed_in_an_outage_are_kept_until_they_could_be_back) {
--- a/test/placement_test.cpp
+++ b/test/placement_test.cpp
@@ -57,6 +57,27 @@
     EXPECT_LT(second.unread_tokens, first.unread_tokens + 1);
 }
 
+// An engine starts again under its name with an empty memory. Chosen for what its earlier process had read,
+// it reads everything again while an engine that does hold the part stands beside it.
+TEST(endpoint_directory, a_restarted_engine_holds_nothing) {
+    directory_fixture fixture;
+    std::vector<endpoint_record> records = engines(6);
+    for (endpoint_record& record : records) {
+        record.started_at_ms = 1000;
+    }
+    fixture.directory.update(records, fixture.now);
+    const placement first = fixture.send(prompt(42, 1, 8000));
+    fixture.directory.on_ended(first, false, call_result::answered, milliseconds(100), fixture.now);
+    const std::int64_t kept = fixture.send(prompt(42, 1, 8000)).unread_tokens;
+    for (endpoint_record& record : records) {
+        record.started_at_ms = 9000;
+    }
+    EXPECT_EQ(fixture.directory.restarted_among(records).size(), records.size());
+    fixture.directory.update(records, fixture.now);
+    EXPECT_TRUE(fixture.directory.restarted_among(records).empty());
+    EXPECT_GT(fixture.send(prompt(42, 1, 8000)).unread_tokens, kept);
+}
+
 // A draft is stepped up from the small model to the large one and waits twice as long as predicted: the parts
 // that only the small model had read at an engine were taken for read by the large one as well.
 TEST(endpoint_directory, what_another_model_has_read_is_read_again) {
--- a/test/platform_test.cpp
+++ b/test/platform_test.cpp
@@ -74,6 +74,79 @@
     EXPECT_EQ(value_of(decoded)->name, "main");
 }
 
+json sound_endpoint() {
+    return {{"service", "pool"}, {"address", "10.0.0.1:80"}, {"zone", "z"},
+            {"version", "v2"},   {"state", "ready"},         {"born", 1783180167117}};
+}
+
+// Another writer leaves an entry among the endpoints: without an address, with a number where a text belongs,
+// in a state that nobody knows. Taken for an endpoint, it would get requests; none of its kind may cost the
+// others.
+TEST(config_decoder, an_entry_of_another_writer_names_no_endpoint) {
+    ASSERT_NE(value_of(decode_endpoint(object_with(sound_endpoint()))), nullptr);
+    for (const char* field : {"service", "address", "zone", "version", "state"}) {
+        json spec = sound_endpoint();
+        spec.erase(field);
+        EXPECT_NE(error_of(decode_endpoint(object_with(spec))), nullptr) << "without " << field;
+        spec[field] = 7;
+        EXPECT_NE(error_of(decode_endpoint(object_with(spec))), nullptr) << "a number as " << field;
+    }
+    json spec = sound_endpoint();
+    spec["state"] = "resting";
+    EXPECT_NE(error_of(decode_endpoint(object_with(spec))), nullptr);
+    spec = sound_endpoint();
+    spec["born"] = "yesterday";
+    EXPECT_NE(error_of(decode_endpoint(object_with(spec))), nullptr);
+    spec = sound_endpoint();
+    spec["address"] = "nowhere";
+    EXPECT_NE(error_of(decode_endpoint(object_with(spec))), nullptr);
+    for (const json& other : {json("text"), json(), json::array({1, 2})}) {
+        EXPECT_NE(error_of(decode_endpoint(object_with(other))), nullptr);
+    }
+}
+
+TEST(config_decoder, the_start_of_an_endpoint_is_read) {
+    EXPECT_EQ(value_of(decode_endpoint(object_with(sound_endpoint())))->started_at_ms, 1783180167117);
+}
+
+// One unreadable entry among sixty: the other fifty-nine are served from. Its bytes are no text, or it has no
+// name, or its revision is a text.
+TEST(store_answers, an_unreadable_entry_costs_no_other) {
+    json items = json::array();
+    for (int i = 0; i < 60; ++i) {
+        items.push_back({{"metadata", {{"name", "e" + std::to_string(i)}, {"revision", i + 1}}},
+                         {"spec", sound_endpoint()}});
+    }
+    const std::string mark = "@@";
+    const json unreadable[] = {json("text"),
+                               {{"spec", sound_endpoint()}},
+                               {{"metadata", {{"name", "x"}, {"revision", "seven"}}}},
+                               {{"metadata", {{"name", 5}, {"revision", 7}}}},
+                               {{"metadata", {{"name", mark}, {"revision", 7}}}, {"spec", mark}}};
+    for (const json& entry : unreadable) {
+        json body = {{"items", items}, {"at", 90}, {"has_more", false}};
+        body["items"][30] = entry;
+        std::string text = body.dump();
+        for (std::size_t at = text.find(mark); at != std::string::npos; at = text.find(mark)) {
+            text.replace(at, mark.size(), "\xff\xc3");
+        }
+        const object_page page = read_page(text);
+        const auto sound = std::count_if(page.items.begin(), page.items.end(), [](const auto& object) {
+            return value_of(decode_endpoint(object)) != nullptr;
+        });
+        EXPECT_EQ(sound, 59) << entry;
+    }
+}
+
+TEST(store_answers, an_unreadable_event_costs_no_other) {
+    const json sound = {{"metadata", {{"name", "e1"}, {"revision", 5}}}, {"spec", sound_endpoint()}};
+    const json body = {{"events", json::array({{{"object", "text"}, {"removed", false}},
+                                               {{"object", sound}, {"removed", false}},
+                                               {{"removed", false}}})},
+                       {"at", 6}};
+    EXPECT_EQ(read_events(body.dump()).events.size(), 1U);
+}
+
 TEST(config_decoder, a_status_counts_only_for_the_release_it_names) {
     stored_object object = object_with({{"service", "pool"}, {"target", "v3"}, {"duration_s", 12}});
     object.status = {{"state", "completed"}, {"target", "v2"}};
--- a/test/relay_test.cpp
+++ b/test/relay_test.cpp
@@ -366,9 +366,10 @@
         relay_->set_routing(std::make_shared<const routing_table>(config), 1);
         std::vector<endpoint_record> records;
         for (std::size_t i = 0; i < endpoints.size(); ++i) {
-            records.push_back({"e" + std::to_string(i), endpoints[i], "d1", "claims", "live", "v1"});
+            records.push_back({"e" + std::to_string(i), endpoints[i], "d1", "claims", "live", "v1", 1000});
         }
         relay_->set_endpoints(records);
+        records_ = records;
         port_ = free_port();
         relay_->listen({"127.0.0.1", port_});
         thread_ = std::thread([this] { loop_.run(); });
@@ -421,6 +422,7 @@
     test_dialect dialect_;
     rollout_tracker releases_;
     std::unique_ptr<relay> relay_;
+    std::vector<endpoint_record> records_;
     std::thread thread_;
     std::uint16_t port_ = 0;
     bool was_reset_ = false;
@@ -518,6 +520,25 @@
     EXPECT_TRUE(has(first.requests()[1], "Resume: 1"));
 }
 
+// An engine crashes behind a cut and starts again under its name: the connection to its earlier process is
+// never closed. The adviser's draft stands still until the stream counts as silent, with sound engines beside
+// it.
+TEST_F(relay_fixture, a_stream_to_a_restarted_endpoint_goes_on_elsewhere_at_once) {
+    const scripted_answer begun{stream_head("7") + chunk_of(event(1)), false, false};
+    const scripted_answer rest{stream_head("7") + chunk_of(event(2)) + "0\r\n\r\n", false, false};
+    scripted_endpoint first({begun, rest});
+    begin(route(route_kind::stream, 3), {first.address()});
+    const time_point asked_at = monotonic_now();
+    asio::steady_timer restart(loop_.context(), milliseconds(150));
+    restart.async_wait([this](const boost::system::error_code&) {
+        records_.front().started_at_ms = 9000;
+        relay_->set_endpoints(records_);
+    });
+    const std::string answer = ask("7");
+    EXPECT_TRUE(has(answer, event(2))) << answer;
+    EXPECT_LT(to_ms(monotonic_now() - asked_at), 1500) << "a silent stream would be noticed after 2 s";
+}
+
 // Nine engines crash, four of them with the new release: the requests they break at once were taken for bad
 // answers, and a good release was braked.
 TEST_F(relay_fixture, a_crash_says_nothing_of_the_release) {
--- a/test/routing_test.cpp
+++ b/test/routing_test.cpp
@@ -200,6 +200,25 @@
     EXPECT_FALSE(table.could_serve("pool", "m@1", begin));
 }
 
+// An engine fails three times, crashes and starts again under its name, sound. It must not rest for what the
+// process before it did.
+TEST(endpoint_table, a_restarted_endpoint_is_not_held_to_the_failures_before) {
+    endpoint_table table = make_table();
+    endpoint_record endpoint{"a", "", "d", "pool", "live", "v1", 1000};
+    table.update({endpoint}, begin);
+    for (int i = 0; i < 3; ++i) {
+        table.on_call_started("a", {"pool", "", "", {}}, begin);
+        table.on_call_ended("a", call_result::failed, milliseconds(5), begin);
+    }
+    ASSERT_EQ(choose(table, begin), "");
+    endpoint.started_at_ms = 500;
+    table.update({endpoint}, begin);
+    ASSERT_EQ(choose(table, begin), "") << "an earlier start is old news";
+    endpoint.started_at_ms = 9000;
+    table.update({endpoint}, begin);
+    EXPECT_EQ(choose(table, begin), "a");
+}
+
 // A release on trial goes to a few endpoints, which carry their full load. Chosen anew by each host, they
 // would be all of them.
 TEST(endpoint_table, a_share_of_the_endpoints_is_the_same_on_every_host) {
