News of load carry what has changed, and every message short codes for its fields

Hypothesis: most of the bytes are ours. Change: only changed entries, field codes, whole milliseconds. Test: news of one endpoint take under 80 bytes.

--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -1,6 +1,7 @@
 #include "host/entry_host.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace laurelhoist {
 
@@ -51,6 +52,14 @@
     return status;
 }
 
+load_by_endpoint to_loads(const std::vector<load_entry>& entries) {
+    load_by_endpoint loads;
+    for (const load_entry& entry : entries) {
+        loads[entry.endpoint] = {static_cast<double>(entry.reading_ms), entry.running};
+    }
+    return loads;
+}
+
 relay_settings to_relay_settings(const entry_host_settings& settings) {
     relay_settings relayed;
     relayed.host = settings.name;
@@ -283,7 +292,7 @@
     if (is_newcomer) {
         introduce(from, now);
     }
-    take_load(sender, news.load, now);
+    relay_.state().endpoints.set_peer_load(sender, to_loads(news.load), now);
     const std::string reporter = sender + "/" + std::to_string(news.statuses.front().incarnation);
     rollouts_.merge(reporter, news.counts, news.rollouts, now);
 }
@@ -301,28 +310,40 @@
 }
 
 void entry_host::take(const std::string&, const load_news& news) {
-    take_load(news.sender, news.load, monotonic_now());
-}
-
-void entry_host::take_load(const std::string& sender, const std::vector<load_entry>& entries,
-                           time_point now) {
-    load_by_endpoint load;
-    for (const load_entry& entry : entries) {
-        load[entry.endpoint] = {entry.reading_ms, entry.running};
-    }
-    relay_.state().endpoints.set_peer_load(sender, std::move(load), now);
+    relay_.state().endpoints.change_peer_load(news.sender, to_loads(news.load), monotonic_now());
 }
 
 std::vector<load_entry> entry_host::own_load() const {
     std::vector<load_entry> entries;
     for (const auto& [endpoint, load] : relay_.state().endpoints.own_load()) {
         if (entries.size() < most_load_entries) {
-            entries.push_back({endpoint, load.reading_ms, load.running});
+            entries.push_back({endpoint, std::llround(load.reading_ms), load.running});
         }
     }
     return entries;
 }
 
+// Only what has changed: with every endpoint in every message the news of load were most of the bytes between
+// failure domains. A message that is lost is made good by the next round of gossip, which carries everything.
+std::vector<load_entry> entry_host::take_load_changes() {
+    std::vector<load_entry> changes;
+    std::map<std::string, load_entry> told;
+    for (const load_entry& entry : own_load()) {
+        const auto before = told_load_.find(entry.endpoint);
+        if (before == told_load_.end() || before->second != entry) {
+            changes.push_back(entry);
+        }
+        told[entry.endpoint] = entry;
+    }
+    for (const auto& [endpoint, entry] : told_load_) {
+        if (told.count(endpoint) == 0) {
+            changes.push_back({endpoint, 0, 0});
+        }
+    }
+    told_load_ = std::move(told);
+    return changes;
+}
+
 // Load pattern: several hosts get a long prompt within the same tenth of a second. Told of one another's only
 // with the next round, they send them to the same idle endpoint, where the last waits for all.
 void entry_host::on_load_changed() {
@@ -339,7 +360,11 @@
 void entry_host::tell_load() {
     const time_point now = monotonic_now();
     const bool is_large = is_large_fleet(now);
-    const std::string bytes = encode_peer_message(load_news{settings_.name, own_load()});
+    const load_news news{settings_.name, take_load_changes()};
+    if (news.load.empty()) {
+        return;
+    }
+    const std::string bytes = encode_peer_message(news);
     for (const host_status& peer : gossip_.live(now)) {
         // On a large fleet only hosts of the same domain share endpoints as a rule.
         const bool shares_endpoints = !is_large || peer.domain == settings_.failure_domain;
--- a/src/host/entry_host.h
+++ b/src/host/entry_host.h
@@ -86,8 +86,8 @@
     void take(const std::string& from, const session_news& news);
     void tell_sessions(time_point now);
     void introduce(const std::string& newcomer, time_point now);
-    void take_load(const std::string& sender, const std::vector<load_entry>& entries, time_point now);
     std::vector<load_entry> own_load() const;
+    std::vector<load_entry> take_load_changes();
     void on_load_changed();
     void tell_load();
     void gossip_round();
@@ -128,7 +128,8 @@
     std::map<std::int64_t, time_point> questions_; ///< asked of peers, by nonce
     std::int64_t last_nonce_ = 0;
     bool is_load_to_tell_ = false;
-    std::set<std::string> fetching_; ///< kinds of which a peer's copy is on its way
+    std::map<std::string, load_entry> told_load_; ///< what the last load news said, by endpoint
+    std::set<std::string> fetching_;              ///< kinds of which a peer's copy is on its way
     time_point started_at_;
     std::int64_t newest_config_heard_ = 0;   ///< revision; of peers or of the store
     std::optional<time_point> behind_since_; ///< a newer configuration was heard of than is held
--- a/src/host/peer_messages.cpp
+++ b/src/host/peer_messages.cpp
@@ -1,9 +1,72 @@
 #include "host/peer_messages.h"
 
+#include <map>
+
 namespace laurelhoist {
 
 namespace {
 
+struct field_code {
+    const char* field;
+    const char* code;
+};
+
+/// Codes are never given to another field. A field without one goes by its name.
+constexpr field_code field_codes[] = {{"statuses", "s"},      {"load", "l"},       {"counts", "c"},
+                                      {"rollouts", "r"},      {"name", "n"},       {"gossip_address", "g"},
+                                      {"entry_address", "e"}, {"domain", "d"},     {"incarnation", "i"},
+                                      {"beat", "b"},          {"state", "t"},      {"config_revision", "v"},
+                                      {"endpoint", "p"},      {"reading_ms", "m"}, {"running", "u"},
+                                      {"service", "a"},       {"release", "f"},    {"route", "o"},
+                                      {"good", "k"},          {"bad", "x"},        {"sent_in_rollout", "q"},
+                                      {"age_ms", "h"},        {"is_braked", "j"},  {"trial_share", "w"},
+                                      {"has_moved", "y"},     {"sender", "z"},     {"uses", "1"},
+                                      {"session", "2"}};
+
+using field_map = std::map<std::string, std::string>;
+
+const field_map& codes_by_field() {
+    static const field_map codes = [] {
+        field_map made;
+        for (const field_code& each : field_codes) {
+            made[each.field] = each.code;
+        }
+        return made;
+    }();
+    return codes;
+}
+
+const field_map& fields_by_code() {
+    static const field_map fields = [] {
+        field_map made;
+        for (const field_code& each : field_codes) {
+            made[each.code] = each.field;
+        }
+        return made;
+    }();
+    return fields;
+}
+
+/** \return \p value with the fields of its objects, at any depth, renamed by \p names. */
+json renamed(const json& value, const field_map& names) {
+    if (value.is_array()) {
+        json items = json::array();
+        for (const json& item : value) {
+            items.push_back(renamed(item, names));
+        }
+        return items;
+    }
+    if (!value.is_object()) {
+        return value;
+    }
+    json fields = json::object();
+    for (const auto& [field, item] : value.items()) {
+        const auto found = names.find(field);
+        fields[found == names.end() ? field : found->second] = renamed(item, names);
+    }
+    return fields;
+}
+
 template <std::size_t index = 0>
 std::optional<peer_message> decode_kind(std::size_t kind, const json& body) {
     if constexpr (index < std::variant_size_v<peer_message>) {
@@ -20,14 +83,14 @@
 std::string encode_peer_message(const peer_message& message) {
     const json body = std::visit([](const auto& typed) { return json(typed); }, message);
     std::string bytes;
-    json::to_cbor(json::array({message.index(), body}), bytes);
+    json::to_cbor(json::array({message.index(), renamed(body, codes_by_field())}), bytes);
     return bytes;
 }
 
 std::optional<peer_message> decode_peer_message(const std::string& bytes) {
     try {
         const json message = json::from_cbor(bytes);
-        return decode_kind(message.at(0).get<std::size_t>(), message.at(1));
+        return decode_kind(message.at(0).get<std::size_t>(), renamed(message.at(1), fields_by_code()));
     } catch (const std::exception& failure) {
         log_warning("peer_message_unreadable", {{"reason", failure.what()}, {"bytes", bytes.size()}});
         return std::nullopt;
--- a/src/host/peer_messages.h
+++ b/src/host/peer_messages.h
@@ -1,6 +1,7 @@
 /** \file
  * Defines the datagrams between entry hosts (CBOR). A field that is missing takes its default, so that an
- * older and a newer host understand each other.
+ * older and a newer host understand each other. On the wire each field goes by a short code: names were half
+ * of the bytes, and bytes between failure domains cost.
  */
 #pragma once
 
@@ -13,7 +14,7 @@
 /** Work in flight at one endpoint, by the sender. */
 struct load_entry {
     std::string endpoint;
-    double reading_ms = 0; ///< \see endpoint_load::reading_ms
+    std::int64_t reading_ms = 0; ///< \see endpoint_load::reading_ms; whole, which takes a third of the bytes
     int running = 0;
 };
 LAUREL_VALUE_TYPE(load_entry, endpoint, reading_ms, running)
@@ -41,7 +42,8 @@
 };
 LAUREL_VALUE_TYPE(freshness_answer, nonce, config_revision, age_us)
 
-/** Work in flight at the endpoints, by the sender; sent when it has changed by much. */
+/** Work in flight at the endpoints, by the sender, as far as it has changed since the message before; all of
+ * it comes with \ref peer_news. */
 struct load_news {
     std::string sender;
     std::vector<load_entry> load;
--- a/src/placement/endpoint_directory.cpp
+++ b/src/placement/endpoint_directory.cpp
@@ -79,6 +79,18 @@
     peers_[host] = {std::move(load), now};
 }
 
+void endpoint_directory::change_peer_load(const std::string& host, const load_by_endpoint& changes,
+                                          time_point now) {
+    peer_state& peer = peers_[host];
+    if (now - peer.at >= peer_load_memory) {
+        peer.load.clear(); // What did not change is as old as the last message.
+    }
+    for (const auto& [endpoint, load] : changes) {
+        peer.load[endpoint] = load;
+    }
+    peer.at = now;
+}
+
 endpoint_load endpoint_directory::load_of(const std::string& endpoint, time_point now) const {
     endpoint_load total;
     const auto add = [&](const load_by_endpoint& loads) {
--- a/src/placement/endpoint_directory.h
+++ b/src/placement/endpoint_directory.h
@@ -70,6 +70,8 @@
     void prefer_own_domain(bool is_preferred) { prefers_own_domain_ = is_preferred; }
     /** Takes what \p host has in flight; it counts for \ref peer_load_memory. */
     void set_peer_load(const std::string& host, load_by_endpoint load, time_point now);
+    /** Takes what has changed of it: the endpoints in \p changes, the others stay. */
+    void change_peer_load(const std::string& host, const load_by_endpoint& changes, time_point now);
     const load_by_endpoint& own_load() const { return own_; }
 
     /** \return the endpoint to send to, or nothing if none takes work now */
--- a/test/host_test.cpp
+++ b/test/host_test.cpp
@@ -44,6 +44,23 @@
     EXPECT_LT(encode_peer_message(news).size(), two_packets);
 }
 
+// Load pattern: eight hosts place seven long prompts a second each and tell all others of each. With every
+// endpoint in every message, by name, these were most of the bytes between failure domains (850 a message).
+TEST(peer_messages, news_of_one_endpoint_are_small) {
+    const load_news news{"front-osk-hall1-1", {{"i-7f3a91c2d4", 320, 5}}};
+    constexpr std::size_t one_entry = 80;
+    EXPECT_LT(encode_peer_message(news).size(), one_entry);
+}
+
+TEST(peer_messages, a_field_without_a_code_goes_by_its_name) {
+    json unknown = {{"n", "h1"}, {"a_field_of_later", 7}};
+    std::string bytes;
+    json::to_cbor(json::array({0, {{"s", json::array({unknown})}}}), bytes);
+    const std::optional<peer_message> decoded = decode_peer_message(bytes);
+    ASSERT_TRUE(decoded);
+    EXPECT_EQ(std::get<peer_news>(*decoded).statuses.front().name, "h1");
+}
+
 // Anybody who reaches the port can send anything.
 RC_GTEST_PROP(peer_messages, any_bytes_are_a_message_or_nothing, (const std::string& bytes)) {
     quiet_log();
--- a/test/placement_test.cpp
+++ b/test/placement_test.cpp
@@ -156,6 +156,32 @@
         << "the load of a host that fell silent is forgotten";
 }
 
+// Hosts tell only what has changed. What a peer does not mention stays as it was, until it has been silent
+// for so long that nothing of it counts.
+TEST(endpoint_directory, what_peers_do_not_mention_stays) {
+    directory_fixture fixture;
+    load_by_endpoint busy;
+    for (const endpoint_record& engine : engines(6)) {
+        if (engine.name != "e4") {
+            busy[engine.name] = {5000, 0};
+        }
+    }
+    fixture.directory.set_peer_load("other", busy, fixture.now);
+    fixture.directory.change_peer_load("other", {{"e3", {4000, 0}}}, fixture.now);
+    EXPECT_EQ(
+        fixture.directory.choose(wish_for("pool"), prompt(1, 2, 8000), large, fixture.now)->endpoint.name,
+        "e4");
+    fixture.directory.change_peer_load("other", {{"e4", {9000, 0}}, {"e3", {0, 0}}}, fixture.now);
+    EXPECT_EQ(
+        fixture.directory.choose(wish_for("pool"), prompt(1, 2, 8000), large, fixture.now)->endpoint.name,
+        "e3");
+    const time_point later = fixture.now + seconds(3);
+    fixture.directory.change_peer_load("other", {{"e3", {9000, 0}}}, later);
+    EXPECT_NE(fixture.directory.choose(wish_for("pool"), prompt(1, 2, 8000), large, later)->endpoint.name,
+              "e3")
+        << "what was said three seconds ago counts no more";
+}
+
 TEST(endpoint_directory, an_unwanted_release_gets_nothing) {
     directory_fixture fixture;
     std::vector<endpoint_record> records = engines(4);
