--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -20,6 +20,9 @@
 constexpr duration stop_interval = milliseconds(100);
 /// Without confirmation from the store for this long, peers are asked; three rounds fit before keys expire.
 constexpr duration stale_after = milliseconds(3200);
+/// When the store is lost to everybody, the host that it answered last vouches for all: of eight hosts that
+/// ask at unlike moments one was answered within 0.2 s, and each host's own answer is 2 s old in the mean.
+constexpr std::size_t peers_asked_in_outage = 12;
 /// A host that goes by copies asks sooner: the answer's own age, up to 3 s, comes on top.
 constexpr duration stale_copy_after = milliseconds(1200);
 constexpr duration load_gathering = milliseconds(20); ///< so that a burst of requests is told at once
@@ -60,6 +63,11 @@
     return loads;
 }
 
+watch_timing spread_timing(watch_timing timing, const std::string& host) {
+    timing.spread_seed = placement_hash("watch/" + host) | 1;
+    return timing;
+}
+
 relay_settings to_relay_settings(const entry_host_settings& settings) {
     relay_settings relayed;
     relayed.host = settings.name;
@@ -86,7 +94,7 @@
                     store,
                     charts.watch,
                     codec.config_kind(),
-                    config_timing,
+                    spread_timing(config_timing, settings.name),
                     {[this](const objects_by_name& objects) { on_config(objects); },
                      [this](time_point as_of) {
                          heard_store_at_ = monotonic_now();
@@ -174,7 +182,10 @@
 // The configuration's watch is the one that asks most often, so it notices first, both ways.
 void entry_host::on_store_reachability(bool is_lost) {
     note_reachability(is_lost);
-    if (!is_lost) {
+    is_store_lost_ = is_lost;
+    if (is_lost) {
+        check_freshness(); // While the peers' own confirmations are as fresh as they will ever be.
+    } else {
         endpoint_watch_.ask_again();
         rollout_watch_.ask_again();
     }
@@ -446,13 +457,15 @@
     for (auto item = questions_.begin(); item != questions_.end();) {
         item = now - item->second > question_life ? questions_.erase(item) : std::next(item);
     }
-    if (relay_.state().fence.age(now) < (reads_everything() ? stale_after : stale_copy_after)) {
+    const bool is_store_answering = reads_everything() && !is_store_lost_;
+    if (relay_.state().fence.age(now) < (is_store_answering ? stale_after : stale_copy_after)) {
         return;
     }
     const std::int64_t nonce = ++last_nonce_;
     questions_[nonce] = now;
     const std::string bytes = encode_peer_message(freshness_question{nonce});
-    for (const host_status& peer : gossip_.random_peers(peers_asked, now)) {
+    for (const host_status& peer :
+         gossip_.random_peers(is_store_lost_ ? peers_asked_in_outage : peers_asked, now)) {
         datagrams_.send(peer.gossip_address, bytes);
     }
 }
--- a/src/host/entry_host.h
+++ b/src/host/entry_host.h
@@ -129,6 +129,7 @@
     std::int64_t last_nonce_ = 0;
     bool is_load_to_tell_ = false;
     std::map<std::string, load_entry> told_load_; ///< what the last load news said, by endpoint
+    bool is_store_lost_ = false;                  ///< the configuration's watch fails
     std::set<std::string> fetching_;              ///< kinds of which a peer's copy is on its way
     time_point started_at_;
     std::int64_t newest_config_heard_ = 0;   ///< revision; of peers or of the store
--- a/src/store/object_watch.cpp
+++ b/src/store/object_watch.cpp
@@ -39,6 +39,7 @@
       state_{life_.initial()},
       kind_{std::move(kind)},
       wait_{timing.wait},
+      spread_{timing.spread_seed == 0 ? std::nullopt : std::optional<random_source>(timing.spread_seed)},
       gathering_{timing.gathering},
       longest_rest_{timing.longest_rest},
       events_{std::move(events)} {}
@@ -133,6 +134,15 @@
     return true;
 }
 
+duration object_watch::next_wait() {
+    constexpr double shortest = 0.75;
+    constexpr double range = 0.5;
+    if (!spread_) {
+        return wait_;
+    }
+    return std::chrono::duration_cast<duration>(wait_ * (shortest + range * spread_->unit()));
+}
+
 void object_watch::follow() {
     if (is_paused_) {
         is_resting_ = true;
@@ -142,9 +152,9 @@
     const std::uint64_t call = ++call_;
     // The first call after a failure does not wait: that the store is back must be known at once, because the
     // time for which vanished endpoints are kept runs from there.
-    const duration wait = is_reachable_ && !is_to_hurry_ ? wait_ : duration::zero();
+    waiting_ = is_reachable_ && !is_to_hurry_ ? next_wait() : duration::zero();
     is_to_hurry_ = false;
-    store_.watch(kind_, revision_, wait, [this, sent_at, call](const auto& result) {
+    store_.watch(kind_, revision_, waiting_, [this, sent_at, call](const auto& result) {
         if (call == call_) {
             on_events(result, sent_at);
         }
@@ -181,10 +191,10 @@
 // An answer proves what was current when the call was sent. One that says, after the whole wait, that nothing
 // happened proves more, but for the time in which a store that reorganises its history may hear nothing.
 duration object_watch::proven_wait(const object_events& heard, duration took) const {
-    if (!heard.events.empty() || took < wait_) {
+    if (!heard.events.empty() || took < waiting_) {
         return duration::zero();
     }
-    return std::max<duration>(duration::zero(), wait_ - deaf_time);
+    return std::max<duration>(duration::zero(), waiting_ - deaf_time);
 }
 
 void object_watch::on_events(const store_result<object_events>& result, time_point sent_at) {
--- a/src/store/object_watch.h
+++ b/src/store/object_watch.h
@@ -3,6 +3,7 @@
  */
 #pragma once
 
+#include "base/base.h"
 #include "chart/chart.h"
 #include "store/object_store.h"
 #include "transport/event_loop.h"
@@ -17,6 +18,9 @@
     duration gathering{}; ///< after news, before the next call, so that a series costs few calls
     /// Between calls that fail one after another, from the fourth on.
     duration longest_rest = milliseconds(250);
+    /// Seed by which each call waits up to a quarter more or less: hosts that follow in step know the same
+    /// moment, and none could vouch for another when the store goes. 0: no spread.
+    std::uint64_t spread_seed = 0;
 };
 
 /** Keeps a copy of the objects of one kind.
@@ -78,7 +82,11 @@
     chart life_;
     std::string state_;
     std::string kind_;
+    duration next_wait();
+
     duration wait_;
+    duration waiting_{}; ///< of the call under way
+    std::optional<random_source> spread_;
     duration gathering_;
     duration longest_rest_;
     handlers events_;
--- a/test/store_test.cpp
+++ b/test/store_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <deque>
+#include <set>
 
 namespace laurelhoist {
 namespace {
@@ -238,5 +239,28 @@
     EXPECT_LE(*copy.confirmed, before);
 }
 
+// The store goes away for everybody. Hosts that had all asked in step were all confirmed at the same moment,
+// the oldest possible one, so that no peer could vouch for another and every caller was refused a second
+// sooner.
+TEST(object_watch, hosts_with_unlike_seeds_wait_for_unlike_times) {
+    std::set<duration::rep> waits;
+    for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+        event_loop loop;
+        scripted_store store;
+        watch_timing timing{seconds(2), duration::zero()};
+        timing.spread_seed = seed;
+        object_watch watch(loop, store, load_chart_or_exit(LAUREL_SOURCE_DIR "/charts", "object_watch"),
+                           "config", timing,
+                           {[](const objects_by_name&) {}, [](time_point) {}, [](bool) {}, [] {}});
+        watch.start();
+        store.lists.front().done(object_page{{}, false, 5});
+        ASSERT_EQ(store.watches.size(), 1U);
+        EXPECT_GE(store.watches.front().wait, milliseconds(1500));
+        EXPECT_LE(store.watches.front().wait, milliseconds(2500));
+        waits.insert(store.watches.front().wait.count());
+    }
+    EXPECT_EQ(waits.size(), 8U);
+}
+
 } // namespace
 } // namespace laurelhoist
