--- a/src/host/entry_host_copies.cpp
+++ b/src/host/entry_host_copies.cpp
@@ -10,8 +10,6 @@
 
 namespace {
 
-/// From here on hosts share what they read, and keep to the endpoints of their own failure domain.
-constexpr std::size_t hosts_of_small_fleet = 10;
 /// A reader must notice the store's return soon, as the others go by it; the others need not.
 constexpr duration readers_rest = milliseconds(250);
 constexpr duration others_rest = milliseconds(1500);
--- a/src/membership/store_reading.cpp
+++ b/src/membership/store_reading.cpp
@@ -14,8 +14,6 @@
 /// of six takes seconds over links of 10 Mbit/s; the store gives it at once. With 300 ms, 55 of 74 hosts
 /// asked the store at each change: on hosts with an eighth of a core copies take that long now and then.
 constexpr duration most_copy_delay = milliseconds(500);
-/// Up to so many hosts all read: what copies would save is not worth their delay.
-constexpr std::size_t readers_of_small_fleet = 10;
 constexpr std::size_t readers_of_large_fleet = 6; ///< so that those asked at random include a live one
 
 } // namespace
@@ -35,7 +33,7 @@
 }
 
 reading_mode choose_reading(const reading_view& view) {
-    const bool is_reader = view.hosts <= readers_of_small_fleet || view.hosts_before < readers_of_large_fleet;
+    const bool is_reader = view.hosts <= hosts_of_small_fleet || view.hosts_before < readers_of_large_fleet;
     const bool knows_too_little = view.since_start < reading_after_start && !view.holds_copies;
     if (is_reader || knows_too_little) {
         return reading_mode::all;
--- a/src/membership/store_reading.h
+++ b/src/membership/store_reading.h
@@ -13,6 +13,9 @@
 
 namespace laurelhoist {
 
+/** Up to so many hosts all read: what copies would save is not worth their delay. */
+constexpr std::size_t hosts_of_small_fleet = 10;
+
 enum class reading_mode {
     copies,     ///< makes no calls: goes by the copies of those that read
     fetching,   ///< asks for the configuration alone, as its copy does not come
--- a/src/relay/exchange.cpp
+++ b/src/relay/exchange.cpp
@@ -1,7 +1,6 @@
 #include "relay/exchange.h"
 
 #include <algorithm>
-#include <limits>
 
 namespace laurelhoist {
 
@@ -194,11 +193,11 @@
     return wish;
 }
 
-exchange::model_placements exchange::placements_from(std::size_t least_size, const endpoint_wish& wish,
-                                                     time_point now) {
+exchange::model_placements exchange::placements_from(std::size_t least_size, std::size_t most,
+                                                     const endpoint_wish& wish, time_point now) {
     model_placements found;
     const std::size_t sizes = std::max<std::size_t>(1, route_->models.size());
-    for (std::size_t size = least_size; size < sizes; ++size) {
+    for (std::size_t size = least_size; size < sizes && size - least_size < most; ++size) {
         const std::string model = route_->models.empty() ? std::string{} : route_->models[size];
         const model_demand demand{model, state_.first_events.costs(model, size)};
         if (const auto chosen = state_.endpoints.choose(wish, prompt_, demand, now)) {
@@ -211,13 +210,14 @@
 
 bool exchange::choose(time_point now) {
     const endpoint_wish wish = make_wish();
-    const model_placements found = placements_from(least_size_, wish, now);
+    // The smallest first; one whose answer was not good enough goes to the largest that is still in time.
+    const bool is_step_up = least_size_ > 0;
+    const model_placements found = placements_from(least_size_, is_step_up ? most_sizes : 1, wish, now);
     if (found.options.empty()) {
         return false;
     }
-    // The smallest first; one whose answer was not good enough goes to the largest that is still in time.
     std::size_t best = 0;
-    if (least_size_ > 0) {
+    if (is_step_up) {
         best = largest_in_time(found.options, route_->priority, step_up_time_ms(now)).value_or(0);
     }
     attempt_ = attempt{};
--- a/src/relay/exchange.h
+++ b/src/relay/exchange.h
@@ -7,6 +7,8 @@
 #include "relay/event_stream.h"
 #include "relay/relay.h"
 
+#include <limits>
+
 namespace laurelhoist {
 
 /** One request under way.
@@ -54,7 +56,10 @@
         std::vector<placement> placements;
     };
     endpoint_wish make_wish() const;
-    model_placements placements_from(std::size_t least_size, const endpoint_wish& wish, time_point now);
+    static constexpr std::size_t most_sizes = std::numeric_limits<std::size_t>::max();
+    /** \return where models of the route could answer, from \p least_size on, at most \p most of them. */
+    model_placements placements_from(std::size_t least_size, std::size_t most, const endpoint_wish& wish,
+                                     time_point now);
     bool choose(time_point now);
     /** \return what is left of the objective for the first event of a larger model. */
     double step_up_time_ms(time_point now) const;
--- a/src/relay/exchange_answers.cpp
+++ b/src/relay/exchange_answers.cpp
@@ -26,7 +26,7 @@
         return true;
     }
     const time_point now = monotonic_now();
-    const model_placements larger = placements_from(attempt_.model_rank + 1, make_wish(), now);
+    const model_placements larger = placements_from(attempt_.model_rank + 1, most_sizes, make_wish(), now);
     return !largest_in_time(larger.options, route_->priority, step_up_time_ms(now)) ||
            !state_.cascade_budget(service_).try_take();
 }
