--- a/test/rollout_test.cpp
+++ b/test/rollout_test.cpp
@@ -402,5 +402,26 @@
     EXPECT_EQ(rollout.choice_of("s").required, "");
 }
 
+// A release begins its answers in time and then crawls: half of its streams take 17 s in place of one.
+// Nothing speaks against it while it is on trial, it is reported complete, and its streams crawl for
+// everybody.
+TEST(known_red, a_release_whose_streams_crawl_is_not_reported_complete) {
+    tracked_rollout rollout;
+    rollout.see("v1", 1000, 0);
+    rollout.due(seconds(1));
+    const release_use fresh{"pool", "v2", "drafts"};
+    for (int i = 0; i < 40; ++i) {
+        rollout.tracker.on_started(fresh, "", rollout.start + seconds(3));
+        rollout.tracker.on_begun(fresh, {milliseconds(100), 90});
+        if (i % 2 == 0) {
+            rollout.tracker.on_finished(fresh, "", rollout.start + seconds(4));
+            rollout.tracker.on_outcome(fresh, true);
+        }
+    }
+    rollout.due(seconds(22));
+    EXPECT_NE(rollout.due(milliseconds(23'250)), rollout_state::completed)
+        << "half of its streams have been under way for 20 s";
+}
+
 } // namespace
 } // namespace laurelhoist
