One walk over active exchanges, one count of what a roll-out has sent

Cause, by reading the change again: the walk over a copy of the active exchanges stood twice in the relay, and the sum of what all hosts have sent twice in the roll-out tracker. Change: one function each; behaviour as before.

--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -72,14 +72,20 @@
     made->start();
 }
 
-void relay::on_tick() {
-    const time_point now = monotonic_now();
+// Over a copy: what is done to one exchange may end it, or another.
+template <class Visit>
+void relay::for_each_active(const Visit& visit) {
     const std::vector<std::shared_ptr<exchange>> active(active_.begin(), active_.end());
     for (const auto& each : active) {
         if (active_.count(each) > 0) {
-            each->on_tick(now);
+            visit(*each);
         }
     }
+}
+
+void relay::on_tick() {
+    const time_point now = monotonic_now();
+    for_each_active([now](exchange& each) { each.on_tick(now); });
     if (++ticks_ % ticks_between_sweeps == 0) {
         const std::vector<std::shared_ptr<caller_connection>> callers(callers_.begin(), callers_.end());
         for (const auto& caller : callers) {
@@ -114,12 +120,7 @@
     log_info("endpoint_restarted", {{"endpoint", endpoint.name}, {"started_at_ms", endpoint.started_at_ms}});
     state_.measured.count("endpoints_restarted");
     state_.pool.drop(endpoint.address);
-    const std::vector<std::shared_ptr<exchange>> active(active_.begin(), active_.end());
-    for (const auto& each : active) {
-        if (active_.count(each) > 0) {
-            each->on_endpoint_restarted(endpoint);
-        }
-    }
+    for_each_active([&endpoint](exchange& each) { each.on_endpoint_restarted(endpoint); });
 }
 
 void relay::begin_stop() {
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -96,6 +96,9 @@
     friend class exchange;
     void accept_next();
     void on_request(const std::shared_ptr<caller_connection>& caller, caller_request request);
+    /** Calls \p visit with each exchange that is still under way when its turn comes. */
+    template <class Visit>
+    void for_each_active(const Visit& visit);
     void on_tick();
     void set_slots(std::size_t hosts);
     void on_restarted(const endpoint_record& endpoint);
--- a/src/rollout/release_rollout.cpp
+++ b/src/rollout/release_rollout.cpp
@@ -377,13 +377,9 @@
 // there. So all traffic moves so late that even if it stays until the time limit the release has had no more
 // than its share.
 bool rollout_tracker::fits_exposure_bound(const track& rollout, time_point now) const {
-    double fresh = 0;
-    double total = 0;
-    for_each_count(rollout.order.service, [&](const release_use& use, const release_counts& counts) {
-        const auto sent = static_cast<double>(counts.sent_in_rollout);
-        total += sent;
-        fresh += use.release == rollout.order.release ? sent : 0;
-    });
+    const sent_totals sent = sent_in(rollout);
+    const auto fresh = static_cast<double>(sent.fresh);
+    const auto total = static_cast<double>(sent.all);
     const double age_ms = std::max(1.0, to_ms(now - rollout.since));
     const double left_ms = std::max(0.0, to_ms(rollout.order.time_limit) - age_ms);
     const double expected = total / age_ms * left_ms;
@@ -393,11 +389,13 @@
     return fresh + in_move <= settings_.exposure_share * (total + expected);
 }
 
-std::int64_t rollout_tracker::sent_in(const track& rollout) const {
-    std::int64_t sum = 0;
-    for_each_count(rollout.order.service,
-                   [&](const release_use&, const release_counts& counts) { sum += counts.sent_in_rollout; });
-    return sum;
+rollout_tracker::sent_totals rollout_tracker::sent_in(const track& rollout) const {
+    sent_totals sent;
+    for_each_count(rollout.order.service, [&](const release_use& use, const release_counts& counts) {
+        sent.all += counts.sent_in_rollout;
+        sent.fresh += use.release == rollout.order.release ? counts.sent_in_rollout : 0;
+    });
+    return sent;
 }
 
 void rollout_tracker::measure_rate(track& rollout, time_point now) const {
@@ -405,7 +403,7 @@
     if (since < rate_window) {
         return;
     }
-    const std::int64_t sent = sent_in(rollout);
+    const std::int64_t sent = sent_in(rollout).all;
     rollout.recent_per_ms =
         static_cast<double>(std::max<std::int64_t>(0, sent - rollout.sent_before)) / to_ms(since);
     rollout.sent_before = sent;
--- a/src/rollout/release_rollout.h
+++ b/src/rollout/release_rollout.h
@@ -183,7 +183,12 @@
     bool is_in_trial_group(const std::string& service, const std::string& session) const;
     bool is_for_new_release(const track& rollout, const release_subject& request, time_point now) const;
     bool fits_exposure_bound(const track& rollout, time_point now) const;
-    std::int64_t sent_in(const track& rollout) const;
+    /// Attempts that all hosts have made since the order.
+    struct sent_totals {
+        std::int64_t all = 0;
+        std::int64_t fresh = 0; ///< of these, to the new release
+    };
+    sent_totals sent_in(const track& rollout) const;
     void measure_rate(track& rollout, time_point now) const;
     void weigh(track& rollout);
     bool is_suspicious(const track& rollout) const;
