--- a/src/membership/host_gossip.h
+++ b/src/membership/host_gossip.h
@@ -3,7 +3,7 @@
  * few times a second. No host is special, and any that lives can bring a new one in.
  *
  * Load pattern: 295 hosts. A message that speaks of twelve of them brings news of a given one every 3.3 s,
- * more than the silence after which it counts as dead, so every host took two in five others for dead at any
+ * more than the silence after which it counts as dead, so every host took half of the others for dead at any
  * moment. So on a large fleet a message carries everybody's beat in eight bytes each, and in full only those
  * of whom there is something to tell.
  *
--- a/test/membership_test.cpp
+++ b/test/membership_test.cpp
@@ -632,7 +632,7 @@
 
 } // namespace
 
-// At 295 hosts every host takes two in five others for dead at any moment: callers are told of half of the
+// At 295 hosts every host takes half of the others for dead at any moment: callers are told of half of the
 // fleet, hosts that are no readers take themselves for one and read the store, and a change is told to half
 // of them. Three messages in 0.4 s that speak of twelve hosts each bring news of a given one every 3.3 s.
 TEST(host_gossip, every_host_of_a_large_fleet_knows_all_that_live) {
