--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -1,7 +1,6 @@
 #include "host/entry_host.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace laurelhoist {
 
--- a/src/host/entry_host_rollouts.cpp
+++ b/src/host/entry_host_rollouts.cpp
@@ -13,7 +13,10 @@
 /// Counts that decide on a roll-out go to those that decide in every second round: 295 hosts send each of
 /// them 370 messages a second.
 constexpr std::uint64_t rounds_between_counts = 2;
-/// For that and a message lost.
+/// Counts that have not changed go again in every fourth round: another host may decide now, or the message
+/// was lost.
+constexpr std::uint64_t rounds_between_repeats = 4;
+/// For the counts of every second round, and a message lost.
 constexpr duration count_hearing_time = milliseconds(1700);
 
 } // namespace
@@ -42,8 +45,8 @@
         return;
     }
     std::vector<release_counts> counts = rollouts_.own_counts();
-    if (counts == told_counts_ && rounds_ % (rounds_between_counts * rounds_between_counts) != 0) {
-        return; // Now and then all the same: another host may decide now, or the message was lost.
+    if (counts == told_counts_ && rounds_ % rounds_between_repeats != 0) {
+        return;
     }
     told_counts_ = counts;
     const std::string reporter = settings_.name + "/" + std::to_string(gossip_.self().incarnation);
--- a/src/membership/host_gossip.cpp
+++ b/src/membership/host_gossip.cpp
@@ -30,8 +30,16 @@
     return std::tie(left.incarnation, left.beat) > std::tie(right.incarnation, right.beat);
 }
 
+template <class T>
+void shuffle(std::vector<T>& items, random_source& random) {
+    for (std::size_t i = items.size(); i > 1; --i) {
+        std::swap(items[i - 1], items[random.below(i)]);
+    }
+}
+
+constexpr int bits_of_byte = 8;
+
 void append_number(std::string& bytes, std::uint32_t value, std::size_t size) {
-    constexpr int bits_of_byte = 8;
     for (std::size_t i = 0; i < size; ++i) {
         bytes.push_back(static_cast<char>(value & 0xFFU));
         value >>= bits_of_byte;
@@ -39,7 +47,6 @@
 }
 
 std::uint32_t read_number(const std::string& bytes, std::size_t at, std::size_t size) {
-    constexpr int bits_of_byte = 8;
     std::uint32_t value = 0;
     for (std::size_t i = size; i-- > 0;) {
         value = (value << bits_of_byte) | static_cast<unsigned char>(bytes[at + i]);
@@ -107,9 +114,7 @@
             candidates.push_back(&held);
         }
     }
-    for (std::size_t i = candidates.size(); i > 1; --i) {
-        std::swap(candidates[i - 1], candidates[random_.below(i)]);
-    }
+    shuffle(candidates, random_);
     if (is_large) {
         // What has been told often enough takes turns by chance, however often that was.
         const auto told = [](const held_status* held) { return std::min(held->told, most_told); };
--- a/src/membership/host_gossip.h
+++ b/src/membership/host_gossip.h
@@ -73,8 +73,7 @@
      * \ref statuses_to_send carries enough of them. */
     std::vector<host_beat> beats_to_send(time_point now) const;
     /** \return this host and some live ones that \p beats, all that another host knows of, leaves out: for
-     * one message in answer. Empty if there are none, or if that host has a small fleet's view of a small
-     * fleet. */
+     * one message in answer. Empty if there are none, and on a small fleet. */
     std::vector<host_status> statuses_missing_in(const std::vector<host_beat>& beats,
                                                  const std::string& reader, time_point now);
     void take(const std::vector<host_status>& statuses, time_point now);
--- a/src/relay/exchange.cpp
+++ b/src/relay/exchange.cpp
@@ -105,8 +105,8 @@
 }
 
 // Load pattern: all hosts are killed at once and start again. Callers have come back meanwhile, and each host
-// gets a second's worth of requests in the 30 ms in which it reads the configuration. Refused there, they
-// were 4% of that second's.
+// gets many requests in the 30 ms in which it reads the configuration. On eleven hosts 61 of the 141 requests
+// that ended in these two seconds were refused for it.
 void exchange::await_configuration(time_point now) {
     if (state_.can_route() || now - arrived_at_ > longest_early_wait) {
         begin();
