The trial of a release by failure domain: its test

Cause: the change to the trial landed without one. Change: the test; on the code before the change one endpoint is kept, where six are asked for. Measured: routing_test passes.

--- a/test/routing_test.cpp
+++ b/test/routing_test.cpp
@@ -240,4 +240,29 @@
     ASSERT_EQ(one.eligible(wish, begin).size(), 1U) << "one that fails is replaced by another";
 }
 
+// A release of 96 endpoints is on trial, and 295 hosts of six domains send to the same endpoint without
+// knowing of one another's requests. It is slow for that alone, and the sound release is braked.
+TEST(endpoint_table, a_trial_on_a_large_fleet_has_an_endpoint_in_each_domain) {
+    const auto kept = [](int endpoints, int domains) {
+        endpoint_table table = make_table();
+        std::vector<endpoint_record> records;
+        for (int i = 0; i < endpoints; ++i) {
+            records.push_back({"e" + std::to_string(i), "10.0.0.1:1", "d" + std::to_string(i % domains),
+                               "pool", "live", "v2"});
+        }
+        table.update(records, time_point{});
+        endpoint_wish wish;
+        wish.pool = "pool";
+        wish.endpoint_share = 0.01;
+        std::multiset<std::string> used;
+        for (const endpoint_record& record : table.eligible(wish, time_point{})) {
+            used.insert(record.domain);
+        }
+        return used;
+    };
+    const std::multiset<std::string> large = kept(96, 6);
+    EXPECT_EQ(large, (std::multiset<std::string>{"d0", "d1", "d2", "d3", "d4", "d5"}));
+    EXPECT_EQ(kept(9, 4).size(), 1U) << "on a small one an endpoint on trial carries its usual load";
+}
+
 } // namespace laurelhoist
