Evacuated failure domains get nothing new; cold endpoints get what their sponsors send

Change: orders are watched by the readers and told on as other objects are; in force for everything that is placed, repeated or resumed. Each cold endpoint has two sponsors among its domain's hosts, with a fixed pace each; all others leave it out. Cold is what its entry says, what refused a connection (told to all at once) and what was evacuated until now.

--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -11,6 +11,7 @@
 constexpr duration woken_rest = milliseconds(2000);
 constexpr watch_timing endpoint_timing{endpoint_wait, endpoint_gathering, woken_rest};
 constexpr watch_timing rollout_timing{rollout_wait, rollout_gathering, woken_rest};
+constexpr watch_timing evacuation_timing{evacuation_wait, duration::zero(), woken_rest};
 constexpr duration gossip_interval = milliseconds(400);
 constexpr duration upkeep_interval = milliseconds(250);
 constexpr duration stop_interval = milliseconds(100);
@@ -51,6 +52,8 @@
     relayed.stop_time = settings.stop_grace - stop_margin;
     relayed.cascade = settings.cascade;
     relayed.in_use = settings.in_use;
+    relayed.cold = settings.cold;
+    relayed.cold_sharing = settings.cold_sharing;
     return relayed;
 }
 
@@ -95,31 +98,44 @@
                      rollout_timing,
                      {[this](const objects_by_name& objects) { on_rollouts(objects); }, [](time_point) {},
                       [](bool) {}, [this] { on_history_gone(); }}},
+      evacuation_watch_{loop,
+                        store,
+                        charts.watch,
+                        codec.evacuation_kind(),
+                        evacuation_timing,
+                        {[this](const objects_by_name& objects) { on_evacuations(objects); },
+                         [](time_point) {}, [](bool) {}, [this] { on_history_gone(); }}},
+      watches_{&config_watch_, &endpoint_watch_, &rollout_watch_},
       datagrams_{loop, settings.peers,
                  [this](const std::string& from, const std::string& bytes) { on_datagram(from, bytes); }},
-      peer_client_{loop} {}
+      peer_client_{loop} {
+    if (settings.hears_evacuations) {
+        watches_.push_back(&evacuation_watch_);
+    }
+}
 
 entry_host::~entry_host() = default;
 
 void entry_host::start() {
     set_seeds(settings_.seeds);
     relay_.state().on_load_changed = [this] { on_load_changed(); };
+    relay_.state().on_refused = [this](const std::string& endpoint) { on_refused(endpoint); };
     relay_.listen(settings_.callers);
     started_at_ = monotonic_now();
     reading_since_ = started_at_;
     peer_server_ = listen_or_exit(
         loop_, "peers", settings_.peers, http_limits{},
         [this](const http_request& request, const auto& responder) { serve_copy(request, responder); });
-    for (object_watch* watch : {&config_watch_, &endpoint_watch_, &rollout_watch_}) {
+    for (object_watch* watch : watches()) {
         watch->pause(); // Once listed, until it is known who reads.
+        // The newest configuration: it is also the first proof that keys are in force.
+        watch->start(watch == &config_watch_ ? first_listing::newest : first_listing::lagging);
     }
-    config_watch_.start(); // The newest: it is also the first proof that keys are in force.
-    endpoint_watch_.start(first_listing::lagging);
-    rollout_watch_.start(first_listing::lagging);
     loop_.every(gossip_interval, [this] { gossip_round(); });
     loop_.every(upkeep_interval, [this] {
         flush_log();
         refresh_endpoints();
+        assign_cold_endpoints(monotonic_now());
         share_reading();
         note_who_decides(monotonic_now());
         check_freshness();
@@ -132,9 +148,14 @@
     gossip_.set_seeds(seeds);
 }
 
+// Against a host that starts while a domain is evacuated: it would send there until it has read the order.
+bool entry_host::knows_endpoints() const {
+    return endpoint_watch_.is_listed() && (!settings_.hears_evacuations || evacuation_watch_.is_listed());
+}
+
 bool entry_host::is_ready() const {
     const relay_state& state = relay_.state();
-    return state.routing != nullptr && endpoint_watch_.is_listed() && !state.is_stopping;
+    return state.routing != nullptr && knows_endpoints() && !state.is_stopping;
 }
 
 std::vector<std::string> entry_host::entries_for_caller(const std::string& domain) const {
@@ -167,13 +188,16 @@
     if (is_lost) {
         check_freshness(); // While the peers' own confirmations are as fresh as they will ever be.
     } else {
-        endpoint_watch_.ask_again();
-        rollout_watch_.ask_again();
+        for (object_watch* watch : watches()) {
+            if (watch != &config_watch_) {
+                watch->ask_again();
+            }
+        }
     }
 }
 
 void entry_host::on_history_gone() {
-    for (object_watch* watch : {&config_watch_, &endpoint_watch_, &rollout_watch_}) {
+    for (object_watch* watch : watches()) {
         watch->list_again(); // Has no effect on the one that noticed: it lists already.
     }
 }
@@ -237,15 +261,37 @@
     }
 }
 
+// Nothing of it waits: what was chosen before and has not been sent goes at once, all else is chosen anew.
+void entry_host::on_evacuations(const objects_by_name& objects) {
+    evacuation_set ordered;
+    for (const auto& [name, object] : objects) {
+        const outcome<std::string> domain = codec_.evacuation(object);
+        if (const error* failure = error_of(domain)) {
+            log_error("evacuation_refused", {{"name", name}, {"remedy", failure->message}});
+            continue;
+        }
+        ordered.domains.insert(*value_of(domain));
+    }
+    if (ordered != evacuated_) {
+        log_info("evacuations_in_force",
+                 {{"domains", ordered.domains}, {"revision", evacuation_watch_.changed_at()}});
+        evacuated_ = ordered;
+        relay_.state().endpoints.set_evacuated(evacuated_, monotonic_now());
+        refresh_endpoints();
+    }
+    tell_copies(notice_scope::change);
+}
+
 void entry_host::refresh_endpoints() {
     relay_.state().endpoints.prefer_own_domain(is_large_fleet(monotonic_now()));
-    if (!endpoint_watch_.is_listed()) {
+    if (!knows_endpoints()) {
         return;
     }
     const std::vector<endpoint_record> endpoints = roster_.current(monotonic_now());
     std::map<std::string, std::map<std::string, int>> by_release;
     for (const endpoint_record& endpoint : endpoints) {
-        by_release[endpoint.pool][endpoint.release] += endpoint.state == "live" ? 1 : 0;
+        const bool is_in_use = endpoint.state == "live" && !evacuated_.contains(endpoint.domain);
+        by_release[endpoint.pool][endpoint.release] += is_in_use ? 1 : 0;
     }
     for (const auto& [service, counts] : by_release) {
         rollouts_.set_endpoint_counts(service, counts);
--- a/src/host/entry_host.h
+++ b/src/host/entry_host.h
@@ -17,6 +17,8 @@
 constexpr duration config_wait = milliseconds(2000);
 constexpr duration endpoint_wait = milliseconds(8000);
 constexpr duration rollout_wait = milliseconds(8000);
+/// Well under the time for which the store keeps its history, 20 s.
+constexpr duration evacuation_wait = milliseconds(15000);
 /// After news, before the next call. What is gathered is in force well within the 2 s that a change or a
 /// leaving endpoint may take.
 constexpr duration config_gathering = milliseconds(200);
@@ -35,9 +37,12 @@
     virtual std::string config_name() const = 0;
     virtual std::string endpoint_kind() const = 0;
     virtual std::string rollout_kind() const = 0;
+    virtual std::string evacuation_kind() const = 0;
     virtual outcome<traffic_config> config(const stored_object& object) const = 0;
     virtual outcome<endpoint_record> endpoint(const stored_object& object) const = 0;
     virtual outcome<rollout_order> rollout(const stored_object& object) const = 0;
+    /** \return the failure domain to evacuate */
+    virtual outcome<std::string> evacuation(const stored_object& object) const = 0;
     virtual json rollout_status(const rollout_order& order, rollout_state state) const = 0;
 };
 
@@ -52,6 +57,9 @@
     cascade_settings cascade;
     rollout_settings rollouts;
     mechanisms in_use;
+    bool hears_evacuations = false; ///< operators of this deployment may order some
+    cold_bound cold;
+    std::string cold_sharing = "sponsors"; ///< \see cold_sharing_names
 };
 
 /** The charts that an entry host interprets. */
@@ -88,8 +96,12 @@
     bool apply_config(const stored_object& object);
     void on_endpoints(const objects_by_name& objects);
     void note_refused_endpoint(const stored_object& object, const std::string& remedy);
+    bool knows_endpoints() const;
     void refresh_endpoints();
     void on_rollouts(const objects_by_name& objects);
+    void on_evacuations(const objects_by_name& objects);
+    /** The watches in use, that of the configuration first. */
+    const std::vector<object_watch*>& watches() const { return watches_; }
     void on_datagram(const std::string& from, const std::string& bytes);
     void take(const std::string& from, const peer_news& news);
     void take(const std::string& from, const freshness_question& question);
@@ -103,6 +115,12 @@
     std::vector<load_entry> own_load() const;
     std::vector<load_entry> take_load_changes();
     void on_load_changed();
+    void on_refused(const std::string& endpoint);
+    void tell_refusals();
+    void take(const std::string& from, const refusal_news& news);
+    void take_refusals(const std::vector<refused_endpoint>& refused);
+    std::vector<refused_endpoint> known_refusals(time_point now) const;
+    void assign_cold_endpoints(time_point now);
     void tell_load();
     void gossip_round();
     peer_news make_news(time_point now);
@@ -146,6 +164,9 @@
     object_watch config_watch_;
     object_watch endpoint_watch_;
     object_watch rollout_watch_;
+    object_watch evacuation_watch_;
+    std::vector<object_watch*> watches_;
+    evacuation_set evacuated_;
     datagram_socket datagrams_;
     std::unique_ptr<http_server> peer_server_;
     http_client peer_client_;
@@ -156,6 +177,7 @@
     std::int64_t last_nonce_ = 0;
     std::uint64_t rounds_ = 0; ///< of gossip
     bool is_load_to_tell_ = false;
+    std::set<std::string> refusals_to_tell_;             ///< endpoints
     std::map<std::string, load_entry> told_load_;        ///< what the last load news said, by endpoint
     bool is_store_lost_ = false;                         ///< the configuration's watch fails
     std::map<std::string, encoded_copy> encoded_copies_; ///< by kind
--- a/src/host/entry_host_copies.cpp
+++ b/src/host/entry_host_copies.cpp
@@ -69,8 +69,8 @@
     view.copy_overdue = behind_since_ ? now - *behind_since_ : duration::zero();
     view.is_config_large =
         relay_.state().routing && relay_.state().routing->config().routes.size() > routes_of_large_config;
-    view.holds_copies =
-        config_watch_.is_listed() && endpoint_watch_.is_listed() && rollout_watch_.is_listed();
+    view.holds_copies = std::all_of(watches().begin(), watches().end(),
+                                    [](const object_watch* watch) { return watch->is_listed(); });
     view.hosts = hosts.size();
     view.hosts_before = place_among_readers(settings_.name, hosts).overall;
     return view;
@@ -97,7 +97,7 @@
         roster_.on_reading_ended();
     }
     config_watch_.set_longest_rest(mode == reading_mode::all ? readers_rest : others_rest);
-    for (object_watch* watch : {&config_watch_, &endpoint_watch_, &rollout_watch_}) {
+    for (object_watch* watch : watches()) {
         const bool is_wanted = watch == &config_watch_ && mode != reading_mode::copies;
         if (mode == reading_mode::all || is_wanted) {
             watch->resume();
@@ -113,7 +113,7 @@
         return;
     }
     const copy_notice notice{config_watch_.changed_at(), endpoint_watch_.changed_at(),
-                             rollout_watch_.changed_at()};
+                             rollout_watch_.changed_at(), evacuation_watch_.changed_at()};
     // From hand to hand alone, news of 112 endpoints that left at once took 1.3 s to the last host, and
     // requests went to them meanwhile.
     send_to_others(scope == notice_scope::change
@@ -147,13 +147,15 @@
     }
     fetch_if_newer(endpoint_watch_, notice.endpoint_revision, codec_.endpoint_kind());
     fetch_if_newer(rollout_watch_, notice.rollout_revision, codec_.rollout_kind());
+    fetch_if_newer(evacuation_watch_, notice.evacuation_revision, codec_.evacuation_kind());
 }
 
 void entry_host::serve_copy(const http_request& request, const std::shared_ptr<http_responder>& responder) {
     const std::string kind = request.parameter("kind");
-    const object_watch& watch = kind == codec_.endpoint_kind()  ? endpoint_watch_
-                                : kind == codec_.rollout_kind() ? rollout_watch_
-                                                                : config_watch_;
+    const object_watch& watch = kind == codec_.endpoint_kind()     ? endpoint_watch_
+                                : kind == codec_.rollout_kind()    ? rollout_watch_
+                                : kind == codec_.evacuation_kind() ? evacuation_watch_
+                                                                   : config_watch_;
     const std::int64_t since = parse_number(request.parameter("since")).value_or(0);
     responder->reply(watch.is_listed() ? status_ok : status_unavailable, {}, copy_since(watch, kind, since));
 }
--- a/src/host/entry_host_peers.cpp
+++ b/src/host/entry_host_peers.cpp
@@ -17,6 +17,12 @@
 /// A host that goes by copies asks sooner: the answer's own age, up to 3 s, comes on top.
 constexpr duration stale_copy_after = milliseconds(1200);
 constexpr duration load_gathering = milliseconds(20); ///< so that a burst of requests is told at once
+/// The engines of a domain end together, and requests find so within some 100 ms.
+constexpr duration refusal_gathering = milliseconds(30);
+constexpr std::size_t most_refusals = 64; ///< of 25 bytes each in a datagram
+/// Until then a host that has just started may know too few others to say who is a sponsor: rounds of gossip
+/// bring them all within 2 s.
+constexpr duration learning_hosts = seconds(3);
 constexpr duration question_life = seconds(2);
 constexpr std::size_t peers_asked = 3;
 constexpr std::size_t near_peers_asked = 2;   ///< of these, on a large fleet, in the own failure domain
@@ -57,6 +63,7 @@
     relay_.state().endpoints.set_peer_load(sender, to_loads(news.load), now);
     const std::string reporter = sender + "/" + std::to_string(news.statuses.front().incarnation);
     rollouts_.merge(reporter, news.counts, news.rollouts, now);
+    take_refusals(news.refused);
 }
 
 // Without it a host that starts hears of the others when one of them picks it at random, up to a second
@@ -156,6 +163,57 @@
     }
 }
 
+void entry_host::on_refused(const std::string& endpoint) {
+    const bool is_first = refusals_to_tell_.empty();
+    refusals_to_tell_.insert(endpoint);
+    if (is_first) {
+        loop_.after(refusal_gathering, [this] { tell_refusals(); });
+    }
+}
+
+// At once to everybody: an endpoint may be back within a second, and hosts that do not know that it had ended
+// take it for idle.
+void entry_host::tell_refusals() {
+    const time_point now = monotonic_now();
+    refusal_news news;
+    for (const auto& [endpoint, age] : relay_.state().endpoints.cold().refused(now)) {
+        if (refusals_to_tell_.count(endpoint) > 0 && news.refused.size() < most_refusals) {
+            news.refused.push_back({endpoint, std::llround(to_ms(age))});
+        }
+    }
+    refusals_to_tell_.clear();
+    log_info("endpoints_refused_connections", {{"count", news.refused.size()}});
+    send_to_others(gossip_.live(now), encode_peer_message(news));
+}
+
+void entry_host::take(const std::string&, const refusal_news& news) {
+    take_refusals(news.refused);
+}
+
+void entry_host::take_refusals(const std::vector<refused_endpoint>& refused) {
+    const time_point now = monotonic_now();
+    for (const refused_endpoint& each : refused) {
+        const duration age = milliseconds(std::max<std::int64_t>(0, each.age_ms));
+        relay_.state().endpoints.cold().on_refused(each.endpoint, age, now);
+        refusals_to_tell_.erase(each.endpoint); // All have been told.
+    }
+}
+
+std::vector<refused_endpoint> entry_host::known_refusals(time_point now) const {
+    std::vector<refused_endpoint> refused;
+    for (const auto& [endpoint, age] : relay_.state().endpoints.cold().refused(now)) {
+        if (refused.size() < most_refusals) {
+            refused.push_back({endpoint, std::llround(to_ms(age))});
+        }
+    }
+    return refused;
+}
+
+void entry_host::assign_cold_endpoints(time_point now) {
+    const sponsor_view view{gossip_.live(now), now - started_at_ > learning_hosts};
+    relay_.state().endpoints.cold().set_hosts(view, now);
+}
+
 void entry_host::take(const std::string& from, const freshness_question& question) {
     const relay_state& state = relay_.state();
     const duration age = state.fence.age(monotonic_now());
@@ -191,6 +249,7 @@
         news.counts = rollouts_.own_counts();
     }
     news.rollouts = rollouts_.own_news(now);
+    news.refused = known_refusals(now);
     return news;
 }
 
--- a/src/host/peer_messages.h
+++ b/src/host/peer_messages.h
@@ -19,6 +19,13 @@
 };
 LAUREL_VALUE_TYPE(load_entry, endpoint, reading_ms, running)
 
+/** An endpoint at which nothing listened. */
+struct refused_endpoint {
+    std::string endpoint;
+    std::int64_t age_ms = 0; ///< since it was tried
+};
+LAUREL_VALUE_TYPE(refused_endpoint, endpoint, age_ms)
+
 /** What a host tells a few others, a few times a second. */
 struct peer_news {
     std::vector<host_status> statuses; ///< the sender's first
@@ -27,8 +34,9 @@
     std::vector<rollout_news> rollouts;
     std::string beats{};   ///< \ref encode_beats
     bool is_round = false; ///< part of a round: the beats are of all that the sender knows
+    std::vector<refused_endpoint> refused{};
 };
-LAUREL_VALUE_TYPE(peer_news, statuses, load, counts, rollouts, beats, is_round)
+LAUREL_VALUE_TYPE(peer_news, statuses, load, counts, rollouts, beats, is_round, refused)
 
 /** Asks a peer how recently it knows its configuration to be the newest. */
 struct freshness_question {
@@ -57,8 +65,9 @@
     std::int64_t config_revision = 0;
     std::int64_t endpoint_revision = 0;
     std::int64_t rollout_revision = 0;
+    std::int64_t evacuation_revision = 0;
 };
-LAUREL_VALUE_TYPE(copy_notice, config_revision, endpoint_revision, rollout_revision)
+LAUREL_VALUE_TYPE(copy_notice, config_revision, endpoint_revision, rollout_revision, evacuation_revision)
 
 /** Says which sessions the sender has served on an old release lately. */
 struct session_news {
@@ -73,8 +82,14 @@
 };
 LAUREL_VALUE_TYPE(count_news, reporter, counts)
 
+/** Endpoints that were found to have ended: when they are back they are cold. */
+struct refusal_news {
+    std::vector<refused_endpoint> refused;
+};
+LAUREL_VALUE_TYPE(refusal_news, refused)
+
 using peer_message = std::variant<peer_news, freshness_question, freshness_answer, copy_notice, load_news,
-                                  session_news, count_news>;
+                                  session_news, count_news, refusal_news>;
 
 /** \return the bytes of \p message. */
 std::string encode_peer_message(const peer_message& message);
--- a/src/membership/host_list.h
+++ b/src/membership/host_list.h
@@ -20,8 +20,10 @@
     /// Time of day at which its process started, in ms; 0: not said. A higher one under the same name is
     /// another process, which holds and knows nothing of what the one before did.
     std::int64_t started_at_ms = 0;
+    /// For how much longer it was cold when it wrote this, in ms: slow, and taking few requests a second.
+    std::int64_t cold_ms = 0;
 };
-LAUREL_VALUE_TYPE(endpoint_record, name, address, domain, pool, state, release, started_at_ms)
+LAUREL_VALUE_TYPE(endpoint_record, name, address, domain, pool, state, release, started_at_ms, cold_ms)
 
 /** \return whether \p later is a process that has taken the place of the one that \p earlier names. */
 inline bool is_restart_of(const endpoint_record& later, const endpoint_record& earlier) {
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -6,6 +6,7 @@
 
 #include "membership/endpoint_roster.h"
 #include "membership/entry_directory.h"
+#include "membership/evacuation_set.h"
 #include "membership/freshness.h"
 #include "membership/host_gossip.h"
 #include "membership/host_list.h"
--- /dev/null
+++ b/src/placement/cold_endpoints.cpp
@@ -0,0 +1,238 @@
+#include "placement/cold_endpoints.h"
+
+#include "base/base.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace laurelhoist {
+
+namespace {
+
+/// Two, so that one may be lost; more would each get too little to be of use.
+constexpr std::size_t sponsors_of_endpoint = 2;
+/// As many hosts again may take themselves for sponsors: while a domain is cut off, or a host has just come
+/// or gone, two views of the fleet stand side by side.
+constexpr double views_at_once = 2.0;
+/// The rest is for requests of hosts that do not know yet that the endpoint is cold.
+constexpr double share_of_those_who_know = 0.75;
+
+constexpr cold_sharing sharings[] = {
+    {"sponsors", &cold_endpoints::spacing_of_sponsors},
+    {"all", &cold_endpoints::spacing_of_all_hosts},
+    {"none", &cold_endpoints::spacing_of_nobody},
+};
+
+/** \return the shortest time between requests with which no second holds more than \p most of them. */
+duration spacing_for(double most) {
+    // Of whole requests where there is room for one: 1.9 a second make two in some second.
+    const double requests = most >= 1.0 ? std::floor(most) : most;
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(1.0 / requests)) +
+           milliseconds(1);
+}
+
+std::vector<const host_status*> possible_sponsors(const std::string& domain,
+                                                  const std::vector<host_status>& hosts) {
+    std::vector<const host_status*> near;
+    std::vector<const host_status*> all;
+    for (const host_status& host : hosts) {
+        if (host.state != "serving") {
+            continue;
+        }
+        all.push_back(&host);
+        if (host.domain == domain) {
+            near.push_back(&host);
+        }
+    }
+    return near.size() >= sponsors_of_endpoint ? near : all;
+}
+
+} // namespace
+
+bool is_cold_sharing(const std::string& name) {
+    return std::any_of(std::begin(sharings), std::end(sharings),
+                       [&](const cold_sharing& each) { return name == each.name; });
+}
+
+std::string cold_sharing_names() {
+    std::string names;
+    for (const cold_sharing& each : sharings) {
+        names += (names.empty() ? "" : ",") + std::string(each.name);
+    }
+    return names;
+}
+
+cold_endpoints::cold_endpoints(std::string host, const cold_bound& bound, const std::string& sharing)
+    : host_{std::move(host)}, bound_{bound}, sharing_{&sharings[0]} {
+    for (const cold_sharing& each : sharings) {
+        if (sharing == each.name) {
+            sharing_ = &each;
+        }
+    }
+}
+
+void cold_endpoints::update(const std::vector<endpoint_record>& endpoints, time_point now) {
+    std::set<std::string> listed;
+    for (const endpoint_record& record : endpoints) {
+        const auto service = services_.find(record.pool);
+        if (service == services_.end() || service->second.requests_per_s <= 0) {
+            continue;
+        }
+        listed.insert(record.name);
+        const auto [item, is_new] = endpoints_.try_emplace(record.name);
+        known_endpoint& endpoint = item->second;
+        const bool says_anew = is_new || endpoint.record.cold_ms != record.cold_ms ||
+                               endpoint.record.started_at_ms != record.started_at_ms;
+        if (says_anew) {
+            // No longer than any is cold: an entry of another writer may hold any number.
+            endpoint.warm_at = now + std::min<duration>(service->second.lasts, milliseconds(record.cold_ms));
+        }
+        endpoint.record = record;
+    }
+    for (auto item = endpoints_.begin(); item != endpoints_.end();) {
+        item = listed.count(item->first) > 0 ? std::next(item) : endpoints_.erase(item);
+    }
+}
+
+double cold_endpoints::allowance_of(const std::string& service) const {
+    const auto found = services_.find(service);
+    return found == services_.end() ? 0 : found->second.requests_per_s * bound_.overage + bound_.slack;
+}
+
+void cold_endpoints::set_hosts(const sponsor_view& view, time_point now) {
+    for (auto& [name, endpoint] : endpoints_) {
+        if (now < cold_until(endpoint)) {
+            assign(endpoint, view, now);
+        } else {
+            endpoint.spacing.reset();
+        }
+    }
+}
+
+void cold_endpoints::assign(known_endpoint& endpoint, const sponsor_view& view, time_point now) {
+    std::optional<duration> spacing;
+    if (view.knows_others) {
+        const double allowance = allowance_of(endpoint.record.pool) * share_of_those_who_know;
+        spacing = (this->*sharing_->spacing)(endpoint.record, allowance, view);
+    }
+    if (spacing && !endpoint.spacing) {
+        // As if one had just been sent: the host that was sponsor until now may have sent some.
+        // Hosts learn of it in the same moment and must not begin in step.
+        const double phase =
+            static_cast<double>(placement_hash(host_ + "/" + endpoint.record.name) % 1000) / 1000;
+        const auto first = std::chrono::duration_cast<duration>(*spacing * (1.0 + phase));
+        endpoint.next_send = std::max(endpoint.next_send, now + first);
+    }
+    endpoint.spacing = spacing;
+}
+
+std::optional<duration> cold_endpoints::spacing_of_sponsors(const endpoint_record& endpoint, double allowance,
+                                                            const sponsor_view& view) const {
+    std::vector<std::pair<std::uint64_t, const host_status*>> ranked;
+    for (const host_status* host : possible_sponsors(endpoint.domain, view.hosts)) {
+        ranked.emplace_back(placement_hash(endpoint.name + "/" + host->name), host);
+    }
+    std::sort(ranked.begin(), ranked.end());
+    ranked.resize(std::min(ranked.size(), sponsors_of_endpoint));
+    const bool is_sponsor = std::any_of(ranked.begin(), ranked.end(),
+                                        [this](const auto& each) { return each.second->name == host_; });
+    if (!is_sponsor) {
+        return std::nullopt;
+    }
+    return spacing_for(allowance / (views_at_once * static_cast<double>(sponsors_of_endpoint)));
+}
+
+std::optional<duration> cold_endpoints::spacing_of_all_hosts(const endpoint_record&, double allowance,
+                                                             const sponsor_view& view) const {
+    return spacing_for(allowance /
+                       (views_at_once * static_cast<double>(std::max<std::size_t>(1, view.hosts.size()))));
+}
+
+std::optional<duration> cold_endpoints::spacing_of_nobody(const endpoint_record&, double,
+                                                          const sponsor_view&) const {
+    return std::nullopt;
+}
+
+bool cold_endpoints::on_refused(const std::string& endpoint, duration age, time_point now) {
+    const auto found = endpoints_.find(endpoint);
+    if (found == endpoints_.end() || age >= suspicion_time) {
+        return false;
+    }
+    std::optional<time_point>& refused_at = found->second.refused_at;
+    const time_point at = now - age;
+    // Told again only once it is much newer, or every try would go to every host.
+    const bool is_news = !refused_at || at > *refused_at + suspicion_time / 4;
+    if (!refused_at || at > *refused_at) {
+        refused_at = at;
+    }
+    return is_news;
+}
+
+std::map<std::string, duration> cold_endpoints::refused(time_point now) const {
+    std::map<std::string, duration> ages;
+    for (const auto& [name, endpoint] : endpoints_) {
+        if (endpoint.refused_at && now - *endpoint.refused_at < suspicion_time) {
+            ages[name] = now - *endpoint.refused_at;
+        }
+    }
+    return ages;
+}
+
+void cold_endpoints::on_readmitted(const std::string& domain, time_point now) {
+    for (auto& [name, endpoint] : endpoints_) {
+        if (endpoint.record.domain == domain) {
+            const auto service = services_.find(endpoint.record.pool);
+            const duration lasts = service == services_.end() ? duration::zero() : service->second.lasts;
+            endpoint.warm_at = std::max(endpoint.warm_at, now + lasts);
+        }
+    }
+}
+
+time_point cold_endpoints::cold_until(const known_endpoint& endpoint) const {
+    return endpoint.refused_at ? std::max(endpoint.warm_at, *endpoint.refused_at + suspicion_time)
+                               : endpoint.warm_at;
+}
+
+const cold_endpoints::known_endpoint* cold_endpoints::find_cold(const std::string& endpoint,
+                                                                time_point now) const {
+    const auto found = endpoints_.find(endpoint);
+    const bool is_found = found != endpoints_.end() && now < cold_until(found->second);
+    return is_found ? &found->second : nullptr;
+}
+
+bool cold_endpoints::is_cold(const std::string& endpoint, time_point now) const {
+    return find_cold(endpoint, now) != nullptr;
+}
+
+bool cold_endpoints::may_send(const std::string& endpoint, time_point now) const {
+    return may_send_within(endpoint, duration::zero(), now);
+}
+
+bool cold_endpoints::may_send_within(const std::string& endpoint, duration patience, time_point now) const {
+    const known_endpoint* cold = find_cold(endpoint, now);
+    if (cold == nullptr) {
+        return true;
+    }
+    const bool is_in_turn = cold->spacing && cold->next_send <= now + patience;
+    return is_in_turn || (patience > duration::zero() && cold_until(*cold) <= now + patience);
+}
+
+void cold_endpoints::on_sent(const std::string& endpoint, time_point now) {
+    const auto found = endpoints_.find(endpoint);
+    if (found != endpoints_.end() && found->second.spacing) {
+        found->second.next_send = now + *found->second.spacing;
+    }
+}
+
+std::optional<duration> cold_endpoints::first_warm_in(const std::string& service, time_point now) const {
+    std::optional<duration> first;
+    for (const auto& [name, endpoint] : endpoints_) {
+        const duration left = cold_until(endpoint) - now;
+        if (endpoint.record.pool == service && left > duration::zero()) {
+            first = first ? std::min(*first, left) : left;
+        }
+    }
+    return first;
+}
+
+} // namespace laurelhoist
--- a/src/placement/endpoint_directory.cpp
+++ b/src/placement/endpoint_directory.cpp
@@ -11,6 +11,8 @@
 /// An engine's cache outlasts this at the loads planned for; beyond it the part may have been displaced.
 constexpr duration part_memory = seconds(30);
 constexpr std::size_t most_parts = 512; ///< remembered for each endpoint: 16 KB
+/// A request may wait for a cold endpoint that takes another one within this time.
+constexpr duration cold_patience = milliseconds(500);
 /// Each running stream lengthens every step of its engine; measured from 0.02 to 0.07 ms a token.
 constexpr double running_ms = 2.0;
 /// Worth of staying in the failure domain: the crossings themselves take under 4 ms, but each caller's prompt
@@ -39,14 +41,16 @@
 } // namespace
 
 endpoint_directory::endpoint_directory(chart life, std::uint64_t seed, std::string domain,
-                                       const mechanisms& in_use)
+                                       const mechanisms& in_use, cold_endpoints cold)
     : table_{std::move(life), seed, endpoint_policy::least_in_flight},
       random_{seed},
+      cold_{std::move(cold)},
       domain_{std::move(domain)},
       in_use_{in_use} {}
 
 void endpoint_directory::update(const std::vector<endpoint_record>& endpoints, time_point now) {
     table_.update(endpoints, now);
+    cold_.update(endpoints, now);
     for (const endpoint_record& endpoint : restarted_among(endpoints)) {
         memory_.erase(endpoint.name); // It holds no part of a prompt.
     }
@@ -63,6 +67,27 @@
     }
 }
 
+void endpoint_directory::set_evacuated(const evacuation_set& evacuated, time_point now) {
+    for (const std::string& domain : evacuated_.domains) {
+        if (!evacuated.contains(domain)) {
+            cold_.on_readmitted(domain, now);
+        }
+    }
+    evacuated_ = evacuated;
+}
+
+bool endpoint_directory::could_serve(const std::string& service, time_point now) const {
+    return table_.could_serve(service, "", now, [&](const endpoint_record& endpoint) {
+        return !evacuated_.contains(endpoint.domain) &&
+               cold_.may_send_within(endpoint.name, cold_patience, now);
+    });
+}
+
+std::optional<duration> endpoint_directory::room_expected_in(const std::string& service,
+                                                             time_point now) const {
+    return cold_.first_warm_in(service, now);
+}
+
 std::vector<endpoint_record>
 endpoint_directory::restarted_among(const std::vector<endpoint_record>& endpoints) const {
     std::vector<endpoint_record> restarted;
@@ -200,7 +225,10 @@
 
 std::optional<placement> endpoint_directory::choose(const endpoint_wish& wish, const prompt_shape& prompt,
                                                     const model_demand& model, time_point now) {
-    const std::vector<endpoint_record> candidates = table_.eligible(wish, now);
+    const std::vector<endpoint_record> candidates =
+        table_.eligible(wish, now, [&](const endpoint_record& endpoint) {
+            return !evacuated_.contains(endpoint.domain) && cold_.may_send(endpoint.name, now);
+        });
     if (candidates.empty()) {
         return std::nullopt;
     }
@@ -232,6 +260,7 @@
                                  const endpoint_wish& wish, time_point now) {
     const std::string& name = chosen.endpoint.name;
     table_.on_call_started(name, wish, now);
+    cold_.on_sent(name, now);
     own_[name].reading_ms += chosen.reading_ms;
     if (prompt.is_empty()) {
         ++own_[name].running;
--- a/src/placement/endpoint_directory.h
+++ b/src/placement/endpoint_directory.h
@@ -13,6 +13,8 @@
  */
 #pragma once
 
+#include "membership/membership.h"
+#include "placement/cold_endpoints.h"
 #include "placement/first_event_estimate.h"
 #include "routing/routing.h"
 
@@ -57,8 +59,10 @@
 
 class endpoint_directory {
 public:
-    /** \param life charts/endpoint.scxml \param domain the failure domain of this host */
-    endpoint_directory(chart life, std::uint64_t seed, std::string domain, const mechanisms& in_use = {});
+    /** \param life charts/endpoint.scxml \param domain the failure domain of this host
+     * \param cold of this host */
+    endpoint_directory(chart life, std::uint64_t seed, std::string domain, const mechanisms& in_use = {},
+                       cold_endpoints cold = {"", {}});
 
     void update(const std::vector<endpoint_record>& endpoints, time_point now);
     /** \return those of \p endpoints whose process is another than the one known here. */
@@ -73,13 +77,19 @@
     /** Takes what has changed of it: the endpoints in \p changes, the others stay. */
     void change_peer_load(const std::string& host, const load_by_endpoint& changes, time_point now);
     const load_by_endpoint& own_load() const { return own_; }
+    cold_endpoints& cold() { return cold_; }
+    const cold_endpoints& cold() const { return cold_; }
+    /** Sets the failure domains whose endpoints get nothing more; those of domains that are in use again
+     * count as cold. */
+    void set_evacuated(const evacuation_set& evacuated, time_point now);
 
     /** \return the endpoint to send to, or nothing if none takes work now */
     std::optional<placement> choose(const endpoint_wish& wish, const prompt_shape& prompt,
                                     const model_demand& model, time_point now);
-    bool could_serve(const std::string& service, time_point now) const {
-        return table_.could_serve(service, "", now);
-    }
+    /** \return whether some endpoint of \p service takes requests of this host now or very soon. */
+    bool could_serve(const std::string& service, time_point now) const;
+    /** \return when an endpoint of \p service that is cold now will be warm, from now, or nothing */
+    std::optional<duration> room_expected_in(const std::string& service, time_point now) const;
     std::size_t size() const { return table_.size(); }
 
     void on_sent(const placement& chosen, const prompt_shape& prompt, const endpoint_wish& wish,
@@ -118,6 +128,8 @@
 
     endpoint_table table_;
     random_source random_;
+    cold_endpoints cold_;
+    evacuation_set evacuated_;
     std::string domain_;
     mechanisms in_use_;
     bool prefers_own_domain_ = false;
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -3,5 +3,6 @@
  */
 #pragma once
 
+#include "placement/cold_endpoints.h"
 #include "placement/endpoint_directory.h"
 #include "placement/first_event_estimate.h"
--- a/src/relay/endpoint_connection.cpp
+++ b/src/relay/endpoint_connection.cpp
@@ -30,7 +30,7 @@
         log_error("bad_endpoint_address", {{"address", address_}, {"remedy", "register it as IP:PORT"}});
         asio::post(socket_.get_executor(), [self = shared_from_this()] {
             if (self->observer_ != nullptr) {
-                self->observer_->on_connect_failed();
+                self->observer_->on_connect_failed(connect_failure::unreachable);
             }
         });
         return;
@@ -41,12 +41,14 @@
         set_liveness_options(socket_);
     }
     socket_.async_connect({asio::ip::make_address(target->host), target->port},
-                          [self = shared_from_this()](asio_error connect_failure) {
+                          [self = shared_from_this()](asio_error reason) {
                               if (self->observer_ == nullptr) {
                                   return;
                               }
-                              if (connect_failure) {
-                                  self->observer_->on_connect_failed();
+                              if (reason) {
+                                  self->observer_->on_connect_failed(reason == asio::error::connection_refused
+                                                                         ? connect_failure::refused
+                                                                         : connect_failure::unreachable);
                                   return;
                               }
                               self->is_connected_ = true;
--- a/src/relay/endpoint_connection.h
+++ b/src/relay/endpoint_connection.h
@@ -21,6 +21,12 @@
     broken,   ///< reset, or timed out by the network
 };
 
+/** Why no connection came about. */
+enum class connect_failure {
+    refused,     ///< nothing listens there: the endpoint's process has ended
+    unreachable, ///< anything else; the fault may lie on the way
+};
+
 /** What happens on a connection; the one who uses it. */
 class connection_observer {
 public:
@@ -31,7 +37,7 @@
 
     virtual void on_connected() = 0;
     /** No connection came about: nothing can have reached the endpoint. */
-    virtual void on_connect_failed() = 0;
+    virtual void on_connect_failed(connect_failure why) = 0;
     virtual void on_received(std::string_view bytes) = 0;
     virtual void on_closed(connection_end end) = 0;
 };
--- a/src/relay/exchange.cpp
+++ b/src/relay/exchange.cpp
@@ -266,7 +266,8 @@
         }
         if (!state_.endpoints.could_serve(service_, now)) {
             answer_failure(may_have_run_ ? status_bad_gateway : status_unavailable, "no_endpoint",
-                           "come back later: no endpoint of the service takes work", nowhere_retry);
+                           "come back later: no endpoint of the service takes work",
+                           state_.endpoints.room_expected_in(service_, now).value_or(nowhere_retry));
         }
         return; // Waits; on_tick tries again.
     }
@@ -309,8 +310,11 @@
     send_request();
 }
 
-void exchange::on_connect_failed() {
+void exchange::on_connect_failed(connect_failure why) {
     auto self = shared_from_this();
+    if (why == connect_failure::refused) {
+        owner_.note_refused(attempt_.chosen.endpoint.name);
+    }
     ++detours_;
     end_attempt(attempt_end::not_sent);
 }
@@ -471,7 +475,7 @@
         await_configuration(now);
     } else if (is_in("connecting") && now - attempt_.sent_at > connect_limit) {
         connection_->close();
-        on_connect_failed();
+        on_connect_failed(connect_failure::unreachable);
     } else if (is_in("waiting")) {
         if (now >= expires_at_ || now - waiting_since_ > longest_wait()) {
             answer_failure(may_have_run_ ? status_gateway_timeout : status_unavailable, "no_room",
--- a/src/relay/exchange.h
+++ b/src/relay/exchange.h
@@ -28,7 +28,7 @@
     void on_endpoint_restarted(const endpoint_record& endpoint);
 
     void on_connected() override;
-    void on_connect_failed() override;
+    void on_connect_failed(connect_failure why) override;
     void on_received(std::string_view bytes) override;
     void on_closed(connection_end end) override;
 
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -98,6 +98,7 @@
 void relay::set_routing(routing_snapshot routing, std::size_t hosts) {
     state_.routing = std::move(routing);
     set_slots(hosts);
+    set_cold_services();
 }
 
 void relay::set_slots(std::size_t hosts) {
@@ -106,6 +107,21 @@
     }
 }
 
+void relay::set_cold_services() {
+    std::map<std::string, cold_start> services;
+    for (const traffic_service& service : state_.routing->config().services) {
+        services[service.name] = {service.cold_time, service.cold_requests_per_s};
+    }
+    state_.endpoints.cold().set_services(std::move(services));
+}
+
+void relay::note_refused(const std::string& endpoint) {
+    const bool is_news = state_.endpoints.cold().on_refused(endpoint, duration::zero(), monotonic_now());
+    if (is_news && state_.on_refused) {
+        state_.on_refused(endpoint);
+    }
+}
+
 void relay::set_endpoints(const std::vector<endpoint_record>& endpoints) {
     const std::vector<endpoint_record> restarted = state_.endpoints.restarted_among(endpoints);
     state_.endpoints.update(endpoints, monotonic_now());
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -26,6 +26,8 @@
     duration stop_time = milliseconds(7500); ///< from the planned stop's beginning to the process's end
     cascade_settings cascade;
     mechanisms in_use;
+    cold_bound cold;
+    std::string cold_sharing = "sponsors"; ///< \see cold_sharing_names
 };
 
 /** Everything that the exchanges of one relay share. */
@@ -37,8 +39,10 @@
           releases{tracker},
           settings{relay_settings_in},
           request_life{std::move(request_life_in)},
-          endpoints{std::move(endpoint_life), placement_hash(relay_settings_in.host),
-                    relay_settings_in.failure_domain, relay_settings_in.in_use},
+          endpoints{
+              std::move(endpoint_life), placement_hash(relay_settings_in.host),
+              relay_settings_in.failure_domain, relay_settings_in.in_use,
+              cold_endpoints{relay_settings_in.host, relay_settings_in.cold, relay_settings_in.cold_sharing}},
           pool{event_loop_in.context()},
           fence{relay_settings_in.revoke_bound, fence_margin},
           first_events{relay_settings_in.in_use.learns_reading_time} {}
@@ -67,6 +71,8 @@
     bool are_endpoints_known = false;      ///< they have been listed, if only to find that there are none
     routing_snapshot routing;              ///< null until a configuration has been read
     std::function<void()> on_load_changed; ///< this host's load has changed by a long prompt
+    /// Nothing listens at an endpoint, which is news to this host.
+    std::function<void(const std::string& endpoint)> on_refused;
     bool is_stopping = false;
     time_point stopping_since;
 
@@ -105,6 +111,8 @@
     void for_each_active(const Visit& visit);
     void on_tick();
     void set_slots(std::size_t hosts);
+    void set_cold_services();
+    void note_refused(const std::string& endpoint);
     void on_restarted(const endpoint_record& endpoint);
 
     relay_state state_;
--- a/src/routing/endpoint_table.cpp
+++ b/src/routing/endpoint_table.cpp
@@ -133,12 +133,14 @@
     return found != endpoints_.end() && (found->second.state == "live" || found->second.state == "probing");
 }
 
-bool endpoint_table::could_serve(const std::string& pool, const version_name& version, time_point now) const {
+bool endpoint_table::could_serve(const std::string& pool, const version_name& version, time_point now,
+                                 const endpoint_filter& may_be_used) const {
     return std::any_of(endpoints_.begin(), endpoints_.end(), [&](const auto& item) {
         const endpoint_state& endpoint = item.second;
         const bool is_in = endpoint.state == "live" || endpoint.state == "probing";
         const bool is_soon_in = endpoint.state == "ejected" && endpoint.ejected_until - now < soon;
-        return endpoint.record.pool == pool && (is_in || is_soon_in) && has_version(endpoint, version, now);
+        return endpoint.record.pool == pool && (is_in || is_soon_in) && has_version(endpoint, version, now) &&
+               (!may_be_used || may_be_used(endpoint.record));
     });
 }
 
@@ -262,10 +264,11 @@
     return choose_ours(eligible, wish, now)->record;
 }
 
-std::vector<endpoint_record> endpoint_table::eligible(const endpoint_wish& wish, time_point now) {
+std::vector<endpoint_record> endpoint_table::eligible(const endpoint_wish& wish, time_point now,
+                                                      const endpoint_filter& may_be_used) {
     std::vector<endpoint_record> records;
     for (auto& [name, endpoint] : endpoints_) {
-        if (is_eligible(endpoint, wish, now)) {
+        if (is_eligible(endpoint, wish, now) && (!may_be_used || may_be_used(endpoint.record))) {
             records.push_back(endpoint.record);
         }
     }
--- a/src/routing/endpoint_table.h
+++ b/src/routing/endpoint_table.h
@@ -7,6 +7,7 @@
 #include "membership/membership.h"
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <set>
 
@@ -40,6 +41,9 @@
     double endpoint_share = 1.0;    ///< of the endpoints that fit, the same ones on every host; at least one
 };
 
+/** Whether an endpoint that takes work may be given some, for reasons beyond its own standing. */
+using endpoint_filter = std::function<bool(const endpoint_record&)>;
+
 /** How an endpoint is chosen; the experiment program compares them. */
 enum class endpoint_policy { ours, round_robin, random, least_in_flight };
 
@@ -58,12 +62,15 @@
 
     /** \return the endpoint to call, or nothing if every one is full or out. */
     std::optional<endpoint_record> choose(const endpoint_wish& wish, time_point now);
-    /** \return the endpoints that may be called for \p wish now; empty if every one is full or out. */
-    std::vector<endpoint_record> eligible(const endpoint_wish& wish, time_point now);
+    /** \return the endpoints that may be called for \p wish now; empty if every one is full or out.
+     * \param may_be_used leaves out others before a share of them is taken; null: none */
+    std::vector<endpoint_record> eligible(const endpoint_wish& wish, time_point now,
+                                          const endpoint_filter& may_be_used = nullptr);
     /** \return whether \p name may be given new work. */
     bool takes_work(const std::string& name) const;
     /** \return whether some endpoint of \p pool, full or not, serves \p version now or very soon. */
-    bool could_serve(const std::string& pool, const version_name& version, time_point now) const;
+    bool could_serve(const std::string& pool, const version_name& version, time_point now,
+                     const endpoint_filter& may_be_used = nullptr) const;
 
     void on_call_started(const std::string& name, const endpoint_wish& wish, time_point now);
     void on_call_ended(const std::string& name, call_result result, duration took, time_point now);
--- a/src/traffic/traffic_types.h
+++ b/src/traffic/traffic_types.h
@@ -55,6 +55,10 @@
 struct traffic_service {
     std::string name;
     std::optional<engine_profile> engine; ///< none: a plain service
+    /// For how long an endpoint is cold after its start.
+    duration cold_time{};
+    /// Requests that a cold endpoint tolerates from all hosts; 0: none is ever cold.
+    double cold_requests_per_s = 0;
 };
 
 /** Bounds of what callers may send, and how long they may take. */
--- a/test/host_test.cpp
+++ b/test/host_test.cpp
@@ -16,13 +16,15 @@
     news.counts = {{"pool", "v2", "drafts", 10, 1, 2}};
     news.rollouts = {{"pool", "v2", 1200, true, 0.05, true}};
     news.beats = encode_beats({{4'000'000'001U, 65'535, 129}});
+    news.refused = {{"e2", 300}};
     const peer_message messages[] = {news,
                                      freshness_question{77},
                                      freshness_answer{77, 40, 1500},
-                                     copy_notice{1, 2, 3},
+                                     copy_notice{1, 2, 3, 4},
                                      load_news{"h1", {{"e1", 4000, 3}}},
                                      session_news{{{"pool", 77, 120}}},
-                                     count_news{"h1/3", {{"pool", "v2", "drafts", 10, 1, 2}}}};
+                                     count_news{"h1/3", {{"pool", "v2", "drafts", 10, 1, 2}}},
+                                     refusal_news{{{"e1", 40}}}};
     for (const peer_message& message : messages) {
         const std::optional<peer_message> decoded = decode_peer_message(encode_peer_message(message));
         ASSERT_TRUE(decoded);
--- a/test/platform_test.cpp
+++ b/test/platform_test.cpp
@@ -109,6 +109,33 @@
     EXPECT_EQ(value_of(decode_endpoint(object_with(sound_endpoint())))->started_at_ms, 1783180167117);
 }
 
+TEST(config_decoder, how_cold_an_endpoint_is_is_read) {
+    json spec = sound_endpoint();
+    EXPECT_EQ(value_of(decode_endpoint(object_with(spec)))->cold_ms, 0);
+    spec["cold_remaining_ms"] = 1200.5;
+    EXPECT_EQ(value_of(decode_endpoint(object_with(spec)))->cold_ms, 1201);
+    spec["cold_remaining_ms"] = "long";
+    EXPECT_NE(error_of(decode_endpoint(object_with(spec))), nullptr);
+}
+
+TEST(config_decoder, what_a_cold_endpoint_takes_is_read) {
+    json config = sample_config();
+    config["services"][0]["cold_start_s"] = 2.5;
+    config["services"][0]["cold_per_s"] = 12.0;
+    const outcome<traffic_config> decoded = decode_config(object_with(config, 31));
+    ASSERT_NE(value_of(decoded), nullptr);
+    EXPECT_EQ(value_of(decoded)->services[0].cold_time, milliseconds(2500));
+    EXPECT_EQ(value_of(decoded)->services[0].cold_requests_per_s, 12.0);
+}
+
+TEST(config_decoder, an_evacuation_is_named_for_its_domain) {
+    stored_object object = object_with(json::object());
+    object.name = "hall1";
+    EXPECT_EQ(*value_of(decode_evacuation(object)), "hall1");
+    object.name.clear();
+    EXPECT_NE(error_of(decode_evacuation(object)), nullptr);
+}
+
 // One unreadable entry among sixty: the other fifty-nine are served from. Its bytes are no text, or it has no
 // name, or its revision is a text.
 TEST(store_answers, an_unreadable_entry_costs_no_other) {
--- a/test/relay_test.cpp
+++ b/test/relay_test.cpp
@@ -362,6 +362,10 @@
         config.teams = std::move(teams);
         traffic_service service;
         service.name = "claims";
+        if (has_cold_starts_) {
+            service.cold_time = seconds(3);
+            service.cold_requests_per_s = 12;
+        }
         config.services = {service};
         std::vector<endpoint_record> records;
         for (std::size_t i = 0; i < endpoints.size(); ++i) {
@@ -428,13 +432,24 @@
                                          "\r\nContent-Length: 0\r\n\r\n"));
     }
 
+    /** Does \p work on the relay's thread, and waits for its end. */
+    void on_its_thread(const std::function<void()>& work) {
+        std::promise<void> done;
+        loop_.post([&] {
+            work();
+            done.set_value();
+        });
+        done.get_future().wait();
+    }
+
     static std::uint16_t free_port() {
         asio::io_context context;
         const tcp::acceptor acceptor(context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
         return acceptor.local_endpoint().port();
     }
 
-    duration configured_after_{}; ///< how long the relay waits for its configuration; set before \ref begin
+    bool has_cold_starts_ = false; ///< endpoints are cold after they start; set before \ref begin
+    duration configured_after_{};  ///< how long the relay waits for its configuration; set before \ref begin
     event_loop loop_;
     test_dialect dialect_;
     rollout_tracker releases_;
@@ -509,6 +524,44 @@
     EXPECT_TRUE(has(ask("7"), "served"));
 }
 
+// An engine crashes and will be back cold. Its entry in the store lasts for seconds, so the one that finds
+// its port closed is the first to know and has to tell the others; once, or each request would tell them
+// again.
+TEST_F(relay_fixture, an_endpoint_that_refuses_connections_is_told_of_once) {
+    scripted_endpoint live({{answer_of("7", "served"), false, false},
+                            {answer_of("8", "served"), false, false},
+                            {answer_of("9", "served"), false, false}});
+    has_cold_starts_ = true;
+    begin(route(route_kind::non_idempotent, 1), {"127.0.0.1:" + std::to_string(free_port()), live.address()});
+    std::atomic<int> told{0};
+    on_its_thread([&] {
+        relay_->state().on_refused = [&](const std::string& endpoint) {
+            EXPECT_EQ(endpoint, "e0");
+            ++told;
+        };
+    });
+    for (const char* id : {"7", "8", "9"}) {
+        EXPECT_TRUE(has(ask(id), "served"));
+    }
+    EXPECT_LE(told, 1);
+    on_its_thread(
+        [&] { EXPECT_EQ(told == 1, relay_->state().endpoints.cold().is_cold("e0", monotonic_now())); });
+}
+
+// All endpoints of a service stand in domains that are evacuated. Held for a place, callers would wait for
+// what cannot come; they are told at once that nothing ran and when to ask again.
+TEST_F(relay_fixture, where_all_is_evacuated_callers_are_told_at_once) {
+    scripted_endpoint endpoint({{answer_of("7", "served"), false, false}});
+    begin(route(route_kind::non_idempotent, 1), {endpoint.address()});
+    on_its_thread([&] { relay_->state().endpoints.set_evacuated({{"d1"}}, monotonic_now()); });
+    const time_point asked_at = monotonic_now();
+    const std::string answer = ask("7");
+    EXPECT_TRUE(has(answer, "HTTP/1.1 503"));
+    EXPECT_TRUE(has(answer, "Retry-After"));
+    EXPECT_LT(monotonic_now() - asked_at, milliseconds(300));
+    EXPECT_TRUE(endpoint.requests().empty());
+}
+
 // A host of 295 is kept busy and comes to read a look-up 1.7 s after its caller has given up and closed. It
 // sends the look-up on over a kept connection before it reads the end of the caller's, and an endpoint works
 // for nobody while others wait.
