Roll-outs are reported in time where the store is deaf or turns the deciding host away

Change: an order first seen in such a listing counts from when the store fell silent; the second host reports after 0.25 s in place of 0.6 s; a reader whose report the store does not take hands it to three relays.

--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -197,6 +197,7 @@
 }
 
 void entry_host::on_history_gone() {
+    history_gone_at_ = monotonic_now();
     for (object_watch* watch : watches()) {
         watch->list_again(); // Has no effect on the one that noticed: it lists already.
     }
--- a/src/host/entry_host.h
+++ b/src/host/entry_host.h
@@ -149,8 +149,12 @@
     void note_config_heard(std::int64_t revision);
     void take_copy(object_watch& watch, const std::string& kind, const json& copy);
     void advance_rollouts();
-    bool leads(time_point now) const;
+    std::size_t place_among_reporters(time_point now) const;
     void report(const rollout_report& due);
+    void write_report(const rollout_order& order, rollout_state state,
+                      std::function<void(const store_result<stored_object>&)> done);
+    void hand_over(const rollout_report& due);
+    void take(const std::string& from, const report_handover& errand);
     void advance_stop();
 
     event_loop& loop_;
@@ -175,7 +179,8 @@
     bool is_config_readable_ = false;              ///< the newest one could be decoded
     std::map<std::int64_t, time_point> questions_; ///< asked of peers, by nonce
     std::int64_t last_nonce_ = 0;
-    std::uint64_t rounds_ = 0; ///< of gossip
+    std::uint64_t rounds_ = 0;                  ///< of gossip
+    std::optional<time_point> history_gone_at_; ///< when the store last dropped its history
     bool is_load_to_tell_ = false;
     std::set<std::string> refusals_to_tell_;             ///< endpoints
     std::map<std::string, load_entry> told_load_;        ///< what the last load news said, by endpoint
@@ -192,8 +197,9 @@
     std::vector<rollout_news> told_decisions_;  ///< what all hosts were told last, but for ages
     std::optional<time_point> heard_store_at_;  ///< when the store last confirmed the configuration here
     std::map<std::string, time_point>
-        due_since_;                 ///< reports not yet shown by the store, by service and state
-    std::set<std::string> writing_; ///< services with a write under way
+        due_since_;                      ///< reports not yet shown by the store, by service and state
+    std::set<std::string> writing_;      ///< services with a write under way
+    std::set<std::int64_t> handed_over_; ///< revisions of orders; one goes over once
     std::map<std::string, std::int64_t>
         refused_endpoints_; ///< revision of the entry that was logged, by name
 };
--- a/src/host/entry_host_rollouts.cpp
+++ b/src/host/entry_host_rollouts.cpp
@@ -1,12 +1,17 @@
 // How entry hosts carry out roll-outs together: who decides, what those hear, and who reports.
 #include "host/entry_host.h"
 
+#include <algorithm>
+
 namespace laurelhoist {
 
 namespace {
 
-/// A leader that has not reported by then is taken for dead or cut off.
-constexpr duration leader_patience = milliseconds(600);
+/// A host that has not reported by then is taken for dead or cut off, and the next one does: the report is
+/// due 0.8 s before the time limit. At 0.6 s the second host of a small fleet was too late.
+constexpr duration reporters_patience = milliseconds(250);
+/// Hosts that are asked to write a report; most of them reach a store that turns away a third.
+constexpr std::size_t hosts_of_handover = 3;
 /// Until the store's own news of a report is here, which readers of a large fleet gather for 0.8 s. Without
 /// it each report was written three times.
 constexpr duration report_echo = milliseconds(1200);
@@ -19,6 +24,9 @@
 /// For the counts of every second round, and a message lost.
 constexpr duration count_hearing_time = milliseconds(1700);
 
+/// Within this after the store has dropped its history everything has been listed anew.
+constexpr duration relisting_time = milliseconds(1000);
+
 } // namespace
 
 void entry_host::on_rollouts(const objects_by_name& objects) {
@@ -31,7 +39,9 @@
         }
         orders.push_back(*value_of(decoded));
     }
-    rollouts_.set_orders(orders, monotonic_now());
+    const time_point now = monotonic_now();
+    const bool was_deaf = history_gone_at_ && now - *history_gone_at_ < relisting_time;
+    rollouts_.set_orders(orders, now, was_deaf ? deaf_time : duration::zero());
     tell_copies(notice_scope::change);
 }
 
@@ -84,21 +94,24 @@
     }
 }
 
-bool entry_host::leads(time_point now) const {
+// 0 is the one that reports first.
+std::size_t entry_host::place_among_reporters(time_point now) const {
     const std::vector<host_status>& hosts = gossip_.live(now);
     if (is_large_fleet(now)) {
-        return place_among_readers(settings_.name, hosts).overall == 0;
+        return place_among_readers(settings_.name, hosts).overall;
     }
+    std::size_t place = 0;
     for (const host_status& host : hosts) {
-        if (host.state == "serving") {
-            return host.name == settings_.name;
+        if (host.name == settings_.name) {
+            break;
         }
+        place += host.state == "serving" ? 1 : 0;
     }
-    return true;
+    return place;
 }
 
-// Any host may report: the write holds only at the revision that the decision was made on, so that one that
-// was paused meanwhile changes nothing. One host at a time saves calls.
+// Any host that hears everything may report: the write holds only at the revision that the decision was made
+// on, so that one that was paused meanwhile changes nothing. One host at a time saves calls.
 void entry_host::advance_rollouts() {
     const time_point now = monotonic_now();
     std::map<std::string, time_point> still_due;
@@ -106,7 +119,7 @@
         const std::string key = due.order.service + "/" + to_string(due.state);
         const auto known = due_since_.find(key);
         still_due[key] = known == due_since_.end() ? now : known->second;
-        if (leads(now) || now - still_due[key] > leader_patience) {
+        if (now - still_due[key] >= reporters_patience * place_among_reporters(now)) {
             report(due);
         }
     }
@@ -115,7 +128,7 @@
 }
 
 void entry_host::report(const rollout_report& due) {
-    // Those that go by copies see the report confirmed later than the leader's patience lasts, and 295 of
+    // Those that go by copies see the report confirmed later than the others' patience lasts, and 295 of
     // them would write it each.
     if (!reads_everything()) {
         return;
@@ -127,14 +140,50 @@
                                 {"release", due.order.release},
                                 {"state", to_string(due.state)},
                                 {"reason", due.reason}});
-    const std::string service = due.order.service;
-    store_.replace_status(codec_.rollout_kind(), service, due.order.revision,
-                          codec_.rollout_status(due.order, due.state),
-                          [this, service](const store_result<stored_object>& result) {
-                              const bool is_done = std::holds_alternative<stored_object>(result);
-                              const duration rest = is_done ? report_echo : duration::zero();
-                              loop_.after(rest, [this, service] { writing_.erase(service); });
-                          });
+    write_report(due.order, due.state, [this, due](const store_result<stored_object>& result) {
+        const store_failure* failure = std::get_if<store_failure>(&result);
+        if (failure != nullptr && *failure != store_failure::conflict) {
+            hand_over(due);
+        }
+        const duration rest = failure == nullptr ? report_echo : duration::zero();
+        loop_.after(rest, [this, service = due.order.service] { writing_.erase(service); });
+    });
+}
+
+void entry_host::write_report(const rollout_order& order, rollout_state state,
+                              std::function<void(const store_result<stored_object>&)> done) {
+    store_.replace_status(codec_.rollout_kind(), order.service, order.revision,
+                          codec_.rollout_status(order, state), std::move(done));
+}
+
+// Against a store that turns away just the hosts that decide: a sound release was reported after its time
+// limit, when others had become readers. The write is conditional, so that several may try it.
+void entry_host::hand_over(const rollout_report& due) {
+    const time_point now = monotonic_now();
+    const bool is_needed =
+        is_large_fleet(now) && due.state != rollout_state::running; // Of a small one all decide.
+    if (!is_needed || !handed_over_.insert(due.order.revision).second) {
+        return;
+    }
+    std::vector<host_status> others = relays_among(gossip_.live(now));
+    others.erase(std::remove_if(others.begin(), others.end(),
+                                [this](const host_status& host) { return host.name == settings_.name; }),
+                 others.end());
+    others.resize(std::min(others.size(), hosts_of_handover));
+    const report_handover errand{due.order.service, due.order.release, due.state, due.order.revision};
+    send_to_others(others, encode_peer_message(errand));
+}
+
+void entry_host::take(const std::string& from, const report_handover& errand) {
+    log_info("rollout_report", {{"service", errand.service},
+                                {"release", errand.release},
+                                {"state", to_string(errand.state)},
+                                {"reason", "handed over by " + from}});
+    rollout_order order;
+    order.service = errand.service;
+    order.release = errand.release;
+    order.revision = errand.revision;
+    write_report(order, errand.state, [](const store_result<stored_object>&) {});
 }
 
 } // namespace laurelhoist
--- a/src/host/peer_messages.h
+++ b/src/host/peer_messages.h
@@ -88,8 +88,17 @@
 };
 LAUREL_VALUE_TYPE(refusal_news, refused)
 
+/** A report on a roll-out that the sender, which decides, cannot write: the store does not serve it. */
+struct report_handover {
+    std::string service;
+    std::string release;
+    rollout_state state = rollout_state::running;
+    std::int64_t revision = 0; ///< \ref rollout_order::revision
+};
+LAUREL_VALUE_TYPE(report_handover, service, release, state, revision)
+
 using peer_message = std::variant<peer_news, freshness_question, freshness_answer, copy_notice, load_news,
-                                  session_news, count_news, refusal_news>;
+                                  session_news, count_news, refusal_news, report_handover>;
 
 /** \return the bytes of \p message. */
 std::string encode_peer_message(const peer_message& message);
--- a/src/rollout/release_rollout.cpp
+++ b/src/rollout/release_rollout.cpp
@@ -84,7 +84,9 @@
     return "unknown";
 }
 
-void rollout_tracker::set_orders(const std::vector<rollout_order>& orders, time_point now) {
+// Against a report that comes after the order's time limit: an order was written while the store, about to
+// drop its history, told its watches nothing. Counted from when it was heard of, its end was 0.5 s late.
+void rollout_tracker::set_orders(const std::vector<rollout_order>& orders, time_point now, duration unheard) {
     std::set<std::string> services;
     for (const rollout_order& order : orders) {
         services.insert(order.service);
@@ -95,7 +97,7 @@
         }
         track started;
         started.order = order;
-        started.since = now;
+        started.since = now - unheard;
         started.seen_at = now;
         started.counted_at = now;
         started.trial_share = new_trial_share(order);
@@ -108,7 +110,8 @@
         log_info("rollout_seen", {{"service", order.service},
                                   {"release", order.release},
                                   {"state", to_string(order.state)},
-                                  {"limit_ms", to_ms(order.time_limit)}});
+                                  {"limit_ms", to_ms(order.time_limit)},
+                                  {"unheard_ms", to_ms(unheard)}});
     }
     for (auto item = tracks_.begin(); item != tracks_.end();) {
         item = services.count(item->first) > 0 ? std::next(item) : tracks_.erase(item);
@@ -481,7 +484,9 @@
         rollout.is_on_trial = false;
         return;
     }
-    rollout.is_on_trial = rollout.is_on_trial || age > session_exchange;
+    // From when this host has seen the order, as well: only then did it begin to tell of its sessions.
+    rollout.is_on_trial =
+        rollout.is_on_trial || (age > session_exchange && now - rollout.seen_at > session_exchange);
     // A release whose endpoints only crash gives no bad answers; it has to give good ones.
     const bool has_shown_itself =
         good_answers_of(rollout.order.service, rollout.order.release) >= least_good_answers;
--- a/src/rollout/release_rollout.h
+++ b/src/rollout/release_rollout.h
@@ -122,8 +122,9 @@
     void set_hears_all(bool hears_all) { hears_all_ = hears_all; }
     /** \return whether a roll-out is under way. */
     bool is_open() const;
-    /** Takes the orders as the store holds them. */
-    void set_orders(const std::vector<rollout_order>& orders, time_point now);
+    /** Takes the orders as the store holds them.
+     * \param unheard for so long an order that is new here may have stood in the store */
+    void set_orders(const std::vector<rollout_order>& orders, time_point now, duration unheard = {});
     /** Takes how many endpoints of \p service run each release. */
     void set_endpoint_counts(const std::string& service, const std::map<std::string, int>& by_release);
 
@@ -164,7 +165,7 @@
     };
     struct track {
         rollout_order order;
-        time_point since;                   ///< when the first host saw the order
+        time_point since;                   ///< when the first host saw the order, or could have
         time_point seen_at;                 ///< when this one did
         std::optional<time_point> moved_at; ///< when all traffic was moved
         double trial_share = 0;             ///< of the requests, while the release is on trial
--- a/src/store/object_watch.cpp
+++ b/src/store/object_watch.cpp
@@ -8,9 +8,6 @@
 /// hosts together, refused ones too.
 constexpr duration first_rests[] = {milliseconds(50), milliseconds(150), milliseconds(250)};
 
-/// For up to a second before a store drops its history, its watches may miss changes.
-constexpr duration deaf_time = milliseconds(1100);
-
 } // namespace
 
 const char* to_string(store_failure failure) {
--- a/src/store/object_watch.h
+++ b/src/store/object_watch.h
@@ -29,6 +29,9 @@
     std::uint64_t spread_seed = 0;
 };
 
+/// For up to a second before a store drops its history, its watches may miss changes.
+constexpr duration deaf_time = milliseconds(1100);
+
 /** Keeps a copy of the objects of one kind.
  *
  * Its states stand in charts/object_watch.scxml: listing, following, resting (after a failure). Revisions
--- a/test/host_test.cpp
+++ b/test/host_test.cpp
@@ -24,7 +24,8 @@
                                      load_news{"h1", {{"e1", 4000, 3}}},
                                      session_news{{{"pool", 77, 120}}},
                                      count_news{"h1/3", {{"pool", "v2", "drafts", 10, 1, 2}}},
-                                     refusal_news{{{"e1", 40}}}};
+                                     refusal_news{{{"e1", 40}}},
+                                     report_handover{"pool", "v2", rollout_state::completed, 41}};
     for (const peer_message& message : messages) {
         const std::optional<peer_message> decoded = decode_peer_message(encode_peer_message(message));
         ASSERT_TRUE(decoded);
--- a/test/rollout_test.cpp
+++ b/test/rollout_test.cpp
@@ -119,9 +119,9 @@
 }
 
 struct tracked_rollout {
-    tracked_rollout() {
+    explicit tracked_rollout(duration unheard = {}) {
         tracker.set_endpoint_counts("pool", {{"v1", 10}, {"v2", 10}});
-        tracker.set_orders({order_of("v2")}, start);
+        tracker.set_orders({order_of("v2")}, start, unheard);
     }
     void answer(const std::string& release, bool is_good, const response_timing& timing) {
         const release_use use{"pool", release, "drafts"};
@@ -210,6 +210,18 @@
     EXPECT_EQ(rollout.due(milliseconds(23'250)), rollout_state::completed);
 }
 
+// An operator orders a roll-out while the store, about to drop its history, tells its watches nothing. It is
+// heard of a second later; counted from then on, it is reported after its time limit and counts as missed.
+TEST(release_rollout, an_order_that_stood_unheard_is_reported_in_time) {
+    const duration unheard = milliseconds(1100);
+    tracked_rollout rollout(unheard);
+    rollout.see("v1", 1000, 0);
+    rollout.due(seconds(1));
+    rollout.see("v2", 40, 0);
+    rollout.due(milliseconds(21'000));
+    EXPECT_EQ(rollout.due(milliseconds(23'250) - unheard), rollout_state::completed);
+}
+
 // A host without a roll-out for a week remembers every session that it has ever served, until it is out of
 // memory.
 TEST(release_rollout, sessions_are_forgotten_without_a_rollout) {
