A release that worsens with the move is not reported complete

Change: the report of completion is held while the share of bad answers since the move is more than two points above the old release's, from five bad answers on. Test fails without the change.

--- a/src/rollout/release_rollout.cpp
+++ b/src/rollout/release_rollout.cpp
@@ -34,6 +34,8 @@
 /// Evidence with which nothing is moved or reported complete: two bad answers more than good ones outweigh.
 /// Three bad answers of a slow trial let half of all requests fail after the move.
 constexpr double suspicious_evidence = 2.5;
+/// Fewer bad answers since the move say nothing: faults of single endpoints give as many.
+constexpr double least_bad_answers = 5;
 /// A release is good up to this much above the old one's share of bad answers, and bad from the other on.
 constexpr double usual_quality = 0.98; ///< share of good answers, until the old release has shown its own
 constexpr double tolerated_drop = 0.04;
@@ -383,7 +385,7 @@
     totals sum;
     for_each_count(rollout.order.service, [&](const release_use& use, const release_counts& counts) {
         const bool is_new = use.release == rollout.order.release;
-        if (use.route == route && is_new == of_new_release) {
+        if ((route.empty() || use.route == route) && is_new == of_new_release) {
             sum.good += counts.good;
             sum.bad += counts.bad;
         }
@@ -471,12 +473,13 @@
     rollout.counted_at = now;
 }
 
-void rollout_tracker::move_everything(track& rollout, time_point now) {
+void rollout_tracker::move_everything(track& rollout, time_point now) const {
     if (rollout.has_moved) {
         return;
     }
     rollout.has_moved = true;
     rollout.moved_at = now;
+    rollout.at_move = total_of(rollout, "", true);
     log_info("rollout_moves", {{"service", rollout.order.service},
                                {"release", rollout.order.release},
                                {"age_ms", to_ms(now - rollout.since)}});
@@ -510,6 +513,24 @@
                        [](const auto& item) { return item.second >= suspicious_evidence; });
 }
 
+// Load pattern: a release fails only under everybody's load, which it gets a second before its time ends. A
+// tenth of the answers failed by then, spread over routes and mixed with answers of the quiet moment before:
+// too few for the sequential test, enough not to stop the old release. What is held back comes late if it was
+// sound.
+bool rollout_tracker::has_worsened(const track& rollout) const {
+    const totals fresh = total_of(rollout, "", true);
+    const auto bad = static_cast<double>(fresh.bad - rollout.at_move.bad);
+    const auto all = bad + static_cast<double>(fresh.good - rollout.at_move.good);
+    if (bad < least_bad_answers) {
+        return false;
+    }
+    const totals old = total_of(rollout, "", false);
+    const auto old_all = static_cast<double>(old.good + old.bad);
+    const double usual =
+        old_all < least_good_answers ? 1 - usual_quality : static_cast<double>(old.bad) / old_all;
+    return bad / all > usual + tolerated_drop / 2;
+}
+
 std::optional<rollout_state> rollout_tracker::due_state(const track& rollout, time_point now) const {
     if (!is_open(rollout)) {
         return std::nullopt;
@@ -519,7 +540,8 @@
     }
     const bool has_settled = rollout.moved_at && now - *rollout.moved_at > settling_time;
     const bool is_last_moment = now - rollout.since > rollout.order.time_limit - report_margin;
-    if (has_settled && is_last_moment && !is_suspicious(rollout)) {
+    const bool is_in_doubt = settings_.suspects && has_worsened(rollout);
+    if (has_settled && is_last_moment && !is_suspicious(rollout) && !is_in_doubt) {
         return rollout_state::completed;
     }
     if (rollout.order.state == rollout_state::ordered) {
--- a/src/rollout/release_rollout.h
+++ b/src/rollout/release_rollout.h
@@ -171,6 +171,7 @@
         time_point since;                   ///< when the first host saw the order, or could have
         time_point seen_at;                 ///< when this one did
         std::optional<time_point> moved_at; ///< when all traffic was moved
+        totals at_move;                     ///< answers of the new release by then
         double trial_share = 0;             ///< of the requests, while the release is on trial
         bool is_on_trial = false;           ///< once the hosts have told one another of their sessions
         std::int64_t sent_before = 0;       ///< requests of the service at \ref counted_at
@@ -192,6 +193,7 @@
     /** Calls \p visit with each use of \p service that this host or another has counted. */
     template <class Visit>
     void for_each_count(const std::string& service, const Visit& visit) const;
+    /** \param route empty: all routes */
     totals total_of(const track& rollout, const std::string& route, bool of_new_release) const;
     std::int64_t good_answers_of(const std::string& service, const std::string& release) const;
     double new_trial_share(const rollout_order& order) const;
@@ -207,7 +209,10 @@
     void measure_rate(track& rollout, time_point now) const;
     void weigh(track& rollout);
     bool is_suspicious(const track& rollout) const;
-    static void move_everything(track& rollout, time_point now);
+    void move_everything(track& rollout, time_point now) const;
+    /** \return whether the new release has failed clearly more often than the old one since everything was
+     * moved. */
+    bool has_worsened(const track& rollout) const;
     void set_shares(track& rollout, time_point now) const;
     void find_crawling(const track& rollout, time_point now);
     duration longest_usual(const release_use& use) const;
--- a/test/rollout_test.cpp
+++ b/test/rollout_test.cpp
@@ -238,6 +238,39 @@
     EXPECT_FALSE(rollout.tracker.is_settling()) << "it is braked";
 }
 
+// A release fails only under everybody's load: a tenth of its answers in the second before its time ends,
+// spread over routes. Each route alone proves nothing, it is reported complete, the old endpoints stop, and
+// half of all requests fail from then on.
+TEST(release_rollout, a_release_that_worsens_with_the_move_is_not_reported_complete) {
+    tracked_rollout rollout;
+    const auto see_on = [&](const std::string& route, int good, int bad) {
+        const release_use use{"pool", "v2", route};
+        for (int i = 0; i < good + bad; ++i) {
+            rollout.tracker.on_started(use, "", rollout.start);
+            rollout.tracker.on_finished(use, "", rollout.start);
+            rollout.tracker.on_outcome(use, i < good);
+        }
+    };
+    rollout.see("v1", 1000, 0);
+    rollout.due(seconds(1));
+    rollout.see("v2", 40, 0);
+    rollout.due(seconds(13));
+    rollout.due(milliseconds(22'000));
+    EXPECT_EQ(rollout.share_of_sessions(seconds(22)), 1.0);
+    // In batches as they are heard; each with more good answers than outweigh the bad one.
+    for (int batch = 0; batch < 4; ++batch) {
+        for (const char* route : {"drafts", "chats", "checks"}) {
+            see_on(route, 8, 1);
+        }
+        rollout.due(milliseconds(22'100 + 100 * batch));
+    }
+    EXPECT_NE(rollout.due(milliseconds(23'250)), rollout_state::completed);
+    for (const char* route : {"drafts", "chats", "checks"}) {
+        see_on(route, 200, 0);
+    }
+    EXPECT_EQ(rollout.due(milliseconds(25'000)), rollout_state::completed) << "late, as it was sound";
+}
+
 // A host without a roll-out for a week remembers every session that it has ever served, until it is out of
 // memory.
 TEST(release_rollout, sessions_are_forgotten_without_a_rollout) {
