--- a/src/placement/cold_endpoints.h
+++ b/src/placement/cold_endpoints.h
@@ -5,7 +5,7 @@
  * under more. The bound holds for all hosts together, also for those that do not hear of one another.
  *
  * Load pattern: the 28 engines of a failure domain come back at once beside 84 busy ones. All 77 hosts see
- * them idle and send there: 25 to 62 requests in a second to one engine that takes 12.
+ * them idle and send there: 25 to 29 requests in a second to one engine that takes 12.
  *
  * So each cold endpoint has a few sponsors, picked by rendezvous hash among the hosts of its failure domain;
  * each sends to it at a fixed pace, all other hosts leave it out until it is warm.
@@ -80,10 +80,13 @@
      * none. */
     std::optional<duration> first_warm_in(const std::string& service, time_point now) const;
 
+    /** \see cold_sharing::spacing; a pace for two hosts of the endpoint's failure domain. */
     std::optional<duration> spacing_of_sponsors(const endpoint_record& endpoint, double allowance,
                                                 const sponsor_view& view) const;
+    /** An even part for each. Keeps the bound in the mean only: for experiments. */
     std::optional<duration> spacing_of_all_hosts(const endpoint_record& endpoint, double allowance,
                                                  const sponsor_view& view) const;
+    /** For experiments: where all endpoints are cold, nobody is served. */
     std::optional<duration> spacing_of_nobody(const endpoint_record& endpoint, double allowance,
                                               const sponsor_view& view) const;
 
