Logs tell whether it is the same request that broke again

Cause: request ids are new with each try, so the logs of the incident cannot say whether one request was under way at every engine that ended, or whether load ended them. Nor do they say whether a broken attempt had passed anything on. Change: attempt_ended of a broken attempt carries a digest of method, target, team and body, the same for each try at any host, and each attempt the number of events that it passed on. Worked out when an attempt breaks, never on a calm path.

--- /dev/null
+++ b/src/recovery/request_digest.cpp
@@ -0,0 +1,34 @@
+#include "recovery/request_digest.h"
+
+#include "base/base.h"
+
+#include <cstdio>
+
+namespace laurelhoist {
+
+namespace {
+
+constexpr int hex_digits = 16;
+
+void append_field(std::string& text, std::string_view field) {
+    text.append(std::to_string(field.size())).append(":").append(field);
+}
+
+} // namespace
+
+request_digest digest_of(const request_identity& request) {
+    std::string text;
+    text.reserve(request.body.size() + request.target.size() + request.team.size() + 64);
+    for (const std::string_view field : {request.method, request.target, request.team, request.body}) {
+        append_field(text, field); // With its length, so that no two requests read alike.
+    }
+    return std::stoull(sha256_hex(text).substr(0, hex_digits), nullptr, hex_digits);
+}
+
+std::string to_text(request_digest digest) {
+    char text[hex_digits + 1];
+    std::snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(digest));
+    return text;
+}
+
+} // namespace laurelhoist
--- a/src/relay/exchange.cpp
+++ b/src/relay/exchange.cpp
@@ -332,6 +332,7 @@
     terms.urgency = std::clamp(most_urgent_used + priority, 0, least_urgent);
     terms.resume_after = events_.last_id() > terms_.last_event_id ? events_.last_id() : 0;
     ++attempts_;
+    attempt_.events_before = events_.last_id();
     start_reader();
     connection_->send(state_.dialect.write_request(request_, terms));
 }
@@ -502,9 +503,23 @@
     return may_go_elsewhere && now - attempt_.heard_at > silence_limit();
 }
 
+request_digest exchange::digest() {
+    if (!digest_) {
+        digest_ =
+            digest_of({request_.method, request_.target,
+                       team_ == nullptr ? std::string_view{} : std::string_view(team_->name), request_.body});
+    }
+    return *digest_;
+}
+
 void exchange::log_attempt(attempt_end end) {
     const placement& chosen = attempt_.chosen;
+    // Only where the endpoint may have ended: that is when one has to know whether it is the same request
+    // again.
+    const std::string known_by = end == attempt_end::broken ? to_text(digest()) : std::string{};
     log_info("attempt_ended", {{"request", terms_.id},
+                               {"digest", known_by},
+                               {"events", events_of_attempt()},
                                {"end", to_string(end)},
                                {"endpoint", chosen.endpoint.name},
                                {"release", chosen.endpoint.release},
--- a/src/relay/exchange.h
+++ b/src/relay/exchange.h
@@ -40,6 +40,7 @@
         std::size_t model_rank = 0;
         time_point sent_at;
         time_point heard_at;
+        std::int64_t events_before = 0; ///< that the caller had when it was sent
         bool has_first_byte = false;
         bool is_judged_slow = false; ///< counted against the release already
         bool is_accepted = false;    ///< the answer is good enough to be passed on
@@ -90,6 +91,10 @@
     void on_caller_gone();
     void finish(const char* outcome, int status);
     void log_attempt(attempt_end end);
+    /** \return by what this request is known again; worked out once, when it is first asked for. */
+    request_digest digest();
+    /** \return the events that the present attempt has passed on. */
+    std::int64_t events_of_attempt() const { return events_.last_id() - attempt_.events_before; }
     std::string answer_head(int status, const header_list& headers, bool is_chunked,
                             std::size_t length) const;
     bool keeps_caller() const;
@@ -124,10 +129,11 @@
     std::set<std::string> tried_;
     std::size_t least_size_ = 0; ///< of the model; raised when a smaller one's answer was not good enough
     duration config_age_{};      ///< at arrival
-    int confidence_ = -1;        ///< of the answer; -1: none said
-    int first_event_ms_ = -1;    ///< from arrival until it was passed on; -1: none was
-    int longest_gap_ms_ = -1;    ///< between two events passed on; -1: fewer than two were
-    time_point last_event_at_;   ///< when the last one was passed on
+    std::optional<request_digest> digest_;
+    int confidence_ = -1;      ///< of the answer; -1: none said
+    int first_event_ms_ = -1;  ///< from arrival until it was passed on; -1: none was
+    int longest_gap_ms_ = -1;  ///< between two events passed on; -1: fewer than two were
+    time_point last_event_at_; ///< when the last one was passed on
     int attempts_ = 0;
     int detours_ = 0;        ///< attempts at endpoints that had gone
     bool has_begun_ = false; ///< it has been decided whether the request may run
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "recovery/recovery.h"
 #include "relay/caller_connection.h"
 #include "relay/endpoint_connection.h"
 #include "relay/model_choice.h"
