A request that ends its endpoints is sent for ever: its test, red

A request that ends the engine that runs it goes to three, comes back, and goes to three more. Test: twelve endpoints that end when they begin to run a certain body; the request is asked for four times. The fixture's dialect leaves Retry-After out where there is none, as the real one does.

--- a/test/relay_test.cpp
+++ b/test/relay_test.cpp
@@ -235,7 +235,9 @@
     }
     header_list own_answer_headers(const std::string&, duration retry_after) const override {
         header_list headers;
-        headers.add("Retry-After", std::to_string(to_ms(retry_after)));
+        if (retry_after > duration::zero()) {
+            headers.add("Retry-After", std::to_string(to_ms(retry_after)));
+        }
         return headers;
     }
     std::int64_t route_tokens = 0;
@@ -330,6 +332,99 @@
     std::thread thread_;
 };
 
+/** An endpoint whose process ends when it begins to run a request with a certain body: its connections break
+ * and nothing listens at its address any more. It answers all other requests. */
+class mortal_endpoint {
+public:
+    explicit mortal_endpoint(std::string deadly_body)
+        : acceptor_{context_, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)},
+          address_{"127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port())},
+          deadly_body_{std::move(deadly_body)} {
+        accept_next();
+        thread_ = std::thread([this] { context_.run(); });
+    }
+    ~mortal_endpoint() {
+        context_.stop();
+        thread_.join();
+    }
+    mortal_endpoint(const mortal_endpoint&) = delete;
+    mortal_endpoint& operator=(const mortal_endpoint&) = delete;
+
+    const std::string& address() const { return address_; }
+    /** Requests with the deadly body that reached it: at most one, which it did not survive. */
+    int ended_by() const { return ended_by_; }
+
+private:
+    struct connection {
+        tcp::socket socket;
+        std::string buffer;
+    };
+
+    void accept_next() {
+        acceptor_.async_accept([this](boost::system::error_code failure, tcp::socket socket) {
+            if (!failure) {
+                connections_.push_back(std::make_shared<connection>(connection{std::move(socket), {}}));
+                read_next(connections_.back());
+                accept_next();
+            }
+        });
+    }
+
+    void read_next(const std::shared_ptr<connection>& from) {
+        asio::async_read_until(from->socket, asio::dynamic_buffer(from->buffer), "\r\n\r\n",
+                               [this, from](boost::system::error_code failure, std::size_t length) {
+                                   if (!failure) {
+                                       run(*from, length);
+                                       read_next(from);
+                                   }
+                               });
+    }
+
+    void run(connection& from, std::size_t head_length) {
+        const std::string head = from.buffer.substr(0, head_length);
+        const std::size_t body_length = number_after(head, "Content-Length: ");
+        boost::system::error_code failure;
+        while (from.buffer.size() < head_length + body_length && !failure) {
+            std::array<char, 1024> more{};
+            const std::size_t bytes = from.socket.read_some(asio::buffer(more), failure);
+            from.buffer.append(more.data(), bytes);
+        }
+        const std::string body = from.buffer.substr(head_length, body_length);
+        from.buffer.erase(0, head_length + body_length);
+        if (body == deadly_body_) {
+            end();
+            return;
+        }
+        const std::string id = std::to_string(number_after(head, "Id: "));
+        const std::string answer =
+            "HTTP/1.1 200 OK\r\nId: " + id + "\r\nReceipt: r\r\nContent-Length: 6\r\n\r\nserved";
+        asio::write(from.socket, asio::buffer(answer), failure);
+    }
+
+    void end() {
+        ++ended_by_;
+        boost::system::error_code ignored;
+        acceptor_.close(ignored);
+        for (const auto& each : connections_) {
+            each->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+            each->socket.close(ignored);
+        }
+    }
+
+    static std::size_t number_after(const std::string& head, const std::string& field) {
+        const std::size_t at = head.find(field);
+        return at == std::string::npos ? 0 : std::stoul(head.substr(at + field.size()));
+    }
+
+    asio::io_context context_;
+    tcp::acceptor acceptor_;
+    std::string address_;
+    std::string deadly_body_;
+    std::vector<std::shared_ptr<connection>> connections_;
+    std::atomic<int> ended_by_{0};
+    std::thread thread_;
+};
+
 std::string answer_of(const std::string& id, const std::string& body, const std::string& more = "") {
     return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nReceipt: r\r\n" + more +
            "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
@@ -409,12 +504,13 @@
     }
 
     /** Sends one request and reads until the relay closes the connection. */
-    std::string ask(const std::string& id, const std::string& more = "") {
+    std::string ask(const std::string& id, const std::string& more = "", const std::string& body = "") {
         asio::io_context context;
         tcp::socket socket(context);
         socket.connect({asio::ip::make_address("127.0.0.1"), port_});
         const std::string request = "POST /a/1 HTTP/1.1\r\nHost: x\r\nId: " + id + "\r\n" + more +
-                                    "Connection: close\r\nContent-Length: 0\r\n\r\n";
+                                    "Connection: close\r\nContent-Length: " + std::to_string(body.size()) +
+                                    "\r\n\r\n" + body;
         asio::write(socket, asio::buffer(request));
         std::string answer;
         boost::system::error_code failure;
@@ -586,6 +682,39 @@
     EXPECT_FALSE(has(answer, "of another"));
 }
 
+// Advisers lose their drafts in the middle, half of the engines are down for twenty seconds. One caller's
+// short request ends every engine that begins to run it; it was sent to three, came back with a new id, and
+// was sent to three more.
+TEST_F(relay_fixture, a_request_that_ends_its_endpoints_is_not_sent_for_ever) {
+    const std::string deadly = "a prompt that no engine survives";
+    std::vector<std::unique_ptr<mortal_endpoint>> endpoints;
+    std::vector<std::string> addresses;
+    for (int i = 0; i < 12; ++i) {
+        endpoints.push_back(std::make_unique<mortal_endpoint>(deadly));
+        addresses.push_back(endpoints.back()->address());
+    }
+    begin(route(route_kind::idempotent, 3), addresses);
+    const auto ended = [&endpoints] {
+        int count = 0;
+        for (const auto& endpoint : endpoints) {
+            count += endpoint->ended_by();
+        }
+        return count;
+    };
+    EXPECT_TRUE(has(ask("1", "", "another prompt"), "served"));
+    for (int id = 2; id <= 4; ++id) {
+        ask(std::to_string(id), "", deadly);
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    }
+    EXPECT_EQ(ended(), 3) << "three ends under one request tell enough";
+    const time_point asked_at = monotonic_now();
+    const std::string answer = ask("5", "", deadly);
+    EXPECT_TRUE(has(answer, "HTTP/1.1 503")) << answer;
+    EXPECT_FALSE(has(answer, "Retry-After")) << "nothing invites the next try";
+    EXPECT_LT(monotonic_now() - asked_at, milliseconds(300));
+    EXPECT_TRUE(has(ask("6", "", "another prompt"), "served")) << "all other requests go on";
+}
+
 TEST_F(relay_fixture, a_success_without_a_receipt_is_no_success) {
     scripted_endpoint endpoint({{"HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 2\r\n\r\nok", false, false}});
     begin(route(route_kind::non_idempotent, 1), {endpoint.address()});
