Hosts of the soak hear of one another

Cause: all hosts of a run had the address 127.0.0.1, and seeds count by address alone (peers' ports are the same on every host of a deployment), so each host asked only itself. No run of the soak has ever tested what hosts tell one another: a request that was quarantined at three hosts was found by each of them anew, 11 to 14 ends in place of 3 to 5. Change: each host has a loopback address of its own and the peers' port in common.

--- a/test/soak/platform_soak.py
+++ b/test/soak/platform_soak.py
@@ -35,17 +35,21 @@
 class Entry:
     """One process under test, with the times of what was done to it."""
 
-    def __init__(self, number, seeds, store_port, directory, program):
+    def __init__(self, number, peers_port, store_port, directory, program):
         self.name, self.program = f"entry-{number}", program
-        self.ports = {name: free_port() for name in ("callers", "readiness", "directory", "peers")}
-        self.seeds, self.store_port = seeds, store_port
+        # An address of its own, and for peers the same port everywhere: so hosts find one another on a network, and
+        # with one address for all of them none would hear of another.
+        self.address, self.seeds = f"127.0.0.{number + 2}", []
+        self.ports = {name: free_port() for name in ("callers", "readiness", "directory")}
+        self.ports["peers"] = peers_port
+        self.store_port = store_port
         self.path = pathlib.Path(directory) / f"{self.name}.flags"
         self.log = open(pathlib.Path(directory) / f"{self.name}.log", "ab")
         self.process, self.disturbed_at, self.stopping = None, 0.0, False
 
     def start(self):
         flags = {"host": self.name, "failure_domain": "hall", "store": f"127.0.0.1:{self.store_port}",
-                 "seeds": ",".join(self.seeds), **{name: f"127.0.0.1:{port}" for name, port in self.ports.items()}}
+                 "seeds": ",".join(self.seeds), **{name: f"{self.address}:{port}" for name, port in self.ports.items()}}
         self.path.write_text("".join(f"--{name}={value}\n" for name, value in flags.items()))
         self.process = asyncio.create_task(self.spawn())
 
@@ -96,12 +100,11 @@
         return self.broken
 
     async def start_entries(self):
-        self.entries = []
+        self.entries, peers_port = [], free_port()
         for number in range(self.entry_count):
-            self.entries.append(Entry(number, [], self.store_proxy.port, self.directory, self.program))
-        # Seeds name the peers' own ports: on loopback every host has the same address.
+            self.entries.append(Entry(number, peers_port, self.store_proxy.port, self.directory, self.program))
         for entry in self.entries:
-            entry.seeds = [f"127.0.0.1:{other.ports['peers']}" for other in self.entries if other is not entry]
+            entry.seeds = [f"{other.address}:{peers_port}" for other in self.entries if other is not entry]
             entry.start()
             await entry.process
 
@@ -143,7 +146,7 @@
                 if connection is None:
                     entry = self.random.choice(self.entries)
                     reader, writer = await asyncio.wait_for(
-                        asyncio.open_connection("127.0.0.1", entry.ports["callers"]), 1)
+                        asyncio.open_connection(entry.address, entry.ports["callers"]), 1)
                     connection = (entry, reader, writer)
                 keeps = await asyncio.wait_for(self.ask(number, connection), 8)
             except (ConnectionError, OSError, asyncio.IncompleteReadError, asyncio.TimeoutError):
