An endpoint that starts again under its name counts each time it ends

Cause: ends were told apart by the process as the store last named it. An engine that is back under its name within a second and is ended again before the store shows its new start counted once; one whose end only the store showed (a broken path hides it) not at all. The request under which it ends was then sent on. Change: the same process within half a second is the same end, later it is another; a new start under an attempt that had passed nothing on counts like a broken connection. Measured: two tests, one of which fails without the change (1 end in place of 2).

--- a/src/recovery/crash_quarantine.cpp
+++ b/src/recovery/crash_quarantine.cpp
@@ -29,6 +29,9 @@
 constexpr duration clearing_life = seconds(30);
 /// Ages grow by the time that a message takes; what is later by less is the same clearing heard again.
 constexpr duration clearing_tolerance = seconds(1);
+/// Hosts notice the same end within so long. A later one of the same process is of another process that took
+/// its name, which the store says only seconds later.
+constexpr duration end_spread = milliseconds(500);
 constexpr std::size_t keepers = 3; ///< two may be lost or out of touch
 
 std::int64_t age_ms(time_point at, time_point now) {
@@ -134,8 +137,9 @@
 }
 
 bool crash_quarantine::add_end(record& held, const endpoint_end& end) {
-    const bool is_known = std::any_of(held.ends.begin(), held.ends.end(),
-                                      [&](const endpoint_end& each) { return each.process == end.process; });
+    const bool is_known = std::any_of(held.ends.begin(), held.ends.end(), [&](const endpoint_end& each) {
+        return each.process == end.process && std::chrono::abs(each.ended_at - end.ended_at) < end_spread;
+    });
     if (is_known || (held.cleared_at && end.ended_at <= *held.cleared_at)) {
         return false;
     }
--- a/src/relay/exchange.cpp
+++ b/src/relay/exchange.cpp
@@ -285,16 +285,11 @@
     answer_quarantined();
 }
 
-// Only an attempt that has passed nothing on: a stream that runs is not what ends its endpoint by beginning.
-void exchange::suspect_end() {
-    if (events_of_attempt() > 0) {
-        return;
-    }
+suspected_end exchange::end_under_this() {
     const endpoint_record& endpoint = attempt_.chosen.endpoint;
-    const time_point now = monotonic_now();
-    const endpoint_end end{process_code(endpoint.name, endpoint.started_at_ms), attempt_.sent_at, now};
-    owner_.end_confirmation_.ask(endpoint.address, {digest(), end, endpoint.name, terms_.id, team_name()},
-                                 now);
+    const std::uint32_t process = process_code(endpoint.name, endpoint.started_at_ms);
+    const endpoint_end end{process, attempt_.sent_at, monotonic_now()};
+    return {digest(), end, endpoint.name, terms_.id, team_name()};
 }
 
 void exchange::note_answered() {
@@ -555,7 +550,12 @@
     const bool is_under_way = is_in("connecting") || is_in("asked") || is_in("answering");
     if (is_under_way && is_restart_of(endpoint, attempt_.chosen.endpoint)) {
         auto self = shared_from_this();
-        end_attempt(is_in("connecting") ? attempt_end::not_sent : attempt_end::broken);
+        if (is_in("asked") && may_have_ended_endpoint()) {
+            owner_.on_ended_under({end_under_this()});
+        }
+        if (!is_in("finished")) { // It may have been quarantined.
+            end_attempt(is_in("connecting") ? attempt_end::not_sent : attempt_end::broken);
+        }
     }
 }
 
--- a/src/relay/exchange.h
+++ b/src/relay/exchange.h
@@ -110,7 +110,9 @@
     bool starts_too_late_to_stop() const;
     bool is_quarantined(time_point now);
     void answer_quarantined();
-    void suspect_end();
+    /// A stream that has passed something on is not what ends its endpoint by beginning.
+    bool may_have_ended_endpoint() const { return events_of_attempt() == 0; }
+    suspected_end end_under_this();
     void note_answered();
     attempt_record record() const;
     release_use release_key() const;
--- a/src/relay/exchange_answers.cpp
+++ b/src/relay/exchange_answers.cpp
@@ -225,7 +225,9 @@
         on_answer_complete();
         return;
     }
-    suspect_end();
+    if (may_have_ended_endpoint()) {
+        owner_.end_confirmation_.ask(attempt_.chosen.endpoint.address, end_under_this(), monotonic_now());
+    }
     end_attempt(attempt_end::broken);
 }
 
--- a/test/recovery_test.cpp
+++ b/test/recovery_test.cpp
@@ -64,6 +64,17 @@
     EXPECT_TRUE(quarantine.may_send(deadly + 1, at_ms(300))) << "nobody else's request";
 }
 
+// An engine starts again under its name within a second, and the store shows its new start later than a
+// request ends it once more. Seen by two hosts, one end still counts once.
+TEST(crash_quarantine, an_endpoint_that_is_back_under_its_name_ends_again) {
+    crash_quarantine quarantine("h1");
+    quarantine.on_end(deadly, end_of(1, 0, 100), at_ms(100));
+    quarantine.on_end(deadly, end_of(1, 0, 120), at_ms(120));
+    EXPECT_EQ(quarantine.ends_of(deadly), 1);
+    quarantine.on_end(deadly, end_of(1, 1000, 1100), at_ms(1100));
+    EXPECT_EQ(quarantine.ends_of(deadly), 2);
+}
+
 // A failure domain loses power with five endpoints at which copies of a common question are under way.
 // Counted one by one, the question would be refused to everybody for twenty seconds.
 TEST(crash_quarantine, endpoints_that_end_at_once_count_once) {
--- a/test/relay_test.cpp
+++ b/test/relay_test.cpp
@@ -755,6 +755,27 @@
     EXPECT_LT(to_ms(monotonic_now() - asked_at), 1500) << "a silent stream would be noticed after 2 s";
 }
 
+// A request ends an engine behind a cut, and the engine starts again under its name: no connection breaks,
+// only the store shows the new start. Left out, such an end would not count against the request that was
+// under way.
+TEST_F(relay_fixture, an_endpoint_that_started_again_under_a_request_counts_against_it) {
+    scripted_endpoint endpoint({{"", false, false}, {answer_of("7", "served"), false, false}});
+    begin(route(route_kind::idempotent, 3), {endpoint.address()});
+    asio::steady_timer restart(loop_.context(), milliseconds(150));
+    int ends = 0;
+    restart.async_wait([&](const boost::system::error_code&) {
+        records_.front().started_at_ms = 9000;
+        relay_->set_endpoints(records_);
+        ends = relay_->state().quarantine.ends_of(digest_of({"POST", "/a/1", "", ""}));
+    });
+    EXPECT_TRUE(has(ask("7"), "served"));
+    on_its_thread([&] {
+        EXPECT_EQ(ends, 1);
+        EXPECT_EQ(relay_->state().quarantine.ends_of(digest_of({"POST", "/a/1", "", ""})), 0)
+            << "answered: cleared";
+    });
+}
+
 // Nine engines crash, four of them with the new release: the requests they break at once were taken for bad
 // answers, and a good release was braked.
 TEST_F(relay_fixture, a_crash_says_nothing_of_the_release) {
