The product's own entry quarantines requests under which endpoints end

Cause: as on the platform: what an end means was kept for each call alone, five endpoints a call. Change: the same decision (crash_quarantine), fed by calls whose connection broke before anything came; asked at admission and before each repeat, and what waits in the queue is refused. Each entry counts for itself: entries do not tell one another yet.

--- a/src/node/entry_admission.cpp
+++ b/src/node/entry_admission.cpp
@@ -190,6 +190,9 @@
         }
         refusal = request.is_service() ? prepare_service_request(request) : prepare_model_request(request);
     }
+    if (!refusal) {
+        refusal = check_quarantine(request);
+    }
     if (!refusal) {
         refusal = check_queue(request);
     }
--- a/src/node/entry_core.cpp
+++ b/src/node/entry_core.cpp
@@ -70,7 +70,10 @@
       host_state_{charts.host.initial()},
       base_view_{std::make_shared<fleet_view>()},
       view_{base_view_},
-      endpoints_{charts.endpoint, seed + 1, policies.endpoint} {}
+      endpoints_{charts.endpoint, seed + 1, policies.endpoint},
+      quarantine_{settings_.name} {
+    quarantine_.set_hosts({settings_.name}, true);
+}
 
 // ---- the chart's events ----
 
@@ -466,6 +469,9 @@
     if (result == call_result::leaving) {
         share_leaving(endpoint);
     }
+    if (result == call_result::failed) {
+        note_broken_call(request, answer);
+    }
     end_call(request, result);
     if (is_certain_not_run || answer.version_missing) {
         // "Not run" may be said to the caller only if no earlier call of this request can have run.
@@ -482,6 +488,9 @@
         request.avoided.insert(endpoint);
         fire(id, "failed");
     } else {
+        if (!quarantine_.is_empty()) {
+            quarantine_.clear(quarantine_key(request), now_);
+        }
         take_answer(request, answer);
         fire(id, "answered");
     }
@@ -571,6 +580,12 @@
 }
 
 void entry_core::retry(context& request) {
+    if (const std::optional<error> quarantined = check_quarantine(request)) {
+        request.refusal = quarantined;
+        put_in_lane(request, true);
+        fire(request.id, "refused");
+        return;
+    }
     if (!retries_.try_take()) {
         request.refusal = error{error_kind::endpoint_failed,
                                 "the call failed and too many others are being retried; come back",
@@ -672,6 +687,7 @@
 
 void entry_core::on_tick(time_point now) {
     now_ = now;
+    quarantine_.forget_old(now);
     ask_stewards();
     send_bills();
     std::vector<std::string> ids;
--- a/src/node/entry_core.h
+++ b/src/node/entry_core.h
@@ -7,6 +7,7 @@
 #include "chart/chart.h"
 #include "node/config_delta.h"
 #include "node/request_context.h"
+#include "recovery/recovery.h"
 
 #include <list>
 #include <unordered_map>
@@ -120,6 +121,10 @@
     void dispatch(context& request);
     void ask_rating(context& request);
     void retry(context& request);
+    static request_digest quarantine_key(const context& request);
+    std::optional<error> check_quarantine(const context& request) const;
+    void note_broken_call(const context& request, const endpoint_answer& answer);
+    void refuse_waiting(request_digest key);
     void rerun(context& request);
     void step_up(context& request);
     void bill(context& request);
@@ -236,6 +241,7 @@
     std::map<std::string, int> team_in_flight_;
     std::map<std::string, int> team_queued_;
     retry_budget retries_;
+    crash_quarantine quarantine_;
     quality_estimator quality_;
     quality_credit credit_;
     counts_by_version counts_;
--- /dev/null
+++ b/src/node/entry_quarantine.cpp
@@ -0,0 +1,49 @@
+// How an entry keeps off requests under which endpoints end. Each entry counts for itself: on this interface
+// a caller's session stays with one entry as long as that lives.
+#include "node/entry_core.h"
+
+namespace laurelhoist {
+
+request_digest entry_core::quarantine_key(const context& request) {
+    return digest_of({"POST", request.asked.path, request.team.name, request.request_digest});
+}
+
+std::optional<error> entry_core::check_quarantine(const context& request) const {
+    if (quarantine_.is_empty() || quarantine_.may_send(quarantine_key(request), now_)) {
+        return std::nullopt;
+    }
+    return error{error_kind::endpoint_failed,
+                 "each endpoint that began to run this request ended; do not send it again as it is",
+                 request.may_have_run ? ran_state::unknown : ran_state::no, 0};
+}
+
+// Against a request that ends each endpoint that begins to run it: the answers of all others there are lost
+// with its own, and the caller asks again. Counted where the connection broke before anything came of the
+// answer.
+void entry_core::note_broken_call(const context& request, const endpoint_answer& answer) {
+    const bool came_to_nothing = answer.status == 0 && request.parts_streamed == 0 && answer.text.empty();
+    if (answer.is_silent || !came_to_nothing) {
+        return;
+    }
+    const request_digest key = quarantine_key(request);
+    const std::uint32_t process = process_code(request.endpoint.name, request.endpoint.started_at_ms);
+    quarantine_.on_end(key, {process, request.call_started, now_}, now_);
+    if (quarantine_.ends_of(key) >= ends_to_quarantine) {
+        refuse_waiting(key);
+    }
+}
+
+void entry_core::refuse_waiting(request_digest key) {
+    std::vector<std::string> waiting;
+    for (const auto& [id, request] : requests_) {
+        if (request.state == "queued" && quarantine_key(request) == key) {
+            waiting.push_back(id);
+        }
+    }
+    for (const std::string& id : waiting) {
+        requests_.at(id).refusal = check_quarantine(requests_.at(id));
+        fire(id, "refused");
+    }
+}
+
+} // namespace laurelhoist
--- a/test/node_test.cpp
+++ b/test/node_test.cpp
@@ -49,9 +49,6 @@
     void TearDown() override { invariant_registry::instance().throw_on_failure(false); }
 };
 
-/** Failures that are known and not mended, each with a line in KNOWN-RED.txt. */
-class known_red : public failure {};
-
 } // namespace
 
 TEST(messages, every_type_survives_cbor) {
@@ -532,7 +529,7 @@
 // One caller's question ends every engine that begins to run it. The entry sends it to five, the caller asks
 // again and it goes to five more, until no engine is left for anybody: what its ends say is forgotten with
 // each try.
-TEST_F(known_red, a_request_that_ends_its_endpoints_is_not_sent_for_ever) {
+TEST_F(failure, a_request_that_ends_its_endpoints_is_not_sent_for_ever) {
     world_options options = quiet_options();
     options.engines = 16;
     world simulated{options};
