An exchange's part in the quarantine has a file of its own

Moved, not changed: digest, the questions asked before a send, the answer, what is reported of an end. Two status codes stand once, in the class. relay tests pass.

--- a/src/relay/exchange.cpp
+++ b/src/relay/exchange.cpp
@@ -8,8 +8,6 @@
 
 constexpr int status_unauthorized = 401;
 constexpr int status_not_found = 404;
-constexpr int status_bad_gateway = 502;
-constexpr int status_unavailable = 503;
 constexpr int status_gateway_timeout = 504;
 
 /// A connection on one network takes a few ms; a host that does not answer within this has gone.
@@ -254,50 +252,6 @@
     return to_ms(route_->latency_objective - (now - arrived_at_));
 }
 
-// Against a request that ends each endpoint that begins to run it: sent on, it takes the streams of all other
-// callers there along, and comes back with a new id. Asked at each place from which requests leave: first and
-// second attempts, detours, larger models, resumed streams and those that have waited.
-bool exchange::is_quarantined(time_point now) {
-    return !state_.quarantine.is_empty() && !state_.quarantine.may_send(digest(), now);
-}
-
-void exchange::answer_quarantined() {
-    answer_failure(
-        may_have_run_ ? status_bad_gateway : status_unavailable, "ends_endpoints",
-        "do not send this request again as it is: each endpoint that began to run it ended; an operator "
-        "can lift the quarantine",
-        {});
-}
-
-void exchange::on_quarantine_changed() {
-    const bool is_unsent = is_in("waiting") || is_in("connecting");
-    const bool may_stop = is_unsent || (is_in("asked") && route_->may_repeat() && !attempt_.is_trial);
-    if (!has_begun_ || !may_stop || state_.quarantine.ends_of(digest()) < ends_to_quarantine) {
-        return;
-    }
-    auto self = shared_from_this();
-    if (connection_) {
-        // It waits at an endpoint, which drops it when the connection closes.
-        may_have_run_ = may_have_run_ || is_in("asked");
-        settle_attempt(call_result::cancelled, release_evidence::none);
-        release_connection(false);
-    }
-    answer_quarantined();
-}
-
-suspected_end exchange::end_under_this() {
-    const endpoint_record& endpoint = attempt_.chosen.endpoint;
-    const std::uint32_t process = process_code(endpoint.name, endpoint.started_at_ms);
-    const endpoint_end end{process, attempt_.sent_at, monotonic_now()};
-    return {digest(), end, endpoint.name, terms_.id, team_name()};
-}
-
-void exchange::note_answered() {
-    if (!state_.quarantine.is_empty()) {
-        owner_.note_answered(digest());
-    }
-}
-
 void exchange::dispatch() {
     const time_point now = monotonic_now();
     if (is_quarantined(now)) {
@@ -565,13 +519,6 @@
     return may_go_elsewhere && now - attempt_.heard_at > silence_limit();
 }
 
-request_digest exchange::digest() {
-    if (!digest_) {
-        digest_ = digest_of({request_.method, request_.target, team_name(), request_.body});
-    }
-    return *digest_;
-}
-
 void exchange::log_attempt(attempt_end end) {
     const placement& chosen = attempt_.chosen;
     // Only where the endpoint may have ended: that is when one has to know whether it is the same request
--- a/src/relay/exchange.h
+++ b/src/relay/exchange.h
@@ -50,6 +50,9 @@
         bool is_accepted = false;    ///< the answer is good enough to be passed on
     };
 
+    static constexpr int status_bad_gateway = 502;
+    static constexpr int status_unavailable = 503;
+
     void await_configuration(time_point now);
     void begin();
     void move(const char* event);
--- /dev/null
+++ b/src/relay/exchange_quarantine.cpp
@@ -0,0 +1,57 @@
+// How an exchange keeps off a request under which endpoints end, and what it reports of such ends.
+#include "relay/exchange.h"
+
+namespace laurelhoist {
+
+request_digest exchange::digest() {
+    if (!digest_) {
+        digest_ = digest_of({request_.method, request_.target, team_name(), request_.body});
+    }
+    return *digest_;
+}
+
+// Against a request that ends each endpoint that begins to run it: sent on, it takes the streams of all other
+// callers there along, and comes back with a new id. Asked at each place from which requests leave: first and
+// second attempts, detours, larger models, resumed streams and those that have waited.
+bool exchange::is_quarantined(time_point now) {
+    return !state_.quarantine.is_empty() && !state_.quarantine.may_send(digest(), now);
+}
+
+void exchange::answer_quarantined() {
+    answer_failure(
+        may_have_run_ ? status_bad_gateway : status_unavailable, "ends_endpoints",
+        "do not send this request again as it is: each endpoint that began to run it ended; an operator "
+        "can lift the quarantine",
+        {});
+}
+
+void exchange::on_quarantine_changed() {
+    const bool is_unsent = is_in("waiting") || is_in("connecting");
+    const bool may_stop = is_unsent || (is_in("asked") && route_->may_repeat() && !attempt_.is_trial);
+    if (!has_begun_ || !may_stop || state_.quarantine.ends_of(digest()) < ends_to_quarantine) {
+        return;
+    }
+    auto self = shared_from_this();
+    if (connection_) {
+        // It waits at an endpoint, which drops it when the connection closes.
+        may_have_run_ = may_have_run_ || is_in("asked");
+        settle_attempt(call_result::cancelled, release_evidence::none);
+        release_connection(false);
+    }
+    answer_quarantined();
+}
+
+suspected_end exchange::end_under_this() {
+    const endpoint_record& endpoint = attempt_.chosen.endpoint;
+    const std::uint32_t process = process_code(endpoint.name, endpoint.started_at_ms);
+    const endpoint_end end{process, attempt_.sent_at, monotonic_now()};
+    return {digest(), end, endpoint.name, terms_.id, team_name()};
+}
+
+void exchange::note_answered() {
+    if (!state_.quarantine.is_empty()) {
+        owner_.note_answered(digest());
+    }
+}
+
+} // namespace laurelhoist
