A busy host waits longer for the word that an endpoint has ended

Cause: the question whether something listens at an endpoint was given up after 1 s, also where the answer waited in the host's own queue: on a host that runs a second late an end would not count against the request. Costs one half-open connection for that long at an endpoint whose machine is dark.

--- a/src/relay/end_confirmation.cpp
+++ b/src/relay/end_confirmation.cpp
@@ -4,8 +4,9 @@
 
 namespace {
 
-/// A refusal comes within a few ms; a host that does not answer is dark, which no request has caused.
-constexpr duration answer_limit = seconds(1);
+/// A refusal comes within a few ms, on a host that is kept busy a second or two later; one that does not come
+/// means that the endpoint's machine is dark, which no request has caused.
+constexpr duration answer_limit = seconds(3);
 /// Of requests that broke together; an engine runs some tens.
 constexpr std::size_t most_suspects = 256;
 
