Clearings of innocents go to the few that count, not to all hosts

Cause: an answered request's clearing was told to every host, also where only a first end had counted against it. After the loss of a failure domain on a large fleet that is one message to 400 hosts for each request that broke there. Found by reading, not seen in a run. Change: all hear only of requests against which two ends have counted; of others those that count.

--- a/src/host/entry_host_peers.cpp
+++ b/src/host/entry_host_peers.cpp
@@ -276,6 +276,7 @@
     for (const host_status& peer : live) {
         const auto kept = by_keeper.find(peer.name);
         if (kept != by_keeper.end()) {
+            // After the loss of a domain there may be more; the rest counts again if it breaks once more.
             kept->second.resize(std::min(kept->second.size(), most_crashes));
             send_to_others({peer}, encode_peer_message(crash_news{kept->second}));
         }
--- a/src/recovery/crash_quarantine.cpp
+++ b/src/recovery/crash_quarantine.cpp
@@ -166,6 +166,7 @@
 
 void crash_quarantine::note_change(request_digest digest, record& held, int counted_before, time_point now) {
     held.counted = static_cast<int>(in_a_row(held.ends).size());
+    held.concerns_all = held.concerns_all || held.counted >= ends_to_tell_all;
     held.changed_at = now;
     const bool was_quarantined = counted_before >= ends_to_quarantine;
     if (is_quarantined(held) && held.counted > counted_before) {
@@ -243,7 +244,7 @@
 std::vector<crash_notice> crash_quarantine::known(std::size_t most, time_point now) const {
     std::vector<std::pair<time_point, request_digest>> order;
     for (const auto& [digest, held] : records_) {
-        if (held.counted >= ends_to_tell_all || held.ends.empty()) {
+        if (held.concerns_all) {
             order.emplace_back(held.changed_at, digest);
         }
     }
@@ -263,8 +264,7 @@
             continue;
         }
         held.is_untold = false;
-        const bool concerns_all = held.counted >= ends_to_tell_all || held.ends.empty();
-        (concerns_all ? taken.for_all : taken.for_keepers).push_back(to_notice(digest, held, now));
+        (held.concerns_all ? taken.for_all : taken.for_keepers).push_back(to_notice(digest, held, now));
     }
     return taken;
 }
--- a/src/recovery/crash_quarantine.h
+++ b/src/recovery/crash_quarantine.h
@@ -100,8 +100,8 @@
     std::vector<crash_notice> known(std::size_t most, time_point now) const;
     /** What became known here and has not been told. */
     struct untold {
-        std::vector<crash_notice> for_all;     ///< may be quarantined soon, is, or is cleared
-        std::vector<crash_notice> for_keepers; ///< a first end, for those that count it: \ref keepers_of
+        std::vector<crash_notice> for_all;     ///< may be quarantined soon, is, or was and is cleared
+        std::vector<crash_notice> for_keepers; ///< a first end or its clearing, for those that count it
     };
     untold take_untold(time_point now);
     std::vector<quarantined_request> quarantined(time_point now) const;
@@ -114,6 +114,7 @@
         time_point changed_at;
         int counted = 0; ///< \ref count_in_a_row of the ends
         bool is_untold = false;
+        bool concerns_all = false; ///< \ref ends_to_tell_all ends have counted against it
     };
 
     static bool is_quarantined(const record& held) { return held.counted >= ends_to_quarantine; }
--- a/test/recovery_test.cpp
+++ b/test/recovery_test.cpp
@@ -97,6 +97,20 @@
     EXPECT_EQ(quarantine.take_untold(at_ms(600)).for_all.size(), 1U) << "the others hear of it";
 }
 
+// A failure domain of a thousand endpoints is lost; the thousands of requests that broke there are answered
+// elsewhere within a second. Told to all of 400 hosts, these clearings would fill every host's link with news
+// of the innocent.
+TEST(crash_quarantine, who_is_cleared_after_a_first_end_is_no_news_for_all) {
+    crash_quarantine quarantine("h1");
+    quarantine.on_end(deadly, end_of(1, 0, 100), at_ms(100));
+    quarantine.take_untold(at_ms(100));
+    quarantine.clear(deadly, at_ms(300));
+    const crash_quarantine::untold untold = quarantine.take_untold(at_ms(300));
+    EXPECT_TRUE(untold.for_all.empty());
+    EXPECT_EQ(untold.for_keepers.size(), 1U);
+    EXPECT_TRUE(quarantine.known(8, at_ms(300)).empty());
+}
+
 // A quarantined request is tried again by one host, once, after 20 s; ended again, after 80 s more. The sum
 // over all hosts is the bound: tried by each, it would end as many endpoints as there are hosts.
 TEST(crash_quarantine, one_host_tries_again_and_ever_later) {
