--- /dev/null
+++ b/test/relay_fixture.h
@@ -0,0 +1,386 @@
+/** \file
+ * Defines a relay on a thread of its own with scripted endpoints on loopback, for the tests of the relay.
+ */
+#pragma once
+
+#include "relay/exchange.h"
+#include "relay/relay.h"
+
+#include <gtest/gtest.h>
+
+#include <boost/asio.hpp>
+
+#include <atomic>
+#include <future>
+#include <mutex>
+#include <thread>
+
+namespace laurelhoist {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+inline std::string event(int id) {
+    return "id: " + std::to_string(id) + "\ndata: token" + std::to_string(id) + "\n\n";
+}
+
+/** The header fields of these tests. */
+class test_dialect : public wire_dialect {
+public:
+    request_terms read_request(const caller_request& request) const override {
+        request_terms terms;
+        terms.id = request.headers.value_or_empty("Id");
+        terms.host = request.headers.value_or_empty("Host");
+        terms.time_left = seconds(5);
+        terms.has_key = request.headers.find("Key") != nullptr;
+        terms.key = request.headers.value_or_empty("Key");
+        terms.input_tokens = route_tokens;
+        return terms;
+    }
+    std::string write_request(const caller_request& request, const dispatch_terms& terms) const override {
+        std::string message = request.method + " " + request.target + " HTTP/1.1\r\n";
+        append_header(message, "Id", request.headers.value_or_empty("Id"));
+        append_header(message, "Resume", std::to_string(terms.resume_after));
+        append_header(message, "Model", terms.model);
+        append_header(message, "Content-Length", std::to_string(request.body.size()));
+        return message + "\r\n" + request.body;
+    }
+    answer_terms read_answer(int, const header_list& headers) const override {
+        answer_terms terms;
+        terms.is_misdirected = headers.find("Misdirected") != nullptr;
+        terms.is_not_run = headers.find("Not-Run") != nullptr || terms.is_misdirected;
+        terms.has_receipt = headers.find("Receipt") != nullptr;
+        terms.request_id = headers.value_or_empty("Id");
+        if (const std::string* confidence = headers.find("Confidence")) {
+            terms.confidence = static_cast<int>(parse_number(*confidence).value_or(0));
+        }
+        return terms;
+    }
+    header_list own_answer_headers(const std::string&, duration retry_after) const override {
+        header_list headers;
+        if (retry_after > duration::zero()) {
+            headers.add("Retry-After", std::to_string(to_ms(retry_after)));
+        }
+        return headers;
+    }
+    std::int64_t route_tokens = 0;
+};
+
+/** What an endpoint does with one request. */
+struct scripted_answer {
+    std::string bytes;
+    bool closes = false; ///< in order, after the bytes
+    bool resets = false; ///< after the bytes
+};
+
+/** An endpoint that answers one request after another by a script, over all its connections. */
+class scripted_endpoint {
+public:
+    explicit scripted_endpoint(std::vector<scripted_answer> script)
+        : acceptor_{context_, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)},
+          script_{std::move(script)},
+          thread_{[this] { serve(); }} {}
+    ~scripted_endpoint() {
+        stops_ = true;
+        boost::system::error_code ignored;
+        tcp::socket wake(context_);
+        wake.connect(acceptor_.local_endpoint(), ignored);
+        thread_.join(); // Ends its connections first.
+    }
+    scripted_endpoint(const scripted_endpoint&) = delete;
+    scripted_endpoint& operator=(const scripted_endpoint&) = delete;
+
+    std::string address() const { return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port()); }
+    std::vector<std::string> requests() const {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        return requests_;
+    }
+
+private:
+    void serve() {
+        std::vector<std::thread> connections;
+        std::vector<std::shared_ptr<tcp::socket>> sockets;
+        while (!stops_) {
+            boost::system::error_code failure;
+            auto socket = std::make_shared<tcp::socket>(context_);
+            acceptor_.accept(*socket, failure);
+            if (!failure && !stops_) {
+                sockets.push_back(socket);
+                connections.emplace_back([this, socket] { serve_connection(*socket); });
+            }
+        }
+        for (const auto& socket : sockets) {
+            boost::system::error_code ignored;
+            socket->shutdown(tcp::socket::shutdown_both, ignored);
+        }
+        for (std::thread& connection : connections) {
+            connection.join();
+        }
+    }
+
+    void serve_connection(tcp::socket& socket) {
+        std::string buffer;
+        boost::system::error_code failure;
+        while (!stops_) {
+            const std::size_t length =
+                asio::read_until(socket, asio::dynamic_buffer(buffer), "\r\n\r\n", failure);
+            if (failure) {
+                return;
+            }
+            scripted_answer answer;
+            {
+                const std::lock_guard<std::mutex> lock(mutex_);
+                requests_.push_back(buffer.substr(0, length));
+                buffer.clear();
+                answer = next_ < script_.size() ? script_[next_++] : scripted_answer{"", false, true};
+            }
+            asio::write(socket, asio::buffer(answer.bytes), failure);
+            if (answer.resets) {
+                socket.set_option(asio::socket_base::linger(true, 0), failure);
+            }
+            if (answer.resets || answer.closes) {
+                socket.close(failure);
+                return;
+            }
+        }
+    }
+
+    asio::io_context context_;
+    tcp::acceptor acceptor_;
+    std::vector<scripted_answer> script_;
+    mutable std::mutex mutex_;
+    std::vector<std::string> requests_;
+    std::size_t next_ = 0;
+    std::atomic<bool> stops_{false};
+    std::thread thread_;
+};
+
+/** An endpoint whose process ends when it begins to run a request with a certain body: its connections break
+ * and nothing listens at its address any more. It answers all other requests. */
+class mortal_endpoint {
+public:
+    explicit mortal_endpoint(std::string deadly_body)
+        : acceptor_{context_, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)},
+          address_{"127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port())},
+          deadly_body_{std::move(deadly_body)} {
+        accept_next();
+        thread_ = std::thread([this] { context_.run(); });
+    }
+    ~mortal_endpoint() {
+        context_.stop();
+        thread_.join();
+    }
+    mortal_endpoint(const mortal_endpoint&) = delete;
+    mortal_endpoint& operator=(const mortal_endpoint&) = delete;
+
+    const std::string& address() const { return address_; }
+    /** Requests with the deadly body that reached it: at most one, which it did not survive. */
+    int ended_by() const { return ended_by_; }
+
+private:
+    struct connection {
+        tcp::socket socket;
+        std::string buffer;
+    };
+
+    void accept_next() {
+        acceptor_.async_accept([this](boost::system::error_code failure, tcp::socket socket) {
+            if (!failure) {
+                connections_.push_back(std::make_shared<connection>(connection{std::move(socket), {}}));
+                read_next(connections_.back());
+                accept_next();
+            }
+        });
+    }
+
+    void read_next(const std::shared_ptr<connection>& from) {
+        asio::async_read_until(from->socket, asio::dynamic_buffer(from->buffer), "\r\n\r\n",
+                               [this, from](boost::system::error_code failure, std::size_t length) {
+                                   if (!failure) {
+                                       run(*from, length);
+                                       read_next(from);
+                                   }
+                               });
+    }
+
+    void run(connection& from, std::size_t head_length) {
+        const std::string head = from.buffer.substr(0, head_length);
+        const std::size_t body_length = number_after(head, "Content-Length: ");
+        boost::system::error_code failure;
+        while (from.buffer.size() < head_length + body_length && !failure) {
+            std::array<char, 1024> more{};
+            const std::size_t bytes = from.socket.read_some(asio::buffer(more), failure);
+            from.buffer.append(more.data(), bytes);
+        }
+        const std::string body = from.buffer.substr(head_length, body_length);
+        from.buffer.erase(0, head_length + body_length);
+        if (body == deadly_body_) {
+            end();
+            return;
+        }
+        const std::string id = std::to_string(number_after(head, "Id: "));
+        const std::string answer =
+            "HTTP/1.1 200 OK\r\nId: " + id + "\r\nReceipt: r\r\nContent-Length: 6\r\n\r\nserved";
+        asio::write(from.socket, asio::buffer(answer), failure);
+    }
+
+    void end() {
+        ++ended_by_;
+        boost::system::error_code ignored;
+        acceptor_.close(ignored);
+        for (const auto& each : connections_) {
+            each->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+            each->socket.close(ignored);
+        }
+    }
+
+    static std::size_t number_after(const std::string& head, const std::string& field) {
+        const std::size_t at = head.find(field);
+        return at == std::string::npos ? 0 : std::stoul(head.substr(at + field.size()));
+    }
+
+    asio::io_context context_;
+    tcp::acceptor acceptor_;
+    std::string address_;
+    std::string deadly_body_;
+    std::vector<std::shared_ptr<connection>> connections_;
+    std::atomic<int> ended_by_{0};
+    std::thread thread_;
+};
+
+inline std::string answer_of(const std::string& id, const std::string& body, const std::string& more = "") {
+    return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nReceipt: r\r\n" + more +
+           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+inline std::string stream_head(const std::string& id, const std::string& more = "") {
+    return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nReceipt: r\r\nContent-Type: text/event-stream\r\n" + more +
+           "Transfer-Encoding: chunked\r\n\r\n";
+}
+
+inline std::string chunk_of(const std::string& text) {
+    std::string chunk;
+    append_chunk(chunk, text);
+    return chunk;
+}
+
+/** A relay on a thread of its own, with one caller's view of it. */
+class relay_fixture : public ::testing::Test {
+protected:
+    void begin(const traffic_route& route, const std::vector<std::string>& endpoints,
+               std::vector<traffic_team> teams = {}) {
+        relay_settings settings;
+        settings.host = "h1";
+        settings.failure_domain = "d1";
+        relay_ = std::make_unique<relay>(loop_, dialect_, releases_,
+                                         load_chart_or_exit(LAUREL_SOURCE_DIR "/charts", "endpoint"),
+                                         load_chart_or_exit(LAUREL_SOURCE_DIR "/charts", "relay"), settings);
+        traffic_config config;
+        config.routes = {route};
+        config.teams = std::move(teams);
+        traffic_service service;
+        service.name = "claims";
+        if (has_cold_starts_) {
+            service.cold_time = seconds(3);
+            service.cold_requests_per_s = 12;
+        }
+        config.services = {service};
+        std::vector<endpoint_record> records;
+        for (std::size_t i = 0; i < endpoints.size(); ++i) {
+            records.push_back({"e" + std::to_string(i), endpoints[i], "d1", "claims", "live", "v1", 1000});
+        }
+        records_ = records;
+        const auto configure = [this, config] {
+            relay_->set_routing(std::make_shared<const routing_table>(config), 1);
+            relay_->set_endpoints(records_);
+        };
+        if (configured_after_ > duration::zero()) {
+            loop_.after(configured_after_, configure);
+        } else {
+            configure();
+        }
+        port_ = free_port();
+        relay_->listen({"127.0.0.1", port_});
+        thread_ = std::thread([this] { loop_.run(); });
+    }
+
+    void TearDown() override {
+        if (thread_.joinable()) {
+            loop_.stop();
+            thread_.join();
+        }
+    }
+
+    traffic_route route(route_kind kind, int max_attempts) const {
+        traffic_route made;
+        made.name = "r";
+        made.host = "x";
+        made.path_prefix = "/a/";
+        made.kind = kind;
+        made.is_resumable = kind == route_kind::stream;
+        made.timeout = seconds(5);
+        made.latency_objective = seconds(2);
+        made.gap_objective = seconds(1);
+        made.max_attempts = max_attempts;
+        made.services = {{"claims", 1}};
+        return made;
+    }
+
+    /** Sends one request and reads until the relay closes the connection. */
+    std::string ask(const std::string& id, const std::string& more = "", const std::string& body = "") {
+        asio::io_context context;
+        tcp::socket socket(context);
+        socket.connect({asio::ip::make_address("127.0.0.1"), port_});
+        const std::string request = "POST /a/1 HTTP/1.1\r\nHost: x\r\nId: " + id + "\r\n" + more +
+                                    "Connection: close\r\nContent-Length: " + std::to_string(body.size()) +
+                                    "\r\n\r\n" + body;
+        asio::write(socket, asio::buffer(request));
+        std::string answer;
+        boost::system::error_code failure;
+        asio::read(socket, asio::dynamic_buffer(answer), failure);
+        was_reset_ = failure == asio::error::connection_reset;
+        return answer;
+    }
+
+    /** Sends one request and closes without reading. */
+    void send_and_leave(const std::string& id) const {
+        asio::io_context context;
+        tcp::socket socket(context);
+        socket.connect({asio::ip::make_address("127.0.0.1"), port_});
+        asio::write(socket, asio::buffer("POST /a/1 HTTP/1.1\r\nHost: x\r\nId: " + id +
+                                         "\r\nContent-Length: 0\r\n\r\n"));
+    }
+
+    /** Does \p work on the relay's thread, and waits for its end. */
+    void on_its_thread(const std::function<void()>& work) {
+        std::promise<void> done;
+        loop_.post([&] {
+            work();
+            done.set_value();
+        });
+        done.get_future().wait();
+    }
+
+    static std::uint16_t free_port() {
+        asio::io_context context;
+        const tcp::acceptor acceptor(context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+        return acceptor.local_endpoint().port();
+    }
+
+    bool has_cold_starts_ = false; ///< endpoints are cold after they start; set before \ref begin
+    duration configured_after_{};  ///< how long the relay waits for its configuration; set before \ref begin
+    event_loop loop_;
+    test_dialect dialect_;
+    rollout_tracker releases_;
+    std::unique_ptr<relay> relay_;
+    std::vector<endpoint_record> records_;
+    std::thread thread_;
+    std::uint16_t port_ = 0;
+    bool was_reset_ = false;
+};
+
+inline bool has(const std::string& text, const std::string& part) {
+    return text.find(part) != std::string::npos;
+}
+
+} // namespace laurelhoist
