Logs tell which rate limit an answer named, and when it changed

The logs could not tell whether a host knew of a limit: nothing read the header. Each answer's head is now read once (it was read for every piece of a stream), what it says of the limit is kept for each endpoint, and a line endpoint_rate_limit tells of each change with the request that was answered; counter answers_naming_a_limit. No decision uses it yet.

--- a/src/placement/endpoint_directory.cpp
+++ b/src/placement/endpoint_directory.cpp
@@ -51,6 +51,7 @@
 void endpoint_directory::update(const std::vector<endpoint_record>& endpoints, time_point now) {
     table_.update(endpoints, now);
     cold_.update(endpoints, now);
+    limits_.update(endpoints);
     for (const endpoint_record& endpoint : restarted_among(endpoints)) {
         memory_.erase(endpoint.name); // It holds no part of a prompt.
     }
--- a/src/placement/endpoint_directory.h
+++ b/src/placement/endpoint_directory.h
@@ -16,6 +16,7 @@
 #include "membership/membership.h"
 #include "placement/cold_endpoints.h"
 #include "placement/first_event_estimate.h"
+#include "placement/rate_limits.h"
 #include "routing/routing.h"
 
 #include <unordered_map>
@@ -79,6 +80,8 @@
     const load_by_endpoint& own_load() const { return own_; }
     cold_endpoints& cold() { return cold_; }
     const cold_endpoints& cold() const { return cold_; }
+    rate_limits& limits() { return limits_; }
+    const rate_limits& limits() const { return limits_; }
     /** Sets the failure domains whose endpoints get nothing more; those of domains that are in use again
      * count as cold. */
     void set_evacuated(const evacuation_set& evacuated, time_point now);
@@ -129,6 +132,7 @@
     endpoint_table table_;
     random_source random_;
     cold_endpoints cold_;
+    rate_limits limits_;
     evacuation_set evacuated_;
     std::string domain_;
     mechanisms in_use_;
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -6,3 +6,4 @@
 #include "placement/cold_endpoints.h"
 #include "placement/endpoint_directory.h"
 #include "placement/first_event_estimate.h"
+#include "placement/rate_limits.h"
--- a/src/relay/exchange.h
+++ b/src/relay/exchange.h
@@ -45,6 +45,7 @@
         time_point heard_at;
         std::int64_t events_before = 0; ///< that the caller had when it was sent
         bool has_first_byte = false;
+        bool has_head = false;       ///< of the answer, and what it says of the endpoint is noted
         bool is_trial = false;       ///< of a quarantined request
         bool is_judged_slow = false; ///< counted against the release already
         bool is_accepted = false;    ///< the answer is good enough to be passed on
@@ -73,16 +74,19 @@
     bool choose(time_point now);
     /** \return what is left of the objective for the first event of a larger model. */
     double step_up_time_ms(time_point now) const;
-    bool is_good_enough(const answer_terms& answer);
+    bool is_good_enough(const answer_terms& given);
     void open_connection();
     void send_request();
     void read_answer(std::string_view bytes);
     void start_reader();
+    /** \return what the answer's head says, read once; only once the head is there. */
+    const answer_terms& answer();
     bool is_event_stream() const;
-    bool is_stray_answer() const;
+    bool is_stray_answer();
     void note_first_byte();
     void note_event_passed_on();
     void note_load_change();
+    void note_statements();
     /** \return whether the attempt goes on. */
     bool pass_on_events();
     void on_answer_complete();
@@ -138,6 +142,7 @@
     attempt attempt_;
     std::shared_ptr<endpoint_connection> connection_;
     std::optional<answer_reader> reader_;
+    std::optional<answer_terms> answer_; ///< \see answer
     std::string body_;
     event_joiner events_{0};
     std::set<std::string> tried_;
--- a/src/relay/exchange_answers.cpp
+++ b/src/relay/exchange_answers.cpp
@@ -15,16 +15,16 @@
 
 } // namespace
 
-bool exchange::is_good_enough(const answer_terms& answer) {
+bool exchange::is_good_enough(const answer_terms& given) {
     if (attempt_.is_trial) {
         return true; // One attempt only, and a whole answer clears the request.
     }
     const bool has_larger = attempt_.model_rank + 1 < route_->models.size();
-    if (!state_.settings.in_use.steps_up || !answer.confidence || !has_larger || has_begun_answer_ ||
+    if (!state_.settings.in_use.steps_up || !given.confidence || !has_larger || has_begun_answer_ ||
         !route_->may_repeat()) {
         return true;
     }
-    if (*answer.confidence >= state_.settings.cascade.confidence_for(route_->priority) ||
+    if (*given.confidence >= state_.settings.cascade.confidence_for(route_->priority) ||
         attempts_ >= route_->max_attempts) {
         return true;
     }
@@ -36,6 +36,7 @@
 
 void exchange::start_reader() {
     reader_.emplace(request_.method == "HEAD");
+    answer_.reset();
     body_.clear();
     events_.begin_run();
     has_surplus_ = false;
@@ -47,6 +48,14 @@
     read_answer(bytes);
 }
 
+// Once for each answer: a stream comes in dozens of pieces.
+const answer_terms& exchange::answer() {
+    if (!answer_) {
+        answer_ = state_.dialect.read_answer(reader_->status(), reader_->headers());
+    }
+    return *answer_;
+}
+
 bool exchange::is_event_stream() const {
     constexpr std::string_view type = "text/event-stream";
     return route_->kind == route_kind::stream && reader_->status() / status_class == 2 &&
@@ -55,9 +64,8 @@
 
 // An endpoint may answer an earlier request once more; such an answer comes where ours is expected and is
 // known by its request id.
-bool exchange::is_stray_answer() const {
-    const answer_terms answer = state_.dialect.read_answer(reader_->status(), reader_->headers());
-    return !answer.request_id.empty() && answer.request_id != terms_.id;
+bool exchange::is_stray_answer() {
+    return !answer().request_id.empty() && answer().request_id != terms_.id;
 }
 
 void exchange::read_answer(std::string_view bytes) {
@@ -79,10 +87,12 @@
             }
             state_.measured.count("stray_answers");
             reader_.emplace(request_.method == "HEAD");
+            answer_.reset();
             body_.clear();
             continue;
         }
         has_surplus_ = has_surplus_ || !bytes.empty();
+        note_statements();
         if (is_event_stream() && !pass_on_events()) {
             return;
         }
@@ -99,6 +109,16 @@
     }
 }
 
+// From the head on: a stream's answer goes on for seconds after it.
+void exchange::note_statements() {
+    if (attempt_.has_head || answer().is_misdirected) {
+        return; // A misdirected answer is another endpoint's.
+    }
+    attempt_.has_head = true;
+    owner_.note_limit(attempt_.chosen.endpoint, {answer().rate_limit, attempt_.sent_at, monotonic_now()},
+                      terms_.id);
+}
+
 void exchange::note_first_byte() {
     if (attempt_.has_first_byte) {
         return;
@@ -122,13 +142,12 @@
 }
 
 bool exchange::pass_on_events() {
-    const answer_terms answer = state_.dialect.read_answer(reader_->status(), reader_->headers());
-    if (!answer.has_receipt) {
+    if (!answer().has_receipt) {
         end_attempt(attempt_end::broken);
         return false;
     }
-    confidence_ = answer.confidence.value_or(-1);
-    if (!attempt_.is_accepted && !is_good_enough(answer)) {
+    confidence_ = answer().confidence.value_or(-1);
+    if (!attempt_.is_accepted && !is_good_enough(answer())) {
         least_size_ = attempt_.model_rank + 1;
         end_attempt(attempt_end::declined);
         return false;
@@ -194,20 +213,19 @@
 }
 
 void exchange::on_answer_complete() {
-    const answer_terms answer = state_.dialect.read_answer(reader_->status(), reader_->headers());
     constexpr int first_server_error = 500;
-    if (answer.is_misdirected) {
+    if (answer().is_misdirected) {
         // The one that was meant has gone, so this was no attempt at it; but a row of such must end as well.
         --attempts_;
         ++detours_;
         end_attempt(attempt_end::misdirected);
-    } else if (answer.is_not_run) {
+    } else if (answer().is_not_run) {
         end_attempt(attempt_end::refused);
     } else if (reader_->status() >= first_server_error) {
         end_attempt(attempt_end::failed);
     } else if (is_event_stream()) {
         complete_stream();
-    } else if (reader_->status() / status_class == 2 && !answer.has_receipt) {
+    } else if (reader_->status() / status_class == 2 && !answer().has_receipt) {
         end_attempt(attempt_end::broken);
     } else {
         settle_attempt(call_result::answered, release_evidence::good);
--- a/src/relay/http_codec.cpp
+++ b/src/relay/http_codec.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 
 namespace laurelhoist {
 
@@ -65,6 +66,14 @@
     return failure == std::errc{} && stop == end ? std::optional(number) : std::nullopt;
 }
 
+std::optional<double> parse_decimal(std::string_view text) {
+    double number = 0;
+    const char* end = text.data() + text.size();
+    const auto [stop, failure] = std::from_chars(text.data(), end, number, std::chars_format::fixed);
+    const bool is_number = failure == std::errc{} && stop == end && std::isfinite(number) && number >= 0;
+    return is_number ? std::optional(number) : std::nullopt;
+}
+
 const std::string* header_list::find(std::string_view name) const {
     for (const header_field& field : fields_) {
         if (is_same_name(field.name, name)) {
--- a/src/relay/http_codec.h
+++ b/src/relay/http_codec.h
@@ -38,6 +38,8 @@
 bool is_same_name(std::string_view left, std::string_view right);
 /** \return the number that \p text begins with, or nothing if it is not a plain decimal number. */
 std::optional<std::int64_t> parse_number(std::string_view text);
+/** \return \p text as a number with or without a fraction, or nothing if it is none, negative or infinite. */
+std::optional<double> parse_decimal(std::string_view text);
 
 /** A caller's request, read whole. */
 struct caller_request {
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -126,6 +126,20 @@
     }
 }
 
+void relay::note_limit(const endpoint_record& endpoint, const limit_statement& said,
+                       const std::string& request) {
+    if (said.requests_per_s) {
+        state_.measured.count("answers_naming_a_limit");
+    }
+    if (state_.endpoints.limits().note(endpoint, said)) {
+        constexpr double no_limit = -1;
+        log_info("endpoint_rate_limit", {{"endpoint", endpoint.name},
+                                         {"requests_per_s", said.requests_per_s.value_or(no_limit)},
+                                         {"request", request},
+                                         {"asked_ms_ago", to_ms(said.heard_at - said.sent_at)}});
+    }
+}
+
 void relay::on_ended_under(const std::vector<suspected_end>& suspects) {
     const time_point now = monotonic_now();
     for (const suspected_end& each : suspects) {
--- a/src/relay/wire_dialect.h
+++ b/src/relay/wire_dialect.h
@@ -44,6 +44,8 @@
     bool has_receipt = false;
     std::string request_id;
     std::optional<int> confidence; ///< the model's own opinion of its answer, 0 to 100
+    /// Requests a second that the endpoint takes from all hosts together; nothing: it names no limit.
+    std::optional<double> rate_limit{};
 };
 
 /** Reads and writes the header fields of requests and answers. */
--- a/test/platform_test.cpp
+++ b/test/platform_test.cpp
@@ -258,6 +258,23 @@
     EXPECT_TRUE(dialect.read_answer(503, headers).is_not_run);
 }
 
+std::optional<double> limit_in(const std::vector<std::string>& values) {
+    header_list headers;
+    for (const std::string& value : values) {
+        headers.add("Server-Limit", value);
+    }
+    return header_dialect().read_answer(200, headers).rate_limit;
+}
+
+TEST(header_dialect, a_rate_limit_is_a_decimal_number_and_the_strictest_binds) {
+    EXPECT_EQ(limit_in({"1.7"}), 1.7);
+    EXPECT_EQ(limit_in({"0"}), 0.0);
+    EXPECT_EQ(limit_in({"12", "3", "x"}), 3.0);
+    for (const char* none : {"", "-1", "nan", "inf", "1e3", "2 a second", "0x2"}) {
+        EXPECT_EQ(limit_in({none}), std::nullopt) << none;
+    }
+}
+
 RC_GTEST_PROP(header_dialect, any_header_values_are_read,
               (std::string counts, std::string prompt, std::string number)) {
     const header_dialect dialect;
