--- a/test/soak/platform_soak.py
+++ b/test/soak/platform_soak.py
@@ -23,6 +23,9 @@
 LEAVING_S = 2.0        # after which a leaving endpoint gets nothing new
 HEARD_S = 3.0          # after which every host knows of a request that ends endpoints
 TRIALS = 3             # of such a request, by all hosts together
+LIMIT_HEARD_S = 3.0    # after which an endpoint's rate limit binds
+LIMIT_PASSED_S = 0.5   # after an answer that names it, for the host that passed it on
+LIMIT_WINDOW_S = 4.0
 QUIET_S = 4.0          # a bound in time holds for a host that was undisturbed for so long
 GRACE_S = 8.0          # from SIGTERM to SIGKILL
 NOT_RUN = (408, 421, 429, 503)
@@ -74,8 +77,9 @@
     """One seed: a fleet, its callers, its faults and its checks."""
 
     def __init__(self, seed, seconds, program, directory, entries, keeps_faults, checks_time_bounds=True,
-                 sends_deadly=False):
+                 sends_deadly=False, names_limits=False):
         self.checks_time_bounds, self.sends_deadly = checks_time_bounds, sends_deadly
+        self.names_limits = names_limits
         self.random = random.Random(seed)
         self.seed, self.seconds, self.directory, self.keeps_faults = seed, seconds, directory, keeps_faults
         self.program, self.entry_count = program, entries
@@ -97,12 +101,15 @@
         tasks = [asyncio.create_task(self.call(number, deadline)) for number in range(16)]
         if self.sends_deadly:
             tasks.append(asyncio.create_task(self.send_deadly(deadline)))
+        if self.names_limits:
+            tasks.append(asyncio.create_task(self.limit_endpoints()))
         if self.keeps_faults:
             tasks.append(asyncio.create_task(self.disturb(deadline)))
         await asyncio.gather(*tasks)
         await asyncio.sleep(0.5)
         self.check_runs()
         self.check_deadly()
+        self.check_limits()
         await self.stop()
         return self.broken
 
@@ -281,6 +288,27 @@
         if len(late) > TRIALS:
             self.fail("a request that ends endpoints is not sent on", f"{len(late)} times, {len(self.deadly)} in all")
 
+    def check_limits(self):
+        limited = collections.defaultdict(list)
+        for run in self.runs:
+            if run["limit"] is not None and run["id"] in self.sent_at:
+                limited[run["endpoint"], run["limited_since"]].append(run)
+        for (endpoint, since), runs in limited.items():
+            told, counted = {}, []
+            for run in runs:
+                if run["answered_at"] is not None:
+                    entry = self.sent_at[run["id"]][3]
+                    told[entry] = min(told.get(entry, run["answered_at"]), run["answered_at"])
+            for run in sorted(runs, key=lambda run: run["at"]):
+                entry = self.sent_at[run["id"]][3]
+                bound_since = max(since + LIMIT_HEARD_S, entry.disturbed_at + QUIET_S,
+                                  told.get(entry, run["at"]) + LIMIT_PASSED_S)
+                if run["at"] >= bound_since:
+                    counted = [at for at in counted if at > run["at"] - LIMIT_WINDOW_S] + [run["at"]]
+                if self.checks_time_bounds and len(counted) > 1.5 * run["limit"] * LIMIT_WINDOW_S + 5:
+                    self.fail("a named rate limit is kept", f"{endpoint}: {len(counted)} in 4 s at {run['limit']} a second")
+                    break
+
     def check_leaving(self, run):
         since = run["leaving_since"]
         if since is None or run["id"] not in self.sent_at:
@@ -313,6 +341,13 @@
         await asyncio.sleep(self.random.uniform(0.2, 1.5))
         endpoint.fault = ""
 
+    async def limit_endpoints(self):
+        """One endpoint of each service names a limit."""
+        await asyncio.sleep(0.5)
+        for service in ("claims", "pool"):
+            endpoint = next(item for item in self.endpoints.values() if item.service == service)
+            endpoint.limit, endpoint.limited_since = self.random.choice([0.5, 1.7, 4]), time.monotonic()
+
     async def fault_path(self):
         proxy = self.random.choice(list(self.proxies.values()))
         proxy.mode = self.random.choice(["delay", "reset", "silent", "deaf"])
@@ -408,6 +443,7 @@
     parser.add_argument("--calm", action="store_true", help="no faults")
     parser.add_argument("--deadly", action="store_true",
                         help="one caller sends a request again and again that ends each endpoint that begins to run it")
+    parser.add_argument("--limits", action="store_true", help="an endpoint of each service names a rate limit")
     parser.add_argument("--without-time-bounds", action="store_true",
                         help="leave out the check that a busy machine could fail: a leaving endpoint's 2 s")
     parser.add_argument("--logs", default="", help="directory to keep the processes' logs in")
@@ -418,7 +454,7 @@
             directory = options.logs or scratch
             os.makedirs(directory, exist_ok=True)
             run = Run(seed, options.seconds, options.program, directory, options.entries, not options.calm,
-                      not options.without_time_bounds, options.deadly)
+                      not options.without_time_bounds, options.deadly, options.limits)
             broken = asyncio.run(run.play())
         counts = " ".join(f"{name}={count}" for name, count in sorted(run.counts.items(), key=str))
         print(f"seed {seed}: {len(run.sent_at)} requests, {len(broken)} broken; {counts}", flush=True)
--- a/test/soak/standins.py
+++ b/test/soak/standins.py
@@ -161,6 +161,7 @@
     def __init__(self, name, record, random, streams):
         self.name, self.record, self.random, self.streams = name, record, random, streams
         self.fault, self.leaving_since = "", None
+        self.limit = self.limited_since = None  # requests a second named in each answer
         self.on_deadly = None  # called when a request comes that no endpoint survives
 
     async def serve(self, reader, writer):
@@ -175,8 +176,10 @@
                 await asyncio.sleep(0.05)
                 self.on_deadly(self, request_id, now)
                 raise ConnectionResetError
-            self.record.append({"id": request_id, "at": now, "endpoint": self.name, "headers": headers,
-                                "leaving_since": self.leaving_since, "fault": self.fault})
+            run = {"id": request_id, "at": now, "endpoint": self.name, "headers": headers,
+                   "leaving_since": self.leaving_since, "fault": self.fault, "limit": self.limit,
+                   "limited_since": self.limited_since, "answered_at": None}
+            self.record.append(run)
             if self.fault == "hang":
                 await asyncio.sleep(30)
             if self.streams:
@@ -184,11 +187,16 @@
             else:
                 await self.answer_plain(writer, request_id, body)
             await writer.drain()
+            run["answered_at"] = time.monotonic()
+
+    def statements(self):
+        return [] if self.limit is None else [("Server-Limit", self.limit)]
 
     async def answer_plain(self, writer, request_id, body):
         await asyncio.sleep(self.random.uniform(0.005, 0.05))
         text = f"done {request_id} by {self.name} with {len(body)} bytes".encode()
-        fields = [("X-Request-Id", request_id), ("X-Response-Signature", receipt_of(request_id, text))]
+        fields = [("X-Request-Id", request_id), ("X-Response-Signature", receipt_of(request_id, text)),
+                  *self.statements()]
         whole = answer(200, text, fields)
         if self.fault == "lost":
             reset(writer)
@@ -204,7 +212,8 @@
         count = 6 + int(hashlib.sha256(request_id.encode()).hexdigest(), 16) % 20
         first = int(headers.get("last-event-id", "0")) + 1
         confidence = self.random.choice([20, 80])
-        writer.write((f"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Request-Id: {request_id}\r\n"
+        said = "".join(f"{name}: {value}\r\n" for name, value in self.statements())
+        writer.write((f"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Request-Id: {request_id}\r\n{said}"
                       f"X-Response-Signature: {receipt_of(request_id, b'')}\r\nX-Confidence: {confidence}\r\n"
                       "Transfer-Encoding: chunked\r\n\r\n").encode())
         for number in range(first, count + 1):
