Sponsors of an endpoint are picked in one place; a process is known by its code to all libraries

Cold endpoints pick sponsors by rendezvous hash, and limited ones will; process_code moves from recovery to membership for the same reason.

--- a/src/membership/host_list.h
+++ b/src/membership/host_list.h
@@ -30,6 +30,9 @@
     return earlier.started_at_ms != 0 && later.started_at_ms > earlier.started_at_ms;
 }
 
+/** \return by what the process of an endpoint is known: a start under the same name is another process. */
+std::uint32_t process_code(const std::string& endpoint, std::int64_t started_at_ms);
+
 /** Picks the endpoints of one pool that \p entry uses: at most \p size, the same on every call, evenly
  * shared out over entries, and over the failure domains as far as each has any.
  * \return all of them if there are no more than \p size */
--- a/src/placement/cold_endpoints.cpp
+++ b/src/placement/cold_endpoints.cpp
@@ -31,22 +31,6 @@
            milliseconds(1);
 }
 
-std::vector<const host_status*> possible_sponsors(const std::string& domain,
-                                                  const std::vector<host_status>& hosts) {
-    std::vector<const host_status*> near;
-    std::vector<const host_status*> all;
-    for (const host_status& host : hosts) {
-        if (host.state != "serving") {
-            continue;
-        }
-        all.push_back(&host);
-        if (host.domain == domain) {
-            near.push_back(&host);
-        }
-    }
-    return near.size() >= sponsors_of_endpoint ? near : all;
-}
-
 } // namespace
 
 bool is_cold_sharing(const std::string& name) {
@@ -128,14 +112,8 @@
 
 std::optional<duration> cold_endpoints::spacing_of_sponsors(const endpoint_record& endpoint, double allowance,
                                                             const sponsor_view& view) const {
-    std::vector<std::pair<std::uint64_t, const host_status*>> ranked;
-    for (const host_status* host : possible_sponsors(endpoint.domain, view.hosts)) {
-        ranked.emplace_back(placement_hash(endpoint.name + "/" + host->name), host);
-    }
-    std::sort(ranked.begin(), ranked.end());
-    ranked.resize(std::min(ranked.size(), sponsors_of_endpoint));
-    const bool is_sponsor = std::any_of(ranked.begin(), ranked.end(),
-                                        [this](const auto& each) { return each.second->name == host_; });
+    const std::vector<std::string> sponsors = sponsors_of(endpoint, view.hosts, sponsors_of_endpoint);
+    const bool is_sponsor = std::find(sponsors.begin(), sponsors.end(), host_) != sponsors.end();
     if (!is_sponsor) {
         return std::nullopt;
     }
--- a/src/placement/cold_endpoints.h
+++ b/src/placement/cold_endpoints.h
@@ -12,8 +12,7 @@
  */
 #pragma once
 
-#include "membership/host_gossip.h"
-#include "membership/host_list.h"
+#include "placement/sponsors.h"
 
 #include <map>
 #include <set>
@@ -32,12 +31,6 @@
     double slack = 5;     ///< requests on top of that
 };
 
-/** The live hosts, as one of them knows them. */
-struct sponsor_view {
-    std::vector<host_status> hosts;
-    bool knows_others = false; ///< this host has run for long enough to have heard of all
-};
-
 class cold_endpoints;
 
 /** How the allowance of a cold endpoint is shared out over hosts. */
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -7,3 +7,4 @@
 #include "placement/endpoint_directory.h"
 #include "placement/first_event_estimate.h"
 #include "placement/rate_limits.h"
+#include "placement/sponsors.h"
--- /dev/null
+++ b/src/placement/sponsors.cpp
@@ -0,0 +1,44 @@
+#include "placement/sponsors.h"
+
+#include "base/base.h"
+
+#include <algorithm>
+
+namespace laurelhoist {
+
+namespace {
+
+std::vector<const host_status*> candidates(const std::string& domain, const std::vector<host_status>& hosts,
+                                           std::size_t wanted) {
+    std::vector<const host_status*> near;
+    std::vector<const host_status*> all;
+    for (const host_status& host : hosts) {
+        if (host.state != "serving") {
+            continue;
+        }
+        all.push_back(&host);
+        if (host.domain == domain) {
+            near.push_back(&host);
+        }
+    }
+    return near.size() >= wanted ? near : all;
+}
+
+} // namespace
+
+std::vector<std::string> sponsors_of(const endpoint_record& endpoint, const std::vector<host_status>& hosts,
+                                     std::size_t most) {
+    std::vector<std::pair<std::uint64_t, const host_status*>> ranked;
+    for (const host_status* host : candidates(endpoint.domain, hosts, most)) {
+        ranked.emplace_back(placement_hash(endpoint.name + "/" + host->name), host);
+    }
+    const std::size_t count = std::min(ranked.size(), most);
+    std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(count), ranked.end());
+    std::vector<std::string> names;
+    for (std::size_t i = 0; i < count; ++i) {
+        names.push_back(ranked[i].second->name);
+    }
+    return names;
+}
+
+} // namespace laurelhoist
--- a/src/recovery/crash_quarantine.cpp
+++ b/src/recovery/crash_quarantine.cpp
@@ -48,10 +48,6 @@
 
 } // namespace
 
-std::uint32_t process_code(const std::string& endpoint, std::int64_t started_at_ms) {
-    return static_cast<std::uint32_t>(placement_hash(endpoint, static_cast<std::uint64_t>(started_at_ms)));
-}
-
 std::vector<endpoint_end> in_a_row(const std::vector<endpoint_end>& ends) {
     std::vector<endpoint_end> row;
     for (const endpoint_end& end : ends) {
--- a/src/recovery/crash_quarantine.h
+++ b/src/recovery/crash_quarantine.h
@@ -18,7 +18,7 @@
  */
 #pragma once
 
-#include "base/base.h"
+#include "membership/host_list.h"
 #include "recovery/request_digest.h"
 
 #include <map>
@@ -41,9 +41,6 @@
     time_point ended_at;
 };
 
-/** \return by what the process of an endpoint is known: a start under the same name is another process. */
-std::uint32_t process_code(const std::string& endpoint, std::int64_t started_at_ms);
-
 /** An \ref endpoint_end as hosts tell it, by ages: their clocks have nothing in common. */
 struct told_end {
     std::uint32_t process = 0;
