Endpoints that name a rate limit get no more than it allows, from all hosts together

Callers saw nothing; engines in need got 40 requests in 4 s where they take 17, as many as before they said so. The limit is one figure for all hosts, so it is shared: about one sponsor by rendezvous hash for each request a second, an even part each at a fixed pace, at most one request late; all others none. The first answer that names or lifts a limit is told to all hosts at once and with the rounds. A stricter statement holds at once, a looser one only if its request was sent after the one in force was heard. Asked in the one place that places everything, and once more when a connection has been made.

--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -121,6 +121,7 @@
     relay_.state().on_load_changed = [this] { on_load_changed(); };
     relay_.state().on_refused = [this](const std::string& endpoint) { on_refused(endpoint); };
     relay_.state().on_crash_news = [this] { on_crash_news(); };
+    relay_.state().on_limit_news = [this] { on_limit_news(); };
     relay_.listen(settings_.callers);
     started_at_ = monotonic_now();
     reading_since_ = started_at_;
@@ -136,7 +137,7 @@
     loop_.every(upkeep_interval, [this] {
         flush_log();
         refresh_endpoints();
-        assign_cold_endpoints(monotonic_now());
+        assign_sponsored_endpoints(monotonic_now());
         assign_trials(monotonic_now());
         share_reading();
         note_who_decides(monotonic_now());
--- a/src/host/entry_host.h
+++ b/src/host/entry_host.h
@@ -124,11 +124,14 @@
     void take(const std::string& from, const refusal_news& news);
     void take_refusals(const std::vector<refused_endpoint>& refused);
     std::vector<refused_endpoint> known_refusals(time_point now) const;
-    void assign_cold_endpoints(time_point now);
+    void assign_sponsored_endpoints(time_point now);
     void assign_trials(time_point now);
     void on_crash_news();
     void tell_crashes();
     void take(const std::string& from, const crash_news& news);
+    void on_limit_news();
+    void tell_limits();
+    void take(const std::string& from, const limit_news& news);
     void tell_load();
     void gossip_round();
     peer_news make_news(time_point now);
@@ -193,6 +196,7 @@
     std::optional<time_point> history_gone_at_; ///< when the store last dropped its history
     bool is_load_to_tell_ = false;
     bool are_crashes_to_tell_ = false;
+    bool are_limits_to_tell_ = false;
     std::set<std::string> refusals_to_tell_;             ///< endpoints
     std::map<std::string, load_entry> told_load_;        ///< what the last load news said, by endpoint
     bool is_store_lost_ = false;                         ///< the configuration's watch fails
--- a/src/host/entry_host_peers.cpp
+++ b/src/host/entry_host_peers.cpp
@@ -24,6 +24,10 @@
 constexpr duration crash_gathering = milliseconds(10);
 constexpr std::size_t most_crashes_in_round = 8; ///< of some 60 bytes each; the newest
 constexpr std::size_t most_crashes = 16;         ///< in a datagram that is sent at once
+/// Engines of one load name their limits within some 10 ms of one another.
+constexpr duration limit_gathering = milliseconds(10);
+constexpr std::size_t most_limits_in_round = 8; ///< of some 30 bytes each; others with the next round
+constexpr std::size_t most_limits = 32;         ///< in a datagram that is sent at once
 /// Until then a host that has just started may know too few others to say who is a sponsor: rounds of gossip
 /// bring them all within 2 s.
 constexpr duration learning_hosts = seconds(3);
@@ -78,6 +82,7 @@
     rollouts_.merge(reporter, news.counts, news.rollouts, now);
     take_refusals(news.refused);
     relay_.take_crash_notices(news.crashes);
+    relay_.take_limit_notices(news.limits);
 }
 
 // Without it a host that starts hears of the others when one of them picks it at random, up to a second
@@ -92,6 +97,7 @@
         news.counts.clear();
         news.beats.clear();
         news.crashes.clear();
+        news.limits.clear();
     }
 }
 
@@ -224,9 +230,39 @@
     return refused;
 }
 
-void entry_host::assign_cold_endpoints(time_point now) {
+void entry_host::assign_sponsored_endpoints(time_point now) {
     const sponsor_view view{gossip_.live(now), now - started_at_ > learning_hosts};
     relay_.state().endpoints.cold().set_hosts(view, now);
+    relay_.state().endpoints.limits().set_hosts(view, now);
+}
+
+void entry_host::on_limit_news() {
+    if (are_limits_to_tell_) {
+        return;
+    }
+    are_limits_to_tell_ = true;
+    loop_.after(limit_gathering, [this] {
+        are_limits_to_tell_ = false;
+        tell_limits();
+    });
+}
+
+// At once to everybody: those that have not heard of a limit send as before, and the sponsors' part comes on
+// top.
+void entry_host::tell_limits() {
+    const time_point now = monotonic_now();
+    const std::vector<limit_notice> limits = relay_.state().endpoints.limits().take_untold(now);
+    const std::vector<host_status>& live = gossip_.live(now);
+    for (std::size_t first = 0; first < limits.size(); first += most_limits) {
+        const auto begin = limits.begin() + static_cast<std::ptrdiff_t>(first);
+        const auto end =
+            limits.begin() + static_cast<std::ptrdiff_t>(std::min(limits.size(), first + most_limits));
+        send_to_others(live, encode_peer_message(limit_news{{begin, end}}));
+    }
+}
+
+void entry_host::take(const std::string&, const limit_news& news) {
+    relay_.take_limit_notices(news.limits);
 }
 
 void entry_host::assign_trials(time_point now) {
@@ -324,6 +360,7 @@
     news.rollouts = rollouts_.own_news(now);
     news.refused = known_refusals(now);
     news.crashes = relay_.state().quarantine.known(most_crashes_in_round, now);
+    news.limits = relay_.state().endpoints.limits().next_known(most_limits_in_round, now);
     return news;
 }
 
--- a/src/host/peer_messages.cpp
+++ b/src/host/peer_messages.cpp
@@ -13,20 +13,21 @@
 
 /// Codes are never given to another field. A field without one goes by its name.
 constexpr field_code field_codes[] = {
-    {"statuses", "s"},      {"load", "l"},        {"counts", "c"},
-    {"rollouts", "r"},      {"name", "n"},        {"gossip_address", "g"},
-    {"entry_address", "e"}, {"domain", "d"},      {"incarnation", "i"},
-    {"beat", "b"},          {"state", "t"},       {"config_revision", "v"},
-    {"endpoint", "p"},      {"reading_ms", "m"},  {"running", "u"},
-    {"service", "a"},       {"release", "f"},     {"route", "o"},
-    {"good", "k"},          {"bad", "x"},         {"sent_in_rollout", "q"},
-    {"age_ms", "h"},        {"is_braked", "j"},   {"trial_share", "w"},
-    {"has_moved", "y"},     {"sender", "z"},      {"uses", "1"},
-    {"session", "2"},       {"beats", "3"},       {"reporter", "4"},
-    {"is_round", "5"},      {"refused", "6"},     {"evacuation_revision", "7"},
-    {"crashes", "8"},       {"digest", "9"},      {"ends", "A"},
-    {"process", "B"},       {"sent_age_ms", "C"}, {"ended_age_ms", "D"},
-    {"cleared_age_ms", "E"}};
+    {"statuses", "s"},       {"load", "l"},        {"counts", "c"},
+    {"rollouts", "r"},       {"name", "n"},        {"gossip_address", "g"},
+    {"entry_address", "e"},  {"domain", "d"},      {"incarnation", "i"},
+    {"beat", "b"},           {"state", "t"},       {"config_revision", "v"},
+    {"endpoint", "p"},       {"reading_ms", "m"},  {"running", "u"},
+    {"service", "a"},        {"release", "f"},     {"route", "o"},
+    {"good", "k"},           {"bad", "x"},         {"sent_in_rollout", "q"},
+    {"age_ms", "h"},         {"is_braked", "j"},   {"trial_share", "w"},
+    {"has_moved", "y"},      {"sender", "z"},      {"uses", "1"},
+    {"session", "2"},        {"beats", "3"},       {"reporter", "4"},
+    {"is_round", "5"},       {"refused", "6"},     {"evacuation_revision", "7"},
+    {"crashes", "8"},        {"digest", "9"},      {"ends", "A"},
+    {"process", "B"},        {"sent_age_ms", "C"}, {"ended_age_ms", "D"},
+    {"cleared_age_ms", "E"}, {"limits", "F"},      {"requests_per_s", "G"},
+    {"heard_age_ms", "H"}};
 
 using field_map = std::map<std::string, std::string>;
 
--- a/src/host/peer_messages.h
+++ b/src/host/peer_messages.h
@@ -37,8 +37,9 @@
     bool is_round = false; ///< part of a round: the beats are of all that the sender knows
     std::vector<refused_endpoint> refused{};
     std::vector<crash_notice> crashes{}; ///< \ref crash_quarantine::known
+    std::vector<limit_notice> limits{};  ///< \ref rate_limits::next_known
 };
-LAUREL_VALUE_TYPE(peer_news, statuses, load, counts, rollouts, beats, is_round, refused, crashes)
+LAUREL_VALUE_TYPE(peer_news, statuses, load, counts, rollouts, beats, is_round, refused, crashes, limits)
 
 /** Asks a peer how recently it knows its configuration to be the newest. */
 struct freshness_question {
@@ -105,8 +106,15 @@
 };
 LAUREL_VALUE_TYPE(crash_news, crashes)
 
-using peer_message = std::variant<peer_news, freshness_question, freshness_answer, copy_notice, load_news,
-                                  session_news, count_news, refusal_news, report_handover, crash_news>;
+/** Limits of endpoints, as soon as an answer has named or lifted them. */
+struct limit_news {
+    std::vector<limit_notice> limits;
+};
+LAUREL_VALUE_TYPE(limit_news, limits)
+
+using peer_message =
+    std::variant<peer_news, freshness_question, freshness_answer, copy_notice, load_news, session_news,
+                 count_news, refusal_news, report_handover, crash_news, limit_news>;
 
 /** \return the bytes of \p message. */
 std::string encode_peer_message(const peer_message& message);
--- a/src/placement/endpoint_directory.cpp
+++ b/src/placement/endpoint_directory.cpp
@@ -11,8 +11,8 @@
 /// An engine's cache outlasts this at the loads planned for; beyond it the part may have been displaced.
 constexpr duration part_memory = seconds(30);
 constexpr std::size_t most_parts = 512; ///< remembered for each endpoint: 16 KB
-/// A request may wait for a cold endpoint that takes another one within this time.
-constexpr duration cold_patience = milliseconds(500);
+/// A request may wait for a cold or limited endpoint that takes another one within this time.
+constexpr duration longest_patience = milliseconds(500);
 /// Each running stream lengthens every step of its engine; measured from 0.02 to 0.07 ms a token.
 constexpr double running_ms = 2.0;
 /// Worth of staying in the failure domain: the crossings themselves take under 4 ms, but each caller's prompt
@@ -41,17 +41,18 @@
 } // namespace
 
 endpoint_directory::endpoint_directory(chart life, std::uint64_t seed, std::string domain,
-                                       const mechanisms& in_use, cold_endpoints cold)
+                                       const mechanisms& in_use, cold_endpoints cold, std::string host)
     : table_{std::move(life), seed, endpoint_policy::least_in_flight},
       random_{seed},
       cold_{std::move(cold)},
+      limits_{std::move(host)},
       domain_{std::move(domain)},
       in_use_{in_use} {}
 
 void endpoint_directory::update(const std::vector<endpoint_record>& endpoints, time_point now) {
     table_.update(endpoints, now);
     cold_.update(endpoints, now);
-    limits_.update(endpoints);
+    limits_.update(endpoints, now);
     for (const endpoint_record& endpoint : restarted_among(endpoints)) {
         memory_.erase(endpoint.name); // It holds no part of a prompt.
     }
@@ -79,14 +80,23 @@
 
 bool endpoint_directory::could_serve(const std::string& service, time_point now) const {
     return table_.could_serve(service, "", now, [&](const endpoint_record& endpoint) {
-        return !evacuated_.contains(endpoint.domain) &&
-               cold_.may_send_within(endpoint.name, cold_patience, now);
+        return may_send_within(endpoint, longest_patience, now);
     });
 }
 
+// Asked for everything that is placed: first and later attempts, steps up, resumed streams, trials of a
+// release and what has waited.
+bool endpoint_directory::may_send_within(const endpoint_record& endpoint, duration patience,
+                                         time_point now) const {
+    return !evacuated_.contains(endpoint.domain) && cold_.may_send_within(endpoint.name, patience, now) &&
+           limits_.may_send_within(endpoint.name, patience, now);
+}
+
 std::optional<duration> endpoint_directory::room_expected_in(const std::string& service,
                                                              time_point now) const {
-    return cold_.first_warm_in(service, now);
+    const std::optional<duration> warm = cold_.first_warm_in(service, now);
+    const std::optional<duration> room = limits_.room_in(service, now);
+    return warm && room ? std::min(*warm, *room) : warm ? warm : room;
 }
 
 std::vector<endpoint_record>
@@ -228,7 +238,7 @@
                                                     const model_demand& model, time_point now) {
     const std::vector<endpoint_record> candidates =
         table_.eligible(wish, now, [&](const endpoint_record& endpoint) {
-            return !evacuated_.contains(endpoint.domain) && cold_.may_send(endpoint.name, now);
+            return may_send_within(endpoint, duration::zero(), now);
         });
     if (candidates.empty()) {
         return std::nullopt;
@@ -262,6 +272,7 @@
     const std::string& name = chosen.endpoint.name;
     table_.on_call_started(name, wish, now);
     cold_.on_sent(name, now);
+    limits_.on_sent(name, now);
     own_[name].reading_ms += chosen.reading_ms;
     if (prompt.is_empty()) {
         ++own_[name].running;
--- a/src/placement/endpoint_directory.h
+++ b/src/placement/endpoint_directory.h
@@ -61,9 +61,9 @@
 class endpoint_directory {
 public:
     /** \param life charts/endpoint.scxml \param domain the failure domain of this host
-     * \param cold of this host */
+     * \param cold of this host \param host its name */
     endpoint_directory(chart life, std::uint64_t seed, std::string domain, const mechanisms& in_use = {},
-                       cold_endpoints cold = {"", {}});
+                       cold_endpoints cold = {"", {}}, std::string host = {});
 
     void update(const std::vector<endpoint_record>& endpoints, time_point now);
     /** \return those of \p endpoints whose process is another than the one known here. */
@@ -82,6 +82,10 @@
     const cold_endpoints& cold() const { return cold_; }
     rate_limits& limits() { return limits_; }
     const rate_limits& limits() const { return limits_; }
+    /** \return whether something became known after \p chosen_at that forbids to send to \p endpoint. */
+    bool is_barred_since(const std::string& endpoint, time_point chosen_at) const {
+        return limits_.has_tightened_since(endpoint, chosen_at);
+    }
     /** Sets the failure domains whose endpoints get nothing more; those of domains that are in use again
      * count as cold. */
     void set_evacuated(const evacuation_set& evacuated, time_point now);
@@ -91,7 +95,8 @@
                                     const model_demand& model, time_point now);
     /** \return whether some endpoint of \p service takes requests of this host now or very soon. */
     bool could_serve(const std::string& service, time_point now) const;
-    /** \return when an endpoint of \p service that is cold now will be warm, from now, or nothing */
+    /** \return after what time an endpoint of \p service that is cold or limited now may get a request, or
+     * nothing if none is */
     std::optional<duration> room_expected_in(const std::string& service, time_point now) const;
     std::size_t size() const { return table_.size(); }
 
@@ -113,6 +118,7 @@
     };
 
     endpoint_load load_of(const std::string& endpoint) const;
+    bool may_send_within(const endpoint_record& endpoint, duration patience, time_point now) const;
     void count_peer_load(const load_by_endpoint& load, int sign);
     void drop_silent_peers(time_point now);
     /// What one endpoint would have to read of a prompt.
--- a/src/relay/exchange.cpp
+++ b/src/relay/exchange.cpp
@@ -314,10 +314,25 @@
         answer_quarantined();
         return;
     }
+    if (state_.endpoints.is_barred_since(attempt_.chosen.endpoint.name, attempt_.sent_at)) {
+        place_again();
+        return;
+    }
     move("connected");
     send_request();
 }
 
+// Against what became known while the connection was made: nothing has been sent, and this is no evidence
+// against the endpoint.
+void exchange::place_again() {
+    state_.measured.count("attempts_placed_again");
+    settle_attempt(call_result::cancelled, release_evidence::none);
+    release_connection(false);
+    waiting_since_ = monotonic_now();
+    move("again");
+    dispatch();
+}
+
 void exchange::on_connect_failed(connect_failure why) {
     auto self = shared_from_this();
     if (why == connect_failure::refused) {
--- a/src/relay/exchange.h
+++ b/src/relay/exchange.h
@@ -77,6 +77,7 @@
     bool is_good_enough(const answer_terms& given);
     void open_connection();
     void send_request();
+    void place_again();
     void read_answer(std::string_view bytes);
     void start_reader();
     /** \return what the answer's head says, read once; only once the head is there. */
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -17,6 +17,7 @@
 constexpr std::uint64_t ticks_between_sweeps = 5; ///< of callers' and idle connections
 /// Slots of a plain service's endpoint; the limit then follows what it answers.
 constexpr int plain_slots = 6;
+constexpr double logged_no_limit = -1;
 
 } // namespace
 
@@ -131,12 +132,24 @@
     if (said.requests_per_s) {
         state_.measured.count("answers_naming_a_limit");
     }
-    if (state_.endpoints.limits().note(endpoint, said)) {
-        constexpr double no_limit = -1;
-        log_info("endpoint_rate_limit", {{"endpoint", endpoint.name},
-                                         {"requests_per_s", said.requests_per_s.value_or(no_limit)},
-                                         {"request", request},
-                                         {"asked_ms_ago", to_ms(said.heard_at - said.sent_at)}});
+    if (!state_.endpoints.limits().note(endpoint, said, said.heard_at)) {
+        return;
+    }
+    log_info("endpoint_rate_limit", {{"endpoint", endpoint.name},
+                                     {"requests_per_s", said.requests_per_s.value_or(logged_no_limit)},
+                                     {"request", request},
+                                     {"asked_ms_ago", to_ms(said.heard_at - said.sent_at)}});
+    if (state_.on_limit_news) {
+        state_.on_limit_news();
+    }
+}
+
+void relay::take_limit_notices(const std::vector<limit_notice>& notices) {
+    rate_limits& limits = state_.endpoints.limits();
+    for (const std::string& endpoint : limits.merge(notices, monotonic_now())) {
+        log_info("endpoint_rate_limit_heard",
+                 {{"endpoint", endpoint},
+                  {"requests_per_s", limits.limit_of(endpoint).value_or(logged_no_limit)}});
     }
 }
 
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -42,9 +42,12 @@
           settings{relay_settings_in},
           request_life{std::move(request_life_in)},
           endpoints{
-              std::move(endpoint_life), placement_hash(relay_settings_in.host),
-              relay_settings_in.failure_domain, relay_settings_in.in_use,
-              cold_endpoints{relay_settings_in.host, relay_settings_in.cold, relay_settings_in.cold_sharing}},
+              std::move(endpoint_life),
+              placement_hash(relay_settings_in.host),
+              relay_settings_in.failure_domain,
+              relay_settings_in.in_use,
+              cold_endpoints{relay_settings_in.host, relay_settings_in.cold, relay_settings_in.cold_sharing},
+              relay_settings_in.host},
           pool{event_loop_in.context()},
           quarantine{relay_settings_in.host},
           fence{relay_settings_in.revoke_bound, fence_margin},
@@ -77,6 +80,8 @@
     std::function<void()> on_load_changed; ///< this host's load has changed by a long prompt
     /// Nothing listens at an endpoint, which is news to this host.
     std::function<void(const std::string& endpoint)> on_refused;
+    /// A limit of an endpoint has changed, which is news to this host.
+    std::function<void()> on_limit_news;
     /// \ref quarantine has something to tell other hosts.
     std::function<void()> on_crash_news;
     bool is_stopping = false;
@@ -101,6 +106,8 @@
     void set_endpoints(const std::vector<endpoint_record>& endpoints);
     /** Takes what another host knows of requests under which endpoints end. */
     void take_crash_notices(const std::vector<crash_notice>& notices);
+    /** Takes what another host knows of the limits of endpoints. */
+    void take_limit_notices(const std::vector<limit_notice>& notices);
     /** An operator trusts a request again. */
     void lift_quarantine(request_digest digest);
     relay_state& state() { return state_; }
--- a/test/endpoint_signals_test.cpp
+++ b/test/endpoint_signals_test.cpp
@@ -33,5 +33,37 @@
     EXPECT_LE(limited.requests().size() - before, most_in_4_s);
 }
 
+// Guards against callers who are kept waiting where every endpoint is limited and this host sends nothing.
+TEST_F(endpoint_signals, where_all_are_limited_callers_are_told_at_once) {
+    scripted_endpoint limited(answers(20, "Limit: 0.5\r\n"));
+    begin(route(route_kind::non_idempotent, 1), {limited.address()});
+    EXPECT_TRUE(has(ask("7"), "served"));
+    const time_point asked_at = monotonic_now();
+    const std::string answer = ask("7");
+    EXPECT_TRUE(has(answer, "HTTP/1.1 503")) << answer;
+    EXPECT_TRUE(has(answer, "Retry-After: 2000")) << "one request every two seconds";
+    EXPECT_LT(monotonic_now() - asked_at, milliseconds(300));
+    EXPECT_EQ(limited.requests().size(), 1U);
+}
+
+// Guards against a limit that holds for ever: somebody must go on sending, or nobody hears that it is over.
+TEST_F(endpoint_signals, a_sponsor_goes_on_sending_and_hears_that_the_limit_is_over) {
+    std::vector<scripted_answer> script = answers(3, "Limit: 20\r\n");
+    const std::vector<scripted_answer> rest = answers(50);
+    script.insert(script.end(), rest.begin(), rest.end());
+    scripted_endpoint endpoint(script);
+    begin(route(route_kind::idempotent, 1), {endpoint.address()});
+    EXPECT_TRUE(has(ask("7"), "served"));
+    on_its_thread([&] {
+        host_status self;
+        self.name = "h1";
+        self.state = "serving";
+        relay_->state().endpoints.limits().set_hosts({{self}, true}, monotonic_now());
+    });
+    EXPECT_LE(ask_often(30, milliseconds(30)), 20);
+    on_its_thread([&] { EXPECT_EQ(relay_->state().endpoints.limits().limit_of("e0"), std::nullopt); });
+    EXPECT_EQ(ask_often(5, milliseconds(1)), 0);
+}
+
 } // namespace
 } // namespace laurelhoist
