--- a/src/relay/exchange.cpp
+++ b/src/relay/exchange.cpp
@@ -278,6 +278,7 @@
 
 void exchange::open_connection() {
     move("placed");
+    answer_.reset();
     const time_point now = monotonic_now();
     state_.endpoints.on_sent(attempt_.chosen, prompt_, attempt_.wish, now);
     note_load_change();
@@ -539,10 +540,12 @@
     // Only where the endpoint may have ended: that is when one has to know whether it is the same request
     // again.
     const std::string known_by = end == attempt_end::broken ? to_text(digest()) : std::string{};
+    const duration rest = answer_ ? answer_->back_off.value_or(duration::zero()) : duration::zero();
     log_info("attempt_ended", {{"request", terms_.id},
                                {"digest", known_by},
                                {"events", events_of_attempt()},
                                {"end", to_string(end)},
+                               {"retry_after_ms", static_cast<std::int64_t>(to_ms(rest))},
                                {"endpoint", chosen.endpoint.name},
                                {"release", chosen.endpoint.release},
                                {"attempt", attempts_},
--- a/src/relay/wire_dialect.h
+++ b/src/relay/wire_dialect.h
@@ -46,6 +46,8 @@
     std::optional<int> confidence; ///< the model's own opinion of its answer, 0 to 100
     /// Requests a second that the endpoint takes from all hosts together; nothing: it names no limit.
     std::optional<double> rate_limit{};
+    /// For how long the endpoint wants nothing more from this host; nothing: it asks for no rest.
+    std::optional<duration> back_off{};
 };
 
 /** Reads and writes the header fields of requests and answers. */
--- a/test/platform_test.cpp
+++ b/test/platform_test.cpp
@@ -275,6 +275,30 @@
     }
 }
 
+/** \return the back-off in ms that an answer with \p status and these values of Retry-After asks for; -1:
+ * none */
+double back_off_in(int status, const std::vector<std::string>& values) {
+    header_list headers;
+    headers.add("Date", "Thu, 03 Dec 2026 09:00:00 GMT");
+    for (const std::string& value : values) {
+        headers.add("Retry-After", value);
+    }
+    const std::optional<duration> back_off = header_dialect().read_answer(status, headers).back_off;
+    return back_off ? to_ms(*back_off) : -1;
+}
+
+TEST(header_dialect, a_refusal_says_for_how_long_the_endpoint_wants_nothing) {
+    EXPECT_EQ(back_off_in(503, {"3"}), 3000);
+    EXPECT_EQ(back_off_in(429, {"0.25"}), 250);
+    EXPECT_EQ(back_off_in(503, {"1", "4", "2"}), 4000);
+    EXPECT_EQ(back_off_in(503, {"Thu, 03 Dec 2026 09:00:05 GMT"}), 5000);
+    EXPECT_EQ(back_off_in(503, {"99999999999999999999"}), 3600e3);
+    EXPECT_EQ(back_off_in(200, {"3"}), -1);
+    for (const char* none : {"", "0", "-3", "soon", "nan", "inf", "Thu, 03 Dec 2026 08:00:00 GMT"}) {
+        EXPECT_EQ(back_off_in(503, {none}), -1) << none;
+    }
+}
+
 RC_GTEST_PROP(header_dialect, any_header_values_are_read,
               (std::string counts, std::string prompt, std::string number)) {
     const header_dialect dialect;
