Endpoints that ask for rest do not get it: tests, red

One relay before one endpoint that asks for 4 s: 3 requests between 0.5 s after it and its end, 2 allowed.

--- a/test/endpoint_signals_test.cpp
+++ b/test/endpoint_signals_test.cpp
@@ -65,5 +65,19 @@
     EXPECT_EQ(ask_often(5, milliseconds(1)), 0);
 }
 
+// Guards against a host that goes on sending to an endpoint which has asked it for rest.
+TEST_F(endpoint_signals, an_endpoint_that_asks_for_rest_gets_it) {
+    constexpr std::size_t most_in_rest = 2;
+    const scripted_answer refusal{
+        "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nRetry-After: 4\r\nContent-Length: 0\r\n\r\n", false, false};
+    scripted_endpoint resting(std::vector<scripted_answer>(50, refusal));
+    begin(route(route_kind::non_idempotent, 1), {resting.address()});
+    EXPECT_TRUE(has(ask("7"), "HTTP/1.1 503"));
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    const std::size_t before = resting.requests().size();
+    ask_often(60, milliseconds(50));
+    EXPECT_LE(resting.requests().size() - before, most_in_rest);
+}
+
 } // namespace
 } // namespace laurelhoist
--- a/test/soak/platform_soak.py
+++ b/test/soak/platform_soak.py
@@ -26,6 +26,8 @@
 LIMIT_HEARD_S = 3.0    # after which an endpoint's rate limit binds
 LIMIT_PASSED_S = 0.5   # after an answer that names it, for the host that passed it on
 LIMIT_WINDOW_S = 4.0
+REST_HEARD_S = 0.5     # after which an endpoint that asked a host for rest gets hardly anything from it
+REST_REQUESTS = 2
 QUIET_S = 4.0          # a bound in time holds for a host that was undisturbed for so long
 GRACE_S = 8.0          # from SIGTERM to SIGKILL
 NOT_RUN = (408, 421, 429, 503)
@@ -77,13 +79,13 @@
     """One seed: a fleet, its callers, its faults and its checks."""
 
     def __init__(self, seed, seconds, program, directory, entries, keeps_faults, checks_time_bounds=True,
-                 sends_deadly=False, names_limits=False):
+                 sends_deadly=False, names_limits=False, asks_for_rest=False):
         self.checks_time_bounds, self.sends_deadly = checks_time_bounds, sends_deadly
-        self.names_limits = names_limits
+        self.names_limits, self.asks_for_rest = names_limits, asks_for_rest
         self.random = random.Random(seed)
         self.seed, self.seconds, self.directory, self.keeps_faults = seed, seconds, directory, keeps_faults
         self.program, self.entry_count = program, entries
-        self.runs, self.broken, self.counts = [], [], collections.Counter()
+        self.runs, self.turned_away, self.broken, self.counts = [], [], [], collections.Counter()
         self.refused, self.sent_at, self.keys = {}, {}, {"key-a": None, "key-b": None}
         self.version = 0
         self.deadly = []  # times and entries of a request that ended an endpoint
@@ -103,6 +105,8 @@
             tasks.append(asyncio.create_task(self.send_deadly(deadline)))
         if self.names_limits:
             tasks.append(asyncio.create_task(self.limit_endpoints()))
+        if self.asks_for_rest:
+            tasks.append(asyncio.create_task(self.rest_endpoints(deadline)))
         if self.keeps_faults:
             tasks.append(asyncio.create_task(self.disturb(deadline)))
         await asyncio.gather(*tasks)
@@ -110,6 +114,7 @@
         self.check_runs()
         self.check_deadly()
         self.check_limits()
+        self.check_rests()
         await self.stop()
         return self.broken
 
@@ -123,7 +128,7 @@
             await entry.process
 
     async def add_endpoint(self, name, service):
-        endpoint = await Endpoint(name, self.runs, self.random, service == "pool").listen()
+        endpoint = await Endpoint(name, self.runs, self.turned_away, self.random, service == "pool").listen()
         proxy = await Proxy(endpoint.port).listen()
         self.endpoints[name], self.proxies[name] = endpoint, proxy
         endpoint.service = service
@@ -309,6 +314,20 @@
                     self.fail("a named rate limit is kept", f"{endpoint}: {len(counted)} in 4 s at {run['limit']} a second")
                     break
 
+    def check_rests(self):
+        arrivals = collections.defaultdict(list)
+        for item in self.runs + self.turned_away:
+            if item["id"] in self.sent_at:
+                arrivals[item["endpoint"], self.sent_at[item["id"]][3]].append(item["at"])
+        for item in self.turned_away:
+            entry = self.sent_at[item["id"]][3]
+            during = [at for at in arrivals[item["endpoint"], entry]
+                      if item["at"] + REST_HEARD_S < at < item["at"] + item["rest"]]
+            is_bound = self.checks_time_bounds and item["at"] > entry.disturbed_at + QUIET_S
+            if is_bound and len(during) > REST_REQUESTS:
+                self.fail("an endpoint gets the rest that it asks for", f"{item['endpoint']}: {len(during)} from {entry.name}")
+                return
+
     def check_leaving(self, run):
         since = run["leaving_since"]
         if since is None or run["id"] not in self.sent_at:
@@ -348,6 +367,15 @@
             endpoint = next(item for item in self.endpoints.values() if item.service == service)
             endpoint.limit, endpoint.limited_since = self.random.choice([0.5, 1.7, 4]), time.monotonic()
 
+    async def rest_endpoints(self, deadline):
+        """Endpoints in turn refuse everything for some seconds and ask for rest."""
+        await asyncio.sleep(4.5)
+        while time.monotonic() < deadline - 2:
+            endpoint = self.random.choice(list(self.endpoints.values()))
+            endpoint.rest = self.random.choice([1, 1.5, 3])
+            await asyncio.sleep(self.random.uniform(1.0, 3.0))
+            endpoint.rest = None
+
     async def fault_path(self):
         proxy = self.random.choice(list(self.proxies.values()))
         proxy.mode = self.random.choice(["delay", "reset", "silent", "deaf"])
@@ -444,6 +472,7 @@
     parser.add_argument("--deadly", action="store_true",
                         help="one caller sends a request again and again that ends each endpoint that begins to run it")
     parser.add_argument("--limits", action="store_true", help="an endpoint of each service names a rate limit")
+    parser.add_argument("--rests", action="store_true", help="endpoints refuse everything and ask for rest")
     parser.add_argument("--without-time-bounds", action="store_true",
                         help="leave out the check that a busy machine could fail: a leaving endpoint's 2 s")
     parser.add_argument("--logs", default="", help="directory to keep the processes' logs in")
@@ -454,7 +483,7 @@
             directory = options.logs or scratch
             os.makedirs(directory, exist_ok=True)
             run = Run(seed, options.seconds, options.program, directory, options.entries, not options.calm,
-                      not options.without_time_bounds, options.deadly, options.limits)
+                      not options.without_time_bounds, options.deadly, options.limits, options.rests)
             broken = asyncio.run(run.play())
         counts = " ".join(f"{name}={count}" for name, count in sorted(run.counts.items(), key=str))
         print(f"seed {seed}: {len(run.sent_at)} requests, {len(broken)} broken; {counts}", flush=True)
--- a/test/soak/standins.py
+++ b/test/soak/standins.py
@@ -158,10 +158,12 @@
     """A plain service, or with `streams` an engine. Keeps every run in `record` by request id.
     `fault`: "", "lost" (runs, answer reset), "half" (answer broken off), "hang", "extra" (a second answer)."""
 
-    def __init__(self, name, record, random, streams):
+    def __init__(self, name, record, turned_away, random, streams):
         self.name, self.record, self.random, self.streams = name, record, random, streams
+        self.turned_away = turned_away
         self.fault, self.leaving_since = "", None
         self.limit = self.limited_since = None  # requests a second named in each answer
+        self.rest = None  # seconds of rest that it asks for, turning everything away
         self.on_deadly = None  # called when a request comes that no endpoint survives
 
     async def serve(self, reader, writer):
@@ -179,6 +181,12 @@
             run = {"id": request_id, "at": now, "endpoint": self.name, "headers": headers,
                    "leaving_since": self.leaving_since, "fault": self.fault, "limit": self.limit,
                    "limited_since": self.limited_since, "answered_at": None}
+            if self.rest is not None:
+                self.turned_away.append({"id": request_id, "at": now, "rest": self.rest, "endpoint": self.name})
+                writer.write(answer(503, b"", [("X-Request-Id", request_id), ("X-Not-Executed", "1"),
+                                               ("Retry-After", self.rest)]))
+                await writer.drain()
+                continue
             self.record.append(run)
             if self.fault == "hang":
                 await asyncio.sleep(30)
