An endpoint that turns a host away and asks for rest gets it

The rest binds this host alone, for all that is placed, and once more when a connection has been made; a later one extends and never shortens it; a new process clears it. It counts as no failure, or the endpoint would be left out for longer than it asks. Callers whom nobody can serve are told when the first is back, spread over a quarter of that time.

--- a/src/placement/endpoint_directory.cpp
+++ b/src/placement/endpoint_directory.cpp
@@ -53,6 +53,7 @@
     table_.update(endpoints, now);
     cold_.update(endpoints, now);
     limits_.update(endpoints, now);
+    back_offs_.update(endpoints, now);
     for (const endpoint_record& endpoint : restarted_among(endpoints)) {
         memory_.erase(endpoint.name); // It holds no part of a prompt.
     }
@@ -89,14 +90,19 @@
 bool endpoint_directory::may_send_within(const endpoint_record& endpoint, duration patience,
                                          time_point now) const {
     return !evacuated_.contains(endpoint.domain) && cold_.may_send_within(endpoint.name, patience, now) &&
-           limits_.may_send_within(endpoint.name, patience, now);
+           limits_.may_send_within(endpoint.name, patience, now) &&
+           back_offs_.may_send_within(endpoint.name, patience, now);
 }
 
 std::optional<duration> endpoint_directory::room_expected_in(const std::string& service,
                                                              time_point now) const {
-    const std::optional<duration> warm = cold_.first_warm_in(service, now);
-    const std::optional<duration> room = limits_.room_in(service, now);
-    return warm && room ? std::min(*warm, *room) : warm ? warm : room;
+    std::optional<duration> first;
+    for (const std::optional<duration> room :
+         {cold_.first_warm_in(service, now), limits_.room_in(service, now),
+          back_offs_.room_in(service, now)}) {
+        first = first && room ? std::min(*first, *room) : first ? first : room;
+    }
+    return first;
 }
 
 std::vector<endpoint_record>
--- a/src/placement/endpoint_directory.h
+++ b/src/placement/endpoint_directory.h
@@ -14,6 +14,7 @@
 #pragma once
 
 #include "membership/membership.h"
+#include "placement/back_offs.h"
 #include "placement/cold_endpoints.h"
 #include "placement/first_event_estimate.h"
 #include "placement/rate_limits.h"
@@ -82,9 +83,11 @@
     const cold_endpoints& cold() const { return cold_; }
     rate_limits& limits() { return limits_; }
     const rate_limits& limits() const { return limits_; }
+    back_offs& resting() { return back_offs_; }
     /** \return whether something became known after \p chosen_at that forbids to send to \p endpoint. */
     bool is_barred_since(const std::string& endpoint, time_point chosen_at) const {
-        return limits_.has_tightened_since(endpoint, chosen_at);
+        return limits_.has_tightened_since(endpoint, chosen_at) ||
+               back_offs_.has_begun_since(endpoint, chosen_at);
     }
     /** Sets the failure domains whose endpoints get nothing more; those of domains that are in use again
      * count as cold. */
@@ -95,8 +98,8 @@
                                     const model_demand& model, time_point now);
     /** \return whether some endpoint of \p service takes requests of this host now or very soon. */
     bool could_serve(const std::string& service, time_point now) const;
-    /** \return after what time an endpoint of \p service that is cold or limited now may get a request, or
-     * nothing if none is */
+    /** \return after what time an endpoint of \p service that is cold, limited or resting now may get a
+     * request, or nothing if none is */
     std::optional<duration> room_expected_in(const std::string& service, time_point now) const;
     std::size_t size() const { return table_.size(); }
 
@@ -139,6 +142,7 @@
     random_source random_;
     cold_endpoints cold_;
     rate_limits limits_;
+    back_offs back_offs_;
     evacuation_set evacuated_;
     std::string domain_;
     mechanisms in_use_;
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -3,6 +3,7 @@
  */
 #pragma once
 
+#include "placement/back_offs.h"
 #include "placement/cold_endpoints.h"
 #include "placement/endpoint_directory.h"
 #include "placement/first_event_estimate.h"
--- a/src/relay/exchange.cpp
+++ b/src/relay/exchange.cpp
@@ -26,10 +26,18 @@
 constexpr duration unready_retry = milliseconds(500);
 constexpr duration full_retry = milliseconds(700);
 constexpr duration nowhere_retry = milliseconds(1000);
+/// Part of the time to the next room by which callers are spread, or all would be back in the same instant.
+constexpr double retry_spread = 0.25;
 /// Endpoints close connections that are idle for longer than they say; this is for those that say nothing.
 constexpr duration usual_idle_time = seconds(4);
 constexpr duration idle_margin = seconds(1);
 
+duration spread_over(duration retry_after, const std::string& request) {
+    constexpr std::uint64_t steps = 1000;
+    const double part = static_cast<double>(placement_hash(request) % steps) / static_cast<double>(steps);
+    return std::chrono::duration_cast<duration>(retry_after * (1.0 + retry_spread * part));
+}
+
 call_result to_call_result(attempt_end end) {
     switch (end) {
     case attempt_end::refused:
@@ -268,14 +276,17 @@
         }
         if (!state_.endpoints.could_serve(service_, now)) {
             answer_failure(may_have_run_ ? status_bad_gateway : status_unavailable, "no_endpoint",
-                           "come back later: no endpoint of the service takes work",
-                           state_.endpoints.room_expected_in(service_, now).value_or(nowhere_retry));
+                           "come back later: no endpoint of the service takes work", time_to_room(now));
         }
         return; // Waits; on_tick tries again.
     }
     open_connection();
 }
 
+duration exchange::time_to_room(time_point now) const {
+    return spread_over(state_.endpoints.room_expected_in(service_, now).value_or(nowhere_retry), terms_.id);
+}
+
 void exchange::open_connection() {
     move("placed");
     answer_.reset();
@@ -400,7 +411,9 @@
 
 void exchange::end_attempt(attempt_end end) {
     may_have_run_ = may_have_run_ || !proves_not_run(end);
-    settle_attempt(to_call_result(end), evidence_of(end));
+    // What an endpoint asks for is no failure: counted as one it would be left out for longer than it asks.
+    const bool asks_for_rest = end == attempt_end::refused && answer().back_off;
+    settle_attempt(asks_for_rest ? call_result::cancelled : to_call_result(end), evidence_of(end));
     release_connection(end == attempt_end::refused || end == attempt_end::failed ||
                        end == attempt_end::misdirected);
     log_attempt(end);
@@ -445,7 +458,9 @@
         return;
     case follow_up_step::refuse:
         answer_failure(status_unavailable, "refused", "come back later: the endpoints take no more work",
-                       full_retry);
+                       state_.endpoints.could_serve(service_, monotonic_now())
+                           ? full_retry
+                           : time_to_room(monotonic_now()));
         return;
     case follow_up_step::fail:
         answer_failure(status_bad_gateway, "endpoint_failed",
--- a/src/relay/exchange.h
+++ b/src/relay/exchange.h
@@ -75,6 +75,8 @@
     /** \return what is left of the objective for the first event of a larger model. */
     double step_up_time_ms(time_point now) const;
     bool is_good_enough(const answer_terms& given);
+    /** \return when to come back to a service of which no endpoint takes work. */
+    duration time_to_room(time_point now) const;
     void open_connection();
     void send_request();
     void place_again();
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -144,6 +144,13 @@
     }
 }
 
+void relay::note_back_off(const endpoint_record& endpoint, duration rest, const std::string& request) {
+    state_.endpoints.resting().note(endpoint, rest, monotonic_now());
+    state_.measured.count("endpoints_asking_for_rest");
+    log_info("endpoint_back_off",
+             {{"endpoint", endpoint.name}, {"rest_ms", to_ms(rest)}, {"request", request}});
+}
+
 void relay::take_limit_notices(const std::vector<limit_notice>& notices) {
     rate_limits& limits = state_.endpoints.limits();
     for (const std::string& endpoint : limits.merge(notices, monotonic_now())) {
--- /dev/null
+++ b/test/back_offs_test.cpp
@@ -0,0 +1,53 @@
+#include "placement/placement.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace laurelhoist {
+namespace {
+
+const time_point start = time_point{} + seconds(100);
+
+endpoint_record engine(std::int64_t started_at_ms = 1000) {
+    endpoint_record made{"e", "10.0.0.1:9000", "hall0", "pool", "live", "v1"};
+    made.started_at_ms = started_at_ms;
+    return made;
+}
+
+// Guards against a second refusal that shortens the rest which the first has asked for.
+RC_GTEST_PROP(back_offs, the_latest_end_of_all_that_was_asked_holds,
+              (const std::vector<std::uint16_t>& rests)) {
+    back_offs held;
+    time_point now = start;
+    time_point until = start;
+    for (const std::uint16_t rest_ms : rests) {
+        held.note(engine(), milliseconds(rest_ms), now);
+        until = std::max(until, now + milliseconds(rest_ms));
+        RC_ASSERT(held.may_send_within("e", until - now, now));
+        RC_ASSERT(until == now || !held.may_send_within("e", until - now - duration(1), now));
+        now += milliseconds(100);
+    }
+}
+
+// Guards against a new process that is left alone because the one before asked for it.
+TEST(back_offs, a_restart_ends_the_rest) {
+    back_offs held;
+    held.note(engine(), seconds(3), start);
+    held.update({engine()}, start + seconds(1));
+    EXPECT_FALSE(held.may_send_within("e", duration::zero(), start + seconds(1)));
+    EXPECT_EQ(held.room_in("pool", start + seconds(1)), seconds(2));
+    held.update({engine(9000)}, start + seconds(1));
+    EXPECT_TRUE(held.may_send_within("e", duration::zero(), start + seconds(1)));
+    EXPECT_EQ(held.room_in("pool", start + seconds(1)), std::nullopt);
+}
+
+// Guards against a request that is sent although the refusal came while its connection was made.
+TEST(back_offs, what_was_chosen_before_the_refusal_is_known_by_its_time) {
+    back_offs held;
+    held.note(engine(), seconds(3), start);
+    EXPECT_TRUE(held.has_begun_since("e", start - milliseconds(1)));
+    EXPECT_FALSE(held.has_begun_since("e", start + milliseconds(1)));
+}
+
+} // namespace
+} // namespace laurelhoist
