One room decides whether an endpoint may be sent to, and says why not

Evacuations, back-offs, rate limits and cold endpoints each answered 'may this host send there now' for themselves, and the directory asked them one by one in three places. send_allowance holds them behind a table of guards; the first that forbids is the reason, logged for a refused request (no_endpoint_allowed) and counted. No decision changes: placement, relay and host tests as before.

--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -286,7 +286,7 @@
         log_info("evacuations_in_force",
                  {{"domains", ordered.domains}, {"revision", evacuation_watch_.changed_at()}});
         evacuated_ = ordered;
-        relay_.state().endpoints.set_evacuated(evacuated_, monotonic_now());
+        relay_.state().endpoints.allowance().set_evacuated(evacuated_, monotonic_now());
         refresh_endpoints();
     }
     tell_copies(notice_scope::change);
--- a/src/host/entry_host_peers.cpp
+++ b/src/host/entry_host_peers.cpp
@@ -197,7 +197,7 @@
 void entry_host::tell_refusals() {
     const time_point now = monotonic_now();
     refusal_news news;
-    for (const auto& [endpoint, age] : relay_.state().endpoints.cold().refused(now)) {
+    for (const auto& [endpoint, age] : relay_.state().endpoints.allowance().cold().refused(now)) {
         if (refusals_to_tell_.count(endpoint) > 0 && news.refused.size() < most_refusals) {
             news.refused.push_back({endpoint, std::llround(to_ms(age))});
         }
@@ -215,14 +215,14 @@
     const time_point now = monotonic_now();
     for (const refused_endpoint& each : refused) {
         const duration age = milliseconds(std::max<std::int64_t>(0, each.age_ms));
-        relay_.state().endpoints.cold().on_refused(each.endpoint, age, now);
+        relay_.state().endpoints.allowance().cold().on_refused(each.endpoint, age, now);
         refusals_to_tell_.erase(each.endpoint); // All have been told.
     }
 }
 
 std::vector<refused_endpoint> entry_host::known_refusals(time_point now) const {
     std::vector<refused_endpoint> refused;
-    for (const auto& [endpoint, age] : relay_.state().endpoints.cold().refused(now)) {
+    for (const auto& [endpoint, age] : relay_.state().endpoints.allowance().cold().refused(now)) {
         if (refused.size() < most_refusals) {
             refused.push_back({endpoint, std::llround(to_ms(age))});
         }
@@ -232,8 +232,7 @@
 
 void entry_host::assign_sponsored_endpoints(time_point now) {
     const sponsor_view view{gossip_.live(now), now - started_at_ > learning_hosts};
-    relay_.state().endpoints.cold().set_hosts(view, now);
-    relay_.state().endpoints.limits().set_hosts(view, now);
+    relay_.state().endpoints.allowance().set_hosts(view, now);
 }
 
 void entry_host::on_limit_news() {
@@ -251,7 +250,7 @@
 // top.
 void entry_host::tell_limits() {
     const time_point now = monotonic_now();
-    const std::vector<limit_notice> limits = relay_.state().endpoints.limits().take_untold(now);
+    const std::vector<limit_notice> limits = relay_.state().endpoints.allowance().limits().take_untold(now);
     const std::vector<host_status>& live = gossip_.live(now);
     for (std::size_t first = 0; first < limits.size(); first += most_limits) {
         const auto begin = limits.begin() + static_cast<std::ptrdiff_t>(first);
@@ -360,7 +359,7 @@
     news.rollouts = rollouts_.own_news(now);
     news.refused = known_refusals(now);
     news.crashes = relay_.state().quarantine.known(most_crashes_in_round, now);
-    news.limits = relay_.state().endpoints.limits().next_known(most_limits_in_round, now);
+    news.limits = relay_.state().endpoints.allowance().limits().next_known(most_limits_in_round, now);
     return news;
 }
 
--- a/src/placement/endpoint_directory.cpp
+++ b/src/placement/endpoint_directory.cpp
@@ -41,19 +41,16 @@
 } // namespace
 
 endpoint_directory::endpoint_directory(chart life, std::uint64_t seed, std::string domain,
-                                       const mechanisms& in_use, cold_endpoints cold, std::string host)
+                                       const mechanisms& in_use, send_allowance allowance)
     : table_{std::move(life), seed, endpoint_policy::least_in_flight},
       random_{seed},
-      cold_{std::move(cold)},
-      limits_{std::move(host)},
+      allowance_{std::move(allowance)},
       domain_{std::move(domain)},
       in_use_{in_use} {}
 
 void endpoint_directory::update(const std::vector<endpoint_record>& endpoints, time_point now) {
     table_.update(endpoints, now);
-    cold_.update(endpoints, now);
-    limits_.update(endpoints, now);
-    back_offs_.update(endpoints, now);
+    allowance_.update(endpoints, now);
     for (const endpoint_record& endpoint : restarted_among(endpoints)) {
         memory_.erase(endpoint.name); // It holds no part of a prompt.
     }
@@ -70,39 +67,21 @@
     }
 }
 
-void endpoint_directory::set_evacuated(const evacuation_set& evacuated, time_point now) {
-    for (const std::string& domain : evacuated_.domains) {
-        if (!evacuated.contains(domain)) {
-            cold_.on_readmitted(domain, now);
-        }
-    }
-    evacuated_ = evacuated;
-}
-
 bool endpoint_directory::could_serve(const std::string& service, time_point now) const {
     return table_.could_serve(service, "", now, [&](const endpoint_record& endpoint) {
-        return may_send_within(endpoint, longest_patience, now);
+        return allowance_.bar(endpoint, longest_patience, now) == send_bar::none;
     });
 }
 
-// Asked for everything that is placed: first and later attempts, steps up, resumed streams, trials of a
-// release and what has waited.
-bool endpoint_directory::may_send_within(const endpoint_record& endpoint, duration patience,
-                                         time_point now) const {
-    return !evacuated_.contains(endpoint.domain) && cold_.may_send_within(endpoint.name, patience, now) &&
-           limits_.may_send_within(endpoint.name, patience, now) &&
-           back_offs_.may_send_within(endpoint.name, patience, now);
-}
-
-std::optional<duration> endpoint_directory::room_expected_in(const std::string& service,
-                                                             time_point now) const {
-    std::optional<duration> first;
-    for (const std::optional<duration> room :
-         {cold_.first_warm_in(service, now), limits_.room_in(service, now),
-          back_offs_.room_in(service, now)}) {
-        first = first && room ? std::min(*first, *room) : first ? first : room;
-    }
-    return first;
+std::map<send_bar, int> endpoint_directory::bars_of(const std::string& service, time_point now) const {
+    std::map<send_bar, int> bars;
+    (void)table_.could_serve(service, "", now, [&](const endpoint_record& endpoint) {
+        const send_bar bar = allowance_.bar(endpoint, longest_patience, now);
+        bars[bar] += bar == send_bar::none ? 0 : 1;
+        return false; // Goes on to the next.
+    });
+    bars.erase(send_bar::none);
+    return bars;
 }
 
 std::vector<endpoint_record>
@@ -244,7 +223,7 @@
                                                     const model_demand& model, time_point now) {
     const std::vector<endpoint_record> candidates =
         table_.eligible(wish, now, [&](const endpoint_record& endpoint) {
-            return may_send_within(endpoint, duration::zero(), now);
+            return allowance_.bar(endpoint, duration::zero(), now) == send_bar::none;
         });
     if (candidates.empty()) {
         return std::nullopt;
@@ -277,8 +256,7 @@
                                  const endpoint_wish& wish, time_point now) {
     const std::string& name = chosen.endpoint.name;
     table_.on_call_started(name, wish, now);
-    cold_.on_sent(name, now);
-    limits_.on_sent(name, now);
+    allowance_.on_sent(name, now);
     own_[name].reading_ms += chosen.reading_ms;
     if (prompt.is_empty()) {
         ++own_[name].running;
--- a/src/placement/endpoint_directory.h
+++ b/src/placement/endpoint_directory.h
@@ -14,10 +14,8 @@
 #pragma once
 
 #include "membership/membership.h"
-#include "placement/back_offs.h"
-#include "placement/cold_endpoints.h"
 #include "placement/first_event_estimate.h"
-#include "placement/rate_limits.h"
+#include "placement/send_allowance.h"
 #include "routing/routing.h"
 
 #include <unordered_map>
@@ -62,9 +60,9 @@
 class endpoint_directory {
 public:
     /** \param life charts/endpoint.scxml \param domain the failure domain of this host
-     * \param cold of this host \param host its name */
+     * \param allowance of this host */
     endpoint_directory(chart life, std::uint64_t seed, std::string domain, const mechanisms& in_use = {},
-                       cold_endpoints cold = {"", {}}, std::string host = {});
+                       send_allowance allowance = {"", {"", {}}});
 
     void update(const std::vector<endpoint_record>& endpoints, time_point now);
     /** \return those of \p endpoints whose process is another than the one known here. */
@@ -79,28 +77,16 @@
     /** Takes what has changed of it: the endpoints in \p changes, the others stay. */
     void change_peer_load(const std::string& host, const load_by_endpoint& changes, time_point now);
     const load_by_endpoint& own_load() const { return own_; }
-    cold_endpoints& cold() { return cold_; }
-    const cold_endpoints& cold() const { return cold_; }
-    rate_limits& limits() { return limits_; }
-    const rate_limits& limits() const { return limits_; }
-    back_offs& resting() { return back_offs_; }
-    /** \return whether something became known after \p chosen_at that forbids to send to \p endpoint. */
-    bool is_barred_since(const std::string& endpoint, time_point chosen_at) const {
-        return limits_.has_tightened_since(endpoint, chosen_at) ||
-               back_offs_.has_begun_since(endpoint, chosen_at);
-    }
-    /** Sets the failure domains whose endpoints get nothing more; those of domains that are in use again
-     * count as cold. */
-    void set_evacuated(const evacuation_set& evacuated, time_point now);
+    send_allowance& allowance() { return allowance_; }
+    const send_allowance& allowance() const { return allowance_; }
 
     /** \return the endpoint to send to, or nothing if none takes work now */
     std::optional<placement> choose(const endpoint_wish& wish, const prompt_shape& prompt,
                                     const model_demand& model, time_point now);
     /** \return whether some endpoint of \p service takes requests of this host now or very soon. */
     bool could_serve(const std::string& service, time_point now) const;
-    /** \return after what time an endpoint of \p service that is cold, limited or resting now may get a
-     * request, or nothing if none is */
-    std::optional<duration> room_expected_in(const std::string& service, time_point now) const;
+    /** \return how many endpoints of \p service that take work get none of this host now, by the reason */
+    std::map<send_bar, int> bars_of(const std::string& service, time_point now) const;
     std::size_t size() const { return table_.size(); }
 
     void on_sent(const placement& chosen, const prompt_shape& prompt, const endpoint_wish& wish,
@@ -121,7 +107,6 @@
     };
 
     endpoint_load load_of(const std::string& endpoint) const;
-    bool may_send_within(const endpoint_record& endpoint, duration patience, time_point now) const;
     void count_peer_load(const load_by_endpoint& load, int sign);
     void drop_silent_peers(time_point now);
     /// What one endpoint would have to read of a prompt.
@@ -140,10 +125,7 @@
 
     endpoint_table table_;
     random_source random_;
-    cold_endpoints cold_;
-    rate_limits limits_;
-    back_offs back_offs_;
-    evacuation_set evacuated_;
+    send_allowance allowance_;
     std::string domain_;
     mechanisms in_use_;
     bool prefers_own_domain_ = false;
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -8,4 +8,5 @@
 #include "placement/endpoint_directory.h"
 #include "placement/first_event_estimate.h"
 #include "placement/rate_limits.h"
+#include "placement/send_allowance.h"
 #include "placement/sponsors.h"
--- a/src/relay/exchange.cpp
+++ b/src/relay/exchange.cpp
@@ -275,6 +275,7 @@
             }
         }
         if (!state_.endpoints.could_serve(service_, now)) {
+            note_bars(now);
             answer_failure(may_have_run_ ? status_bad_gateway : status_unavailable, "no_endpoint",
                            "come back later: no endpoint of the service takes work", time_to_room(now));
         }
@@ -283,8 +284,19 @@
     open_connection();
 }
 
+void exchange::note_bars(time_point now) {
+    json reasons = json::object();
+    for (const auto& [bar, count] : state_.endpoints.bars_of(service_, now)) {
+        reasons[to_string(bar)] = count;
+        state_.measured.count(std::string("requests_barred_") + to_string(bar));
+    }
+    log_info("no_endpoint_allowed",
+             {{"request", terms_.id}, {"service", service_}, {"endpoints_barred", reasons}});
+}
+
 duration exchange::time_to_room(time_point now) const {
-    return spread_over(state_.endpoints.room_expected_in(service_, now).value_or(nowhere_retry), terms_.id);
+    return spread_over(state_.endpoints.allowance().room_in(service_, now).value_or(nowhere_retry),
+                       terms_.id);
 }
 
 void exchange::open_connection() {
@@ -326,7 +338,7 @@
         answer_quarantined();
         return;
     }
-    if (state_.endpoints.is_barred_since(attempt_.chosen.endpoint.name, attempt_.sent_at)) {
+    if (state_.endpoints.allowance().is_barred_since(attempt_.chosen.endpoint.name, attempt_.sent_at)) {
         place_again();
         return;
     }
--- a/src/relay/exchange.h
+++ b/src/relay/exchange.h
@@ -77,6 +77,7 @@
     bool is_good_enough(const answer_terms& given);
     /** \return when to come back to a service of which no endpoint takes work. */
     duration time_to_room(time_point now) const;
+    void note_bars(time_point now);
     void open_connection();
     void send_request();
     void place_again();
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -117,11 +117,12 @@
     for (const traffic_service& service : state_.routing->config().services) {
         services[service.name] = {service.cold_time, service.cold_requests_per_s};
     }
-    state_.endpoints.cold().set_services(std::move(services));
+    state_.endpoints.allowance().cold().set_services(std::move(services));
 }
 
 void relay::note_refused(const std::string& endpoint) {
-    const bool is_news = state_.endpoints.cold().on_refused(endpoint, duration::zero(), monotonic_now());
+    const bool is_news =
+        state_.endpoints.allowance().cold().on_refused(endpoint, duration::zero(), monotonic_now());
     if (is_news && state_.on_refused) {
         state_.on_refused(endpoint);
     }
@@ -132,7 +133,7 @@
     if (said.requests_per_s) {
         state_.measured.count("answers_naming_a_limit");
     }
-    if (!state_.endpoints.limits().note(endpoint, said, said.heard_at)) {
+    if (!state_.endpoints.allowance().limits().note(endpoint, said, said.heard_at)) {
         return;
     }
     log_info("endpoint_rate_limit", {{"endpoint", endpoint.name},
@@ -145,14 +146,14 @@
 }
 
 void relay::note_back_off(const endpoint_record& endpoint, duration rest, const std::string& request) {
-    state_.endpoints.resting().note(endpoint, rest, monotonic_now());
+    state_.endpoints.allowance().resting().note(endpoint, rest, monotonic_now());
     state_.measured.count("endpoints_asking_for_rest");
     log_info("endpoint_back_off",
              {{"endpoint", endpoint.name}, {"rest_ms", to_ms(rest)}, {"request", request}});
 }
 
 void relay::take_limit_notices(const std::vector<limit_notice>& notices) {
-    rate_limits& limits = state_.endpoints.limits();
+    rate_limits& limits = state_.endpoints.allowance().limits();
     for (const std::string& endpoint : limits.merge(notices, monotonic_now())) {
         log_info("endpoint_rate_limit_heard",
                  {{"endpoint", endpoint},
--- a/test/cold_endpoints_test.cpp
+++ b/test/cold_endpoints_test.cpp
@@ -190,8 +190,8 @@
                     7,
                     "hall0",
                     {},
-                    cold_endpoints{"host0", {1.5, 5}}} {
-        directory.cold().set_services({{"pool", engine_start}});
+                    send_allowance{"host0", cold_endpoints{"host0", {1.5, 5}}}} {
+        directory.allowance().cold().set_services({{"pool", engine_start}});
     }
     std::optional<placement> choose(time_point now) {
         endpoint_wish wish;
@@ -207,11 +207,11 @@
     endpoint_record other = engine("f", 0);
     other.domain = "hall1";
     fixture.directory.update({engine("e", 0), other}, start);
-    fixture.directory.set_evacuated({{"hall0"}}, start);
+    fixture.directory.allowance().set_evacuated({{"hall0"}}, start);
     for (int i = 0; i < 20; ++i) {
         EXPECT_EQ(fixture.choose(start)->endpoint.name, "f");
     }
-    fixture.directory.set_evacuated({{"hall0", "hall1"}}, start);
+    fixture.directory.allowance().set_evacuated({{"hall0", "hall1"}}, start);
     EXPECT_FALSE(fixture.choose(start));
     EXPECT_FALSE(fixture.directory.could_serve("pool", start)); // So callers are told at once.
 }
@@ -221,11 +221,11 @@
 TEST(evacuation, a_domain_that_is_used_again_is_cold) {
     cold_directory_fixture fixture;
     fixture.directory.update({engine("e", 0)}, start);
-    fixture.directory.set_evacuated({{"hall0"}}, start);
-    fixture.directory.set_evacuated({}, start + seconds(6));
-    EXPECT_TRUE(fixture.directory.cold().is_cold("e", start + seconds(8)));
+    fixture.directory.allowance().set_evacuated({{"hall0"}}, start);
+    fixture.directory.allowance().set_evacuated({}, start + seconds(6));
+    EXPECT_TRUE(fixture.directory.allowance().cold().is_cold("e", start + seconds(8)));
     EXPECT_FALSE(fixture.choose(start + seconds(6)));
-    EXPECT_EQ(fixture.directory.room_expected_in("pool", start + seconds(7)), seconds(2));
+    EXPECT_EQ(fixture.directory.allowance().room_in("pool", start + seconds(7)), seconds(2));
     EXPECT_TRUE(fixture.choose(start + seconds(9)));
 }
 
--- a/test/endpoint_signals_test.cpp
+++ b/test/endpoint_signals_test.cpp
@@ -64,10 +64,11 @@
         host_status self;
         self.name = "h1";
         self.state = "serving";
-        relay_->state().endpoints.limits().set_hosts({{self}, true}, monotonic_now());
+        relay_->state().endpoints.allowance().limits().set_hosts({{self}, true}, monotonic_now());
     });
     EXPECT_LE(ask_often(30, milliseconds(30)), 20);
-    on_its_thread([&] { EXPECT_EQ(relay_->state().endpoints.limits().limit_of("e0"), std::nullopt); });
+    on_its_thread(
+        [&] { EXPECT_EQ(relay_->state().endpoints.allowance().limits().limit_of("e0"), std::nullopt); });
     EXPECT_EQ(ask_often(5, milliseconds(1)), 0);
 }
 
--- a/test/relay_test.cpp
+++ b/test/relay_test.cpp
@@ -268,8 +268,9 @@
         EXPECT_TRUE(has(ask(id), "served"));
     }
     EXPECT_LE(told, 1);
-    on_its_thread(
-        [&] { EXPECT_EQ(told == 1, relay_->state().endpoints.cold().is_cold("e0", monotonic_now())); });
+    on_its_thread([&] {
+        EXPECT_EQ(told == 1, relay_->state().endpoints.allowance().cold().is_cold("e0", monotonic_now()));
+    });
 }
 
 // All endpoints of a service stand in domains that are evacuated. Held for a place, callers would wait for
@@ -277,7 +278,7 @@
 TEST_F(relay_fixture, where_all_is_evacuated_callers_are_told_at_once) {
     scripted_endpoint endpoint({{answer_of("7", "served"), false, false}});
     begin(route(route_kind::non_idempotent, 1), {endpoint.address()});
-    on_its_thread([&] { relay_->state().endpoints.set_evacuated({{"d1"}}, monotonic_now()); });
+    on_its_thread([&] { relay_->state().endpoints.allowance().set_evacuated({{"d1"}}, monotonic_now()); });
     const time_point asked_at = monotonic_now();
     const std::string answer = ask("7");
     EXPECT_TRUE(has(answer, "HTTP/1.1 503"));
