An endpoint that says in its answers that it leaves gets nothing new

An engine may say that it leaves in its answers alone: its entry in the store goes on saying that it is ready, and requests went there until it ended, when they broke. Its word holds for its process until that is gone or another has its name, against entries that are older or back for a moment after an outage; it holds for this host (others hear it with their first answer).

--- a/src/placement/send_allowance.cpp
+++ b/src/placement/send_allowance.cpp
@@ -6,6 +6,7 @@
 
 const send_allowance::guard send_allowance::guards[] = {
     {send_bar::evacuated, &send_allowance::is_in_use},
+    {send_bar::leaving, &send_allowance::is_staying},
     {send_bar::back_off, &send_allowance::is_rested},
     {send_bar::rate_limited, &send_allowance::is_within_limit},
     {send_bar::cold, &send_allowance::is_warm_enough},
@@ -17,6 +18,8 @@
         return "none";
     case send_bar::evacuated:
         return "evacuated";
+    case send_bar::leaving:
+        return "leaving";
     case send_bar::back_off:
         return "back_off";
     case send_bar::rate_limited:
@@ -34,6 +37,7 @@
     cold_.update(endpoints, now);
     limits_.update(endpoints, now);
     back_offs_.update(endpoints, now);
+    leaving_.update(endpoints, now);
 }
 
 void send_allowance::set_hosts(const sponsor_view& view, time_point now) {
@@ -59,9 +63,10 @@
     return send_bar::none;
 }
 
-bool send_allowance::is_barred_since(const std::string& endpoint, time_point chosen_at) const {
-    return limits_.has_tightened_since(endpoint, chosen_at) ||
-           back_offs_.has_begun_since(endpoint, chosen_at);
+bool send_allowance::is_barred_since(const endpoint_record& endpoint, time_point chosen_at) const {
+    return limits_.has_tightened_since(endpoint.name, chosen_at) ||
+           back_offs_.has_begun_since(endpoint.name, chosen_at) ||
+           leaving_.has_begun_since(endpoint, chosen_at);
 }
 
 std::optional<duration> send_allowance::room_in(const std::string& service, time_point now) const {
@@ -83,6 +88,10 @@
     return !evacuated_.contains(endpoint.domain);
 }
 
+bool send_allowance::is_staying(const endpoint_record& endpoint, duration, time_point) const {
+    return !leaving_.is_leaving(endpoint);
+}
+
 bool send_allowance::is_rested(const endpoint_record& endpoint, duration patience, time_point now) const {
     return back_offs_.may_send_within(endpoint.name, patience, now);
 }
--- a/src/placement/send_allowance.h
+++ b/src/placement/send_allowance.h
@@ -11,6 +11,7 @@
 #include "membership/evacuation_set.h"
 #include "placement/back_offs.h"
 #include "placement/cold_endpoints.h"
+#include "placement/leaving_endpoints.h"
 #include "placement/rate_limits.h"
 
 namespace laurelhoist {
@@ -19,6 +20,7 @@
 enum class send_bar {
     none,
     evacuated,    ///< operators want nothing sent to its failure domain
+    leaving,      ///< it has said itself that it is leaving
     back_off,     ///< it has asked this host for rest
     rate_limited, ///< it names a limit, and this host's next turn has not come
     cold,         ///< it has just started, and this host's next turn has not come
@@ -42,7 +44,7 @@
     /** \return the first reason not to send to \p endpoint that lasts for longer than \p patience */
     send_bar bar(const endpoint_record& endpoint, duration patience, time_point now) const;
     /** \return whether something became known after \p chosen_at that forbids to send to \p endpoint. */
-    bool is_barred_since(const std::string& endpoint, time_point chosen_at) const;
+    bool is_barred_since(const endpoint_record& endpoint, time_point chosen_at) const;
     /** \return after what time an endpoint of \p service that is cold, limited or resting now may get a
      * request, or nothing if none is */
     std::optional<duration> room_in(const std::string& service, time_point now) const;
@@ -53,6 +55,7 @@
     rate_limits& limits() { return limits_; }
     const rate_limits& limits() const { return limits_; }
     back_offs& resting() { return back_offs_; }
+    leaving_endpoints& leaving() { return leaving_; }
 
 private:
     struct guard {
@@ -62,6 +65,7 @@
     static const guard guards[];
 
     bool is_in_use(const endpoint_record& endpoint, duration patience, time_point now) const;
+    bool is_staying(const endpoint_record& endpoint, duration patience, time_point now) const;
     bool is_rested(const endpoint_record& endpoint, duration patience, time_point now) const;
     bool is_within_limit(const endpoint_record& endpoint, duration patience, time_point now) const;
     bool is_warm_enough(const endpoint_record& endpoint, duration patience, time_point now) const;
@@ -69,6 +73,7 @@
     cold_endpoints cold_;
     rate_limits limits_;
     back_offs back_offs_;
+    leaving_endpoints leaving_;
     evacuation_set evacuated_;
 };
 
--- a/src/relay/exchange.cpp
+++ b/src/relay/exchange.cpp
@@ -338,7 +338,7 @@
         answer_quarantined();
         return;
     }
-    if (state_.endpoints.allowance().is_barred_since(attempt_.chosen.endpoint.name, attempt_.sent_at)) {
+    if (state_.endpoints.allowance().is_barred_since(attempt_.chosen.endpoint, attempt_.sent_at)) {
         place_again();
         return;
     }
--- a/src/relay/exchange_answers.cpp
+++ b/src/relay/exchange_answers.cpp
@@ -117,6 +117,9 @@
     attempt_.has_head = true;
     owner_.note_limit(attempt_.chosen.endpoint, {answer().rate_limit, attempt_.sent_at, monotonic_now()},
                       terms_.id);
+    if (answer().is_leaving) {
+        owner_.note_leaving(attempt_.chosen.endpoint, terms_.id);
+    }
     if (answer().back_off) {
         owner_.note_back_off(attempt_.chosen.endpoint, *answer().back_off, terms_.id);
     }
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -152,6 +152,13 @@
              {{"endpoint", endpoint.name}, {"rest_ms", to_ms(rest)}, {"request", request}});
 }
 
+void relay::note_leaving(const endpoint_record& endpoint, const std::string& request) {
+    if (state_.endpoints.allowance().leaving().note(endpoint, monotonic_now())) {
+        state_.measured.count("endpoints_saying_they_leave");
+        log_info("endpoint_leaving", {{"endpoint", endpoint.name}, {"request", request}});
+    }
+}
+
 void relay::take_limit_notices(const std::vector<limit_notice>& notices) {
     rate_limits& limits = state_.endpoints.allowance().limits();
     for (const std::string& endpoint : limits.merge(notices, monotonic_now())) {
--- a/src/relay/wire_dialect.h
+++ b/src/relay/wire_dialect.h
@@ -48,6 +48,7 @@
     std::optional<double> rate_limit{};
     /// For how long the endpoint wants nothing more from this host; nothing: it asks for no rest.
     std::optional<duration> back_off{};
+    bool is_leaving = false; ///< the endpoint says that it is about to end
 };
 
 /** Reads and writes the header fields of requests and answers. */
--- a/test/endpoint_signals_test.cpp
+++ b/test/endpoint_signals_test.cpp
@@ -86,6 +86,18 @@
     EXPECT_LE(resting.requests().size() - before, most_in_rest);
 }
 
+// Guards against an endpoint that says in its answers that it leaves, while its entry in the store goes on
+// saying that it is ready.
+TEST_F(endpoint_signals, an_endpoint_that_says_it_leaves_gets_nothing_new) {
+    scripted_endpoint leaving(answers(50, "Leaving: 1\r\n"));
+    scripted_endpoint staying(answers(50));
+    begin(route(route_kind::idempotent, 2), {leaving.address(), staying.address()});
+    ask_often(20, milliseconds(5));
+    on_its_thread([&] { relay_->set_endpoints(records_); });
+    EXPECT_EQ(ask_often(20, milliseconds(5)), 0);
+    EXPECT_EQ(leaving.requests().size(), 1U);
+}
+
 // Guards against callers who are told to come back while the only endpoint still rests, or held until it has.
 TEST_F(endpoint_signals, callers_are_told_when_the_rest_is_over) {
     const scripted_answer refusal{
--- a/test/platform_test.cpp
+++ b/test/platform_test.cpp
@@ -275,6 +275,15 @@
     }
 }
 
+TEST(header_dialect, an_answer_says_that_its_endpoint_leaves) {
+    for (const char* value : {"1", "0", "", "yes"}) {
+        header_list headers;
+        headers.add("Server-Leaving", value);
+        EXPECT_EQ(header_dialect().read_answer(200, headers).is_leaving, std::string(value) == "1") << value;
+    }
+    EXPECT_FALSE(header_dialect().read_answer(200, {}).is_leaving);
+}
+
 /** \return the back-off in ms that an answer with \p status and these values of Retry-After asks for; -1:
  * none */
 double back_off_in(int status, const std::vector<std::string>& values) {
--- a/test/relay_fixture.h
+++ b/test/relay_fixture.h
@@ -51,6 +51,7 @@
         terms.is_not_run = headers.find("Not-Run") != nullptr || terms.is_misdirected;
         terms.has_receipt = headers.find("Receipt") != nullptr;
         terms.request_id = headers.value_or_empty("Id");
+        terms.is_leaving = headers.value_or_empty("Leaving") == "1";
         terms.back_off = retry_after_in(headers);
         terms.rate_limit = parse_decimal(headers.value_or_empty("Limit"));
         if (const std::string* confidence = headers.find("Confidence")) {
--- a/test/soak/platform_soak.py
+++ b/test/soak/platform_soak.py
@@ -115,6 +115,7 @@
         self.check_deadly()
         self.check_limits()
         self.check_rests()
+        self.check_said_leaving()
         await self.stop()
         return self.broken
 
@@ -328,6 +329,19 @@
                 self.fail("an endpoint gets the rest that it asks for", f"{item['endpoint']}: {len(during)} from {entry.name}")
                 return
 
+    def check_said_leaving(self):
+        told = {}
+        for run in sorted((run for run in self.runs if run["says_leaving"]), key=lambda run: run["at"]):
+            if run["id"] not in self.sent_at:
+                continue
+            sent, _, _, entry = self.sent_at[run["id"]]
+            told_at = told.get((run["endpoint"], entry))
+            is_bound = self.checks_time_bounds and told_at is not None and told_at > entry.disturbed_at + QUIET_S
+            if is_bound and sent > told_at + LEAVING_S:
+                self.fail("an endpoint that says it leaves gets nothing new", f"{run['id']} {sent - told_at:.2f} s later")
+            if told_at is None and run["answered_at"] is not None:
+                told[run["endpoint"], entry] = run["answered_at"]
+
     def check_leaving(self, run):
         since = run["leaving_since"]
         if since is None or run["id"] not in self.sent_at:
@@ -361,10 +375,12 @@
         endpoint.fault = ""
 
     async def limit_endpoints(self):
-        """One endpoint of each service names a limit."""
+        """One endpoint of each service names a limit, and one engine says in its answers that it leaves."""
         await asyncio.sleep(0.5)
         for service in ("claims", "pool"):
             endpoint = next(item for item in self.endpoints.values() if item.service == service)
+            leaving = [item for item in self.endpoints.values() if item.service == service][1]
+            leaving.says_leaving_since = time.monotonic() if service == "pool" else None
             endpoint.limit, endpoint.limited_since = self.random.choice([0.5, 1.7, 4]), time.monotonic()
 
     async def rest_endpoints(self, deadline):
--- a/test/soak/standins.py
+++ b/test/soak/standins.py
@@ -163,6 +163,7 @@
         self.turned_away = turned_away
         self.fault, self.leaving_since = "", None
         self.limit = self.limited_since = None  # requests a second named in each answer
+        self.says_leaving_since = None  # its entry in the store goes on saying that it is ready
         self.rest = None  # seconds of rest that it asks for, turning everything away
         self.on_deadly = None  # called when a request comes that no endpoint survives
 
@@ -180,7 +181,8 @@
                 raise ConnectionResetError
             run = {"id": request_id, "at": now, "endpoint": self.name, "headers": headers,
                    "leaving_since": self.leaving_since, "fault": self.fault, "limit": self.limit,
-                   "limited_since": self.limited_since, "answered_at": None}
+                   "limited_since": self.limited_since, "answered_at": None,
+                   "says_leaving": self.says_leaving_since is not None}
             if self.rest is not None:
                 self.turned_away.append({"id": request_id, "at": now, "rest": self.rest, "endpoint": self.name})
                 writer.write(answer(503, b"", [("X-Request-Id", request_id), ("X-Not-Executed", "1"),
@@ -198,7 +200,8 @@
             run["answered_at"] = time.monotonic()
 
     def statements(self):
-        return [] if self.limit is None else [("Server-Limit", self.limit)]
+        said = [] if self.limit is None else [("Server-Limit", self.limit)]
+        return said if self.says_leaving_since is None else [*said, ("Server-Leaving", "1")]
 
     async def answer_plain(self, writer, request_id, body):
         await asyncio.sleep(self.random.uniform(0.005, 0.05))
