What an endpoint says of itself is one value, taken in one place

The relay took a limit, a rest and a farewell with three calls, and the product's own entry, which does not know the relay's headers, would have needed them a second time. endpoint_statement goes from the answer to send_allowance::note as a whole; decimals and Retry-After are read in transport, for both interfaces. An endpoint table takes a filter for a single choice, as it does for a list, and a limit can be shared over a known number of hosts.

--- a/src/placement/rate_limits.cpp
+++ b/src/placement/rate_limits.cpp
@@ -103,6 +103,16 @@
     }
 }
 
+std::size_t rate_limits::parts_for_this_host(const endpoint_record& endpoint, double limit) const {
+    const auto sharers = sharers_.find(endpoint.pool);
+    if (sharers != sharers_.end()) {
+        return std::max<std::size_t>(1, sharers->second);
+    }
+    const std::vector<std::string> sponsors = sponsors_of(endpoint, view_.hosts, wanted_sponsors(limit));
+    const bool is_sponsor = std::find(sponsors.begin(), sponsors.end(), host_) != sponsors.end();
+    return is_sponsor ? sponsors.size() : 0;
+}
+
 void rate_limits::assign(belief& held, const endpoint_record& endpoint, time_point now) const {
     held.is_assigned = true;
     if (!held.said.requests_per_s || !view_.knows_others) {
@@ -110,12 +120,12 @@
         return;
     }
     const double limit = *held.said.requests_per_s;
-    const std::vector<std::string> sponsors = sponsors_of(endpoint, view_.hosts, wanted_sponsors(limit));
-    if (std::find(sponsors.begin(), sponsors.end(), host_) == sponsors.end()) {
+    const std::size_t parts = parts_for_this_host(endpoint, limit);
+    if (parts == 0) {
         held.own.reset();
         return;
     }
-    const double share = effective_rate(limit) / static_cast<double>(sponsors.size());
+    const double share = effective_rate(limit) / static_cast<double>(parts);
     const auto spacing = std::chrono::duration_cast<duration>(std::chrono::duration<double>(1.0 / share));
     if (!held.own) {
         // Another host may have sent its part until now, and new sponsors must not begin in step.
--- a/src/placement/rate_limits.h
+++ b/src/placement/rate_limits.h
@@ -53,6 +53,11 @@
     /** Takes the live hosts; to be called a few times a second. */
     void set_hosts(const sponsor_view& view, time_point now);
 
+    /** Sets by how many hosts the endpoints of \p pool are used, where each uses only some endpoints and does
+     * not know which ones others use: then each of them is a sponsor. Until the next call of \ref set_hosts
+     * nothing changes. */
+    void set_sharers(const std::string& pool, std::size_t sharers) { sharers_[pool] = sharers; }
+
     /** Takes what an answer of \p endpoint says. \return whether a limit other than before holds now */
     bool note(const endpoint_record& endpoint, const limit_statement& said, time_point now);
     /** Takes what another host has heard. In any order and any number of copies the result is the same.
@@ -90,6 +95,8 @@
     };
 
     bool take(std::uint32_t process, const limit_statement& said, time_point now);
+    /** \return into how many parts the limit is shared, of which this host sends one; 0: it sends none */
+    std::size_t parts_for_this_host(const endpoint_record& endpoint, double limit) const;
     void assign(belief& held, const endpoint_record& endpoint, time_point now) const;
     const endpoint_record* find_listed(std::uint32_t process) const;
     const belief* find_limited(const std::string& endpoint) const;
@@ -101,6 +108,7 @@
     std::map<std::string, std::uint32_t> processes_;  ///< of the listed endpoints, by name
     std::map<std::uint32_t, std::size_t> by_process_; ///< index in \ref listed_
     std::map<std::uint32_t, belief> beliefs_;         ///< by process, also of such as are not listed yet
+    std::map<std::string, std::size_t> sharers_;      ///< by pool
     std::uint32_t last_told_ = 0;                     ///< process, by \ref next_known
 };
 
--- a/src/placement/send_allowance.cpp
+++ b/src/placement/send_allowance.cpp
@@ -84,6 +84,18 @@
     limits_.on_sent(endpoint, now);
 }
 
+statement_news send_allowance::note(const endpoint_record& endpoint, const endpoint_statement& said,
+                                    time_point sent_at, time_point now) {
+    statement_news news;
+    news.is_new_limit = limits_.note(endpoint, {said.rate_limit, sent_at, now}, now);
+    news.is_farewell = said.is_leaving && leaving_.note(endpoint, now);
+    news.is_rest = said.back_off.has_value();
+    if (news.is_rest) {
+        back_offs_.note(endpoint, *said.back_off, now);
+    }
+    return news;
+}
+
 bool send_allowance::is_in_use(const endpoint_record& endpoint, duration, time_point) const {
     return !evacuated_.contains(endpoint.domain);
 }
--- a/src/placement/send_allowance.h
+++ b/src/placement/send_allowance.h
@@ -16,6 +16,22 @@
 
 namespace laurelhoist {
 
+/** What an endpoint says of itself with one answer. */
+struct endpoint_statement {
+    /// Requests a second that it takes from all hosts together; nothing: it names no limit.
+    std::optional<double> rate_limit{};
+    /// For how long it wants nothing more from this host; nothing: it asks for no rest.
+    std::optional<duration> back_off{};
+    bool is_leaving = false; ///< it is about to end
+};
+
+/** What a statement has changed here. */
+struct statement_news {
+    bool is_new_limit = false; ///< another limit holds, or none any more
+    bool is_rest = false;
+    bool is_farewell = false;
+};
+
 /** Why an endpoint gets no request of this host now. */
 enum class send_bar {
     none,
@@ -49,13 +65,14 @@
      * request, or nothing if none is */
     std::optional<duration> room_in(const std::string& service, time_point now) const;
     void on_sent(const std::string& endpoint, time_point now);
+    /** Takes what \p endpoint says in its answer to a request that was sent at \p sent_at. */
+    statement_news note(const endpoint_record& endpoint, const endpoint_statement& said, time_point sent_at,
+                        time_point now);
 
     cold_endpoints& cold() { return cold_; }
     const cold_endpoints& cold() const { return cold_; }
     rate_limits& limits() { return limits_; }
     const rate_limits& limits() const { return limits_; }
-    back_offs& resting() { return back_offs_; }
-    leaving_endpoints& leaving() { return leaving_; }
 
 private:
     struct guard {
--- a/src/relay/exchange.cpp
+++ b/src/relay/exchange.cpp
@@ -424,7 +424,7 @@
 void exchange::end_attempt(attempt_end end) {
     may_have_run_ = may_have_run_ || !proves_not_run(end);
     // What an endpoint asks for is no failure: counted as one it would be left out for longer than it asks.
-    const bool asks_for_rest = end == attempt_end::refused && answer().back_off;
+    const bool asks_for_rest = end == attempt_end::refused && answer().says.back_off;
     settle_attempt(asks_for_rest ? call_result::cancelled : to_call_result(end), evidence_of(end));
     release_connection(end == attempt_end::refused || end == attempt_end::failed ||
                        end == attempt_end::misdirected);
@@ -567,7 +567,7 @@
     // Only where the endpoint may have ended: that is when one has to know whether it is the same request
     // again.
     const std::string known_by = end == attempt_end::broken ? to_text(digest()) : std::string{};
-    const duration rest = answer_ ? answer_->back_off.value_or(duration::zero()) : duration::zero();
+    const duration rest = answer_ ? answer_->says.back_off.value_or(duration::zero()) : duration::zero();
     log_info("attempt_ended", {{"request", terms_.id},
                                {"digest", known_by},
                                {"events", events_of_attempt()},
--- a/src/relay/exchange_answers.cpp
+++ b/src/relay/exchange_answers.cpp
@@ -115,14 +115,7 @@
         return; // A misdirected answer is another endpoint's.
     }
     attempt_.has_head = true;
-    owner_.note_limit(attempt_.chosen.endpoint, {answer().rate_limit, attempt_.sent_at, monotonic_now()},
-                      terms_.id);
-    if (answer().is_leaving) {
-        owner_.note_leaving(attempt_.chosen.endpoint, terms_.id);
-    }
-    if (answer().back_off) {
-        owner_.note_back_off(attempt_.chosen.endpoint, *answer().back_off, terms_.id);
-    }
+    owner_.note_statement(attempt_.chosen.endpoint, answer().says, attempt_.sent_at, terms_.id);
 }
 
 void exchange::note_first_byte() {
--- a/src/relay/http_codec.h
+++ b/src/relay/http_codec.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "base/base.h"
+#include "transport/retry_after.h"
 
 #include <memory>
 #include <optional>
@@ -38,15 +39,9 @@
 bool is_same_name(std::string_view left, std::string_view right);
 /** \return the number that \p text begins with, or nothing if it is not a plain decimal number. */
 std::optional<std::int64_t> parse_number(std::string_view text);
-/** \return \p text as a number with or without a fraction, or nothing if it is none, negative or infinite. */
-std::optional<double> parse_decimal(std::string_view text);
-
-/** \return how long after \p headers were written a client should come back, as their Retry-After says:
- * seconds, with or without a fraction, or a date, which counts from their own Date. The longest of several.
- * Nothing if it says none, no time at all, or what cannot be read; at most \ref longest_retry_after. */
+/** \return when a client should come back, as Retry-After says, the longest of several: \see
+ * parse_retry_after */
 std::optional<duration> retry_after_in(const header_list& headers);
-/// More is a mistake, and would keep an endpoint out for good.
-constexpr duration longest_retry_after = std::chrono::hours(1);
 
 /** A caller's request, read whole. */
 struct caller_request {
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -128,35 +128,31 @@
     }
 }
 
-void relay::note_limit(const endpoint_record& endpoint, const limit_statement& said,
-                       const std::string& request) {
-    if (said.requests_per_s) {
+void relay::note_statement(const endpoint_record& endpoint, const endpoint_statement& said,
+                           time_point sent_at, const std::string& request) {
+    const time_point now = monotonic_now();
+    const statement_news news = state_.endpoints.allowance().note(endpoint, said, sent_at, now);
+    if (said.rate_limit) {
         state_.measured.count("answers_naming_a_limit");
     }
-    if (!state_.endpoints.allowance().limits().note(endpoint, said, said.heard_at)) {
-        return;
-    }
-    log_info("endpoint_rate_limit", {{"endpoint", endpoint.name},
-                                     {"requests_per_s", said.requests_per_s.value_or(logged_no_limit)},
-                                     {"request", request},
-                                     {"asked_ms_ago", to_ms(said.heard_at - said.sent_at)}});
-    if (state_.on_limit_news) {
-        state_.on_limit_news();
+    if (news.is_rest) {
+        state_.measured.count("endpoints_asking_for_rest");
+        log_info("endpoint_back_off",
+                 {{"endpoint", endpoint.name}, {"rest_ms", to_ms(*said.back_off)}, {"request", request}});
     }
-}
-
-void relay::note_back_off(const endpoint_record& endpoint, duration rest, const std::string& request) {
-    state_.endpoints.allowance().resting().note(endpoint, rest, monotonic_now());
-    state_.measured.count("endpoints_asking_for_rest");
-    log_info("endpoint_back_off",
-             {{"endpoint", endpoint.name}, {"rest_ms", to_ms(rest)}, {"request", request}});
-}
-
-void relay::note_leaving(const endpoint_record& endpoint, const std::string& request) {
-    if (state_.endpoints.allowance().leaving().note(endpoint, monotonic_now())) {
+    if (news.is_farewell) {
         state_.measured.count("endpoints_saying_they_leave");
         log_info("endpoint_leaving", {{"endpoint", endpoint.name}, {"request", request}});
     }
+    if (news.is_new_limit) {
+        log_info("endpoint_rate_limit", {{"endpoint", endpoint.name},
+                                         {"requests_per_s", said.rate_limit.value_or(logged_no_limit)},
+                                         {"request", request},
+                                         {"asked_ms_ago", to_ms(now - sent_at)}});
+        if (state_.on_limit_news) {
+            state_.on_limit_news();
+        }
+    }
 }
 
 void relay::take_limit_notices(const std::vector<limit_notice>& notices) {
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -128,12 +128,9 @@
     void set_slots(std::size_t hosts);
     void set_cold_services();
     void note_refused(const std::string& endpoint);
-    /** Takes what the answer to \p request says of the limit of \p endpoint. */
-    void note_limit(const endpoint_record& endpoint, const limit_statement& said, const std::string& request);
-    /** \p endpoint says in its answer to \p request that it is leaving. */
-    void note_leaving(const endpoint_record& endpoint, const std::string& request);
-    /** \p endpoint, which turned \p request away, wants nothing for \p rest. */
-    void note_back_off(const endpoint_record& endpoint, duration rest, const std::string& request);
+    /** Takes what \p endpoint says of itself in its answer to \p request. */
+    void note_statement(const endpoint_record& endpoint, const endpoint_statement& said, time_point sent_at,
+                        const std::string& request);
     void on_ended_under(const std::vector<suspected_end>& suspects);
     void note_answered(request_digest digest);
     void on_quarantine_changed();
--- a/src/relay/wire_dialect.h
+++ b/src/relay/wire_dialect.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "placement/placement.h"
 #include "relay/http_codec.h"
 
 namespace laurelhoist {
@@ -44,11 +45,7 @@
     bool has_receipt = false;
     std::string request_id;
     std::optional<int> confidence; ///< the model's own opinion of its answer, 0 to 100
-    /// Requests a second that the endpoint takes from all hosts together; nothing: it names no limit.
-    std::optional<double> rate_limit{};
-    /// For how long the endpoint wants nothing more from this host; nothing: it asks for no rest.
-    std::optional<duration> back_off{};
-    bool is_leaving = false; ///< the endpoint says that it is about to end
+    endpoint_statement says;       ///< of the endpoint itself
 };
 
 /** Reads and writes the header fields of requests and answers. */
--- a/src/routing/endpoint_table.cpp
+++ b/src/routing/endpoint_table.cpp
@@ -240,10 +240,11 @@
 
 } // namespace
 
-std::optional<endpoint_record> endpoint_table::choose(const endpoint_wish& wish, time_point now) {
+std::optional<endpoint_record> endpoint_table::choose(const endpoint_wish& wish, time_point now,
+                                                      const endpoint_filter& may_be_used) {
     std::vector<endpoint_state*> eligible;
     for (auto& [name, endpoint] : endpoints_) {
-        if (is_eligible(endpoint, wish, now)) {
+        if (is_eligible(endpoint, wish, now) && (!may_be_used || may_be_used(endpoint.record))) {
             eligible.push_back(&endpoint);
         }
     }
--- a/src/routing/endpoint_table.h
+++ b/src/routing/endpoint_table.h
@@ -61,7 +61,8 @@
     void mark_leaving(const std::string& name, time_point now);
 
     /** \return the endpoint to call, or nothing if every one is full or out. */
-    std::optional<endpoint_record> choose(const endpoint_wish& wish, time_point now);
+    std::optional<endpoint_record> choose(const endpoint_wish& wish, time_point now,
+                                          const endpoint_filter& may_be_used = nullptr);
     /** \return the endpoints that may be called for \p wish now; empty if every one is full or out.
      * \param may_be_used leaves out others before a share of them is taken; null: none */
     std::vector<endpoint_record> eligible(const endpoint_wish& wish, time_point now,
--- a/src/transport/transport.h
+++ b/src/transport/transport.h
@@ -9,3 +9,4 @@
 #include "transport/http_client.h"
 #include "transport/http_server.h"
 #include "transport/link.h"
+#include "transport/retry_after.h"
--- a/test/platform_test.cpp
+++ b/test/platform_test.cpp
@@ -263,7 +263,7 @@
     for (const std::string& value : values) {
         headers.add("Server-Limit", value);
     }
-    return header_dialect().read_answer(200, headers).rate_limit;
+    return header_dialect().read_answer(200, headers).says.rate_limit;
 }
 
 TEST(header_dialect, a_rate_limit_is_a_decimal_number_and_the_strictest_binds) {
@@ -279,9 +279,10 @@
     for (const char* value : {"1", "0", "", "yes"}) {
         header_list headers;
         headers.add("Server-Leaving", value);
-        EXPECT_EQ(header_dialect().read_answer(200, headers).is_leaving, std::string(value) == "1") << value;
+        EXPECT_EQ(header_dialect().read_answer(200, headers).says.is_leaving, std::string(value) == "1")
+            << value;
     }
-    EXPECT_FALSE(header_dialect().read_answer(200, {}).is_leaving);
+    EXPECT_FALSE(header_dialect().read_answer(200, {}).says.is_leaving);
 }
 
 /** \return the back-off in ms that an answer with \p status and these values of Retry-After asks for; -1:
@@ -292,7 +293,7 @@
     for (const std::string& value : values) {
         headers.add("Retry-After", value);
     }
-    const std::optional<duration> back_off = header_dialect().read_answer(status, headers).back_off;
+    const std::optional<duration> back_off = header_dialect().read_answer(status, headers).says.back_off;
     return back_off ? to_ms(*back_off) : -1;
 }
 
