The product's own entry keeps to the rate limit that an engine names

The same cause elsewhere: entries of the own interface read no limit either. They use the same decision (send_allowance) with the limit shared evenly over the entries that use an engine: the stewards share engines out, so an entry knows how many use one and not who.

--- a/src/node/entry_control.cpp
+++ b/src/node/entry_control.cpp
@@ -224,11 +224,13 @@
         }
     }
     endpoints_.update(endpoints, now_);
+    allowance_.update(endpoints, now_);
     for (const std::string& name : message.leaving) {
         endpoints_.mark_leaving(name, now_);
     }
     sharers_ = message.sharers;
     share_slots();
+    assign_limits();
 }
 
 void entry_core::share_slots() {
--- a/src/node/entry_core.cpp
+++ b/src/node/entry_core.cpp
@@ -18,6 +18,8 @@
 constexpr duration no_endpoint_patience = milliseconds(500);
 constexpr duration no_capacity_patience = seconds(2);
 constexpr duration not_fresh_patience = seconds(1);
+/// A request may wait for an endpoint whose limit or rest lets it take another one within this time.
+constexpr duration allowance_patience = milliseconds(500);
 constexpr int retry_soon_ms = 500;
 constexpr double step_up_time_share = 1.2; ///< of the next step's expected time must be left
 
@@ -71,6 +73,7 @@
       base_view_{std::make_shared<fleet_view>()},
       view_{base_view_},
       endpoints_{charts.endpoint, seed + 1, policies.endpoint},
+      allowance_{settings_.name, cold_endpoints{settings_.name, {}}},
       quarantine_{settings_.name} {
     quarantine_.set_hosts({settings_.name}, true);
 }
@@ -232,7 +235,7 @@
     const model_entry* model = is_service ? nullptr : view_->model(lane);
     any.pool =
         is_service ? lane.substr(std::string("service:").size()) : (model == nullptr ? "" : model->pool);
-    if (!endpoints_.choose(any, now_)) {
+    if (!endpoints_.choose(any, now_, allowed_within(duration::zero()))) {
         return false;
     }
     const std::optional<std::string> id =
@@ -256,9 +259,9 @@
         return true;
     }
     endpoint_wish wish = wish_for(request);
-    std::optional<endpoint_record> endpoint = endpoints_.choose(wish, now_);
+    std::optional<endpoint_record> endpoint = endpoints_.choose(wish, now_, allowed_within(duration::zero()));
     if (!endpoint) {
-        endpoint = endpoints_.choose(any, now_);
+        endpoint = endpoints_.choose(any, now_, allowed_within(duration::zero()));
     }
     request.endpoint = *endpoint;
     fire(*id, "slot");
@@ -394,6 +397,7 @@
     request_by_call_[call.call_id] = request.id;
     ++team_in_flight_[request.team.name];
     endpoints_.on_call_started(endpoint.name, wish_for(request), now_);
+    allowance_.on_sent(endpoint.name, now_);
     numbers_.count("dispatches");
     numbers_.time("queue_wait", now_ - request.queued_since);
     port_.call_endpoint(call);
@@ -442,6 +446,7 @@
     context& request = requests_.at(id);
     const std::string endpoint = request.endpoint.name;
     endpoints_.on_report(endpoint, answer.report, now);
+    note_statement(request, answer.says);
     call_result result = answer.result;
     const bool is_answer = result == call_result::answered;
     const bool is_own = answer.request_id == request.id || is_disabled("own_answer");
@@ -663,13 +668,15 @@
         return;
     }
     const std::string version = request.is_service() ? "" : request.version();
-    if (waited < no_endpoint_patience || endpoints_.could_serve(request.pool, version, now_)) {
+    if (waited < no_endpoint_patience ||
+        endpoints_.could_serve(request.pool, version, now_, allowed_within(allowance_patience))) {
         return;
     }
     for (std::size_t step = 1; step < request.ladder.size() && !request.is_service(); ++step) {
         const std::size_t tier = (request.tier + step) % request.ladder.size();
         const model_entry* model = view_->model(request.ladder[tier]);
-        if (model != nullptr && endpoints_.could_serve(model->pool, request.ladder[tier], now_)) {
+        if (model != nullptr && endpoints_.could_serve(model->pool, request.ladder[tier], now_,
+                                                       allowed_within(allowance_patience))) {
             numbers_.count("ways_around_empty_pools");
             take_from_lane(request);
             request.tier = tier;
@@ -680,7 +687,7 @@
     }
     if (waited >= no_capacity_patience) {
         request.refusal = error{error_kind::no_capacity, "no endpoint of pool \"" + request.pool + "\" is up",
-                                ran_state::no, retry_soon_ms};
+                                ran_state::no, std::max(retry_soon_ms, retry_after_ms(request))};
         fire(request.id, "refused");
     }
 }
--- a/src/node/entry_core.h
+++ b/src/node/entry_core.h
@@ -121,6 +121,13 @@
     void dispatch(context& request);
     void ask_rating(context& request);
     void retry(context& request);
+    /** Whether an endpoint may get a request of this entry within \p patience, by what it says of itself. */
+    endpoint_filter allowed_within(duration patience) const;
+    void note_statement(const context& request, const endpoint_statement& said);
+    void assign_limits();
+    /** \return after what time an endpoint of the request's pool that is barred now may get it; 0: not known
+     */
+    int retry_after_ms(const context& request) const;
     static request_digest quarantine_key(const context& request);
     std::optional<error> check_quarantine(const context& request) const;
     void note_broken_call(const context& request, const endpoint_answer& answer);
@@ -237,6 +244,7 @@
     time_point last_ask_;
 
     endpoint_table endpoints_;
+    send_allowance allowance_;
     std::map<std::string, fair_queue> lanes_;
     std::map<std::string, int> team_in_flight_;
     std::map<std::string, int> team_queued_;
--- a/src/node/entry_port.h
+++ b/src/node/entry_port.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "node/messages.h"
+#include "placement/placement.h"
 #include "routing/routing.h"
 
 namespace laurelhoist {
@@ -67,6 +68,7 @@
     std::string text;
     std::int64_t tokens = 0;
     load_report report;
+    endpoint_statement says;
 };
 
 /** What a caller gets, whole. */
--- a/src/programs/laurel_entry.cpp
+++ b/src/programs/laurel_entry.cpp
@@ -486,6 +486,12 @@
     return report;
 }
 
+endpoint_statement statement_of(const http_answer& answer) {
+    endpoint_statement said;
+    said.rate_limit = parse_decimal(answer.header("x-rate-limit"));
+    return said;
+}
+
 void entry_program::on_engine_answer(const endpoint_call& call, const http_answer& answer) {
     calls_.erase(call.call_id);
     endpoint_answer arrived;
@@ -496,6 +502,7 @@
     arrived.version_missing = !answer.header("x-version-missing").empty();
     arrived.is_silent = answer.what == http_answer::result::silent;
     const bool is_not_run = !answer.header("x-not-run").empty();
+    arrived.says = statement_of(answer);
     const bool is_service = call.version.empty();
     const bool is_whole_answer = answer.what == http_answer::result::answered;
     const bool is_leaving = is_not_run && !answer.header("x-leaving").empty();
--- a/src/simulation/fake_endpoint.cpp
+++ b/src/simulation/fake_endpoint.cpp
@@ -32,6 +32,7 @@
         to.on_answer(refusal(call_result::refused_not_run));
         return;
     }
+    arrivals.push_back(clock_.now());
     if (is_leaving) {
         to.on_answer(refusal(call_result::leaving));
         return;
@@ -179,6 +180,7 @@
     answer.request_id = work->call.request_id;
     answer.status = 200;
     answer.report = report();
+    answer.says = says;
     std::string marker = work->call.body.value("marker", "");
     if (mixes_answers && random_.chance(0.3)) {
         answer.request_id = "req-of-another";
--- a/src/simulation/fake_endpoint.h
+++ b/src/simulation/fake_endpoint.h
@@ -47,6 +47,8 @@
     std::string deadly_marker; ///< of requests that end this endpoint when it begins to run them; empty: none
     bool is_silent = false;    ///< takes calls and gives no answer
     bool is_leaving = false;   ///< refuses new work, saying so
+    endpoint_statement says;   ///< with each answer; of one that asks for rest, each is a refusal
+    std::vector<time_point> arrivals; ///< of calls
     bool names_wrong_version = false;
     bool mixes_answers = false; ///< gives some calls the answer of another
     double slow_factor = 1.0;
--- a/test/node_test.cpp
+++ b/test/node_test.cpp
@@ -548,6 +548,41 @@
     EXPECT_LE(ended, 3) << "three ends under one request tell enough";
 }
 
+/** Asks entry after entry, one question each 50 ms, for \p time. */
+void ask_all_the_time(world& simulated, int entries, duration time) {
+    constexpr duration pause = milliseconds(50);
+    for (int asked = 0; asked * pause < time; ++asked) {
+        simulated.ask(static_cast<std::size_t>(asked % entries), question());
+        simulated.run_for(pause);
+    }
+}
+
+std::size_t arrivals_since(const fake_endpoint& endpoint, time_point since) {
+    return static_cast<std::size_t>(std::count_if(endpoint.arrivals.begin(), endpoint.arrivals.end(),
+                                                  [since](time_point at) { return at >= since; }));
+}
+
+fake_endpoint& an_engine(world& simulated) {
+    return **std::find_if(simulated.endpoints.begin(), simulated.endpoints.end(),
+                          [](const auto& endpoint) { return endpoint->record.pool == "engines"; });
+}
+
+// Guards against entries that go on sending to an engine which has named a rate limit for all of them.
+TEST_F(failure, an_engine_gets_no_more_than_the_rate_limit_that_it_names) {
+    constexpr std::size_t most_in_4_s = 17; // 1.5 times what 2 a second allow, and 5.
+    world_options options = quiet_options();
+    options.engines = 3;
+    world simulated{options};
+    simulated.start();
+    fake_endpoint& limited = an_engine(simulated);
+    limited.says.rate_limit = 2.0;
+    ask_all_the_time(simulated, options.entries, seconds(4));
+    const time_point since = simulated.clock.now();
+    ask_all_the_time(simulated, options.entries, seconds(4));
+    EXPECT_LE(arrivals_since(limited, since), most_in_4_s);
+    EXPECT_GE(arrivals_since(limited, since), 1U) << "or nobody hears that it is over";
+}
+
 TEST_F(failure, a_stranger_and_a_forbidden_service_run_nothing) {
     world simulated{quiet_options()};
     simulated.start();
