The product's own entry gives an engine the rest that it asks for

The rest binds the entry that was refused and is no failure of the engine; a farewell is told to the stewards, as one in a refusal was. Test in virtual time, with the guard off: 47 requests in the rest where 2 are allowed; with it at most 2. The farewell's test passes with the guard off too, since the stewards' word comes back within the 3 s that it leaves.

--- a/src/node/entry_core.cpp
+++ b/src/node/entry_core.cpp
@@ -477,7 +477,9 @@
     if (result == call_result::failed) {
         note_broken_call(request, answer);
     }
-    end_call(request, result);
+    // What an endpoint asks for is no failure of it.
+    const bool asks_for_rest = result == call_result::refused_not_run && answer.says.back_off;
+    end_call(request, asks_for_rest ? call_result::cancelled : result);
     if (is_certain_not_run || answer.version_missing) {
         // "Not run" may be said to the caller only if no earlier call of this request can have run.
         request.may_have_run = request.earlier_may_have_run;
--- a/src/programs/laurel_entry.cpp
+++ b/src/programs/laurel_entry.cpp
@@ -487,8 +487,14 @@
 }
 
 endpoint_statement statement_of(const http_answer& answer) {
+    constexpr int status_too_many = 429;
+    constexpr int status_unavailable = 503;
     endpoint_statement said;
     said.rate_limit = parse_decimal(answer.header("x-rate-limit"));
+    said.is_leaving = !answer.header("x-leaving").empty();
+    if (answer.status == status_unavailable || answer.status == status_too_many) {
+        said.back_off = parse_retry_after(answer.header("retry-after"), answer.header("date"));
+    }
     return said;
 }
 
--- a/src/simulation/fake_endpoint.cpp
+++ b/src/simulation/fake_endpoint.cpp
@@ -33,6 +33,12 @@
         return;
     }
     arrivals.push_back(clock_.now());
+    if (says.back_off) {
+        endpoint_answer resting = refusal(call_result::refused_not_run);
+        resting.says = says;
+        to.on_answer(resting);
+        return;
+    }
     if (is_leaving) {
         to.on_answer(refusal(call_result::leaving));
         return;
--- a/test/node_test.cpp
+++ b/test/node_test.cpp
@@ -583,6 +583,38 @@
     EXPECT_GE(arrivals_since(limited, since), 1U) << "or nobody hears that it is over";
 }
 
+// Guards against an entry that goes on sending to an engine which has asked it for rest.
+TEST_F(failure, an_engine_that_asks_for_rest_gets_it) {
+    constexpr std::size_t most_in_rest = 2;
+    world_options options = quiet_options();
+    options.engines = 3;
+    world simulated{options};
+    simulated.start();
+    fake_endpoint& resting = an_engine(simulated);
+    resting.says.back_off = seconds(3);
+    while (resting.arrivals.empty()) {
+        ask_all_the_time(simulated, 1, milliseconds(50));
+    }
+    const time_point asked_at = resting.arrivals.front();
+    ask_all_the_time(simulated, 1, milliseconds(2800));
+    EXPECT_LE(arrivals_since(resting, asked_at + milliseconds(500)), most_in_rest);
+}
+
+// Guards against an entry that goes on sending to an engine which says in its answers that it leaves.
+TEST_F(failure, an_engine_that_says_it_leaves_gets_nothing_new) {
+    world_options options = quiet_options();
+    options.engines = 3;
+    world simulated{options};
+    simulated.start();
+    fake_endpoint& leaving = an_engine(simulated);
+    leaving.says.is_leaving = true;
+    ask_all_the_time(simulated, 1, seconds(3));
+    const time_point since = simulated.clock.now();
+    ask_all_the_time(simulated, 1, seconds(3));
+    EXPECT_EQ(arrivals_since(leaving, since), 0U);
+    EXPECT_GE(leaving.arrivals.size(), 1U);
+}
+
 TEST_F(failure, a_stranger_and_a_forbidden_service_run_nothing) {
     world simulated{quiet_options()};
     simulated.start();
