A rest outlasts an entry that lapses for a moment; parts of a limit follow the number of sharers

Found by reading the diff: an endpoint whose entry lapsed in an outage and came back lost the rest that it had asked for, a rest asked for by the process before could lengthen that of a new one, and entries of the own interface kept their part of a limit when the number of entries changed. Tests for the first and the last; both were written with the change, the first fails without it by construction of update().

--- a/src/placement/back_offs.cpp
+++ b/src/placement/back_offs.cpp
@@ -10,20 +10,21 @@
     if (rests_.empty()) {
         return;
     }
-    std::map<std::string, rest> kept;
     for (const endpoint_record& endpoint : endpoints) {
         const auto found = rests_.find(endpoint.name);
-        const bool is_resting = found != rests_.end() && now < found->second.until;
-        if (is_resting && !is_restart_of(endpoint, found->second.endpoint)) {
-            kept.insert(*found);
+        if (found != rests_.end() && is_restart_of(endpoint, found->second.endpoint)) {
+            rests_.erase(found);
         }
     }
-    rests_ = std::move(kept);
+    for (auto item = rests_.begin(); item != rests_.end();) {
+        item = now < item->second.until ? std::next(item) : rests_.erase(item);
+    }
 }
 
 void back_offs::note(const endpoint_record& endpoint, duration rest_time, time_point now) {
     rest& held = rests_[endpoint.name];
-    held = {endpoint, now, std::max(held.until, now + rest_time)};
+    const time_point before = is_restart_of(endpoint, held.endpoint) ? now : held.until;
+    held = {endpoint, now, std::max(before, now + rest_time)};
 }
 
 const back_offs::rest* back_offs::find(const std::string& endpoint) const {
--- a/src/placement/back_offs.h
+++ b/src/placement/back_offs.h
@@ -21,7 +21,7 @@
 class back_offs {
 public:
     /** Takes the endpoints as the store lists them; a new process under a known name has asked for nothing.
-     */
+     * One that is missing may be back before its rest is over. */
     void update(const std::vector<endpoint_record>& endpoints, time_point now);
     /** \p endpoint wants nothing for \p rest from \p now on. A later request extends an earlier one and never
      * shortens it; nothing that comes meanwhile lifts it. */
--- a/src/placement/rate_limits.cpp
+++ b/src/placement/rate_limits.cpp
@@ -85,6 +85,16 @@
     }
 }
 
+void rate_limits::set_sharers(const std::string& pool, std::size_t sharers) {
+    if (sharers_[pool] == sharers) {
+        return;
+    }
+    sharers_[pool] = sharers;
+    for (auto& [process, held] : beliefs_) {
+        held.is_assigned = false;
+    }
+}
+
 void rate_limits::set_hosts(const sponsor_view& view, time_point now) {
     const auto is_same_host = [](const host_status& l, const host_status& r) {
         return l.name == r.name && l.state == r.state && l.domain == r.domain;
--- a/src/placement/rate_limits.h
+++ b/src/placement/rate_limits.h
@@ -54,9 +54,9 @@
     void set_hosts(const sponsor_view& view, time_point now);
 
     /** Sets by how many hosts the endpoints of \p pool are used, where each uses only some endpoints and does
-     * not know which ones others use: then each of them is a sponsor. Until the next call of \ref set_hosts
-     * nothing changes. */
-    void set_sharers(const std::string& pool, std::size_t sharers) { sharers_[pool] = sharers; }
+     * not know which ones others use: then each of them is a sponsor. In force with the next \ref set_hosts.
+     */
+    void set_sharers(const std::string& pool, std::size_t sharers);
 
     /** Takes what an answer of \p endpoint says. \return whether a limit other than before holds now */
     bool note(const endpoint_record& endpoint, const limit_statement& said, time_point now);
--- a/test/back_offs_test.cpp
+++ b/test/back_offs_test.cpp
@@ -41,6 +41,15 @@
     EXPECT_EQ(held.room_in("pool", start + seconds(1)), std::nullopt);
 }
 
+// Guards against an entry that lapses in an outage of the store and is back before the rest is over.
+TEST(back_offs, an_endpoint_that_is_back_in_the_list_still_rests) {
+    back_offs held;
+    held.note(engine(), seconds(3), start);
+    held.update({}, start + seconds(1));
+    held.update({engine()}, start + seconds(2));
+    EXPECT_FALSE(held.may_send_within("e", duration::zero(), start + seconds(2)));
+}
+
 // Guards against a request that is sent although the refusal came while its connection was made.
 TEST(back_offs, what_was_chosen_before_the_refusal_is_known_by_its_time) {
     back_offs held;
--- a/test/rate_limits_test.cpp
+++ b/test/rate_limits_test.cpp
@@ -104,6 +104,28 @@
     RC_ASSERT(limits.may_send_within("e", seconds(5), start));
 }
 
+// Guards against a part of the limit that stays as it was when more hosts come to use the endpoint.
+TEST(rate_limits, a_known_number_of_sharers_take_even_parts) {
+    rate_limits limits = knowing("host0");
+    const auto sent_in_20_s = [&limits](time_point since) {
+        int sent = 0;
+        for (time_point now = since; now < since + seconds(20); now += milliseconds(50)) {
+            if (limits.may_send_within("e", duration::zero(), now)) {
+                limits.on_sent("e", now);
+                ++sent;
+            }
+        }
+        return sent;
+    };
+    limits.set_sharers("pool", 1);
+    limits.set_hosts({{}, true}, start);
+    hear(limits, said(4.0, milliseconds(0)));
+    EXPECT_NEAR(sent_in_20_s(start), 80, 4);
+    limits.set_sharers("pool", 4);
+    limits.set_hosts({{}, true}, start + seconds(20));
+    EXPECT_NEAR(sent_in_20_s(start + seconds(20)), 20, 2);
+}
+
 /** Hosts before one endpoint that names a limit with each answer. Work waits at every host all the time. */
 class limited_fleet {
 public:
