A crash notice without ends evicts no quarantine record

Cause: merge() made room for a record before it looked whether the notice had any effect. Found by reading; the test was not shown to fail first.

--- a/src/recovery/crash_quarantine.cpp
+++ b/src/recovery/crash_quarantine.cpp
@@ -197,8 +197,17 @@
     entry.is_pending = true;
 }
 
+bool crash_quarantine::has_use(const crash_notice& notice) const {
+    const bool is_clearing = notice.cleared_age_ms >= 0;
+    return !notice.ends.empty() || records_.count(notice.digest) > 0 ||
+           (is_clearing && records_.size() < max_records);
+}
+
 void crash_quarantine::merge(const std::vector<crash_notice>& notices, time_point now) {
     for (const crash_notice& notice : notices) {
+        if (!has_use(notice)) {
+            continue;
+        }
         record& entry = find_or_add(notice.digest, now);
         const int before = entry.counted_ends;
         bool has_changed =
--- a/src/recovery/crash_quarantine.h
+++ b/src/recovery/crash_quarantine.h
@@ -123,6 +123,9 @@
     static time_point trial_due(const record& entry);
     static crash_notice to_notice(request_digest digest, const record& entry, time_point now);
     bool is_trial_host(request_digest digest) const;
+    /** \return whether \p notice is worth a record. One that reports no end must not evict the record of
+     * another request. */
+    bool has_use(const crash_notice& notice) const;
     record& find_or_add(request_digest digest, time_point now);
     static bool add_end(record& entry, const endpoint_end& end);
     static bool clear_before(record& entry, time_point cleared_at);
--- a/test/recovery_test.cpp
+++ b/test/recovery_test.cpp
@@ -168,6 +168,20 @@
     EXPECT_LE(quarantine.take_pending(at_ms(6000)).for_trackers.size(), most);
 }
 
+// Guards against the eviction of a quarantined request by a notice that reports no end.
+TEST(crash_quarantine, a_notice_without_ends_evicts_no_record) {
+    constexpr std::uint32_t most = 512;
+    crash_quarantine quarantine("h1");
+    for (std::uint32_t i = 0; i < most; ++i) {
+        quarantine.on_end(1000 + i, end_of(i, 0, 100), at_ms(100));
+    }
+    constexpr std::int64_t not_cleared = -1;
+    quarantine.merge({{5000, {}, not_cleared}, {5001, {}, 0}}, at_ms(200));
+    for (std::uint32_t i = 0; i < most; ++i) {
+        EXPECT_EQ(quarantine.ends_of(1000 + i), 1) << i;
+    }
+}
+
 // Guards against records that stay for ever, and against a quarantine that expires as early as a single end.
 TEST(crash_quarantine, records_expire) {
     crash_quarantine quarantine("h1");
