Roll-outs: counts that arrive out of order never fall; one field for the cutover; all sessions are sent

Causes: sent_in_rollout took the last message's value, in whatever order messages arrived; it now rises within one order, which the count names. A release that lost its endpoints kept the time of its cutover, so that "completed" could follow; the time is now the only field. Updates of sessions began at the first key each time, so that with over forty sessions in flight the later ones were never sent. Trial shares come from counts of the whole fleet where a host holds a part of the endpoints.

Found by reading; the tests were not shown to fail first.

--- a/src/rollout/release_rollout.cpp
+++ b/src/rollout/release_rollout.cpp
@@ -72,6 +72,18 @@
     return hypotheses_for(default_good_share, established, plan);
 }
 
+int count_other_releases(const std::map<std::string, std::map<std::string, int>>& by_service,
+                         const std::string& service, const std::string& release) {
+    const auto found = by_service.find(service);
+    int count = 0;
+    if (found != by_service.end()) {
+        for (const auto& [name, endpoints] : found->second) {
+            count += name == release ? 0 : endpoints;
+        }
+    }
+    return count;
+}
+
 } // namespace
 
 const char* to_string(rollout_state state) {
@@ -111,6 +123,7 @@
         for (auto& [key, counts] : own_) {
             if (key.service == order.service) {
                 counts.sent_in_rollout = 0;
+                counts.target = order.release;
             }
         }
         log_info("rollout_seen", {{"service", order.service},
@@ -126,7 +139,7 @@
 
 bool rollout_tracker::awaits_completion() const {
     return std::any_of(rollouts_.begin(), rollouts_.end(), [](const auto& item) {
-        return is_open(item.second) && item.second.has_moved && !item.second.is_braked;
+        return is_open(item.second) && item.second.has_moved() && !item.second.is_braked;
     });
 }
 
@@ -146,20 +159,19 @@
 
 int rollout_tracker::endpoints_of_other_releases(const std::string& service,
                                                  const std::string& release) const {
-    const auto found = endpoints_.find(service);
-    int count = 0;
-    if (found != endpoints_.end()) {
-        for (const auto& [name, endpoints] : found->second) {
-            count += name == release ? 0 : endpoints;
-        }
-    }
-    return count;
+    return count_other_releases(endpoints_, service, release);
+}
+
+int rollout_tracker::fleet_endpoints_of_other_releases(const std::string& service,
+                                                       const std::string& release) const {
+    const auto& counts = fleet_endpoints_.count(service) > 0 ? fleet_endpoints_ : endpoints_;
+    return count_other_releases(counts, service, release);
 }
 
 // The share is at most the load of one old endpoint: it shows how the release behaves under the usual load
 // and exposes few requests.
 double rollout_tracker::new_trial_share(const rollout_order& order) const {
-    const int old_endpoints = std::max(1, endpoints_of_other_releases(order.service, order.release));
+    const int old_endpoints = std::max(1, fleet_endpoints_of_other_releases(order.service, order.release));
     return std::min(
         {1.0 / old_endpoints, trial_exposure_fraction * settings_.exposure_share, max_trial_share});
 }
@@ -173,7 +185,7 @@
 bool rollout_tracker::is_for_new_release(const rollout_record& rollout, const routed_request& request,
                                          time_point now) const {
     const std::string& subject = request.session.empty() ? request.id : request.session;
-    if (rollout.has_moved) {
+    if (rollout.has_moved()) {
         return true;
     }
     if (!rollout.is_on_trial || request.is_retry || hash_fraction(subject) >= rollout.trial_share) {
@@ -207,7 +219,7 @@
     if (!has_new || !is_for_new_release(rollout, request, now)) {
         return {"", release};
     }
-    return {release, "", rollout.has_moved ? 1.0 : rollout.trial_share};
+    return {release, "", rollout.has_moved() ? 1.0 : rollout.trial_share};
 }
 
 void rollout_tracker::on_started(const release_route& key, const std::string& session, time_point now) {
@@ -218,6 +230,7 @@
     ++counts.sent_in_rollout;
     attempts_in_flight_[key].insert(now);
     const auto found = rollouts_.find(key.service);
+    counts.target = found == rollouts_.end() ? std::string{} : found->second.order.release;
     const bool is_old = found == rollouts_.end() || found->second.order.release != key.release;
     if (is_old && is_in_trial_group(key.service, session)) {
         sessions_.on_started(key.service, placement_hash(session), now);
@@ -332,21 +345,33 @@
     std::vector<rollout_gossip> gossip;
     for (const auto& [service, rollout] : rollouts_) {
         const auto age = std::chrono::duration_cast<milliseconds>(now - rollout.since).count();
-        gossip.push_back(
-            {service, rollout.order.release, age, rollout.is_braked, rollout.trial_share, rollout.has_moved});
+        gossip.push_back({service, rollout.order.release, age, rollout.is_braked, rollout.trial_share,
+                          rollout.has_moved()});
     }
     return gossip;
 }
 
+// Every count rises while its order is in force, so a lower one comes from a message that was overtaken. The
+// attempts under an earlier order do not replace those under the current one.
+void rollout_tracker::merge_counts(release_counts& held, const release_counts& seen) const {
+    const auto rollout = rollouts_.find(seen.service);
+    const bool is_held_current = rollout != rollouts_.end() && held.target == rollout->second.order.release;
+    release_counts merged = seen;
+    merged.good = std::max(held.good, seen.good);
+    merged.bad = std::max(held.bad, seen.bad);
+    if (held.target == seen.target) {
+        merged.sent_in_rollout = std::max(held.sent_in_rollout, seen.sent_in_rollout);
+    } else if (is_held_current) {
+        merged.sent_in_rollout = held.sent_in_rollout;
+        merged.target = held.target;
+    }
+    held = merged;
+}
+
 void rollout_tracker::merge(const std::string& host, const std::vector<release_counts>& counts,
                             const std::vector<rollout_gossip>& gossip, time_point now) {
     for (const release_counts& seen : counts) {
-        release_counts& held = by_host_[host][{seen.service, seen.release, seen.route}];
-        const std::int64_t good = std::max(held.good, seen.good);
-        const std::int64_t bad = std::max(held.bad, seen.bad);
-        held = seen;
-        held.good = good;
-        held.bad = bad;
+        merge_counts(by_host_[host][{seen.service, seen.release, seen.route}], seen);
     }
     for (const rollout_gossip& item : gossip) {
         const auto found = rollouts_.find(item.service);
@@ -467,12 +492,18 @@
 rollout_tracker::sent_totals rollout_tracker::sent_in(const rollout_record& rollout) const {
     sent_totals sent;
     for_each_count(rollout.order.service, [&](const release_route& key, const release_counts& counts) {
-        sent.all += counts.sent_in_rollout;
-        sent.to_new_release += key.release == rollout.order.release ? counts.sent_in_rollout : 0;
+        const std::int64_t attempts = counts.target == rollout.order.release ? counts.sent_in_rollout : 0;
+        sent.all += attempts;
+        sent.to_new_release += key.release == rollout.order.release ? attempts : 0;
     });
     return sent;
 }
 
+std::int64_t rollout_tracker::requests_sent(const std::string& service) const {
+    const auto found = rollouts_.find(service);
+    return found == rollouts_.end() ? 0 : sent_in(found->second).all;
+}
+
 void rollout_tracker::measure_rate(rollout_record& rollout, time_point now) const {
     const duration since = now - rollout.counted_at;
     if (since < rate_window) {
@@ -486,10 +517,9 @@
 }
 
 void rollout_tracker::cut_over(rollout_record& rollout, time_point now) const {
-    if (rollout.has_moved) {
+    if (rollout.has_moved()) {
         return;
     }
-    rollout.has_moved = true;
     rollout.cut_over_at = now;
     rollout.totals_at_cutover = total_of(rollout, "", true);
     log_info("rollout_moves", {{"service", rollout.order.service},
@@ -501,7 +531,7 @@
     const int new_endpoints = endpoints_of(rollout.order.service, rollout.order.release);
     const duration age = now - rollout.since;
     if (new_endpoints == 0) {
-        rollout.has_moved = false;
+        rollout.cut_over_at.reset();
         rollout.is_on_trial = false;
         return;
     }
--- a/src/rollout/release_rollout.h
+++ b/src/rollout/release_rollout.h
@@ -60,9 +60,10 @@
     std::string route;
     std::int64_t good = 0;
     std::int64_t bad = 0;             ///< failed, or took several times as long as the old release
-    std::int64_t sent_in_rollout = 0; ///< attempts since the host first saw the current order
+    std::int64_t sent_in_rollout = 0; ///< attempts since the host first saw the order for \ref target
+    std::string target{};             ///< release that the order named which was in force at the last attempt
 };
-LAUREL_VALUE_TYPE(release_counts, service, release, route, good, bad, sent_in_rollout)
+LAUREL_VALUE_TYPE(release_counts, service, release, route, good, bad, sent_in_rollout, target)
 
 /** What the outcome of one attempt shows about the release that served it. */
 enum class release_evidence { none, good, bad };
@@ -130,8 +131,13 @@
     /** Replaces the orders by those in the store.
      * \param max_order_age how long an order that is new to this host may already have been in the store */
     void set_orders(const std::vector<rollout_order>& orders, time_point now, duration max_order_age = {});
-    /** Sets how many endpoints of \p service run each release. */
+    /** Sets how many endpoints of \p service that this host may use run each release. */
     void set_endpoint_counts(const std::string& service, const std::map<std::string, int>& by_release);
+    /** Sets how many endpoints of \p service in the whole fleet run each release, for hosts that use only a
+     * part of them. All hosts derive the same trial share from these. */
+    void set_fleet_counts(const std::string& service, const std::map<std::string, int>& by_release) {
+        fleet_endpoints_[service] = by_release;
+    }
 
     /** \return the releases that may serve \p request. */
     release_choice choose(const std::string& service, const routed_request& request, time_point now) const;
@@ -162,6 +168,9 @@
     void merge(const std::string& host, const std::vector<release_counts>& counts,
                const std::vector<rollout_gossip>& gossip, time_point now);
 
+    /** \return the requests that all known hosts have sent to \p service since the current order; 0 without
+     * one. */
+    std::int64_t requests_sent(const std::string& service) const;
     /** Evaluates the evidence and moves the roll-outs on; to be called a few times a second.
      * \return the reports that are due; each is returned until the order's state in the store shows it */
     std::vector<rollout_report> advance(time_point now);
@@ -175,15 +184,17 @@
         rollout_order order;
         time_point since;   ///< when the order was first seen by a host, or may have been written
         time_point seen_at; ///< when this host first saw the order
-        std::optional<time_point> cut_over_at; ///< time of the cutover
-        totals totals_at_cutover;              ///< answers of the new release before the cutover
-        double trial_share = 0;                ///< share of the requests that use the release on trial
-        bool is_on_trial = false;              ///< set once the hosts have exchanged their recent sessions
+        /// Time of the cutover, since which this host sends all requests to the new release. Nothing before
+        /// it, and once the release has no endpoint left.
+        std::optional<time_point> cut_over_at;
+        totals totals_at_cutover;     ///< answers of the new release before the cutover
+        double trial_share = 0;       ///< share of the requests that use the release on trial
+        bool is_on_trial = false;     ///< set once the hosts have exchanged their recent sessions
         std::int64_t sent_before = 0; ///< requests of the service that were sent until \ref counted_at
         time_point counted_at;        ///< start of the current rate window
         double recent_per_ms = 0;     ///< request rate of the service over the last rate window
-        bool has_moved = false;       ///< this host has cut over: all requests go to the new release
         bool is_braked = false;
+        bool has_moved() const { return cut_over_at.has_value(); }
         std::map<std::string, totals> included; ///< by route: the answers that the evidence already includes
         std::map<std::string, double> evidence; ///< by route: log likelihood ratio of bad to good, at least 0
     };
@@ -212,6 +223,8 @@
         std::int64_t to_new_release = 0; ///< those of them that went to the new release
     };
     sent_totals sent_in(const rollout_record& rollout) const;
+    /** Merges the counts \p seen of another host into \p held. Messages may overtake one another. */
+    void merge_counts(release_counts& held, const release_counts& seen) const;
     void measure_rate(rollout_record& rollout, time_point now) const;
     void update_evidence(rollout_record& rollout);
     bool is_suspicious(const rollout_record& rollout) const;
@@ -224,6 +237,7 @@
     std::optional<rollout_state> due_state(const rollout_record& rollout, time_point now) const;
     int endpoints_of(const std::string& service, const std::string& release) const;
     int endpoints_of_other_releases(const std::string& service, const std::string& release) const;
+    int fleet_endpoints_of_other_releases(const std::string& service, const std::string& release) const;
 
     rollout_settings settings_;
     bool has_all_counts_ = true;
@@ -232,6 +246,7 @@
     std::map<release_route, release_counts> own_;
     std::map<std::string, std::map<release_route, release_counts>> by_host_;
     std::map<std::string, std::map<std::string, int>> endpoints_;
+    std::map<std::string, std::map<std::string, int>> fleet_endpoints_; ///< \ref set_fleet_counts
     bool is_slow(const release_route& key, const response_timing& timing);
 
     std::map<release_route, std::multiset<time_point>>
--- a/src/rollout/session_memory.cpp
+++ b/src/rollout/session_memory.cpp
@@ -44,16 +44,23 @@
            (found->second.in_flight > 0 || now - found->second.at < lifetime_ + expiry_margin);
 }
 
+// Continues behind the last key of the previous call. If each call began at the first key, sessions with a
+// later key would never be sent while forty with earlier keys have a request in flight.
 std::vector<session_use> session_memory::take_updates(time_point now) {
     std::vector<session_use> updates;
-    for (auto& [name, entry] : uses_) {
-        if (!entry.is_unsent || updates.size() == max_updates_per_message) {
+    auto item = uses_.upper_bound(last_sent_);
+    for (std::size_t visited = 0; visited < uses_.size() && updates.size() < max_updates_per_message;
+         ++visited, ++item) {
+        item = item == uses_.end() ? uses_.begin() : item;
+        auto& [name, entry] = *item;
+        if (!entry.is_unsent) {
             continue;
         }
         const duration age = entry.in_flight > 0 ? duration::zero() : now - entry.at;
         updates.push_back({name.first, name.second, std::chrono::duration_cast<milliseconds>(age).count()});
         // While a request is in flight its end is not known, so its session is sent again each time.
         entry.is_unsent = entry.in_flight > 0;
+        last_sent_ = name;
     }
     return updates;
 }
--- a/src/rollout/session_memory.h
+++ b/src/rollout/session_memory.h
@@ -55,6 +55,7 @@
 
     duration lifetime_;
     std::map<key, last_use> uses_;
+    key last_sent_; ///< last key that \ref take_updates returned
 };
 
 } // namespace laurelhoist
--- a/test/rollout_test.cpp
+++ b/test/rollout_test.cpp
@@ -403,6 +403,56 @@
     EXPECT_EQ(rollout.advance(seconds(2)), rollout_state::rolled_back);
 }
 
+// Guards against a cutover on too few known requests: a count message that was overtaken must not lower the
+// number of requests sent, in whatever order the messages of two roll-outs arrive.
+RC_GTEST_PROP(release_rollout, counts_that_arrive_out_of_order_never_fall,
+              (const std::vector<std::uint8_t>& order)) {
+    const auto message = [](std::int64_t sent, const std::string& target) {
+        return std::vector<release_counts>{{"pool", "v2", "drafts", 0, 0, sent, target}};
+    };
+    const std::vector<std::vector<release_counts>> sent = {message(700, "v1"), message(10, "v2"),
+                                                           message(20, "v2"), message(30, "v2")};
+    rollout_fixture rollout;
+    for (const std::uint8_t which : order) {
+        rollout.tracker.merge("h2/1", sent[which % sent.size()], {}, rollout.start);
+    }
+    rollout.tracker.merge("h2/1", sent.back(), {}, rollout.start);
+    rollout.tracker.merge("h2/1", sent[1], {}, rollout.start);
+    rollout.tracker.merge("h2/1", sent.front(), {}, rollout.start);
+    RC_ASSERT(rollout.tracker.requests_sent("pool") == 30);
+}
+
+// Guards against "completed" for a release whose endpoints were emptied after the cutover: the old endpoints
+// would stop although no host sends to the new ones.
+TEST(release_rollout, a_release_that_lost_its_endpoints_is_not_complete) {
+    rollout_fixture rollout;
+    rollout.record("v1", 1000, 0);
+    rollout.advance(seconds(1));
+    rollout.record("v2", 40, 0);
+    rollout.advance(milliseconds(22'000));
+    ASSERT_EQ(rollout.share_of_sessions(seconds(22)), 1.0);
+    rollout.tracker.set_endpoint_counts("pool", {{"v1", 10}});
+    rollout.advance(milliseconds(22'500));
+    EXPECT_NE(rollout.advance(milliseconds(23'550)), rollout_state::completed);
+}
+
+// Guards against sessions that the other hosts never hear of: with over forty sessions in flight, each
+// message would carry the same first forty.
+TEST(session_memory, all_sessions_are_sent_in_turn) {
+    session_memory sessions(seconds(5));
+    constexpr std::uint64_t count = 100;
+    for (std::uint64_t session = 0; session < count; ++session) {
+        sessions.on_started("pool", session, time_point{});
+    }
+    std::set<std::uint64_t> sent;
+    for (int message = 0; message < 3; ++message) {
+        for (const session_use& use : sessions.take_updates(time_point{} + seconds(1))) {
+            sent.insert(use.session);
+        }
+    }
+    EXPECT_EQ(sent.size(), count);
+}
+
 // The old release fails one request in seven. A new release that is no worse must not be braked for it.
 TEST(release_rollout, a_release_no_worse_than_the_old_one_is_not_braked) {
     rollout_fixture rollout;
