--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -12,9 +12,11 @@
 namespace {
 
 /// Interval at which the time limits of all requests are checked. One timer for all of them saves the
-/// wake-ups of a timer for each request.
+/// wake-ups of a timer for each request. It runs only while there are requests: on a large fleet a host has
+/// none for most of the time.
 constexpr duration tick_interval = milliseconds(50);
-constexpr std::uint64_t ticks_between_sweeps = 5; ///< sweeps check connections, probes and the quarantine
+constexpr duration sweep_interval =
+    milliseconds(250); ///< sweeps check connections, probes and the quarantine
 /// Number of requests that an endpoint is assumed to run at once if its service has no engine profile. Up to
 /// this number, a host's concurrency limit follows the endpoint's answers.
 constexpr int default_slots = 6;
@@ -35,7 +37,7 @@
         log_info("request_unreadable", {{"status", status}});
     };
     caller_events_.on_closed = [this](const auto& caller) { callers_.erase(caller); };
-    loop.every(tick_interval, [this] { on_tick(); });
+    loop.every(sweep_interval, [this] { sweep(); });
 }
 
 relay::~relay() = default;
@@ -73,6 +75,7 @@
 void relay::on_request(const std::shared_ptr<caller_connection>& caller, caller_request request) {
     auto created = std::make_shared<exchange>(*this, caller, std::move(request));
     active_.insert(created);
+    start_ticking();
     created->start();
 }
 
@@ -87,18 +90,34 @@
     }
 }
 
+void relay::start_ticking() {
+    if (is_ticking_) {
+        return;
+    }
+    is_ticking_ = true;
+    state_.loop.after(tick_interval, [this] {
+        is_ticking_ = false;
+        on_tick();
+    });
+}
+
 void relay::on_tick() {
     const time_point now = monotonic_now();
     for_each_active([now](exchange& each) { each.on_tick(now); });
-    if (++ticks_ % ticks_between_sweeps == 0) {
-        const std::vector<std::shared_ptr<caller_connection>> callers(callers_.begin(), callers_.end());
-        for (const auto& caller : callers) {
-            caller->check_timeouts(now);
-        }
-        state_.pool.expire(now);
-        state_.quarantine.forget_old(now);
-        end_confirmation_.expire(now);
+    if (!active_.empty()) {
+        start_ticking();
+    }
+}
+
+void relay::sweep() {
+    const time_point now = monotonic_now();
+    const std::vector<std::shared_ptr<caller_connection>> callers(callers_.begin(), callers_.end());
+    for (const auto& caller : callers) {
+        caller->check_timeouts(now);
     }
+    state_.pool.expire(now);
+    state_.quarantine.forget_old(now);
+    end_confirmation_.expire(now);
 }
 
 void relay::set_routing(routing_snapshot routing, std::size_t hosts) {
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -127,7 +127,9 @@
     /** Calls \p visit with each exchange that is still in progress when its turn comes. */
     template <class Visit>
     void for_each_active(const Visit& visit);
+    void start_ticking();
     void on_tick();
+    void sweep();
     void set_slots(std::size_t hosts);
     void set_cold_services();
     void report_connection_refused(const std::string& endpoint);
@@ -145,7 +147,7 @@
     std::unique_ptr<boost::asio::ip::tcp::acceptor> acceptor_;
     std::unordered_set<std::shared_ptr<caller_connection>> callers_;
     std::set<std::shared_ptr<exchange>> active_;
-    std::uint64_t ticks_ = 0;
+    bool is_ticking_ = false; ///< the next tick is scheduled
 };
 
 } // namespace laurelhoist
