Keep the division of the part held when a copy of another division is not taken

Cause, found in the read-through: a copy that is not newer was dropped, but its division was kept, so that the next request named that division and received only what had changed since. No test: the host library has no fixture for an entry host yet.

--- a/src/host/entry_host.h
+++ b/src/host/entry_host.h
@@ -146,6 +146,7 @@
     void gossip_round();
     gossip_message make_gossip_message(time_point now, gossip_scope scope = gossip_scope::all);
     void send_to_all(const peer_message& message);
+    std::vector<host_status> own_domain_hosts(time_point now) const;
     void handle(const std::string& from, const forwarded_message& message);
     void handle(const std::string& from, const copy_notice& notice);
     void check_freshness();
@@ -201,7 +202,7 @@
     host_gossip gossip_;
     endpoint_roster roster_;
     endpoint_division division_;          ///< of the list of endpoints
-    std::size_t hosts_before_ = 0;        ///< live hosts when their number last grew significantly
+    std::size_t hosts_at_growth_ = 0;     ///< live hosts when their number last grew significantly
     time_point view_grew_at_;             ///< when that was
     time_point list_fetched_at_;          ///< when a copy of the list of endpoints was last requested
     std::int64_t departure_revision_ = 0; ///< \ref copy_notice::departure_revision
--- a/src/host/entry_host_copies.cpp
+++ b/src/host/entry_host_copies.cpp
@@ -100,9 +100,9 @@
     constexpr double significant_growth = 1.1;
     const std::size_t hosts = gossip_.live(now).size();
     if (is_large_fleet(now) &&
-        static_cast<double>(hosts) > significant_growth * static_cast<double>(hosts_before_)) {
+        static_cast<double>(hosts) > significant_growth * static_cast<double>(hosts_at_growth_)) {
         view_grew_at_ = now;
-        hosts_before_ = hosts;
+        hosts_at_growth_ = hosts;
     }
 }
 
@@ -327,6 +327,7 @@
     // that forwards it, and no endpoint would ever be dropped.
     const duration grace = milliseconds(static_cast<std::int64_t>(copy.grace_ms)) - max_propagation_time;
     roster_.keep_lapsed_until(monotonic_now() + grace);
+    const endpoint_division earlier_division = division_;
     if (&watch == &endpoint_watch_ && !copy.division.empty()) {
         division_.set_groups(copy.division);
         fleet_releases_ = copy.releases;
@@ -336,6 +337,8 @@
     const bool is_taken = watch.take_copy(std::move(objects), copy.revision, extent);
     if (&watch == &endpoint_watch_ && is_taken) {
         departure_revision_ = copy.departure_revision; // A part does not show the departures from the others.
+    } else if (&watch == &endpoint_watch_) {
+        division_ = earlier_division; // The next copy would otherwise lack what the new division adds.
     }
     if (is_taken) {
         log_info("peer_copy_taken", {{"kind", kind}, {"revision", copy.revision}});
--- a/src/host/entry_host_peers.cpp
+++ b/src/host/entry_host_peers.cpp
@@ -215,6 +215,14 @@
     }
 }
 
+std::vector<host_status> entry_host::own_domain_hosts(time_point now) const {
+    const std::vector<host_status>& live = gossip_.live(now);
+    std::vector<host_status> hosts;
+    std::copy_if(live.begin(), live.end(), std::back_inserter(hosts),
+                 [this](const host_status& host) { return host.domain == settings_.failure_domain; });
+    return hosts;
+}
+
 // In a large domain a host knows only the first hosts of each other domain. Two of them pass the message on
 // to their domain, so that the loss of one message or host does not keep it from a whole domain.
 void entry_host::send_to_all(const peer_message& message) {
@@ -225,10 +233,7 @@
         send_to_others(live, bytes);
         return;
     }
-    std::vector<host_status> own_domain;
-    std::copy_if(live.begin(), live.end(), std::back_inserter(own_domain),
-                 [this](const host_status& host) { return host.domain == settings_.failure_domain; });
-    send_to_others(own_domain, bytes);
+    send_to_others(own_domain_hosts(now), bytes);
     std::vector<host_status> relays = select_relays(live);
     relays.erase(
         std::remove_if(relays.begin(), relays.end(),
@@ -243,11 +248,7 @@
         return; // A message is passed on once, so that it cannot circulate between domains.
     }
     std::visit([&](const auto& typed) { handle(from, typed); }, *inner);
-    std::vector<host_status> own_domain;
-    const std::vector<host_status>& live = gossip_.live(monotonic_now());
-    std::copy_if(live.begin(), live.end(), std::back_inserter(own_domain),
-                 [this](const host_status& host) { return host.domain == settings_.failure_domain; });
-    send_to_others(own_domain, message.bytes);
+    send_to_others(own_domain_hosts(monotonic_now()), message.bytes);
 }
 
 void entry_host::on_refused(const std::string& endpoint) {
