--- a/src/host/entry_host.h
+++ b/src/host/entry_host.h
@@ -146,7 +146,8 @@
     void gossip_round();
     gossip_message make_gossip_message(time_point now, gossip_scope scope = gossip_scope::all);
     void send_to_all(const peer_message& message);
-    std::vector<host_status> own_domain_hosts(time_point now) const;
+    bool is_in_own_domain(const host_status& host) const;
+    void send_to_own_domain(const std::string& bytes, time_point now);
     void handle(const std::string& from, const forwarded_message& message);
     void handle(const std::string& from, const copy_notice& notice);
     void check_freshness();
@@ -206,6 +207,7 @@
     time_point view_grew_at_;             ///< when that was
     time_point list_fetched_at_;          ///< when a copy of the list of endpoints was last requested
     std::int64_t departure_revision_ = 0; ///< \ref copy_notice::departure_revision
+    bool is_list_holder_ = false;         ///< \ref is_whole_list_holder, renewed with the reading mode
     std::size_t failed_holders_ = 0;      ///< consecutive failures to fetch from a holder
     endpoints_by_release fleet_releases_; ///< live endpoints of the whole list
     std::map<std::string, decoded_endpoint> decoded_endpoints_; ///< by name
--- a/src/host/entry_host_copies.cpp
+++ b/src/host/entry_host_copies.cpp
@@ -109,6 +109,8 @@
 void entry_host::update_reading_mode() {
     const time_point now = monotonic_now();
     note_view_growth(now);
+    const bool may_hold_part = division_.is_divided() || !endpoint_watch_.is_listed();
+    is_list_holder_ = may_hold_part && is_whole_list_holder(settings_.name, gossip_.live(now));
     const reading_inputs inputs = current_reading_inputs(now);
     const reading_mode mode = choose_reading_mode(inputs);
     const bool is_large = is_large_fleet(now);
@@ -201,10 +203,9 @@
 // A host that holds a part of the list can serve neither another part nor the whole list, so a divided list
 // is fetched from the holders only.
 void entry_host::fetch_endpoints(const std::string& notifier, const copy_notice& notice) {
-    const std::vector<host_status>& hosts = gossip_.live(monotonic_now());
-    const bool is_newer = notice.endpoint_revision > endpoint_watch_.last_changed_revision();
-    const bool is_holder = notice.is_divided && is_whole_list_holder(settings_.name, hosts);
     const time_point now = monotonic_now();
+    const bool is_newer = notice.endpoint_revision > endpoint_watch_.last_changed_revision();
+    const bool is_holder = notice.is_divided && is_list_holder_;
     const bool is_wanted = is_newer || (is_holder && endpoint_watch_.is_partial());
     const bool has_departures = notice.departure_revision > endpoint_watch_.last_changed_revision();
     if (!is_wanted || now - list_fetched_at_ < min_time_between_lists(has_departures, notice.is_divided)) {
@@ -214,7 +215,7 @@
     std::string source = notifier;
     if (notice.is_divided && !(is_holder && holds_whole_list(notifier))) {
         const std::optional<host_status> holder =
-            holder_for(settings_.name, hosts, failed_holders_ + (is_holder ? 1 : 0));
+            holder_for(settings_.name, gossip_.live(now), failed_holders_ + (is_holder ? 1 : 0));
         source = holder ? holder->gossip_address : notifier;
     }
     fetch_copy(source, endpoint_watch_, codec_.endpoint_kind(),
--- a/src/host/entry_host_peers.cpp
+++ b/src/host/entry_host_peers.cpp
@@ -189,21 +189,21 @@
 void entry_host::send_load_update() {
     // On a large fleet, usually only hosts of the same failure domain share endpoints.
     const time_point now = monotonic_now();
+    const std::vector<host_status>& live = gossip_.live(now);
     const bool is_large = is_large_fleet(now);
-    std::vector<const host_status*> peers;
-    for (const host_status& peer : gossip_.live(now)) {
-        const bool is_other_domain = peer.domain != settings_.failure_domain;
-        if (peer.name != settings_.name && !(is_large && is_other_domain)) {
-            peers.push_back(&peer);
-        }
-    }
-    const load_update message{settings_.name, take_load_changes(peers.size())};
+    const auto sharers = static_cast<std::size_t>(
+        is_large ? std::count_if(live.begin(), live.end(),
+                                 [this](const host_status& host) { return is_in_own_domain(host); })
+                 : static_cast<std::ptrdiff_t>(live.size()));
+    const load_update message{settings_.name, take_load_changes(sharers - 1)};
     if (message.load.empty()) {
         return;
     }
     const std::string bytes = encode_peer_message(message);
-    for (const host_status* peer : peers) {
-        datagrams_.send(peer->gossip_address, bytes);
+    if (is_large) {
+        send_to_own_domain(bytes, now);
+    } else {
+        send_to_others(live, bytes);
     }
 }
 
@@ -215,12 +215,16 @@
     }
 }
 
-std::vector<host_status> entry_host::own_domain_hosts(time_point now) const {
-    const std::vector<host_status>& live = gossip_.live(now);
-    std::vector<host_status> hosts;
-    std::copy_if(live.begin(), live.end(), std::back_inserter(hosts),
-                 [this](const host_status& host) { return host.domain == settings_.failure_domain; });
-    return hosts;
+bool entry_host::is_in_own_domain(const host_status& host) const {
+    return host.domain == settings_.failure_domain;
+}
+
+void entry_host::send_to_own_domain(const std::string& bytes, time_point now) {
+    for (const host_status& host : gossip_.live(now)) {
+        if (is_in_own_domain(host) && host.name != settings_.name) {
+            datagrams_.send(host.gossip_address, bytes);
+        }
+    }
 }
 
 // In a large domain a host knows only the first hosts of each other domain. Two of them pass the message on
@@ -233,12 +237,11 @@
         send_to_others(live, bytes);
         return;
     }
-    send_to_others(own_domain_hosts(now), bytes);
+    send_to_own_domain(bytes, now);
     std::vector<host_status> relays = select_relays(live);
-    relays.erase(
-        std::remove_if(relays.begin(), relays.end(),
-                       [this](const host_status& host) { return host.domain == settings_.failure_domain; }),
-        relays.end());
+    relays.erase(std::remove_if(relays.begin(), relays.end(),
+                                [this](const host_status& host) { return is_in_own_domain(host); }),
+                 relays.end());
     send_to_others(relays, encode_peer_message(forwarded_message{bytes}));
 }
 
@@ -248,7 +251,7 @@
         return; // A message is passed on once, so that it cannot circulate between domains.
     }
     std::visit([&](const auto& typed) { handle(from, typed); }, *inner);
-    send_to_others(own_domain_hosts(monotonic_now()), message.bytes);
+    send_to_own_domain(message.bytes, monotonic_now());
 }
 
 void entry_host::on_refused(const std::string& endpoint) {
--- a/src/membership/host_gossip.cpp
+++ b/src/membership/host_gossip.cpp
@@ -51,10 +51,9 @@
 /** \return the names of the hosts among \p hosts that speak for their domains; empty if \p own_domain is not
  * large. As many are named of each other domain, which may itself be small. */
 std::set<std::string> choose_speakers(const std::vector<host_status>& hosts, const std::string& own_domain) {
-    using ranked_host = std::tuple<int, std::uint64_t, std::string>;
-    std::map<std::string, std::vector<ranked_host>> by_domain;
+    std::map<std::string, std::vector<domain_rank>> by_domain;
     for (const host_status& host : hosts) {
-        by_domain[host.domain].emplace_back(-host.capacity, reader_rank(host), host.name);
+        by_domain[host.domain].push_back(rank_in_domain(host));
     }
     const std::size_t own_hosts = by_domain[own_domain].size();
     if (own_hosts <= max_flat_domain_hosts) {
@@ -65,8 +64,7 @@
         const std::size_t count = std::min(ranked.size(), whole_list_holders(own_hosts));
         const auto last = ranked.begin() + static_cast<std::ptrdiff_t>(count);
         std::partial_sort(ranked.begin(), last, ranked.end());
-        std::for_each(ranked.begin(), last,
-                      [&](const ranked_host& each) { names.insert(std::get<std::string>(each)); });
+        std::for_each(ranked.begin(), last, [&](const domain_rank& each) { names.emplace(each.name); });
     }
     return names;
 }
@@ -346,17 +344,6 @@
     return speakers_.count(self_.name) > 0;
 }
 
-// While a fleet starts, hosts that do not know the size of their domain yet spread the names of all hosts.
-void host_gossip::drop_uncovered() const {
-    live_.erase(
-        std::remove_if(live_.begin(), live_.end(),
-                       [this](const host_status& host) { return !is_covered(host, gossip_scope::all); }),
-        live_.end());
-    const auto own = std::find_if(live_.begin(), live_.end(),
-                                  [this](const host_status& host) { return host.name == self_.name; });
-    own_index_ = static_cast<std::size_t>(own - live_.begin());
-}
-
 const std::vector<host_status>& host_gossip::live(time_point now) const {
     const bool is_known_to_hold = is_live_current_ && now < live_until_;
     const bool is_recent_enough = live_.size() > large_list && now < live_at_ + large_list_cache_time;
@@ -365,20 +352,26 @@
         return live_;
     }
     live_.clear();
-    own_index_ = 0;
     live_until_ = now + failure_timeout;
     for (const auto& [name, peer] : others_) {
         if (is_live(peer, now)) {
-            own_index_ += name < self_.name ? 1 : 0;
             live_.push_back(peer.status);
             live_until_ = std::min(live_until_, peer.heard_at + timeout_of(peer));
         }
     }
-    live_.insert(live_.begin() + static_cast<std::ptrdiff_t>(own_index_), self_);
+    const auto by_name = [](const host_status& host, const std::string& name) { return host.name < name; };
+    live_.insert(std::lower_bound(live_.begin(), live_.end(), self_.name, by_name), self_);
     live_at_ = now;
     is_live_current_ = true;
     speakers_ = choose_speakers(live_, self_.domain);
-    drop_uncovered();
+    // While a fleet starts, hosts that do not know the size of their domain yet spread the names of all
+    // hosts.
+    live_.erase(
+        std::remove_if(live_.begin(), live_.end(),
+                       [this](const host_status& host) { return !is_covered(host, gossip_scope::all); }),
+        live_.end());
+    const auto own = std::lower_bound(live_.begin(), live_.end(), self_.name, by_name);
+    own_index_ = static_cast<std::size_t>(own - live_.begin());
     return live_;
 }
 
--- a/src/membership/host_gossip.h
+++ b/src/membership/host_gossip.h
@@ -157,7 +157,6 @@
     duration timeout_of(const peer_status& peer) const;
     bool is_covered(const host_status& host, gossip_scope scope) const;
     bool speaks_for_domain(time_point now) const;
-    void drop_uncovered() const;
     std::vector<host_status> random_sample(const std::vector<const host_status*>& hosts, std::size_t count);
 
     host_status self_;
--- a/src/membership/reader_order.cpp
+++ b/src/membership/reader_order.cpp
@@ -15,17 +15,12 @@
 
 } // namespace
 
-std::uint64_t reader_rank(const host_status& host) {
-    return placement_hash("reader/" + host.name);
+domain_rank rank_in_domain(const host_status& host) {
+    return {host.capacity, placement_hash("reader/" + host.name), host.name};
 }
 
 bool precedes_in_domain(const host_status& left, const host_status& right) {
-    if (left.capacity != right.capacity) {
-        return left.capacity > right.capacity;
-    }
-    const std::uint64_t left_rank = reader_rank(left);
-    const std::uint64_t right_rank = reader_rank(right);
-    return std::tie(left_rank, left.name) < std::tie(right_rank, right.name);
+    return rank_in_domain(left) < rank_in_domain(right);
 }
 
 std::size_t whole_list_holders(std::size_t hosts) {
--- a/src/membership/reader_order.h
+++ b/src/membership/reader_order.h
@@ -5,12 +5,24 @@
 
 #include "membership/host_gossip.h"
 
+#include <string_view>
+#include <tuple>
+
 namespace laurelhoist {
 
-/** \return the position hash of a host among those of the same capacity. */
-std::uint64_t reader_rank(const host_status& host);
-/** \return whether \p left precedes \p right in their failure domain. Hosts with more capacity come first,
- * and hosts of the same capacity are ordered by a hash of their names. */
+/** The key by which the hosts of a failure domain are ordered: hosts with more capacity come first, and hosts
+ * of the same capacity are ordered by a hash of their names. Refers to the name of the host. */
+struct domain_rank {
+    int capacity = 0;
+    std::uint64_t name_hash = 0;
+    std::string_view name;
+    friend bool operator<(const domain_rank& l, const domain_rank& r) {
+        return std::tie(r.capacity, l.name_hash, l.name) < std::tie(l.capacity, r.name_hash, r.name);
+    }
+};
+
+domain_rank rank_in_domain(const host_status& host);
+/** \return whether \p left precedes \p right in their failure domain. */
 bool precedes_in_domain(const host_status& left, const host_status& right);
 
 /** \return how many hosts of a failure domain with \p hosts hosts serve the others: the first ones of its
--- a/src/membership/store_reading.cpp
+++ b/src/membership/store_reading.cpp
@@ -51,16 +51,10 @@
 /// A host that may read the store, with its position in its failure domain.
 struct candidate {
     std::size_t in_domain = 0;
-    std::uint64_t rank = 0; ///< \ref reader_rank
+    domain_rank rank;
     const host_status* host = nullptr;
 };
 
-/** \return whether \p l precedes \p r, as \ref precedes_in_domain does. */
-bool precedes(const candidate& l, const candidate& r) {
-    return std::tie(r.host->capacity, l.rank, l.host->name) <
-           std::tie(l.host->capacity, r.rank, r.host->name);
-}
-
 /** \return the hosts that are not leaving, and the host \p name in any case, in the reader order. Hosts that
  * are starting are included: otherwise, when a whole fleet starts, each host would find itself among the
  * first. */
@@ -68,10 +62,11 @@
     std::vector<candidate> order;
     for (const host_status& host : hosts) {
         if (host.state != "leaving" || host.name == name) {
-            order.push_back({0, reader_rank(host), &host});
+            order.push_back({0, rank_in_domain(host), &host});
         }
     }
-    std::sort(order.begin(), order.end(), precedes);
+    std::sort(order.begin(), order.end(),
+              [](const candidate& l, const candidate& r) { return l.rank < r.rank; });
     std::map<std::string, std::size_t> placed;
     for (candidate& each : order) {
         each.in_domain = placed[each.host->domain]++;
@@ -116,15 +111,16 @@
     if (found == order.end()) {
         return {order.size(), order.size()};
     }
+    const auto known_before = static_cast<std::size_t>(found - order.begin());
+    if (found->in_domain <= max_flat_domain_hosts) {
+        return {found->in_domain, known_before};
+    }
     // Of another large domain only its first hosts are known here.
     std::set<std::string> domains;
     for (const candidate& each : order) {
         domains.insert(each.host->domain);
     }
-    const auto known_before = static_cast<std::size_t>(found - order.begin());
-    const bool is_past_first = found->in_domain > max_flat_domain_hosts;
-    return {found->in_domain,
-            is_past_first ? std::max(known_before, found->in_domain * domains.size()) : known_before};
+    return {found->in_domain, std::max(known_before, found->in_domain * domains.size())};
 }
 
 std::vector<host_status> select_relays(const std::vector<host_status>& hosts) {
--- a/src/store/object_watch.cpp
+++ b/src/store/object_watch.cpp
@@ -188,7 +188,7 @@
     if (is_partial()) {
         // Events would not bring the objects that the part lacks.
         ++current_call_;
-        transition("history_gone");
+        transition("incomplete");
         start();
         return;
     }
--- a/test/rollout_test.cpp
+++ b/test/rollout_test.cpp
@@ -144,6 +144,12 @@
             record_answer(release, period == 0 || i % period != 0, {milliseconds(100), 90});
         }
     }
+    /** Records enough good answers of both releases, so that the release may be moved to. */
+    void record_good_trial() {
+        record("v1", 1000, 0);
+        advance(seconds(1));
+        record("v2", 40, 0);
+    }
     release_choice choice_of(const std::string& session, duration after = seconds(1)) const {
         return tracker.choose("pool", {session, "r", false}, start + after);
     }
@@ -207,9 +213,7 @@
 // A good release must be reported complete, but not while a brake may still need the old release.
 TEST(release_rollout, a_good_release_is_complete_at_the_end_of_its_time) {
     rollout_fixture rollout;
-    rollout.record("v1", 1000, 0);
-    rollout.advance(seconds(1));
-    rollout.record("v2", 40, 0);
+    rollout.record_good_trial();
     rollout.advance(seconds(13));
     EXPECT_LT(rollout.share_of_sessions(seconds(13)), 0.1);
     rollout.advance(milliseconds(22'000));
@@ -224,9 +228,7 @@
 TEST(release_rollout, an_order_that_is_seen_late_is_reported_in_time) {
     const duration max_order_age = milliseconds(1100);
     rollout_fixture rollout(max_order_age);
-    rollout.record("v1", 1000, 0);
-    rollout.advance(seconds(1));
-    rollout.record("v2", 40, 0);
+    rollout.record_good_trial();
     rollout.advance(milliseconds(21'000));
     EXPECT_EQ(rollout.advance(milliseconds(23'550) - max_order_age), rollout_state::completed);
 }
@@ -235,9 +237,7 @@
 // reported complete on older counts. From the cutover to the report, hosts must send changed counts at once.
 TEST(release_rollout, awaits_completion_from_the_cutover_to_a_brake) {
     rollout_fixture rollout;
-    rollout.record("v1", 1000, 0);
-    rollout.advance(seconds(1));
-    rollout.record("v2", 40, 0);
+    rollout.record_good_trial();
     rollout.advance(seconds(13));
     EXPECT_FALSE(rollout.tracker.awaits_completion());
     rollout.advance(milliseconds(22'000));
@@ -260,9 +260,7 @@
             rollout.tracker.on_outcome(key, i < good);
         }
     };
-    rollout.record("v1", 1000, 0);
-    rollout.advance(seconds(1));
-    rollout.record("v2", 40, 0);
+    rollout.record_good_trial();
     rollout.advance(seconds(13));
     rollout.advance(milliseconds(22'000));
     EXPECT_EQ(rollout.share_of_sessions(seconds(22)), 1.0);
@@ -320,9 +318,7 @@
 // complete 0.75 s after the cutover, with a dozen failures on eight hosts.
 TEST(release_rollout, a_suspicious_release_is_not_reported_complete) {
     rollout_fixture rollout;
-    rollout.record("v1", 1000, 0);
-    rollout.advance(seconds(1));
-    rollout.record("v2", 40, 0);
+    rollout.record_good_trial();
     rollout.advance(milliseconds(22'000));
     ASSERT_EQ(rollout.share_of_sessions(seconds(22)), 1.0);
     rollout.record("v2", 3, 1);
@@ -426,9 +422,7 @@
 // would stop although no host sends to the new ones.
 TEST(release_rollout, a_release_that_lost_its_endpoints_is_not_complete) {
     rollout_fixture rollout;
-    rollout.record("v1", 1000, 0);
-    rollout.advance(seconds(1));
-    rollout.record("v2", 40, 0);
+    rollout.record_good_trial();
     rollout.advance(milliseconds(22'000));
     ASSERT_EQ(rollout.share_of_sessions(seconds(22)), 1.0);
     rollout.tracker.set_endpoint_counts("pool", {{"v1", 10}});
