A caller that reads slowly slows its endpoint down instead of ending the attempt

What callers saw: one that stopped reading a long stream for a second got it cut; the stream ran up to three times, and other callers got 503.

Cause: beyond 4 MiB unsent the attempt ended as "silent", the end of an endpoint that says nothing. It counted as the endpoint's failure, and each further attempt met the same 4 MiB.

Change: beyond a caller's share of the buffer the endpoint's connection is not read until half of it is free. A pause is not the endpoint's silence, and a break after one not its failure. A caller that accepts nothing for 4 s is disconnected, one whose time limit passes in a pause is cut off.

--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -54,6 +54,7 @@
     relayed.failure_domain = settings.failure_domain;
     relayed.revoke_bound = settings.revoke_bound;
     relayed.stop_time = settings.stop_grace - stop_margin;
+    relayed.caller_buffer_bytes = settings.caller_buffer_bytes;
     relayed.cascade = settings.cascade;
     relayed.in_use = settings.in_use;
     relayed.cold = settings.cold;
@@ -174,6 +175,7 @@
 std::string entry_host::metrics_text() {
     metrics& measured = relay_.state().measured;
     measured.gauge("requests_active", static_cast<double>(relay_.active()));
+    measured.gauge("caller_unsent_bytes", static_cast<double>(relay_.unsent_bytes()));
     measured.gauge("endpoints_known", static_cast<double>(relay_.state().endpoints.size()));
     measured.gauge("hosts_live", static_cast<double>(gossip_.live(monotonic_now()).size()));
     measured.gauge("config_age_ms", std::min(to_ms(relay_.state().freshness.age(monotonic_now())), 1e9));
--- a/src/host/entry_host.h
+++ b/src/host/entry_host.h
@@ -56,6 +56,7 @@
     duration revoke_bound = seconds(5);
     duration stop_grace = seconds(8);
     int capacity = 0; ///< \ref host_status::capacity
+    std::size_t caller_buffer_bytes = relay_settings{}.caller_buffer_bytes;
     cascade_settings cascade;
     rollout_settings rollouts;
     mechanisms in_use;
--- a/src/relay/caller_connection.cpp
+++ b/src/relay/caller_connection.cpp
@@ -4,7 +4,6 @@
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/write.hpp>
 
 #include <sys/socket.h>
 
@@ -25,6 +24,11 @@
 /// Added to the idle limit, so that a caller that respects the limit never sends on a connection that is
 /// being closed.
 constexpr duration idle_slack = seconds(1);
+/// A caller that accepts nothing for this long is disconnected. Endpoints drop an answer that stays unread
+/// for some seconds, so a longer wait would not save it.
+constexpr duration unread_timeout = seconds(4);
+/// Checks are counted instead of the time, which also passes while the host is suspended.
+constexpr int max_unread_checks = unread_timeout / caller_connection::check_interval;
 
 } // namespace
 
@@ -119,25 +123,46 @@
     }
     is_flushing_ = true;
     in_flight_.swap(outgoing_);
-    asio::async_write(socket_, asio::buffer(in_flight_),
-                      [self = shared_from_this()](asio_error failure, std::size_t) {
-                          self->on_written(static_cast<bool>(failure));
-                      });
+    unread_checks_ = 0;
+    write_some();
 }
 
-void caller_connection::on_written(bool has_failed) {
-    is_flushing_ = false;
-    in_flight_.clear();
-    const bool has_more = !outgoing_.empty();
-    if (has_failed || (!has_more && is_closing_)) {
+void caller_connection::write_some() {
+    socket_.async_write_some(asio::buffer(in_flight_) + accepted_,
+                             [self = shared_from_this()](asio_error failure, std::size_t bytes) {
+                                 self->on_written(static_cast<bool>(failure), bytes);
+                             });
+}
+
+void caller_connection::on_written(bool has_failed, std::size_t bytes) {
+    if (has_failed) {
         close();
-    } else if (has_more) {
+        return;
+    }
+    accepted_ += bytes;
+    unread_checks_ = 0;
+    if (accepted_ < in_flight_.size()) {
+        write_some();
+    } else {
+        is_flushing_ = false;
+        in_flight_.clear();
+        accepted_ = 0;
         flush();
     }
+    if (unsent_bytes() == 0 && is_closing_) {
+        close();
+    } else if (on_sent_) {
+        on_sent_();
+    }
 }
 
-void caller_connection::finish(bool keeps_alive) {
+void caller_connection::end_answer() {
     on_gone_ = nullptr;
+    on_sent_ = nullptr;
+}
+
+void caller_connection::finish(bool keeps_alive) {
+    end_answer();
     if (is_closed_) {
         return;
     }
@@ -159,11 +184,15 @@
 }
 
 void caller_connection::abort() {
-    on_gone_ = nullptr;
+    end_answer();
+    reset_on_close();
+    close();
+}
+
+// After an orderly end, an answer without a length would look complete.
+void caller_connection::reset_on_close() {
     asio_error ignored;
-    // Closes with a reset: after an orderly end, an answer without a length would look complete.
     socket_.set_option(asio::socket_base::linger(true, 0), ignored);
-    close();
 }
 
 bool caller_connection::has_disconnected() {
@@ -174,7 +203,18 @@
 }
 
 void caller_connection::check_timeouts(time_point now) {
-    if (is_serving_ || is_closed_ || is_closing_) {
+    if (is_closed_) {
+        return;
+    }
+    if (unsent_bytes() > 0) {
+        if (++unread_checks_ > max_unread_checks) {
+            events_.on_unread(unsent_bytes());
+            reset_on_close();
+            close();
+        }
+        return;
+    }
+    if (is_serving_ || is_closing_) {
         return;
     }
     const duration quiet = now - timeout_start_;
@@ -186,7 +226,7 @@
 }
 
 bool caller_connection::close_if_idle() {
-    if (is_serving_ || reader_.has_partial_request()) {
+    if (is_serving_ || reader_.has_partial_request() || unsent_bytes() > 0) {
         return false;
     }
     close();
@@ -201,7 +241,7 @@
     asio_error ignored;
     socket_.close(ignored);
     const std::function<void()> gone = std::move(on_gone_);
-    on_gone_ = nullptr;
+    end_answer();
     if (gone) {
         gone();
     }
--- a/src/relay/caller_connection.h
+++ b/src/relay/caller_connection.h
@@ -23,6 +23,8 @@
         std::function<void(const std::shared_ptr<caller_connection>&, caller_request&&)> on_request;
         /// Called when the connection itself answers an invalid, oversized or slow request.
         std::function<void(int status)> on_rejected;
+        /// Called before the connection is reset because the caller does not read its answer.
+        std::function<void(std::size_t unsent_bytes)> on_unread;
         /// Called once, when the connection has closed.
         std::function<void(const std::shared_ptr<caller_connection>&)> on_closed;
     };
@@ -33,22 +35,27 @@
     void start();
     /** Sets the callback for a caller that disconnects before its answer is complete. */
     void on_caller_gone(std::function<void()> work) { on_gone_ = std::move(work); }
+    /** Sets the callback for each time that the network has accepted a part of the answer. */
+    void on_sent(std::function<void()> work) { on_sent_ = std::move(work); }
     /** Adds \p bytes to the answer; those of one iteration of the event loop are sent in one write. */
     void write(std::string_view bytes);
     /** Ends the answer. \param keeps_alive whether the caller may send another request */
     void finish(bool keeps_alive);
     /** Resets the connection at once, so that the caller cannot take a partial answer for a complete one. */
     void abort();
-    /** Closes the connection if it is idle too long; answers 408 if a request takes too long to arrive. */
+    /** Closes the connection if it is idle too long or its caller does not read; answers 408 if a request
+     * takes too long to arrive. To be called every \ref check_interval. */
     void check_timeouts(time_point now);
-    /** Closes the connection unless a request is being received or served. \return whether it was idle */
+    static constexpr duration check_interval = milliseconds(250);
+    /** Closes the connection unless a request is being received or served, or a part of an answer is unsent.
+     * \return whether it was idle */
     bool close_if_idle();
 
     /** \return whether the caller has closed the connection, even if the event loop has not read the end of
      * stream yet. Costs a system call. */
     bool has_disconnected();
     bool is_serving() const { return is_serving_; }
-    std::size_t unsent_bytes() const { return outgoing_.size() + in_flight_.size(); }
+    std::size_t unsent_bytes() const { return outgoing_.size() + in_flight_.size() - accepted_; }
 
 private:
     void start_read();
@@ -56,7 +63,10 @@
     void read_requests();
     void reject(int status, const std::string& remedy);
     void flush();
-    void on_written(bool has_failed);
+    void write_some();
+    void on_written(bool has_failed, std::size_t bytes);
+    void end_answer();
+    void reset_on_close();
     void close();
 
     boost::asio::ip::tcp::socket socket_;
@@ -66,7 +76,10 @@
     std::array<char, 8192> incoming_{}; ///< read buffer; most requests arrive in two reads
     std::string outgoing_;              ///< bytes that wait for the next write
     std::string in_flight_;             ///< bytes of the write under way
+    std::size_t accepted_ = 0;          ///< bytes of \ref in_flight_ that the network has accepted
+    int unread_checks_ = 0; ///< consecutive timeout checks between which the network has accepted nothing
     std::function<void()> on_gone_;
+    std::function<void()> on_sent_;
     time_point timeout_start_; ///< when the connection became idle or the present request began to arrive
     bool is_serving_ = false;
     bool is_flushing_ = false;
--- a/src/relay/endpoint_connection.cpp
+++ b/src/relay/endpoint_connection.cpp
@@ -78,9 +78,18 @@
                       });
 }
 
+void endpoint_connection::resume_reading() {
+    is_reading_paused_ = false;
+    if (!is_reading_ && is_open()) {
+        start_read();
+    }
+}
+
 void endpoint_connection::start_read() {
+    is_reading_ = true;
     socket_.async_read_some(
         asio::buffer(incoming_), [self = shared_from_this()](asio_error failure, std::size_t bytes) {
+            self->is_reading_ = false;
             if (failure) {
                 self->close_and_notify(failure == asio::error::eof ? connection_end::finished
                                                                    : connection_end::broken);
@@ -91,7 +100,7 @@
                 return;
             }
             self->observer_->on_received({self->incoming_.data(), bytes});
-            if (self->socket_.is_open()) {
+            if (self->socket_.is_open() && !self->is_reading_paused_ && !self->is_reading_) {
                 self->start_read();
             }
         });
@@ -135,6 +144,7 @@
         return;
     }
     connection->set_observer(nullptr);
+    connection->resume_reading(); // Otherwise the end of the idle connection would go unnoticed.
     connection->idle_until = until;
     idle.push_back(std::move(connection));
 }
--- a/src/relay/endpoint_connection.h
+++ b/src/relay/endpoint_connection.h
@@ -52,6 +52,11 @@
      * its end. */
     void set_observer(connection_observer* observer) { observer_ = observer; }
     void send(std::string bytes);
+    /** Stops reading after the bytes that are being delivered, so that the endpoint is slowed down by the
+     * network's flow control. The end of the connection goes unnoticed meanwhile. */
+    void pause_reading() { is_reading_paused_ = true; }
+    void resume_reading();
+    bool is_reading_paused() const { return is_reading_paused_; }
     /** Closes at once without notifying the observer. */
     void close();
 
@@ -72,6 +77,8 @@
     std::array<char, 8192> incoming_{}; ///< fits about a hundred events; a larger buffer gains nothing
     std::deque<std::string> outgoing_;
     bool is_connected_ = false;
+    bool is_reading_ = false; ///< a read is in progress
+    bool is_reading_paused_ = false;
 };
 
 /** Idle connections by endpoint address. */
--- a/src/relay/exchange.cpp
+++ b/src/relay/exchange.cpp
@@ -109,6 +109,7 @@
     terms_ = state_.dialect.read_request(request_);
     auto self = shared_from_this();
     caller_->on_caller_gone([self] { self->on_caller_gone(); });
+    caller_->on_sent([self] { self->on_caller_progress(); });
     if (state_.can_route()) {
         begin();
     }
@@ -433,7 +434,10 @@
     // A requested backoff is not a failure. Counted as one, it would exclude the endpoint for longer than the
     // endpoint asked for.
     const bool asks_for_back_off = end == attempt_end::refused && answer().statement.back_off;
-    settle_attempt(asks_for_back_off ? call_result::cancelled : to_call_result(end), evidence_of(end));
+    // Endpoints drop connections that are not read for some seconds.
+    const bool is_dropped_unread = end == attempt_end::broken && attempt_.has_paused;
+    settle_attempt(asks_for_back_off || is_dropped_unread ? call_result::cancelled : to_call_result(end),
+                   evidence_of(end));
     release_connection(end == attempt_end::refused || end == attempt_end::failed ||
                        end == attempt_end::misdirected);
     log_attempt(end);
@@ -546,6 +550,10 @@
         } else {
             dispatch();
         }
+    } else if (is_waiting_for_caller()) {
+        if (now >= expires_at_) {
+            give_up_on_caller();
+        }
     } else if (now >= expires_at_ || has_stalled(now)) {
         end_attempt(attempt_end::silent);
     }
--- a/src/relay/exchange.h
+++ b/src/relay/exchange.h
@@ -51,6 +51,7 @@
         bool is_trial = false; ///< the trial attempt of a quarantined request
         bool is_counted_slow = false; ///< already counted against the release for a late first byte
         bool is_accepted = false;     ///< the answer is good enough to be forwarded
+        bool has_paused = false;      ///< reading was paused at least once because of a slow caller
     };
 
     static constexpr int status_bad_gateway = 502;
@@ -96,6 +97,12 @@
     void record_endpoint_statement();
     /** Forwards the complete events received so far. \return whether the attempt continues */
     bool forward_events();
+    /** Reads on from the endpoint once the caller has received enough of what was forwarded. */
+    void on_caller_progress();
+    /** \return whether the attempt makes no progress because the caller does not read. */
+    bool is_waiting_for_caller() const { return connection_ && connection_->is_reading_paused(); }
+    /** Ends a request whose time limit has passed while its caller did not read. */
+    void give_up_on_caller();
     void on_answer_complete();
     void complete_stream();
     void send_complete_answer(const char* outcome);
--- a/src/relay/exchange_answers.cpp
+++ b/src/relay/exchange_answers.cpp
@@ -5,8 +5,6 @@
 
 namespace {
 
-/// Limit on bytes buffered for a caller that reads slowly; beyond it the attempt is ended to save memory.
-constexpr std::size_t max_unsent_bytes = 4 << 20;
 /// A prompt of this length takes an engine 50 ms or more, which affects the choices of other hosts.
 constexpr std::int64_t long_prompt_tokens = 1500;
 constexpr int status_class = 100;
@@ -169,13 +167,31 @@
     std::string chunk;
     append_chunk(chunk, out);
     caller_->write(chunk);
-    if (caller_->unsent_bytes() > max_unsent_bytes) {
-        end_attempt(attempt_end::silent);
-        return false;
+    if (caller_->unsent_bytes() > owner_.max_unsent_bytes_per_caller()) {
+        connection_->pause_reading();
+        attempt_.has_paused = true;
     }
     return true;
 }
 
+void exchange::on_caller_progress() {
+    if (is_waiting_for_caller() && caller_->unsent_bytes() <= owner_.max_unsent_bytes_per_caller() / 2) {
+        attempt_.heard_at = monotonic_now(); // The endpoint was not silent during the pause.
+        connection_->resume_reading();
+    }
+}
+
+void exchange::give_up_on_caller() {
+    state_.measured.count("callers_too_slow");
+    log_warning("caller_too_slow", {{"request", terms_.id},
+                                    {"unsent_bytes", caller_->unsent_bytes()},
+                                    {"remedy", "read the answer within the time limit of its route"}});
+    settle_attempt(call_result::cancelled, release_evidence::none);
+    release_connection(false);
+    caller_->abort();
+    finish("caller_too_slow", 0);
+}
+
 void exchange::record_forwarded_event() {
     const time_point now = monotonic_now();
     if (first_event_ms_ < 0) {
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -4,6 +4,9 @@
 
 #include <boost/asio/ip/tcp.hpp>
 
+#include <algorithm>
+#include <numeric>
+
 namespace laurelhoist {
 
 namespace asio = boost::asio;
@@ -16,11 +19,14 @@
 /// none for most of the time.
 constexpr duration tick_interval = milliseconds(50);
 constexpr duration sweep_interval =
-    milliseconds(250); ///< sweeps check connections, probes and the quarantine
+    caller_connection::check_interval; ///< sweeps check connections, probes and the quarantine
 /// Number of requests that an endpoint is assumed to run at once if its service has no engine profile. Up to
 /// this number, a host's concurrency limit follows the endpoint's answers.
 constexpr int default_slots = 6;
 constexpr double logged_no_limit = -1; ///< logged as the rate of an endpoint without a limit
+/// Bounds of a caller's share of the buffer. A read from an endpoint brings 8 KiB.
+constexpr std::size_t min_caller_share_bytes = 16 << 10;
+constexpr std::size_t max_caller_share_bytes = 256 << 10;
 
 } // namespace
 
@@ -36,6 +42,11 @@
         state_.measured.count("malformed_requests");
         log_info("request_unreadable", {{"status", status}});
     };
+    caller_events_.on_unread = [this](std::size_t unsent_bytes) {
+        state_.measured.count("callers_not_reading");
+        log_warning("caller_not_reading",
+                    {{"unsent_bytes", unsent_bytes}, {"remedy", "read answers without pauses of seconds"}});
+    };
     caller_events_.on_closed = [this](const auto& caller) { callers_.erase(caller); };
     loop.every(sweep_interval, [this] { sweep(); });
 }
@@ -244,6 +255,16 @@
     for_each_active([&endpoint](exchange& each) { each.on_endpoint_restarted(endpoint); });
 }
 
+std::size_t relay::unsent_bytes() const {
+    return std::accumulate(callers_.begin(), callers_.end(), std::size_t{0},
+                           [](std::size_t sum, const auto& caller) { return sum + caller->unsent_bytes(); });
+}
+
+std::size_t relay::max_unsent_bytes_per_caller() const {
+    const std::size_t share = state_.settings.caller_buffer_bytes / std::max<std::size_t>(1, callers_.size());
+    return std::clamp(share, min_caller_share_bytes, max_caller_share_bytes);
+}
+
 void relay::begin_stop() {
     state_.is_stopping = true;
     state_.stopping_since = monotonic_now();
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -29,6 +29,8 @@
     cascade_settings cascade;
     mechanisms in_use;
     cold_bound cold;
+    /// Bytes of answers that the host holds at most for callers that read slowly.
+    std::size_t caller_buffer_bytes = std::size_t{16} << 20;
     std::string cold_sharing = "sponsors"; ///< \see cold_sharing_names
 };
 
@@ -119,6 +121,11 @@
     /** Closes idle callers' connections. \return whether no request and no connection is left */
     bool close_idle();
     std::size_t active() const { return active_.size(); }
+    /** \return the bytes of answers that wait for their callers to read. */
+    std::size_t unsent_bytes() const;
+    /** \return the unsent bytes of one caller from which on no more of its answer is read: an even share of
+     * the host's buffer. */
+    std::size_t max_unsent_bytes_per_caller() const;
 
 private:
     friend class exchange;
--- a/test/relay_fixture.h
+++ b/test/relay_fixture.h
@@ -76,6 +76,7 @@
     std::string bytes;
     bool closes = false; ///< closes the connection in an orderly way after the bytes
     bool resets = false; ///< resets the connection after the bytes
+    std::function<std::string(const std::string& request)> make{}; ///< makes the bytes instead, if set
 };
 
 /** An endpoint that gives the scripted answers in order, over all its connections, and resets the connection
@@ -140,6 +141,9 @@
                 buffer.clear();
                 answer = next_ < script_.size() ? script_[next_++] : scripted_answer{"", false, true};
             }
+            if (answer.make) {
+                answer.bytes = answer.make(requests().back());
+            }
             asio::write(socket, asio::buffer(answer.bytes), failure);
             if (answer.resets) {
                 socket.set_option(asio::socket_base::linger(true, 0), failure);
--- /dev/null
+++ b/test/slow_callers_test.cpp
@@ -0,0 +1,172 @@
+#include "relay_fixture.h"
+
+namespace laurelhoist {
+namespace {
+
+constexpr std::size_t event_bytes = 64 << 10;
+/// Several times what the kernel buffers for one connection.
+constexpr int events_of_long_stream = 256;
+constexpr std::size_t long_body_bytes = 16 << 20;
+
+std::string long_event(int id) {
+    return "id: " + std::to_string(id) + "\ndata: " + std::string(event_bytes, 'x') + "\n\n";
+}
+
+/** \return the chunks of the events \p first to \p last. */
+std::string long_events(int first, int last) {
+    std::string chunks;
+    for (int id = first; id <= last; ++id) {
+        chunks += chunk_of(long_event(id));
+    }
+    return chunks;
+}
+
+scripted_answer long_stream(const std::string& id) {
+    return {stream_head(id) + long_events(1, events_of_long_stream) + "0\r\n\r\n", false, false};
+}
+
+/** A caller that sends one request and reads its answer only when told to. */
+class slow_caller {
+public:
+    slow_caller(std::uint16_t port, const std::string& id, bool keeps_alive = false) {
+        socket_.open(tcp::v4());
+        socket_.set_option(asio::socket_base::receive_buffer_size(4096));
+        socket_.connect({asio::ip::make_address("127.0.0.1"), port});
+        const std::string ending = keeps_alive ? "" : "Connection: close\r\n";
+        asio::write(socket_, asio::buffer("POST /a/1 HTTP/1.1\r\nHost: x\r\nId: " + id + "\r\n" + ending +
+                                          "Content-Length: 0\r\n\r\n"));
+    }
+
+    /** \return what the relay sends until it closes the connection. */
+    std::string read_all() {
+        std::string answer;
+        boost::system::error_code failure;
+        asio::read(socket_, asio::dynamic_buffer(answer), failure);
+        return answer;
+    }
+
+private:
+    asio::io_context context_;
+    tcp::socket socket_{context_};
+};
+
+void sleep_for(duration time) {
+    std::this_thread::sleep_for(time);
+}
+
+/** \return whether \p answer has each event of the long stream once, in order, and its end. */
+::testing::AssertionResult is_whole_long_stream(const std::string& answer) {
+    const std::size_t body = answer.find("\r\n\r\n");
+    if (body == std::string::npos) {
+        return ::testing::AssertionFailure() << "no head in " << answer.size() << " bytes";
+    }
+    int events = 0;
+    std::size_t at = 0;
+    while ((at = answer.find("\nid: ", at)) != std::string::npos) {
+        ++events;
+        at += 5;
+        if (std::stoi(answer.substr(at, 8)) != events) {
+            return ::testing::AssertionFailure() << "event " << events << " is missing or repeated";
+        }
+    }
+    const bool has_end = answer.size() > 5 && answer.compare(answer.size() - 5, 5, "0\r\n\r\n") == 0;
+    if (events != events_of_long_stream || !has_end) {
+        return ::testing::AssertionFailure()
+               << events << " events, " << (has_end ? "with" : "without") << " end";
+    }
+    return ::testing::AssertionSuccess();
+}
+
+// Guards against ending an attempt as the endpoint's silence, and sending the stream to another endpoint,
+// because its caller has stopped reading for a moment.
+TEST_F(relay_fixture, a_caller_that_pauses_gets_its_stream_from_one_attempt) {
+    scripted_endpoint first({long_stream("7")});
+    scripted_endpoint second({long_stream("7")});
+    start_relay(route(route_kind::stream, 3), {first.address(), second.address()});
+    slow_caller caller(port_, "7");
+    sleep_for(milliseconds(1200));
+    EXPECT_TRUE(is_whole_long_stream(caller.read_all()));
+    EXPECT_EQ(first.requests().size() + second.requests().size(), 1U);
+}
+
+// Guards against blaming an endpoint for a caller that never reads: such a caller is disconnected after a
+// time limit, its stream is not sent again, and the endpoint goes on serving others.
+TEST_F(relay_fixture, a_caller_that_never_reads_costs_one_attempt) {
+    scripted_endpoint endpoint({long_stream("7"), {answer_of("8", "served"), false, false}});
+    start_relay(route(route_kind::stream, 3), {endpoint.address()});
+    const slow_caller caller(port_, "7");
+    sleep_for(milliseconds(6000));
+    EXPECT_EQ(endpoint.requests().size(), 1U);
+    EXPECT_TRUE(contains(send_request("8"), "served"));
+    EXPECT_EQ(endpoint.requests().size(), 2U);
+    run_on_relay_thread([&] { EXPECT_EQ(relay_->active(), 0U); });
+}
+
+/** \return the long stream from the event on at which \p request resumes. */
+std::string rest_of_long_stream(const std::string& request) {
+    const std::string field = "Resume: ";
+    const int last_received = std::stoi(request.substr(request.find(field) + field.size()));
+    return stream_head("7") + long_events(last_received + 1, events_of_long_stream) + "0\r\n\r\n";
+}
+
+// Guards against a gap or a repeated event if the endpoint's connection breaks while the caller does not
+// read.
+TEST_F(relay_fixture, a_stream_that_breaks_while_its_caller_pauses_is_joined) {
+    constexpr int broken_after = 160;
+    scripted_endpoint endpoint({{stream_head("7") + long_events(1, broken_after), false, true},
+                                {"", false, false, rest_of_long_stream}});
+    start_relay(route(route_kind::stream, 3), {endpoint.address()});
+    slow_caller caller(port_, "7");
+    sleep_for(milliseconds(1200));
+    EXPECT_TRUE(is_whole_long_stream(caller.read_all()));
+    EXPECT_EQ(endpoint.requests().size(), 2U);
+}
+
+// Guards against a host that runs out of memory because many callers do not read their streams.
+TEST_F(relay_fixture, what_is_held_for_callers_that_do_not_read_is_bounded) {
+    constexpr std::size_t endpoints = 10;
+    constexpr std::size_t slots = 6; // of each endpoint, as its service has no engine profile
+    constexpr std::size_t callers = endpoints * slots;
+    std::vector<std::unique_ptr<scripted_endpoint>> engines;
+    std::vector<std::string> addresses;
+    for (std::size_t i = 0; i < endpoints; ++i) {
+        engines.push_back(std::make_unique<scripted_endpoint>(
+            std::vector<scripted_answer>(slots, {"", false, false, rest_of_long_stream})));
+        addresses.push_back(engines.back()->address());
+    }
+    start_relay(route(route_kind::stream, 1), addresses);
+    std::vector<std::unique_ptr<slow_caller>> stuck;
+    for (std::size_t i = 0; i < callers; ++i) {
+        stuck.push_back(std::make_unique<slow_caller>(port_, "7"));
+    }
+    sleep_for(milliseconds(2500));
+    run_on_relay_thread([&] {
+        EXPECT_EQ(relay_->active(), callers);
+        EXPECT_GT(relay_->unsent_bytes(), std::size_t{1} << 20) << "the callers must have stopped reading";
+        EXPECT_LT(relay_->unsent_bytes(), relay_settings{}.caller_buffer_bytes + callers * 2 * event_bytes);
+    });
+}
+
+// Guards against a planned stop that closes a connection whose caller has not received its whole answer yet.
+TEST_F(relay_fixture, a_planned_stop_does_not_cut_an_answer_that_is_read_slowly) {
+    scripted_endpoint endpoint({{answer_of("7", std::string(long_body_bytes, 'x')), false, false}});
+    start_relay(route(route_kind::idempotent, 1), {endpoint.address()});
+    slow_caller caller(port_, "7", true);
+    sleep_for(milliseconds(700));
+    run_on_relay_thread([&] {
+        EXPECT_EQ(relay_->active(), 0U) << "the endpoint has answered";
+        relay_->begin_stop();
+        EXPECT_FALSE(relay_->close_idle());
+    });
+    std::thread closing([this] {
+        for (int i = 0; i < 20; ++i) {
+            sleep_for(milliseconds(100));
+            run_on_relay_thread([&] { relay_->close_idle(); });
+        }
+    });
+    EXPECT_GT(caller.read_all().size(), long_body_bytes);
+    closing.join();
+}
+
+} // namespace
+} // namespace laurelhoist
--- a/test/soak/platform_soak.py
+++ b/test/soak/platform_soak.py
@@ -17,7 +17,7 @@
 import tempfile
 import time
 
-from standins import Endpoint, Proxy, Store, response_signature
+from standins import LONG_STREAM_EVENTS, Endpoint, Proxy, Store, response_signature
 
 REVOKE_S = 5.0              # longest time for which a withdrawn key may still be accepted
 LEAVING_S = 2.0             # time after which a leaving endpoint gets no new request
@@ -79,8 +79,9 @@
     """One run of a seed: a fleet, its callers, the injected faults and the checks."""
 
     def __init__(self, seed, seconds, program, directory, entries, injects_faults, checks_time_bounds=True,
-                 sends_crash_requests=False, names_limits=False, asks_for_back_off=False):
+                 sends_crash_requests=False, names_limits=False, asks_for_back_off=False, slow_callers=0):
         self.checks_time_bounds, self.sends_crash_requests = checks_time_bounds, sends_crash_requests
+        self.slow_callers = slow_callers
         self.names_limits, self.asks_for_back_off = names_limits, asks_for_back_off
         self.random = random.Random(seed)
         self.seed, self.seconds, self.directory, self.injects_faults = seed, seconds, directory, injects_faults
@@ -109,6 +110,9 @@
             tasks.append(asyncio.create_task(self.back_off_endpoints(deadline)))
         if self.injects_faults:
             tasks.append(asyncio.create_task(self.inject_faults(deadline)))
+        if self.slow_callers:
+            tasks += [asyncio.create_task(self.call_slowly(number, deadline)) for number in range(self.slow_callers)]
+            tasks += [asyncio.create_task(self.stop_entries(deadline)), asyncio.create_task(self.break_streams(deadline))]
         await asyncio.gather(*tasks)
         await asyncio.sleep(0.5)
         self.check_runs()
@@ -150,7 +154,9 @@
              "target_latency_ms": 300, "service": "claims"},
             {**common, "name": "drafts", "path_prefix": "/drafts/", "kind": "streaming", "timeout_ms": 4000,
              "target_latency_ms": 1000, "target_gap_ms": 300, "resume_streams": True, "sizes": ["small", "large"],
-             "service": "pool"}]
+             "service": "pool"},
+            {**common, "name": "long", "path_prefix": "/long/", "kind": "streaming", "timeout_ms": 20000,
+             "target_latency_ms": 1000, "target_gap_ms": 300, "resume_streams": True, "service": "pool"}]
         services = [{"name": "claims", "health_path": "/h", "max_connections": 200},
                     {"name": "pool", "health_path": "/h", "max_connections": 200,
                      "engine": {"slots": 16, "kv_capacity_tokens": 100000}}]
@@ -205,11 +211,67 @@
             self.refused[request_id] = status
         return headers.get("connection") != "close"
 
-    async def read_chunks(self, reader):
-        text = b""
+    async def call_slowly(self, number, deadline):
+        """Requests long streams and stops reading for a while in the middle of each."""
+        rng = random.Random(f"{self.seed}-{number}")
+        while time.monotonic() < deadline:
+            entry, request_id = rng.choice(self.entries), f"{self.seed}-slow-{number}-{len(self.sent_at)}"
+            self.sent_at[request_id] = (time.monotonic(), "key-a", "long", entry)
+            try:
+                await asyncio.wait_for(self.read_slowly(rng, entry, request_id), 30)
+            except (ConnectionError, OSError, asyncio.IncompleteReadError, asyncio.TimeoutError):
+                self.counts["slow_unanswered"] += 1
+            await asyncio.sleep(rng.uniform(0.05, 0.3))
+
+    async def read_slowly(self, rng, entry, request_id):
+        connection = socket.socket()
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        connection.setblocking(False)
+        await asyncio.get_running_loop().sock_connect(connection, (entry.address, entry.ports["callers"]))
+        reader, writer = await asyncio.open_connection(sock=connection)
+        writer.write(f"POST /long/1 HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: {request_id}\r\n"
+                     "Authorization: Token key-a\r\nX-Deadline-Ms: 20000\r\nX-Model: *\r\n"
+                     "X-Token-Counts: 900,100\r\nX-Prompt-Prefix: aa:100,bb:800\r\nConnection: close\r\n"
+                     "Content-Length: 4\r\n\r\nlong".encode())
+        status = int((await reader.readuntil(b"\r\n\r\n")).split(b" ")[1])
+        self.counts[f"slow_{status}"] += 1
+        if status != 200:
+            return
+        try:
+            text = await self.read_chunks(reader, rng.randrange(LONG_STREAM_EVENTS), rng.uniform(0.3, 2.5))
+            self.check_stream(request_id, text)
+        except (ConnectionError, asyncio.IncompleteReadError):
+            self.fail("neither a slow caller, a planned stop nor a broken attempt cuts a stream", request_id)
+        finally:
+            writer.close()
+
+    async def stop_entries(self, deadline):
+        """Stops the hosts one after another while callers read their streams."""
+        await asyncio.sleep(1.0)
+        for entry in self.entries[1:]:
+            if time.monotonic() < deadline:
+                entry.send_signal(signal.SIGTERM)
+                await self.restart(entry)
+                await asyncio.sleep(1.5)
+
+    async def break_streams(self, deadline):
+        """Engines break one after another the streams that they begin."""
+        engines = [item for item in self.endpoints.values() if item.streams]
+        while time.monotonic() < deadline:
+            engine = self.random.choice(engines)
+            engine.fault = "half"
+            await asyncio.sleep(self.random.uniform(0.2, 0.6))
+            engine.fault = ""
+            await asyncio.sleep(self.random.uniform(0.2, 0.6))
+
+    async def read_chunks(self, reader, pause_after=-1, pause_s=0.0):
+        text, chunks = b"", 0
         while (size := int(await reader.readuntil(b"\r\n"), 16)) > 0:
             text += await reader.readexactly(size)
             await reader.readexactly(2)
+            chunks += 1
+            if chunks == pause_after:
+                await asyncio.sleep(pause_s)
         await reader.readexactly(2)
         return text
 
@@ -261,7 +323,7 @@
             self.fail("a caller gets the complete answer to its own request", f"{request_id}: {text[:60]!r}")
 
     def check_stream(self, request_id, text):
-        events = [event for event in text.decode().split("\n\n") if event]
+        events = [event.rstrip("x").rstrip() for event in text.decode().split("\n\n") if event]
         count = int(events[-1].rsplit("/", 1)[1]) if events else -1
         expected = [f"id: {number}\ndata: {request_id} {number}/{count}" for number in range(1, count + 1)]
         if events != expected:
@@ -274,6 +336,9 @@
                 self.fail("only requests sent by callers run", request_id)
                 continue
             sent, key, kind, _ = self.sent_at[request_id]
+            breaks = sum(run["id"] == request_id and run["broken"] for run in self.runs)
+            if kind == "long" and not self.injects_faults and times > 1 + breaks:
+                self.fail("a caller that reads slowly causes no second attempt", f"{request_id} ran {times} times")
             if kind == "claims" and times > 1:
                 self.fail("a non-idempotent request runs at most once", f"{request_id} ran {times} times")
             if kind == "claims" and request_id in self.refused:
@@ -496,6 +561,8 @@
                         help="one caller keeps sending requests that crash each endpoint that runs them")
     parser.add_argument("--limits", action="store_true", help="an endpoint of each service names a rate limit")
     parser.add_argument("--rests", action="store_true", help="endpoints refuse every request and ask for a back-off")
+    parser.add_argument("--slow-callers", type=int, default=0, metavar="N",
+                        help="N callers pause in the middle of long streams, while hosts stop and engines break streams")
     parser.add_argument("--without-time-bounds", action="store_true",
                         help="leave out the checks of time bounds, which a busy machine could fail")
     parser.add_argument("--logs", default="", help="directory in which the logs of the processes are kept")
@@ -506,7 +573,8 @@
             directory = options.logs or scratch
             os.makedirs(directory, exist_ok=True)
             run = Run(seed, options.seconds, options.program, directory, options.entries, not options.calm,
-                      not options.without_time_bounds, options.deadly, options.limits, options.rests)
+                      not options.without_time_bounds, options.deadly, options.limits, options.rests,
+                      options.slow_callers)
             violations = asyncio.run(run.execute())
         counts = " ".join(f"{name}={count}" for name, count in sorted(run.counts.items(), key=str))
         print(f"seed {seed}: {len(run.sent_at)} requests, {len(violations)} violations; {counts}", flush=True)
--- a/test/soak/standins.py
+++ b/test/soak/standins.py
@@ -6,6 +6,9 @@
 import time
 import urllib.parse
 
+LONG_STREAM_EVENTS = 160    # a long stream has several times the bytes that the kernel buffers for one connection
+LONG_EVENT_BYTES = 65536
+
 
 def response_signature(request_id, body):
     """The signature that an endpoint puts on an answer; callers use it to check that the answer is complete."""
@@ -183,7 +186,7 @@
                 raise ConnectionResetError
             run = {"id": request_id, "at": now, "endpoint": self.name, "headers": headers,
                    "leaving_since": self.leaving_since, "fault": self.fault, "limit": self.limit,
-                   "limited_since": self.limited_since, "answered_at": None,
+                   "limited_since": self.limited_since, "answered_at": None, "broken": False,
                    "says_leaving": self.announced_leaving_at is not None}
             if self.back_off_s is not None:
                 self.back_off_refusals.append({"id": request_id, "at": now, "rest": self.back_off_s,
@@ -196,7 +199,7 @@
             if self.fault == "hang":
                 await asyncio.sleep(30)
             if self.streams:
-                await self.stream(writer, headers, request_id)
+                await self.stream(writer, headers, run, body)
             else:
                 await self.answer_plain(writer, request_id, body)
             await writer.drain()
@@ -222,8 +225,11 @@
             raise ConnectionResetError
         writer.write(whole * (2 if self.fault == "extra" else 1))
 
-    async def stream(self, writer, headers, request_id):
-        count = 6 + int(hashlib.sha256(request_id.encode()).hexdigest(), 16) % 20
+    async def stream(self, writer, headers, run, body):
+        request_id = run["id"]
+        is_long = body == b"long"
+        count = LONG_STREAM_EVENTS if is_long else 6 + int(hashlib.sha256(request_id.encode()).hexdigest(), 16) % 20
+        padding = " " + "x" * LONG_EVENT_BYTES if is_long else ""
         first = int(headers.get("last-event-id", "0")) + 1
         confidence = self.random.choice([20, 80])
         lines = "".join(f"{name}: {value}\r\n" for name, value in self.statements())
@@ -231,15 +237,17 @@
                       f"X-Response-Signature: {response_signature(request_id, b'')}\r\nX-Confidence: {confidence}\r\n"
                       "Transfer-Encoding: chunked\r\n\r\n").encode())
         for number in range(first, count + 1):
-            event = f"id: {number}\ndata: {request_id} {number}/{count}\n\n".encode()
-            if self.fault in ("lost", "half") and number > first + 2:
+            event = f"id: {number}\ndata: {request_id} {number}/{count}{padding}\n\n".encode()
+            is_broken_before = is_long and first > 1
+            if self.fault in ("lost", "half") and number > first + 2 and not is_broken_before:
+                run["broken"] = True
                 writer.write(b"%x\r\n" % len(event) + event[:7])
                 await writer.drain()
                 reset(writer)
                 raise ConnectionResetError
             writer.write(b"%x\r\n" % len(event) + event + b"\r\n")
             await writer.drain()
-            await asyncio.sleep(0.01)
+            await asyncio.sleep(0 if is_long else 0.01)
         writer.write(b"0\r\n\r\n")
 
 
