Hosts stand in for readers that the store refuses

What callers saw: requests sent to endpoints up to 3.3 s after these had announced that they leave; 3 s are allowed.

Cause: on a large fleet two hosts read the store for all. While it refused them they kept this duty and ignored copies of others, so that nobody read until configurations were stale, every 3.4 s, and then for 0.5 s only.

Change: a reader whose calls have failed for 0.3 s announces it, steps back to asking for the configuration and takes copies. The next hosts in the reader order ask for the configuration and, once answered, read everything until the readers are served again.

The property test fails if the stand-in rule of choose_reading_mode is taken out.

--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -200,7 +200,7 @@
 // The configuration's watch calls the store most often, so it is the first to notice both loss and return.
 void entry_host::on_store_reachability(bool is_lost) {
     note_reachability(is_lost);
-    is_store_lost_ = is_lost;
+    store_lost_since_ = is_lost ? std::optional<time_point>(monotonic_now()) : std::nullopt;
     if (is_lost) {
         check_freshness(); // At once, while the peers' own confirmations are still recent.
     } else {
@@ -209,6 +209,7 @@
                 watch->restart_call();
             }
         }
+        update_reading_mode(); // A reader that has stepped back reads everything again.
     }
 }
 
--- a/src/host/entry_host.h
+++ b/src/host/entry_host.h
@@ -154,6 +154,10 @@
     void check_freshness();
     void note_view_growth(time_point now);
     void update_reading_mode();
+    /** \param is_first_reader whether this host is one of the first readers in the reader order */
+    void set_reading_mode(reading_mode mode, bool is_first_reader, time_point now);
+    /** Tells the hosts that would stand in for this one whether it has lost the store. */
+    void announce_store_loss(bool has_lost_store, time_point now);
     reading_inputs current_reading_inputs(time_point now) const;
     bool reads_everything() const { return reading_ == reading_mode::all; }
     bool is_large_fleet(time_point now) const { return gossip_.is_large_fleet(now); }
@@ -234,9 +238,10 @@
     bool is_load_update_scheduled_ = false;
     bool is_crash_update_scheduled_ = false;
     bool is_limit_update_scheduled_ = false;
-    std::set<std::string> unsent_refusals_;              ///< endpoints whose refusal is not sent yet
-    std::map<std::string, load_entry> last_sent_load_;   ///< content of the last load update, by endpoint
-    bool is_store_lost_ = false;                         ///< whether calls of the configuration's watch fail
+    std::set<std::string> unsent_refusals_;            ///< endpoints whose refusal is not sent yet
+    std::map<std::string, load_entry> last_sent_load_; ///< content of the last load update, by endpoint
+    std::optional<time_point>
+        store_lost_since_; ///< since when calls of the configuration's watch have failed
     std::map<std::string, encoded_copy> encoded_copies_; ///< by kind of object
     std::set<std::string> fetches_in_flight_;            ///< kinds of object of which a copy is being fetched
     time_point started_at_;
--- a/src/host/entry_host_copies.cpp
+++ b/src/host/entry_host_copies.cpp
@@ -92,7 +92,10 @@
                     [this](const std::string& seed) { return seed != gossip_.self().gossip_address; });
     inputs.is_view_growing = now - view_grew_at_ < view_settling_time;
     inputs.hosts = hosts.size();
-    inputs.hosts_before = find_reader_position(settings_.name, hosts).overall;
+    const reader_position position = find_reader_position(settings_.name, hosts);
+    inputs.hosts_before = position.overall;
+    inputs.lost_before = position.lost;
+    inputs.store_lost_for = store_lost_since_ ? now - *store_lost_since_ : duration::zero();
     return inputs;
 }
 
@@ -117,19 +120,43 @@
     config_watch_.set_wait(is_large ? reader_config_wait : config_wait);
     endpoint_watch_.set_batch_delay(is_large ? reader_batch_delay : endpoint_batch_delay);
     rollout_watch_.set_batch_delay(is_large ? reader_batch_delay : rollout_batch_delay);
+    announce_store_loss(announces_lost_store(inputs), now);
     if (mode == reading_) {
         return;
     }
-    reading_ = mode;
-    reading_since_ = now;
     log_info("store_reading", {{"reads", to_string(mode)},
                                {"config_age_ms", std::min(to_ms(inputs.config_age), 1e9)},
                                {"hosts", inputs.hosts},
-                               {"hosts_before", inputs.hosts_before}});
+                               {"hosts_before", inputs.hosts_before},
+                               {"lost_before", inputs.lost_before},
+                               {"store_lost_ms", to_ms(inputs.store_lost_for)}});
+    set_reading_mode(mode, inputs.hosts_before < large_fleet_readers, now);
+}
+
+// By gossip rounds alone the news takes up to 1.6 s to reach all of 77 hosts.
+void entry_host::announce_store_loss(bool has_lost_store, time_point now) {
+    if (gossip_.self().has_lost_store == has_lost_store || !is_large_fleet(now)) {
+        return;
+    }
+    gossip_.set_has_lost_store(has_lost_store);
+    log_warning("store_loss_announced", {{"has_lost_store", has_lost_store}});
+    (void)gossip_.next_targets(now); // Raises the heartbeat counter, without which the news counts as old.
+    send_to_others(select_stand_ins(settings_.name, gossip_.live(now)),
+                   encode_peer_message(make_gossip_message(now)));
+}
+
+void entry_host::set_reading_mode(reading_mode mode, bool is_first_reader, time_point now) {
     if (mode == reading_mode::copies) {
         roster_.on_reading_ended();
+        store_lost_since_.reset();
+    } else if (reading_ == reading_mode::copies && !config_watch_.is_reachable()) {
+        store_lost_since_ = now; // The watch stopped after a failure and reports only changes.
     }
-    config_watch_.set_max_backoff(mode == reading_mode::all ? reader_max_backoff : non_reader_max_backoff);
+    reading_ = mode;
+    reading_since_ = now;
+    // A reader that has lost the store notices its return as soon as one that reads everything.
+    const bool retries_often = mode == reading_mode::all || is_first_reader;
+    config_watch_.set_max_backoff(retries_often ? reader_max_backoff : non_reader_max_backoff);
     for (object_watch* watch : watches()) {
         const bool is_wanted = watch == &config_watch_ && mode != reading_mode::copies;
         if (mode == reading_mode::all || is_wanted) {
@@ -328,6 +355,9 @@
     // that forwards it, and no endpoint would ever be dropped.
     const duration grace = milliseconds(static_cast<std::int64_t>(copy.grace_ms)) - max_propagation_time;
     roster_.keep_lapsed_until(monotonic_now() + grace);
+    if (&watch == &endpoint_watch_ && copy.grace_ms == 0) {
+        roster_.on_reading_ended(); // The store serves the peer, so what is missing in the copy has left.
+    }
     const endpoint_division earlier_division = division_;
     if (&watch == &endpoint_watch_ && !copy.division.empty()) {
         division_.set_groups(copy.division);
--- a/src/host/entry_host_peers.cpp
+++ b/src/host/entry_host_peers.cpp
@@ -488,13 +488,13 @@
     if (!settings_.in_use.vouches) {
         return;
     }
-    const bool is_store_answering = reads_everything() && !is_store_lost_;
+    const bool is_store_answering = reads_everything() && !store_lost_since_;
     if (relay_.state().freshness.age(now) < (is_store_answering ? stale_after : stale_copy_after)) {
         return;
     }
     const std::int64_t nonce = ++last_nonce_;
     open_questions_[nonce] = now;
-    const std::size_t asked = is_store_lost_ ? peers_asked_in_outage : peers_asked;
+    const std::size_t asked = store_lost_since_ ? peers_asked_in_outage : peers_asked;
     const std::size_t own_domain = asked * own_domain_peers_asked / peers_asked;
     send_to_others(gossip_.random_peers_by_domain(own_domain, asked - own_domain, now),
                    encode_peer_message(freshness_question{nonce}));
--- a/src/host/peer_messages.cpp
+++ b/src/host/peer_messages.cpp
@@ -61,7 +61,8 @@
                                       {"endpoint_revision", "L"},
                                       {"rollout_revision", "M"},
                                       {"is_divided", "N"},
-                                      {"departure_revision", "O"}};
+                                      {"departure_revision", "O"},
+                                      {"has_lost_store", "P"}};
 
 using field_map = std::map<std::string, std::string>;
 
--- a/src/membership/host_gossip.cpp
+++ b/src/membership/host_gossip.cpp
@@ -252,6 +252,11 @@
     forget_dead(now);
 }
 
+bool host_gossip::has_changed(const host_status& held, const host_status& later) {
+    return held.incarnation != later.incarnation || held.state != later.state ||
+           held.has_lost_store != later.has_lost_store;
+}
+
 void host_gossip::update_peer(const host_status& status, time_point now) {
     const auto [item, is_new] = others_.try_emplace(status.name);
     peer_status& peer = item->second;
@@ -259,7 +264,7 @@
         peer.name_hash = host_name_hash(status.name);
         by_name_hash_[peer.name_hash] = item;
     }
-    if (is_new || peer.status.incarnation != status.incarnation || peer.status.state != status.state) {
+    if (is_new || has_changed(peer.status, status)) {
         peer.times_sent = 0;
         is_live_current_ = false;
     }
--- a/src/membership/host_gossip.h
+++ b/src/membership/host_gossip.h
@@ -45,10 +45,11 @@
     std::int64_t beat = 0;          ///< heartbeat counter, raised in each gossip round
     std::string state = "starting"; ///< "starting", "serving" or "leaving"
     std::int64_t config_revision = 0;
-    int capacity = 0; ///< of its processor, in hundredths of a core; 0: unknown
+    int capacity = 0;            ///< of its processor, in hundredths of a core; 0: unknown
+    bool has_lost_store = false; ///< it reads the store, and its calls fail
 };
 LAUREL_VALUE_TYPE(host_status, name, gossip_address, entry_address, domain, incarnation, beat, state,
-                  config_revision, capacity)
+                  config_revision, capacity, has_lost_store)
 
 /// A host counts as dead when its heartbeat counter has not risen for this long. The counter rises at least
 /// every 0.4 s, and a newer value reaches every host in nearly every round; the rest allows for lost messages
@@ -93,6 +94,7 @@
     /** Sets gossip addresses to contact while few hosts are known, and in every eighth round. */
     void set_seeds(std::vector<std::string> addresses) { seeds_ = std::move(addresses); }
     void set_state(const std::string& state) { self_.state = state; }
+    void set_has_lost_store(bool has_lost_store) { self_.has_lost_store = has_lost_store; }
     void set_config_revision(std::int64_t revision) { self_.config_revision = revision; }
 
     /** Begins a gossip round: raises the heartbeat counter and picks the recipients.
@@ -145,11 +147,13 @@
         host_status status;
         std::uint32_t name_hash = 0; ///< \ref host_name_hash
         time_point heard_at;         ///< when this host last saw its heartbeat counter rise
-        std::size_t times_sent = 0;  ///< messages that carried it since its state or incarnation changed
+        std::size_t times_sent = 0;  ///< messages that carried it since \ref has_changed held
     };
     using peers_by_name = std::map<std::string, peer_status>;
 
     void raise_incarnation_above(const host_status& earlier_process);
+    /** \return whether \p later differs from \p held in what the other hosts have to hear soon. */
+    static bool has_changed(const host_status& held, const host_status& later);
     void update_peer(const host_status& status, time_point now);
     void mark_heard(peer_status& peer, time_point now);
     void forget_dead(time_point now);
--- a/src/membership/store_reading.cpp
+++ b/src/membership/store_reading.cpp
@@ -44,9 +44,12 @@
 /// seconds over 10 Mbit/s links, while the store delivers it at once. With 300 ms, 55 of 74 hosts asked the
 /// store at each change, because copies sometimes take that long on hosts with an eighth of a core.
 constexpr duration max_copy_delay = milliseconds(500);
-/// Hosts of a large fleet that read the store for all. One of them may be lost together with its failure
-/// domain. Each additional reader costs one call for every change of an endpoint.
-constexpr std::size_t large_fleet_readers = 2;
+/// A reader whose calls have failed for this long steps back. Three calls fail within it, whereas a single
+/// lost answer is repaired after 50 ms.
+constexpr duration max_store_loss = milliseconds(300);
+/// Hosts that a reader tells at once that it has lost the store. If the store refuses one host in three,
+/// eight candidates leave less than one case in 500 in which fewer than two of them are served.
+constexpr std::size_t stand_ins_told = 8;
 
 /// A host that may read the store, with its position in its failure domain.
 struct candidate {
@@ -112,15 +115,33 @@
         return {order.size(), order.size()};
     }
     const auto known_before = static_cast<std::size_t>(found - order.begin());
+    const auto lost_before = static_cast<std::size_t>(
+        std::count_if(order.begin(), found, [](const candidate& each) { return each.host->has_lost_store; }));
     if (found->in_domain <= max_flat_domain_hosts) {
-        return {found->in_domain, known_before};
+        return {found->in_domain, known_before, lost_before};
     }
     // Of another large domain only its first hosts are known here.
     std::set<std::string> domains;
     for (const candidate& each : order) {
         domains.insert(each.host->domain);
     }
-    return {found->in_domain, std::max(known_before, found->in_domain * domains.size())};
+    const std::size_t before = std::max(known_before, found->in_domain * domains.size());
+    return {found->in_domain, before, lost_before};
+}
+
+std::vector<host_status> select_stand_ins(const std::string& name, const std::vector<host_status>& hosts) {
+    std::vector<host_status> chosen;
+    for (const candidate& each : reader_order(hosts, name)) {
+        if (chosen.size() < stand_ins_told && each.host->name != name && !each.host->has_lost_store) {
+            chosen.push_back(*each.host);
+        }
+    }
+    return chosen;
+}
+
+bool announces_lost_store(const reading_inputs& inputs) {
+    return inputs.mode != reading_mode::copies && inputs.mode != reading_mode::listening &&
+           inputs.store_lost_for > max_store_loss;
 }
 
 std::vector<host_status> select_relays(const std::vector<host_status>& hosts) {
@@ -198,18 +219,27 @@
     if (inputs.mode == reading_mode::listening && inputs.since_start < listening) {
         return reading_mode::listening;
     }
-    const bool is_reader = inputs.hosts <= max_small_fleet_hosts || inputs.hosts_before < large_fleet_readers;
+    const bool is_small_fleet = inputs.hosts <= max_small_fleet_hosts;
+    const bool is_reader = is_small_fleet || inputs.hosts_before < large_fleet_readers;
     const bool reads_for_others = inputs.hosts_before < max_hosts_reading_for_others;
+    const bool stands_in = reads_for_others && inputs.hosts_before - inputs.lost_before < large_fleet_readers;
     const bool is_still_starting =
         !inputs.holds_copies &&
         (inputs.is_list_long ? reads_for_others && inputs.since_start > max_wait_for_long_list
                              : inputs.since_start < max_initial_reading_time);
+    if (stands_in && !is_small_fleet && announces_lost_store(inputs)) {
+        return reading_mode::confirming;
+    }
     if (is_reader || is_still_starting) {
         return reading_mode::all;
     }
     if (inputs.mode == reading_mode::confirming && inputs.has_store_answered && reads_for_others) {
         return reading_mode::all;
     }
+    if (stands_in) {
+        const bool is_reading = inputs.mode == reading_mode::all && inputs.has_store_answered;
+        return is_reading ? reading_mode::all : reading_mode::confirming;
+    }
     if (inputs.mode == reading_mode::all && inputs.has_store_answered &&
         inputs.in_mode < reading_for_others_time) {
         return reading_mode::all;
--- a/src/membership/store_reading.h
+++ b/src/membership/store_reading.h
@@ -8,6 +8,11 @@
  * the rest once the store has answered. These hosts begin one after another in the reader order: if the store
  * serves some of them, the first ones confirm the configuration for the others before those have asked.
  *
+ * Load pattern: the store refuses 21 of 77 hosts, both readers among them, and a release replaces endpoints
+ * meanwhile. If the readers keep their duty, the others read nothing until their configuration is stale,
+ * every 3.4 s, and send requests to endpoints that left 3.3 s before. A reader that the store refuses
+ * therefore says so, and the next hosts in the reader order stand in for it until it is served again.
+ *
  * Load pattern: 295 hosts start at once, or half of them restart after a failure. A host that lists and
  * follows everything until it knows the others makes seven calls. A host that has just started therefore
  * reads the configuration once, takes a possibly outdated listing of the rest, and follows nothing for a
@@ -49,8 +54,13 @@
     bool is_view_growing = false;    ///< many hosts have become known within the last moment
     std::size_t hosts = 1;           ///< live hosts, this one included
     std::size_t hosts_before = 0;    ///< hosts that precede this one in the reader order
+    std::size_t lost_before = 0;     ///< those of \ref hosts_before that have lost the store
+    duration store_lost_for{}; ///< time since this host's calls of the store have failed; 0: they do not
 };
 
+/// Hosts of a large fleet that read the store for all. One of them may be lost together with its failure
+/// domain. Each additional reader costs one call for every change of an endpoint.
+constexpr std::size_t large_fleet_readers = 2;
 /// Hosts of each failure domain that the readers notify of a change directly; one of them may be lost.
 constexpr std::size_t relays_per_domain = 2;
 /// Hosts that one host notifies of a change at once. Each of them requests a copy, of up to 80 KB when
@@ -63,13 +73,19 @@
 struct reader_position {
     std::size_t in_domain = 0; ///< hosts of its own domain that precede it
     std::size_t overall = 0;   ///< hosts of all domains that precede it
+    std::size_t lost = 0;      ///< those of \ref overall that have lost the store
 };
-LAUREL_VALUE_TYPE(reader_position, in_domain, overall)
+LAUREL_VALUE_TYPE(reader_position, in_domain, overall, lost)
 
 /** \return the position of the host \p name in the reader order of \p hosts. */
 reader_position find_reader_position(const std::string& name, const std::vector<host_status>& hosts);
 /** \return the relays of all domains, which the readers notify of changes directly, in the reader order. */
 std::vector<host_status> select_relays(const std::vector<host_status>& hosts);
+/** \return whether a host with \p inputs tells the others that it has lost the store. */
+bool announces_lost_store(const reading_inputs& inputs);
+/** \return the hosts that the host \p name tells at once that it has lost the store: the first ones in the
+ * reader order that may stand in for it. */
+std::vector<host_status> select_stand_ins(const std::string& name, const std::vector<host_status>& hosts);
 /** \return the hosts of a large fleet that read the store for all. */
 std::vector<host_status> select_readers(const std::vector<host_status>& hosts);
 
--- a/src/store/object_watch.h
+++ b/src/store/object_watch.h
@@ -86,6 +86,8 @@
     std::int64_t last_changed_revision() const { return last_changed_revision_; }
     const objects_by_name& objects() const { return objects_; }
     bool is_listed() const { return is_listed_; }
+    /** \return whether the last call succeeded, or none has been made. */
+    bool is_reachable() const { return is_reachable_; }
 
 private:
     void transition(const char* event);
--- a/test/membership_test.cpp
+++ b/test/membership_test.cpp
@@ -543,6 +543,48 @@
     EXPECT_EQ(choose_reading_mode(inputs), reading_mode::copies);
 }
 
+// The store refuses both readers and serves this host. If it waited until its configuration is stale, no host
+// would learn for 3.4 s that an endpoint has left.
+TEST(store_reading, a_host_stands_in_for_readers_that_have_lost_the_store) {
+    reading_inputs inputs = inputs_of_non_reader();
+    inputs.hosts_before = 3;
+    inputs.lost_before = 1;
+    EXPECT_EQ(choose_reading_mode(inputs), reading_mode::copies);
+    inputs.lost_before = 2;
+    EXPECT_EQ(choose_reading_mode(inputs), reading_mode::confirming) << "it asks for the configuration first";
+    inputs.mode = reading_mode::confirming;
+    inputs.has_store_answered = true;
+    EXPECT_EQ(choose_reading_mode(inputs), reading_mode::all);
+    inputs.mode = reading_mode::all;
+    EXPECT_EQ(choose_reading_mode(inputs), reading_mode::all) << "as long as the readers are not served";
+    inputs.lost_before = 1;
+    EXPECT_EQ(choose_reading_mode(inputs), reading_mode::copies);
+    inputs.hosts_before = inputs.lost_before = 48;
+    EXPECT_EQ(choose_reading_mode(inputs), reading_mode::copies) << "the store may be down for all hosts";
+}
+
+// A reader that the store refuses must not go on as if it read everything: it would take no copies of the
+// hosts that stand in for it.
+TEST(store_reading, a_reader_that_has_lost_the_store_steps_back_until_it_is_served) {
+    reading_inputs inputs = inputs_of_non_reader();
+    inputs.mode = reading_mode::all;
+    inputs.hosts_before = 1;
+    inputs.store_lost_for = milliseconds(100);
+    EXPECT_FALSE(announces_lost_store(inputs)) << "a single lost answer";
+    EXPECT_EQ(choose_reading_mode(inputs), reading_mode::all);
+    inputs.store_lost_for = milliseconds(400);
+    EXPECT_TRUE(announces_lost_store(inputs));
+    EXPECT_EQ(choose_reading_mode(inputs), reading_mode::confirming);
+    inputs.mode = reading_mode::confirming;
+    EXPECT_TRUE(announces_lost_store(inputs));
+    inputs.store_lost_for = duration::zero();
+    EXPECT_FALSE(announces_lost_store(inputs));
+    EXPECT_EQ(choose_reading_mode(inputs), reading_mode::all);
+    inputs.hosts = 10;
+    inputs.store_lost_for = seconds(1);
+    EXPECT_EQ(choose_reading_mode(inputs), reading_mode::all) << "every host of a small fleet reads";
+}
+
 // All 295 hosts start within a third of a second. If each listed and followed everything until it knows the
 // others, they would make seven calls each, 2,000 in total, which is most of a day's calls.
 TEST(store_reading, a_starting_host_follows_nothing_until_gossip_has_named_the_others) {
@@ -838,6 +880,135 @@
     EXPECT_EQ(choose_reading_mode(inputs), reading_mode::copies);
 }
 
+namespace {
+
+/** Hosts of which the store refuses some. Every 250 ms each host chooses what it reads; news of a lost store
+ * takes 100 ms to the hosts that are told of it and a second to all others. */
+class partly_served_fleet {
+public:
+    explicit partly_served_fleet(int count) : hosts_{make_fleet(count, 4)}, members_(hosts_.size()) {}
+
+    void refuse(std::size_t number) { members_[number].is_refused = true; }
+    void serve_all() {
+        for (member& each : members_) {
+            each.is_refused = false;
+        }
+    }
+    void run(duration time) {
+        for (const time_point end = now_ + time; now_ < end; now_ += milliseconds(50)) {
+            for (std::size_t i = 0; i < hosts_.size(); ++i) {
+                call_store(i);
+                if (to_ms(now_.time_since_epoch()) == 0 || (ticks_ + i) % 5 == 0) {
+                    choose(i);
+                }
+            }
+            ++ticks_;
+        }
+    }
+    std::size_t served_readers() const {
+        return static_cast<std::size_t>(
+            std::count_if(members_.begin(), members_.end(), [](const member& each) {
+                return each.inputs.mode == reading_mode::all && !each.is_refused;
+            }));
+    }
+    std::size_t hosts_calling() const {
+        return static_cast<std::size_t>(
+            std::count_if(members_.begin(), members_.end(),
+                          [](const member& each) { return each.inputs.mode != reading_mode::copies; }));
+    }
+
+private:
+    struct member {
+        reading_inputs inputs = inputs_of_non_reader();
+        bool is_refused = false;
+        std::optional<time_point> lost_since;
+        std::map<std::string, std::pair<time_point, bool>>
+            news; ///< by host: when it arrives, and what it says
+    };
+
+    void call_store(std::size_t number) {
+        member& host = members_[number];
+        if (host.inputs.mode == reading_mode::copies) {
+            host.lost_since.reset();
+        } else if (!host.is_refused) {
+            host.lost_since.reset();
+            host.inputs.has_store_answered = true;
+        } else if (!host.lost_since) {
+            host.lost_since = now_;
+        }
+    }
+
+    void choose(std::size_t number) {
+        member& host = members_[number];
+        std::vector<host_status> view = hosts_;
+        for (host_status& each : view) {
+            const auto news = host.news.find(each.name);
+            each.has_lost_store =
+                news != host.news.end() && news->second.first <= now_ && news->second.second;
+        }
+        const reader_position position = find_reader_position(hosts_[number].name, view);
+        host.inputs.hosts = hosts_.size();
+        host.inputs.hosts_before = position.overall;
+        host.inputs.lost_before = position.lost;
+        host.inputs.store_lost_for = host.lost_since ? now_ - *host.lost_since : duration::zero();
+        announce(number, announces_lost_store(host.inputs), view);
+        const reading_mode mode = choose_reading_mode(host.inputs);
+        if (mode != host.inputs.mode) {
+            host.inputs.mode = mode;
+            host.inputs.has_store_answered = false;
+            host.inputs.in_mode = duration::zero();
+        }
+        host.inputs.in_mode += milliseconds(250);
+    }
+
+    void announce(std::size_t number, bool has_lost_store, const std::vector<host_status>& view) {
+        if (hosts_[number].has_lost_store == has_lost_store) {
+            return;
+        }
+        hosts_[number].has_lost_store = has_lost_store;
+        std::set<std::string> told;
+        for (const host_status& each : select_stand_ins(hosts_[number].name, view)) {
+            told.insert(each.name);
+        }
+        for (std::size_t i = 0; i < hosts_.size(); ++i) {
+            const duration delay = told.count(hosts_[i].name) > 0 ? milliseconds(100) : seconds(1);
+            members_[i].news[hosts_[number].name] = {now_ + delay, has_lost_store};
+        }
+    }
+
+    std::vector<host_status> hosts_;
+    std::vector<member> members_;
+    time_point now_ = time_point{} + seconds(100);
+    std::size_t ticks_ = 0;
+};
+
+} // namespace
+
+// Guards against a fleet in which nobody reads the store because it refuses the readers: leaving endpoints go
+// on to get requests. Whichever third of the hosts is refused, others must read within the 3 s after which an
+// endpoint that leaves may get nothing, and go on until the readers are served again.
+RC_GTEST_PROP(store_reading, someone_reads_whichever_hosts_the_store_refuses, ()) {
+    constexpr int hosts = 77;
+    constexpr int refused = 25;
+    partly_served_fleet fleet(hosts);
+    fleet.run(seconds(2));
+    RC_ASSERT(fleet.served_readers() == 2U);
+    for (const std::size_t each :
+         *rc::gen::unique<std::vector<std::size_t>>(refused, rc::gen::inRange<std::size_t>(0, hosts))) {
+        fleet.refuse(each);
+    }
+    fleet.run(milliseconds(2700));
+    for (int i = 0; i < 50; ++i) {
+        RC_ASSERT(fleet.served_readers() >= 1U);
+        RC_ASSERT(fleet.hosts_calling() <= 48U);
+        fleet.run(milliseconds(100));
+    }
+    fleet.serve_all();
+    fleet.run(seconds(3));
+    RC_ASSERT(fleet.served_readers() == 2U);
+    RC_ASSERT(fleet.hosts_calling() == 2U);
+}
+
 // A whole fleet starts before there is a configuration. If only serving hosts were ranked, every host would
 // consider itself the first reader and read everything, and would do so again when the first few hosts serve.
 TEST(store_reading, two_hosts_of_a_starting_fleet_read) {
