The rate limit in force does not depend on the order of an endpoint's statements

What callers saw: none known. Hosts could hold different limits of one endpoint, so that some send five requests a second to it and others none, or all of them more than it takes.

Cause: statements were compared one by one with the one held. Of three whose intervals overlap (2 a second in [1000,1100], 5 in [1050,1150], none in [1120,1200]) the result was none, 2 or 5 by order.

Change: the statements that may be the last one are kept, at most eight; the strictest of them is in force. Hosts exchange all of them, so their histories merge to the same result in any order.

--- a/src/placement/rate_limits.cpp
+++ b/src/placement/rate_limits.cpp
@@ -22,7 +22,8 @@
 /// Relative change that is announced at once. A limit that follows the endpoint's load changes a little with
 /// each answer; smaller changes spread with the gossip rounds.
 constexpr double min_announced_change = 0.1;
-constexpr std::size_t max_known_limits = 1024; ///< of about 150 bytes each
+constexpr std::size_t max_known_limits = 1024;     ///< of about 200 bytes each
+constexpr std::size_t max_possible_statements = 8; ///< of one endpoint
 constexpr double no_limit = -1;
 
 double effective_rate(double limit) {
@@ -53,14 +54,59 @@
             at(notice.heard_age_ms)};
 }
 
-limit_notice to_notice(std::uint32_t process, const limit_statement& statement, time_point now) {
+void append_notices(std::vector<limit_notice>& notices, std::uint32_t process, const limit_history& history,
+                    time_point now) {
     const auto age = [now](time_point at) { return std::llround(to_ms(now - at)); };
-    return {process, statement.requests_per_s.value_or(no_limit), age(statement.sent_at),
-            age(statement.heard_at)};
+    for (const limit_statement& statement : history.statements()) {
+        notices.push_back({process, statement.requests_per_s.value_or(no_limit), age(statement.sent_at),
+                           age(statement.heard_at)});
+    }
+}
+
+bool is_stricter(const std::optional<double>& left, const std::optional<double>& right) {
+    return left && (!right || *left < *right);
 }
 
 } // namespace
 
+void limit_history::add(const limit_statement& statement) {
+    newest_sent_ = std::max(newest_sent_, statement.sent_at);
+    const auto later = std::upper_bound(
+        possible_.begin(), possible_.end(), statement,
+        [](const limit_statement& l, const limit_statement& r) { return l.heard_at < r.heard_at; });
+    possible_.insert(later, statement);
+    std::vector<limit_statement> kept;
+    for (auto each = possible_.rbegin(); each != possible_.rend(); ++each) {
+        const bool is_outdated = each->heard_at < newest_sent_;
+        if (!is_outdated && (kept.empty() || is_stricter(each->requests_per_s, kept.back().requests_per_s))) {
+            kept.push_back(*each);
+        }
+    }
+    possible_.assign(kept.rbegin(), kept.rend());
+    if (possible_.size() > max_possible_statements) {
+        // The stricter neighbour holds as long as the one that is dropped.
+        const auto dropped = std::prev(possible_.end(), 2);
+        std::prev(dropped)->heard_at = dropped->heard_at;
+        possible_.erase(dropped);
+    }
+}
+
+std::optional<double> limit_history::limit() const {
+    return possible_.empty() ? std::nullopt : possible_.front().requests_per_s;
+}
+
+bool limit_history::is_older_than(time_point time) const {
+    return possible_.empty() || possible_.back().heard_at < time;
+}
+
+std::vector<limit_statement> limit_history::statements() const {
+    std::vector<limit_statement> all = possible_;
+    for (limit_statement& each : all) {
+        each.sent_at = newest_sent_;
+    }
+    return all;
+}
+
 void rate_limits::update(const std::vector<endpoint_record>& endpoints, time_point now) {
     if (endpoints != listed_) {
         listed_ = endpoints;
@@ -82,8 +128,8 @@
 
 void rate_limits::forget_old(time_point now) {
     for (auto item = known_limits_.begin(); item != known_limits_.end();) {
-        const bool is_in_force = item->second.statement.requests_per_s && find_listed(item->first) != nullptr;
-        const bool is_old = now - item->second.statement.heard_at > limit_ttl;
+        const bool is_in_force = item->second.history.limit() && find_listed(item->first) != nullptr;
+        const bool is_old = item->second.history.is_older_than(now - limit_ttl);
         item = !is_in_force && is_old ? known_limits_.erase(item) : std::next(item);
     }
 }
@@ -128,17 +174,17 @@
 
 void rate_limits::assign(known_limit& known, const endpoint_record& endpoint, time_point now) const {
     known.is_assigned = true;
-    if (!known.statement.requests_per_s || !view_.has_full_view) {
+    const std::optional<double> limit = known.history.limit();
+    if (!limit || !view_.has_full_view) {
         known.own_pace.reset();
         return;
     }
-    const double limit = *known.statement.requests_per_s;
-    const std::size_t parts = shares_for_this_host(endpoint, limit);
+    const std::size_t parts = shares_for_this_host(endpoint, *limit);
     if (parts == 0) {
         known.own_pace.reset();
         return;
     }
-    const double share = effective_rate(limit) / static_cast<double>(parts);
+    const double share = effective_rate(*limit) / static_cast<double>(parts);
     const auto spacing = std::chrono::duration_cast<duration>(std::chrono::duration<double>(1.0 / share));
     if (!known.own_pace) {
         // Another host may have sent this share until now, and new sponsors must not send in step.
@@ -159,16 +205,9 @@
         return false;
     }
     known_limit& known = known_limits_[process];
-    const std::optional<double> before = known.statement.requests_per_s;
-    const std::optional<double>& after = statement.requests_per_s;
-    const bool is_older = statement.heard_at < known.statement.sent_at;
-    const bool is_newer = statement.sent_at > known.statement.heard_at;
-    const bool is_stricter = after && (!before || *after < *before);
-    if (is_older || !(is_newer || is_stricter || after == before)) {
-        return false;
-    }
-    known.statement = {after, std::max(known.statement.sent_at, statement.sent_at),
-                       std::max(known.statement.heard_at, statement.heard_at)};
+    const std::optional<double> before = known.history.limit();
+    known.history.add(statement);
+    const std::optional<double> after = known.history.limit();
     if (after == before) {
         return false;
     }
@@ -208,7 +247,7 @@
     std::vector<limit_notice> notices;
     for (auto& [process, known] : known_limits_) {
         if (known.is_pending) {
-            notices.push_back(to_notice(process, known.statement, now));
+            append_notices(notices, process, known.history, now);
             known.is_pending = false;
         }
     }
@@ -218,9 +257,9 @@
 std::vector<limit_notice> rate_limits::next_to_gossip(std::size_t max_count, time_point now) {
     std::vector<limit_notice> notices;
     auto next = known_limits_.upper_bound(last_gossiped_);
-    while (notices.size() < std::min(max_count, known_limits_.size())) {
+    for (std::size_t visited = 0; visited < known_limits_.size() && notices.size() < max_count; ++visited) {
         next = next == known_limits_.end() ? known_limits_.begin() : next;
-        notices.push_back(to_notice(next->first, next->second.statement, now));
+        append_notices(notices, next->first, next->second.history, now);
         last_gossiped_ = next->first;
         ++next;
     }
@@ -236,12 +275,12 @@
         return nullptr;
     }
     const auto found = known_limits_.find(process->second);
-    return found != known_limits_.end() && found->second.statement.requests_per_s ? &found->second : nullptr;
+    return found != known_limits_.end() && found->second.history.limit() ? &found->second : nullptr;
 }
 
 std::optional<double> rate_limits::limit_of(const std::string& endpoint) const {
     const known_limit* known = find_limited(endpoint);
-    return known == nullptr ? std::nullopt : known->statement.requests_per_s;
+    return known == nullptr ? std::nullopt : known->history.limit();
 }
 
 bool rate_limits::may_send_within(const std::string& endpoint, duration max_wait, time_point now) const {
@@ -272,12 +311,13 @@
     std::optional<duration> first;
     for (const auto& [process, known] : known_limits_) {
         const endpoint_record* endpoint = find_listed(process);
-        if (!known.statement.requests_per_s || endpoint == nullptr || endpoint->pool != service) {
+        const std::optional<double> limit = known.history.limit();
+        if (!limit || endpoint == nullptr || endpoint->pool != service) {
             continue;
         }
         // If this host is not a sponsor, another host sends the next request within the usual interval.
-        const auto usual = std::chrono::duration_cast<duration>(
-            std::chrono::duration<double>(1.0 / effective_rate(*known.statement.requests_per_s)));
+        const auto usual =
+            std::chrono::duration_cast<duration>(std::chrono::duration<double>(1.0 / effective_rate(*limit)));
         const duration left =
             known.own_pace
                 ? std::max(duration::zero(), known.own_pace->due - credit_of(known.own_pace->spacing) - now)
--- a/src/placement/rate_limits.h
+++ b/src/placement/rate_limits.h
@@ -4,7 +4,8 @@
  * An overloaded endpoint states a limit in each answer, in requests per second from all hosts together. The
  * limit is in force until an answer states another one or none. Answers can arrive out of order, so a
  * statement carries the interval in which it was made: from the sending of the request to the arrival of the
- * answer's head. A stricter limit takes effect at once, a looser one only if it is certainly newer.
+ * answer's head. A stricter limit takes effect at once, a looser one only if it is certainly newer. What
+ * holds does not depend on the order in which statements arrive, so that all hosts agree.
  *
  * Load pattern: seven hosts share 18 busy engines, two of which state a limit of two requests a second. These
  * two look idle, so both hosts of their failure domain send them four requests a second each, although they
@@ -43,6 +44,29 @@
 };
 LAUREL_VALUE_TYPE(limit_notice, process, requests_per_s, sent_age_ms, heard_age_ms)
 
+/** The statements of one endpoint that may be its last one.
+ *
+ * A statement is outdated once another one was certainly made later. The strictest of the others is in force.
+ * Example: 2 requests a second, stated between 1000 and 1100 ms; 5, between 1050 and 1150 ms; no limit,
+ * between 1120 and 1200 ms. The third is newer than the first, but perhaps older than the second: 5 holds. */
+class limit_history {
+public:
+    /** Adds \p statement, unless it is outdated, and drops those that it makes outdated. */
+    void add(const limit_statement& statement);
+    /** \return the strictest limit that may be the last one stated, or nothing if it is certainly none. */
+    std::optional<double> limit() const;
+    /** \return whether no statement has arrived at or after \p time. */
+    bool is_older_than(time_point time) const;
+    /** \return the statements from which another host derives the same history. */
+    std::vector<limit_statement> statements() const;
+
+private:
+    time_point newest_sent_; ///< latest \ref limit_statement::sent_at; what was heard before it is outdated
+    /// In order of \ref limit_statement::heard_at; each is looser than those before it. A statement that is
+    /// neither stricter nor later than another one makes no difference.
+    std::vector<limit_statement> possible_;
+};
+
 /** The rate limits of the endpoints as one host knows them. No I/O; the time is an argument. */
 class rate_limits {
 public:
@@ -91,7 +115,7 @@
         time_point due; ///< scheduled time of the next request if every request is sent on schedule
     };
     struct known_limit {
-        limit_statement statement;
+        limit_history history;
         time_point changed_at;        ///< when this host last took a different limit
         bool is_pending = false;      ///< to be returned by \ref take_pending
         bool is_assigned = false;     ///< own_pace is up to date with the limit, the sharers and the hosts
--- a/test/rate_limits_test.cpp
+++ b/test/rate_limits_test.cpp
@@ -52,6 +52,53 @@
         << "this statement is older than both";
 }
 
+// Guards against hosts that hold different limits of one endpoint because its overlapping answers reached
+// them in different orders: some would send five requests a second, others none.
+TEST(rate_limits, the_order_of_overlapping_statements_makes_no_difference) {
+    const auto at = [](int ms) { return start + milliseconds(ms); };
+    std::vector<limit_statement> statements = {
+        {2.0, at(1000), at(1100)}, {5.0, at(1050), at(1150)}, {std::nullopt, at(1120), at(1200)}};
+    std::vector<int> order = {0, 1, 2};
+    do {
+        rate_limits limits = make_rate_limits("host0");
+        limits.note(engine("e"), {9.0, at(100), at(200)}, at(200)); // Makes the endpoint known as limited.
+        for (const int each : order) {
+            limits.note(engine("e"), statements[static_cast<std::size_t>(each)], at(1300));
+        }
+        EXPECT_EQ(limits.limit_of("e"), 5.0) << order[0] << order[1] << order[2];
+    } while (std::next_permutation(order.begin(), order.end()));
+}
+
+// The same for any statements and any order, received from the endpoint or through another host.
+RC_GTEST_PROP(rate_limits, hosts_agree_whatever_the_order_of_statements, ()) {
+    const auto statement = rc::gen::exec([] {
+        const int sent = *rc::gen::inRange(0, 400);
+        const auto limit = *rc::gen::element<std::optional<double>>(std::nullopt, 1.0, 2.0, 5.0);
+        const int heard = sent + *rc::gen::inRange(1, 200);
+        return limit_statement{limit, start + milliseconds(sent), start + milliseconds(heard)};
+    });
+    const auto statements = *rc::gen::container<std::vector<limit_statement>>(statement);
+    const time_point now = start + seconds(1);
+    const limit_statement first{9.0, start - milliseconds(200), start - milliseconds(100)};
+    rate_limits in_order = make_rate_limits("host0");
+    rate_limits reversed = make_rate_limits("host1");
+    rate_limits half = make_rate_limits("host2");
+    for (rate_limits* each : {&in_order, &reversed, &half}) {
+        each->note(engine("e"), first, now);
+    }
+    for (std::size_t i = 0; i < statements.size(); ++i) {
+        in_order.note(engine("e"), statements[i], now);
+        reversed.note(engine("e"), statements[statements.size() - 1 - i], now);
+        if (i % 2 == 0) {
+            half.note(engine("e"), statements[i], now);
+        }
+    }
+    RC_ASSERT(in_order.limit_of("e") == reversed.limit_of("e"));
+    constexpr std::size_t enough = 100;
+    half.merge(in_order.next_to_gossip(enough, now), now);
+    RC_ASSERT(half.limit_of("e") == in_order.limit_of("e"));
+}
+
 // Guards against the limit of an earlier process being applied to a new one under the same name.
 TEST(rate_limits, a_restart_clears_the_limit) {
     rate_limits limits = make_rate_limits("host0");
