The cutover of a roll-out allows for repeats that an outage holds back

What callers saw: a release that fails under load got more than its share of requests.

While most endpoints are silent requests get one attempt only; as the endpoints return, attempts rise by 45% at the same rate of requests.

Change: first attempts are counted apart. The rate of recent requests times the attempts that a request got on average is expected as well.

The test fails with usual_rate_of_requests left out.

--- a/src/host/peer_messages.cpp
+++ b/src/host/peer_messages.cpp
@@ -62,7 +62,8 @@
                                       {"rollout_revision", "M"},
                                       {"is_divided", "N"},
                                       {"departure_revision", "O"},
-                                      {"has_lost_store", "P"}};
+                                      {"has_lost_store", "P"},
+                                      {"first_sent_in_rollout", "Q"}};
 
 using field_map = std::map<std::string, std::string>;
 
--- a/src/relay/exchange.cpp
+++ b/src/relay/exchange.cpp
@@ -313,7 +313,9 @@
     const time_point now = monotonic_now();
     state_.endpoints.on_sent(attempt_.chosen, prompt_, attempt_.criteria, now);
     notify_load_changed();
-    state_.releases.on_started(release_key(), terms_.session, now);
+    state_.releases.on_started(release_key(), terms_.session, now,
+                               is_first_attempt_ ? attempt_order::first : attempt_order::later);
+    is_first_attempt_ = false;
     attempt_.sent_at = now;
     attempt_.heard_at = now;
     const std::string& address = attempt_.chosen.endpoint.address;
--- a/src/rollout/release_rollout.cpp
+++ b/src/rollout/release_rollout.cpp
@@ -122,7 +122,7 @@
         rollouts_[order.service] = started;
         for (auto& [key, counts] : own_) {
             if (key.service == order.service) {
-                counts.sent_in_rollout = 0;
+                counts.sent_in_rollout = counts.first_sent_in_rollout = 0;
                 counts.target = order.release;
             }
         }
@@ -222,12 +222,14 @@
     return {release, "", rollout.has_moved() ? 1.0 : rollout.trial_share};
 }
 
-void rollout_tracker::on_started(const release_route& key, const std::string& session, time_point now) {
+void rollout_tracker::on_started(const release_route& key, const std::string& session, time_point now,
+                                 attempt_order order) {
     release_counts& counts = own_[key];
     counts.service = key.service;
     counts.release = key.release;
     counts.route = key.route;
     ++counts.sent_in_rollout;
+    counts.first_sent_in_rollout += order == attempt_order::first ? 1 : 0;
     attempts_in_flight_[key].insert(now);
     const auto found = rollouts_.find(key.service);
     counts.target = found == rollouts_.end() ? std::string{} : found->second.order.release;
@@ -361,8 +363,10 @@
     merged.bad = std::max(held.bad, seen.bad);
     if (held.target == seen.target) {
         merged.sent_in_rollout = std::max(held.sent_in_rollout, seen.sent_in_rollout);
+        merged.first_sent_in_rollout = std::max(held.first_sent_in_rollout, seen.first_sent_in_rollout);
     } else if (is_held_current) {
         merged.sent_in_rollout = held.sent_in_rollout;
+        merged.first_sent_in_rollout = held.first_sent_in_rollout;
         merged.target = held.target;
     }
     held = merged;
@@ -485,16 +489,27 @@
     const double expected = total / age_ms * left_ms;
     // A burst that has just begun hardly raises the mean rate: with the mean alone, a release got 341 of
     // 1,539 requests where 261 were allowed.
-    const double expected_after_cutover = rate_margin * std::max(expected, rollout.recent_per_ms * left_ms);
+    const double recent = std::max(rollout.recent_per_ms, usual_rate_of_requests(rollout, sent));
+    const double expected_after_cutover = rate_margin * std::max(expected, recent * left_ms);
     return sent_to_new + expected_after_cutover <= settings_.exposure_share * (total + expected);
 }
 
+// While most endpoints are silent, requests get one attempt only: no larger model has room, and there is
+// nowhere to repeat them. When the endpoints came back, attempts rose from 200 to 290 a second at the same
+// 200 requests a second, and a release got 573 of them where 561 were allowed.
+double rollout_tracker::usual_rate_of_requests(const rollout_record& rollout, const sent_totals& sent) {
+    return sent.first == 0 ? 0.0
+                           : rollout.recent_first_per_ms * static_cast<double>(sent.all) /
+                                 static_cast<double>(sent.first);
+}
+
 rollout_tracker::sent_totals rollout_tracker::sent_in(const rollout_record& rollout) const {
     sent_totals sent;
     for_each_count(rollout.order.service, [&](const release_route& key, const release_counts& counts) {
         const std::int64_t attempts = counts.target == rollout.order.release ? counts.sent_in_rollout : 0;
         sent.all += attempts;
         sent.to_new_release += key.release == rollout.order.release ? attempts : 0;
+        sent.first += counts.target == rollout.order.release ? counts.first_sent_in_rollout : 0;
     });
     return sent;
 }
@@ -509,9 +524,12 @@
     if (since < rate_window) {
         return;
     }
-    const std::int64_t sent = sent_in(rollout).all;
-    rollout.recent_per_ms =
-        static_cast<double>(std::max<std::int64_t>(0, sent - rollout.sent_before)) / to_ms(since);
+    const sent_totals sent = sent_in(rollout);
+    const auto rate = [since](std::int64_t before, std::int64_t after) {
+        return static_cast<double>(std::max<std::int64_t>(0, after - before)) / to_ms(since);
+    };
+    rollout.recent_per_ms = rate(rollout.sent_before.all, sent.all);
+    rollout.recent_first_per_ms = rate(rollout.sent_before.first, sent.first);
     rollout.sent_before = sent;
     rollout.counted_at = now;
 }
--- a/src/rollout/release_rollout.h
+++ b/src/rollout/release_rollout.h
@@ -62,8 +62,13 @@
     std::int64_t bad = 0;             ///< failed, or took several times as long as the old release
     std::int64_t sent_in_rollout = 0; ///< attempts since the host first saw the order for \ref target
     std::string target{};             ///< release that the order named which was in force at the last attempt
+    std::int64_t first_sent_in_rollout = 0; ///< those of \ref sent_in_rollout that were first attempts
 };
-LAUREL_VALUE_TYPE(release_counts, service, release, route, good, bad, sent_in_rollout, target)
+LAUREL_VALUE_TYPE(release_counts, service, release, route, good, bad, sent_in_rollout, target,
+                  first_sent_in_rollout)
+
+/** Whether an attempt is the first one of its request. */
+enum class attempt_order { first, later };
 
 /** What the outcome of one attempt shows about the release that served it. */
 enum class release_evidence { none, good, bad };
@@ -143,7 +148,8 @@
     release_choice choose(const std::string& service, const routed_request& request, time_point now) const;
 
     /** Records that an attempt was sent. \param session id of the request's session; empty: none */
-    void on_started(const release_route& key, const std::string& session, time_point now);
+    void on_started(const release_route& key, const std::string& session, time_point now,
+                    attempt_order order = attempt_order::first);
     /** Records that an attempt has ended.
      * \param started_at start of that attempt; if unset, the oldest attempt of \p key has ended
      * \param is_whole the attempt was answered completely, so that its duration counts towards the mean */
@@ -180,6 +186,12 @@
         std::int64_t good = 0;
         std::int64_t bad = 0;
     };
+    /// Attempts that all known hosts have sent during a roll-out.
+    struct sent_totals {
+        std::int64_t all = 0;
+        std::int64_t to_new_release = 0; ///< those of them that went to the new release
+        std::int64_t first = 0;          ///< those of them that were the first attempt of their request
+    };
     struct rollout_record {
         rollout_order order;
         time_point since;   ///< when the order was first seen by a host, or may have been written
@@ -187,12 +199,13 @@
         /// Time of the cutover, since which this host sends all requests to the new release. Nothing before
         /// it, and once the release has no endpoint left.
         std::optional<time_point> cut_over_at;
-        totals totals_at_cutover;     ///< answers of the new release before the cutover
-        double trial_share = 0;       ///< share of the requests that use the release on trial
-        bool is_on_trial = false;     ///< set once the hosts have exchanged their recent sessions
-        std::int64_t sent_before = 0; ///< requests of the service that were sent until \ref counted_at
-        time_point counted_at;        ///< start of the current rate window
-        double recent_per_ms = 0;     ///< request rate of the service over the last rate window
+        totals totals_at_cutover;       ///< answers of the new release before the cutover
+        double trial_share = 0;         ///< share of the requests that use the release on trial
+        bool is_on_trial = false;       ///< set once the hosts have exchanged their recent sessions
+        sent_totals sent_before;        ///< attempts that were sent until \ref counted_at
+        time_point counted_at;          ///< start of the current rate window
+        double recent_per_ms = 0;       ///< rate of attempts at the service over the last rate window
+        double recent_first_per_ms = 0; ///< the same of first attempts only
         bool is_braked = false;
         bool has_moved() const { return cut_over_at.has_value(); }
         std::map<std::string, totals> included; ///< by route: the answers that the evidence already includes
@@ -218,11 +231,9 @@
                             time_point now) const;
     bool fits_exposure_bound(const rollout_record& rollout, time_point now) const;
     /// Attempts that all hosts have sent since the order.
-    struct sent_totals {
-        std::int64_t all = 0;
-        std::int64_t to_new_release = 0; ///< those of them that went to the new release
-    };
     sent_totals sent_in(const rollout_record& rollout) const;
+    /** \return the attempts per ms that the recent requests cause if each gets as many as usual. */
+    static double usual_rate_of_requests(const rollout_record& rollout, const sent_totals& sent);
     /** Merges the counts \p seen of another host into \p held. Messages may overtake one another. */
     void merge_counts(release_counts& held, const release_counts& seen) const;
     void measure_rate(rollout_record& rollout, time_point now) const;
--- a/test/rollout_test.cpp
+++ b/test/rollout_test.cpp
@@ -313,6 +313,35 @@
     EXPECT_LT(burst.share_of_sessions(milliseconds(21'750)), 0.1);
 }
 
+// Most endpoints are silent before the cutover, so that requests get one attempt in place of the usual three
+// in two. Guards against a cutover at this rate of attempts: they return with the endpoints, and the release
+// would get more requests than the exposure bound allows.
+TEST(release_rollout, repeats_that_return_after_an_outage_delay_the_cutover) {
+    rollout_fixture steady;
+    rollout_fixture outage;
+    const release_route old_release{"pool", "v1", "drafts"};
+    for (int ms = 0; ms <= 21'750; ms += 250) {
+        for (rollout_fixture* each : {&steady, &outage}) {
+            const bool is_silent = each == &outage && ms >= 16'000;
+            const int requests = each == &outage ? 20 : 30;
+            each->record("v1", requests, 0);
+            for (int i = 0; i < 10 && each == &outage && !is_silent; ++i) {
+                each->tracker.on_started(old_release, "", each->start, attempt_order::later);
+                each->tracker.on_finished(old_release, "", each->start);
+            }
+            if (ms >= 16'000 && each == &outage) {
+                each->record("v1", 8, 0); // The burst of callers whose requests would need repeats.
+            }
+            if (ms == 1000) {
+                each->record("v2", 60, 0);
+            }
+            each->advance(milliseconds(ms));
+        }
+    }
+    EXPECT_EQ(steady.share_of_sessions(milliseconds(21'750)), 1.0);
+    EXPECT_LT(outage.share_of_sessions(milliseconds(21'750)), 0.1);
+}
+
 // A release that fails half of its requests under full load must not be reported complete while there is
 // evidence against it: the old endpoints then stop, so it cannot be braked any more. One was reported
 // complete 0.75 s after the cutover, with a dozen failures on eight hosts.
