All endpoints that refuse connections are told, not the first 64 by name

What callers would see: after the loss of a domain with more than 64 endpoints, requests sent to cold ones by hosts that had not heard.

Change: a broadcast is split into several messages; gossip rounds go on behind the last name. The loop that splits stood twice and is one function now.

Evidence: cold_endpoints.all_refusals_are_named_in_turn fails with next_refused beginning at the first name (64 of 112 named), passes with it.

--- a/src/host/entry_host.h
+++ b/src/host/entry_host.h
@@ -133,7 +133,7 @@
     void send_refusal_update();
     void handle(const std::string& from, const refusal_update& message);
     void merge_refusals(const std::vector<refused_endpoint>& refused);
-    std::vector<refused_endpoint> known_refusals(time_point now) const;
+    std::vector<refused_endpoint> known_refusals(time_point now);
     void assign_sponsored_endpoints(time_point now);
     std::vector<host_status> hosts_known_to_all(time_point now) const;
     void assign_trials(time_point now);
--- a/src/host/entry_host_peers.cpp
+++ b/src/host/entry_host_peers.cpp
@@ -58,6 +58,16 @@
     return loads;
 }
 
+/** Calls \p send with consecutive parts of \p items of at most \p max_count, one for each message. */
+template <class Item, class Send>
+void for_each_part(const std::vector<Item>& items, std::size_t max_count, const Send& send) {
+    for (std::size_t first = 0; first < items.size(); first += max_count) {
+        const std::size_t last = std::min(items.size(), first + max_count);
+        send(std::vector<Item>(items.begin() + static_cast<std::ptrdiff_t>(first),
+                               items.begin() + static_cast<std::ptrdiff_t>(last)));
+    }
+}
+
 } // namespace
 
 void entry_host::on_datagram(const std::string& from, const std::string& bytes) {
@@ -266,15 +276,17 @@
 // restart would treat it as idle instead of cold.
 void entry_host::send_refusal_update() {
     const time_point now = monotonic_now();
-    refusal_update message;
+    std::vector<refused_endpoint> refused;
     for (const auto& [endpoint, age] : relay_.state().endpoints.allowance().cold().refused(now)) {
-        if (unsent_refusals_.count(endpoint) > 0 && message.refused.size() < max_refusals_per_message) {
-            message.refused.push_back({endpoint, std::llround(to_ms(age))});
+        if (unsent_refusals_.count(endpoint) > 0) {
+            refused.push_back({endpoint, std::llround(to_ms(age))});
         }
     }
     unsent_refusals_.clear();
-    log_info("endpoints_refused_connections", {{"count", message.refused.size()}});
-    send_to_all(message);
+    log_info("endpoints_refused_connections", {{"count", refused.size()}});
+    for_each_part(refused, max_refusals_per_message, [this](std::vector<refused_endpoint> part) {
+        send_to_all(refusal_update{std::move(part)});
+    });
 }
 
 void entry_host::handle(const std::string&, const refusal_update& message) {
@@ -290,12 +302,11 @@
     }
 }
 
-std::vector<refused_endpoint> entry_host::known_refusals(time_point now) const {
+std::vector<refused_endpoint> entry_host::known_refusals(time_point now) {
     std::vector<refused_endpoint> refused;
-    for (const auto& [endpoint, age] : relay_.state().endpoints.allowance().cold().refused(now)) {
-        if (refused.size() < max_refusals_per_message) {
-            refused.push_back({endpoint, std::llround(to_ms(age))});
-        }
+    cold_endpoints& cold = relay_.state().endpoints.allowance().cold();
+    for (const auto& [endpoint, age] : cold.next_refused(max_refusals_per_message, now)) {
+        refused.push_back({endpoint, std::llround(to_ms(age))});
     }
     return refused;
 }
@@ -321,12 +332,8 @@
 void entry_host::send_limit_updates() {
     const time_point now = monotonic_now();
     const std::vector<limit_notice> limits = relay_.state().endpoints.allowance().limits().take_pending(now);
-    for (std::size_t first = 0; first < limits.size(); first += max_limits_per_message) {
-        const auto begin = limits.begin() + static_cast<std::ptrdiff_t>(first);
-        const auto end = limits.begin() +
-                         static_cast<std::ptrdiff_t>(std::min(limits.size(), first + max_limits_per_message));
-        send_to_all(limit_update{{begin, end}});
-    }
+    for_each_part(limits, max_limits_per_message,
+                  [this](std::vector<limit_notice> part) { send_to_all(limit_update{std::move(part)}); });
 }
 
 void entry_host::handle(const std::string&, const limit_update& message) {
@@ -380,12 +387,8 @@
         for_all.insert(for_all.end(), pending_notices.for_trackers.begin(),
                        pending_notices.for_trackers.end());
     }
-    for (std::size_t first = 0; first < for_all.size(); first += max_crashes_per_message) {
-        const std::size_t last = std::min(for_all.size(), first + max_crashes_per_message);
-        const auto begin = for_all.begin() + static_cast<std::ptrdiff_t>(first);
-        const auto end = for_all.begin() + static_cast<std::ptrdiff_t>(last);
-        send_to_all(crash_update{{begin, end}});
-    }
+    for_each_part(for_all, max_crashes_per_message,
+                  [this](std::vector<crash_notice> part) { send_to_all(crash_update{std::move(part)}); });
     for (const host_status& peer : live) {
         const auto found = by_tracker.find(peer.name);
         if (found != by_tracker.end()) {
--- a/src/placement/cold_endpoints.cpp
+++ b/src/placement/cold_endpoints.cpp
@@ -158,6 +158,21 @@
     return ages;
 }
 
+// If each call began at the first name, endpoints with later names would never be named after the loss of a
+// failure domain with more than \p max_count endpoints.
+std::map<std::string, duration> cold_endpoints::next_refused(std::size_t max_count, time_point now) {
+    const std::map<std::string, duration> all = refused(now);
+    std::map<std::string, duration> chosen;
+    auto next = all.upper_bound(last_refused_named_);
+    while (chosen.size() < std::min(max_count, all.size())) {
+        next = next == all.end() ? all.begin() : next;
+        last_refused_named_ = next->first;
+        chosen.insert(*next);
+        ++next;
+    }
+    return chosen;
+}
+
 void cold_endpoints::on_readmitted(const std::string& domain, time_point now) {
     for (auto& [name, endpoint] : endpoints_) {
         if (endpoint.record.domain == domain) {
--- a/src/placement/cold_endpoints.h
+++ b/src/placement/cold_endpoints.h
@@ -66,6 +66,9 @@
     bool on_refused(const std::string& endpoint, duration age, time_point now);
     /** \return the endpoints that refused a connection within \ref refused_cold_time, and how long ago. */
     std::map<std::string, duration> refused(time_point now) const;
+    /** \return at most \p max_count of \ref refused, the next ones with each call, for hosts that missed
+     * them. */
+    std::map<std::string, duration> next_refused(std::size_t max_count, time_point now);
     /** Treats the endpoints of the failure domain \p domain as cold, because its evacuation has been revoked
      * and they may have been restarted meanwhile. */
     void on_readmitted(const std::string& domain, time_point now);
@@ -111,6 +114,7 @@
     const cold_sharing_policy* sharing_;
     std::map<std::string, cold_start> services_;
     std::map<std::string, known_endpoint> endpoints_; ///< by name; only of services with a cold start
+    std::string last_refused_named_;                  ///< last name that \ref next_refused returned
 };
 
 /** \return whether \p name is the name of a sharing policy. */
--- a/test/cold_endpoints_test.cpp
+++ b/test/cold_endpoints_test.cpp
@@ -235,5 +235,29 @@
     EXPECT_TRUE(fixture.choose(start + seconds(9)));
 }
 
+// Guards against endpoints that no other host hears of after the loss of a failure domain: with 112 endpoints
+// that refuse connections, each message would name the same first 64.
+TEST(cold_endpoints, all_refusals_are_named_in_turn) {
+    constexpr int count = 112;
+    constexpr std::size_t most = 64;
+    std::vector<endpoint_record> engines;
+    for (int i = 0; i < count; ++i) {
+        engines.push_back(engine("e" + std::to_string(i), 0));
+    }
+    cold_endpoints cold = make_cold_endpoints("host0", engines);
+    for (const endpoint_record& each : engines) {
+        cold.on_refused(each.name, duration::zero(), start);
+    }
+    std::set<std::string> named;
+    for (int message = 0; message < 2; ++message) {
+        const auto refused = cold.next_refused(most, start);
+        EXPECT_EQ(refused.size(), most);
+        for (const auto& [name, age] : refused) {
+            named.insert(name);
+        }
+    }
+    EXPECT_EQ(named.size(), engines.size());
+}
+
 } // namespace
 } // namespace laurelhoist
