Each soak run has addresses of its own, and a host that ends by itself fails it

What was seen: callers of one host got another host's readiness page, beside hosts that earlier runs had left over.

Cause: free_port probed 127.0.0.1 while the hosts of all runs listen on 127.0.0.2 and up, and a host that could not start went unseen.

Evidence: a scratch script takes the port that entry-1 was given.

Change: addresses derive from the process id of the run, ports are probed at the address they are for and differ from one another, and an end without a signal is a violation. The relay's fixture listens on any free port instead of one probed before.

--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -65,6 +65,10 @@
     accept_next();
 }
 
+std::uint16_t relay::listening_port() const {
+    return acceptor_->local_endpoint().port();
+}
+
 void relay::accept_next() {
     acceptor_->async_accept([this](boost::system::error_code failure, tcp::socket socket) {
         if (failure == asio::error::operation_aborted) {
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -102,8 +102,11 @@
     relay(const relay&) = delete;
     relay& operator=(const relay&) = delete;
 
-    /** Starts to accept callers at \p address; ends the process if it cannot listen there. */
+    /** Starts to accept callers at \p address; ends the process if it cannot listen there. Port 0 stands for
+     * any free port. */
     void listen(const socket_address& address);
+    /** \return the port at which callers are accepted, after \ref listen. */
+    std::uint16_t listening_port() const;
     /** Puts a configuration in force for all requests that arrive from now on. */
     void set_routing(routing_snapshot routing, std::size_t hosts);
     void set_endpoints(const std::vector<endpoint_record>& endpoints);
--- a/test/relay_fixture.h
+++ b/test/relay_fixture.h
@@ -311,8 +311,8 @@
         } else {
             configure();
         }
-        port_ = free_port();
-        relay_->listen({"127.0.0.1", port_});
+        relay_->listen({"127.0.0.1", 0});
+        port_ = relay_->listening_port();
         thread_ = std::thread([this] { loop_.run(); });
     }
 
@@ -374,6 +374,7 @@
         done.get_future().wait();
     }
 
+    /** \return a port at which nothing listens. */
     static std::uint16_t free_port() {
         asio::io_context context;
         const tcp::acceptor acceptor(context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
--- a/test/soak/platform_soak.py
+++ b/test/soak/platform_soak.py
@@ -33,10 +33,20 @@
 NOT_RUN = (408, 421, 429, 503)
 
 
-def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+def free_port(address, taken=()):
+    while True:
+        with socket.socket() as probe:
+            probe.bind((address, 0))
+            port = probe.getsockname()[1]
+        if port not in taken:
+            return port
+
+
+def host_address(number):
+    """A loopback address that no other run uses, because another run's host could take a port that this one has
+    probed."""
+    subnets = 250
+    return f"127.{1 + os.getpid() // subnets % subnets}.{os.getpid() % subnets}.{number + 2}"
 
 
 class Entry:
@@ -46,13 +56,15 @@
         self.name, self.program = f"entry-{number}", program
         # Each process has an address of its own and the same port for peers, as on a network. With one address for all
         # of them no host would learn of another.
-        self.address, self.seeds = f"127.0.0.{number + 2}", []
-        self.ports = {name: free_port() for name in ("callers", "readiness", "directory")}
-        self.ports["peers"] = peers_port
+        self.address, self.seeds = host_address(number), []
+        self.ports = {"peers": peers_port}
+        for name in ("callers", "readiness", "directory"):
+            self.ports[name] = free_port(self.address, self.ports.values())
         self.store_port = store_port
         self.path = pathlib.Path(directory) / f"{self.name}.flags"
         self.log = open(pathlib.Path(directory) / f"{self.name}.log", "ab")
-        self.process, self.disturbed_at, self.stopping = None, 0.0, False
+        self.process, self.disturbed_at, self.was_ended = None, 0.0, False
+        self.unexpected_ends = []  # exit codes of processes that ended although no signal told them to
 
     def start(self):
         flags = {"host": self.name, "failure_domain": "hall", "store": f"127.0.0.1:{self.store_port}",
@@ -62,7 +74,7 @@
 
     async def spawn(self):
         self.mark_disturbed()
-        self.stopping = False
+        self.was_ended = False
         self.child = await asyncio.create_subprocess_exec(
             self.program, stdout=self.log, stderr=self.log, env={**os.environ, "LAURELHOIST_BOOT": str(self.path)})
 
@@ -71,9 +83,16 @@
 
     def send_signal(self, number):
         self.mark_disturbed()
+        self.note_unexpected_end()
+        self.was_ended = self.was_ended or number in (signal.SIGTERM, signal.SIGKILL)
         if self.child.returncode is None:
             self.child.send_signal(number)
 
+    def note_unexpected_end(self):
+        if self.child.returncode is not None and not self.was_ended:
+            self.unexpected_ends.append(self.child.returncode)
+            self.was_ended = True
+
 
 class Run:
     """One run of a seed: a fleet, its callers, the injected faults and the checks."""
@@ -120,11 +139,12 @@
         self.check_limits()
         self.check_back_offs()
         self.check_announced_leaving()
+        self.check_hosts_run()
         await self.stop()
         return self.violations
 
     async def start_entries(self):
-        self.entries, peers_port = [], free_port()
+        self.entries, peers_port = [], free_port(host_address(0))
         for number in range(self.entry_count):
             self.entries.append(Entry(number, peers_port, self.store_proxy.port, self.directory, self.program))
         for entry in self.entries:
@@ -413,6 +433,12 @@
             if announced_at is None and run["answered_at"] is not None:
                 announcements[run["endpoint"], entry] = run["answered_at"]
 
+    def check_hosts_run(self):
+        for entry in self.entries:
+            entry.note_unexpected_end()
+            for code in entry.unexpected_ends:
+                self.fail("a host runs until it is stopped", f"{entry.name} ended with code {code}")
+
     def check_leaving(self, run):
         since = run["leaving_since"]
         if since is None or run["id"] not in self.sent_at:
