--- a/src/membership/store_reading.cpp
+++ b/src/membership/store_reading.cpp
@@ -47,8 +47,8 @@
 /// A reader whose calls have failed for this long steps back. Three calls fail within it, whereas a single
 /// lost answer is repaired after 50 ms.
 constexpr duration max_store_loss = milliseconds(300);
-/// Hosts that a reader tells at once that it has lost the store. If the store refuses one host in three,
-/// eight candidates leave less than one case in 500 in which fewer than two of them are served.
+/// Hosts that a reader tells at once that it has lost the store. If the store refuses one host in three, at
+/// least two of eight are served in 299 of 300 cases.
 constexpr std::size_t stand_ins_told = 8;
 
 /// A host that may read the store, with its position in its failure domain.
--- a/src/relay/exchange.h
+++ b/src/relay/exchange.h
@@ -171,7 +171,7 @@
     int attempts_ = 0;
     int unreachable_endpoints_ = 0; ///< attempts that could not connect or reached another instance
     bool has_started_ = false;      ///< \ref begin has been called
-    bool is_first_attempt_ = true;
+    bool is_first_attempt_ = true;  ///< no attempt has been placed yet
     bool may_have_run_ = false;
     bool has_begun_answer_ = false;
     bool is_caller_gone_ = false;
