--- a/src/host/entry_host.h
+++ b/src/host/entry_host.h
@@ -156,7 +156,7 @@
     void update_reading_mode();
     /** \param is_first_reader whether this host is one of the first readers in the reader order */
     void set_reading_mode(reading_mode mode, bool is_first_reader, time_point now);
-    /** Tells the hosts that would stand in for this one whether it has lost the store. */
+    /** Tells the hosts that would read in place of this one whether it has lost the store. */
     void announce_store_loss(bool has_lost_store, time_point now);
     reading_inputs current_reading_inputs(time_point now) const;
     bool reads_everything() const { return reading_ == reading_mode::all; }
--- a/src/host/entry_host_copies.cpp
+++ b/src/host/entry_host_copies.cpp
@@ -141,7 +141,7 @@
     gossip_.set_has_lost_store(has_lost_store);
     log_warning("store_loss_announced", {{"has_lost_store", has_lost_store}});
     (void)gossip_.next_targets(now); // Raises the heartbeat counter, without which the news counts as old.
-    send_to_others(select_stand_ins(settings_.name, gossip_.live(now)),
+    send_to_others(select_substitute_readers(settings_.name, gossip_.live(now)),
                    encode_peer_message(make_gossip_message(now)));
 }
 
--- a/src/membership/store_reading.cpp
+++ b/src/membership/store_reading.cpp
@@ -49,7 +49,7 @@
 constexpr duration max_store_loss = milliseconds(300);
 /// Hosts that a reader tells at once that it has lost the store. If the store refuses one host in three, at
 /// least two of eight are served in 299 of 300 cases.
-constexpr std::size_t stand_ins_told = 8;
+constexpr std::size_t substitutes_told = 8;
 
 /// A host that may read the store, with its position in its failure domain.
 struct candidate {
@@ -129,10 +129,11 @@
     return {found->in_domain, before, lost_before};
 }
 
-std::vector<host_status> select_stand_ins(const std::string& name, const std::vector<host_status>& hosts) {
+std::vector<host_status> select_substitute_readers(const std::string& name,
+                                                   const std::vector<host_status>& hosts) {
     std::vector<host_status> chosen;
     for (const candidate& each : reader_order(hosts, name)) {
-        if (chosen.size() < stand_ins_told && each.host->name != name && !each.host->has_lost_store) {
+        if (chosen.size() < substitutes_told && each.host->name != name && !each.host->has_lost_store) {
             chosen.push_back(*each.host);
         }
     }
@@ -222,12 +223,13 @@
     const bool is_small_fleet = inputs.hosts <= max_small_fleet_hosts;
     const bool is_reader = is_small_fleet || inputs.hosts_before < large_fleet_readers;
     const bool reads_for_others = inputs.hosts_before < max_hosts_reading_for_others;
-    const bool stands_in = reads_for_others && inputs.hosts_before - inputs.lost_before < large_fleet_readers;
+    const bool is_substitute =
+        reads_for_others && inputs.hosts_before - inputs.lost_before < large_fleet_readers;
     const bool is_still_starting =
         !inputs.holds_copies &&
         (inputs.is_list_long ? reads_for_others && inputs.since_start > max_wait_for_long_list
                              : inputs.since_start < max_initial_reading_time);
-    if (stands_in && !is_small_fleet && announces_lost_store(inputs)) {
+    if (is_substitute && !is_small_fleet && announces_lost_store(inputs)) {
         return reading_mode::confirming;
     }
     if (is_reader || is_still_starting) {
@@ -236,7 +238,7 @@
     if (inputs.mode == reading_mode::confirming && inputs.has_store_answered && reads_for_others) {
         return reading_mode::all;
     }
-    if (stands_in) {
+    if (is_substitute) {
         const bool is_reading = inputs.mode == reading_mode::all && inputs.has_store_answered;
         return is_reading ? reading_mode::all : reading_mode::confirming;
     }
--- a/src/membership/store_reading.h
+++ b/src/membership/store_reading.h
@@ -11,7 +11,7 @@
  * Load pattern: the store refuses 21 of 77 hosts, both readers among them, and a release replaces endpoints
  * meanwhile. If the readers keep their duty, the others read nothing until their configuration is stale,
  * every 3.4 s, and send requests to endpoints that left 3.3 s before. A reader that the store refuses
- * therefore says so, and the next hosts in the reader order stand in for it until it is served again.
+ * therefore says so, and the next hosts in the reader order read in its place until it is served again.
  *
  * Load pattern: 295 hosts start at once, or half of them restart after a failure. A host that lists and
  * follows everything until it knows the others makes seven calls. A host that has just started therefore
@@ -84,8 +84,9 @@
 /** \return whether a host with \p inputs tells the others that it has lost the store. */
 bool announces_lost_store(const reading_inputs& inputs);
 /** \return the hosts that the host \p name tells at once that it has lost the store: the first ones in the
- * reader order that may stand in for it. */
-std::vector<host_status> select_stand_ins(const std::string& name, const std::vector<host_status>& hosts);
+ * reader order that may read in its place. */
+std::vector<host_status> select_substitute_readers(const std::string& name,
+                                                   const std::vector<host_status>& hosts);
 /** \return the hosts of a large fleet that read the store for all. */
 std::vector<host_status> select_readers(const std::vector<host_status>& hosts);
 
--- a/test/membership_test.cpp
+++ b/test/membership_test.cpp
@@ -545,7 +545,7 @@
 
 // The store refuses both readers and serves this host. If it waited until its configuration is stale, no host
 // would learn for 3.4 s that an endpoint has left.
-TEST(store_reading, a_host_stands_in_for_readers_that_have_lost_the_store) {
+TEST(store_reading, a_host_substitutes_for_readers_that_have_lost_the_store) {
     reading_inputs inputs = inputs_of_non_reader();
     inputs.hosts_before = 3;
     inputs.lost_before = 1;
@@ -564,7 +564,7 @@
 }
 
 // A reader that the store refuses must not go on as if it read everything: it would take no copies of the
-// hosts that stand in for it.
+// hosts that read in its place.
 TEST(store_reading, a_reader_that_has_lost_the_store_steps_back_until_it_is_served) {
     reading_inputs inputs = inputs_of_non_reader();
     inputs.mode = reading_mode::all;
@@ -967,7 +967,7 @@
         }
         hosts_[number].has_lost_store = has_lost_store;
         std::set<std::string> told;
-        for (const host_status& each : select_stand_ins(hosts_[number].name, view)) {
+        for (const host_status& each : select_substitute_readers(hosts_[number].name, view)) {
             told.insert(each.name);
         }
         for (std::size_t i = 0; i < hosts_.size(); ++i) {
