Hosts say which services they have lost the links to

Cause: a failed connection was logged for its endpoint alone, so nothing told a host without links from endpoints that are down. Callers saw 503 (no_room) at three of seven hosts; the reason had to be put together from the logs of all hosts. Change: endpoint_reach counts the endpoints of a pool to which the last new connection failed; nearly all of those tried lately: the pool is lost. A single failure without successes opens a few probe connections, so that a host with little traffic knows within about a second, and probes notice the return. Each host tells all others its lost pools. Log lines endpoint_links_lost, endpoint_links_regained and lost_services_announced, with the number of hosts that still reach the service. The choice of a host to forward to and its listener are added, and not used yet. No request is treated differently by this commit. Tests: endpoint_reach_test (6 cases).

--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -133,6 +133,7 @@
     relay_.state().on_load_changed = [this] { on_load_changed(); };
     relay_.state().on_connection_refused = [this](const std::string& endpoint) { on_refused(endpoint); };
     relay_.state().on_crash_notices_changed = [this] { schedule_crash_updates(); };
+    relay_.state().on_links_changed = [this] { announce_lost_pools(); };
     relay_.state().on_limits_changed = [this] { schedule_limit_updates(); };
     relay_.listen(settings_.callers);
     started_at_ = monotonic_now();
@@ -184,6 +185,8 @@
     measured.gauge("requests_active", static_cast<double>(relay_.active()));
     measured.gauge("caller_unsent_bytes", static_cast<double>(relay_.unsent_bytes()));
     measured.gauge("endpoints_known", static_cast<double>(relay_.state().endpoints.size()));
+    measured.gauge("services_lost",
+                   static_cast<double>(relay_.state().endpoints.allowance().reach().lost_pools().size()));
     measured.gauge("hosts_live", static_cast<double>(gossip_.live(monotonic_now()).size()));
     measured.gauge("config_age_ms", std::min(to_ms(relay_.state().freshness.age(monotonic_now())), 1e9));
     measured.gauge("sessions_remembered", static_cast<double>(rollouts_.remembered_sessions()));
--- a/src/host/entry_host.h
+++ b/src/host/entry_host.h
@@ -144,6 +144,9 @@
     void schedule_limit_updates();
     void send_limit_updates();
     void handle(const std::string& from, const limit_update& message);
+    /** Tells all hosts which pools this host has lost. */
+    void announce_lost_pools();
+    void handle(const std::string& from, const status_update& message);
     void send_load_update();
     void gossip_round();
     gossip_message make_gossip_message(time_point now, gossip_scope scope = gossip_scope::all);
--- a/src/host/peer_messages.cpp
+++ b/src/host/peer_messages.cpp
@@ -64,7 +64,9 @@
                                       {"departure_revision", "O"},
                                       {"has_lost_store", "P"},
                                       {"first_sent_in_rollout", "Q"},
-                                      {"is_at_peak", "R"}};
+                                      {"is_at_peak", "R"},
+                                      {"lost_pools", "S"},
+                                      {"status", "T"}};
 
 using field_map = std::map<std::string, std::string>;
 
@@ -124,10 +126,10 @@
 } // namespace
 
 const char* peer_message_name(const peer_message& message) {
-    static constexpr const char* names[] = {"gossip",       "freshness_question", "freshness_answer",
-                                            "copy_notice",  "load_update",        "session_update",
-                                            "count_update", "refusal_update",     "report_handover",
-                                            "crash_update", "limit_update",       "forwarded_message"};
+    static constexpr const char* names[] = {
+        "gossip",         "freshness_question", "freshness_answer", "copy_notice",     "load_update",
+        "session_update", "count_update",       "refusal_update",   "report_handover", "crash_update",
+        "limit_update",   "forwarded_message",  "status_update"};
     static_assert(std::size(names) == std::variant_size_v<peer_message>);
     return names[message.index()];
 }
--- a/src/host/peer_messages.h
+++ b/src/host/peer_messages.h
@@ -121,6 +121,12 @@
 };
 LAUREL_VALUE_TYPE(limit_update, limits)
 
+/** The sender's status, sent at once when the pools that it has lost change. */
+struct status_update {
+    host_status status;
+};
+LAUREL_VALUE_TYPE(status_update, status)
+
 /** A message from another failure domain that the recipient passes on to all hosts of its own domain. */
 struct forwarded_message {
     std::string bytes; ///< from \ref encode_peer_message
@@ -129,7 +135,7 @@
 
 using peer_message = std::variant<gossip_message, freshness_question, freshness_answer, copy_notice,
                                   load_update, session_update, count_update, refusal_update, report_handover,
-                                  crash_update, limit_update, forwarded_message>;
+                                  crash_update, limit_update, forwarded_message, status_update>;
 
 /** One object of a \ref peer_copy. */
 struct peer_object {
--- a/src/membership/host_gossip.cpp
+++ b/src/membership/host_gossip.cpp
@@ -254,7 +254,7 @@
 
 bool host_gossip::has_changed(const host_status& held, const host_status& later) {
     return held.incarnation != later.incarnation || held.state != later.state ||
-           held.has_lost_store != later.has_lost_store;
+           held.has_lost_store != later.has_lost_store || held.lost_pools != later.lost_pools;
 }
 
 void host_gossip::update_peer(const host_status& status, time_point now) {
--- a/src/membership/host_gossip.h
+++ b/src/membership/host_gossip.h
@@ -21,6 +21,7 @@
 
 #include "membership/entry_directory.h"
 
+#include <algorithm>
 #include <optional>
 #include <set>
 #include <unordered_map>
@@ -47,9 +48,15 @@
     std::int64_t config_revision = 0;
     int capacity = 0;            ///< of its processor, in hundredths of a core; 0: unknown
     bool has_lost_store = false; ///< it reads the store, and its calls fail
+    /// Pools of which it reaches hardly any endpoint, see \ref endpoint_reach; sorted.
+    std::vector<std::string> lost_pools{};
+
+    bool has_lost(const std::string& pool) const {
+        return std::binary_search(lost_pools.begin(), lost_pools.end(), pool);
+    }
 };
 LAUREL_VALUE_TYPE(host_status, name, gossip_address, entry_address, domain, incarnation, beat, state,
-                  config_revision, capacity, has_lost_store)
+                  config_revision, capacity, has_lost_store, lost_pools)
 
 /// A host counts as dead when its heartbeat counter has not risen for this long. The counter rises at least
 /// every 0.4 s, and a newer value reaches every host in nearly every round; the rest allows for lost messages
@@ -95,6 +102,7 @@
     void set_seeds(std::vector<std::string> addresses) { seeds_ = std::move(addresses); }
     void set_state(const std::string& state) { self_.state = state; }
     void set_has_lost_store(bool has_lost_store) { self_.has_lost_store = has_lost_store; }
+    void set_lost_pools(const std::vector<std::string>& pools) { self_.lost_pools = pools; }
     void set_config_revision(std::int64_t revision) { self_.config_revision = revision; }
 
     /** Begins a gossip round: raises the heartbeat counter and picks the recipients.
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "membership/endpoint_reach.h"
 #include "membership/endpoint_roster.h"
 #include "membership/endpoint_scope.h"
 #include "membership/entry_directory.h"
--- a/src/placement/send_allowance.cpp
+++ b/src/placement/send_allowance.cpp
@@ -34,6 +34,7 @@
     : cold_{std::move(cold)}, limits_{std::move(host)} {}
 
 void send_allowance::update(const std::vector<endpoint_record>& endpoints, time_point now) {
+    reach_.update(endpoints);
     cold_.update(endpoints, now);
     limits_.update(endpoints, now);
     back_offs_.update(endpoints, now);
--- a/src/placement/send_allowance.h
+++ b/src/placement/send_allowance.h
@@ -9,6 +9,7 @@
  */
 #pragma once
 
+#include "membership/endpoint_reach.h"
 #include "membership/evacuation_set.h"
 #include "placement/back_offs.h"
 #include "placement/cold_endpoints.h"
@@ -74,6 +75,8 @@
 
     cold_endpoints& cold() { return cold_; }
     const cold_endpoints& cold() const { return cold_; }
+    endpoint_reach& reach() { return reach_; }
+    const endpoint_reach& reach() const { return reach_; }
     rate_limits& limits() { return limits_; }
     const rate_limits& limits() const { return limits_; }
 
@@ -90,6 +93,7 @@
     bool is_within_rate_limit(const endpoint_record& endpoint, duration max_wait, time_point now) const;
     bool is_within_cold_limit(const endpoint_record& endpoint, duration max_wait, time_point now) const;
 
+    endpoint_reach reach_;
     cold_endpoints cold_;
     rate_limits limits_;
     back_offs back_offs_;
--- a/src/relay/caller_connection.cpp
+++ b/src/relay/caller_connection.cpp
@@ -32,10 +32,12 @@
 
 } // namespace
 
-caller_connection::caller_connection(tcp::socket socket, const caller_limits& limits, const handlers& events)
+caller_connection::caller_connection(tcp::socket socket, const caller_limits& limits, const handlers& events,
+                                     request_source source)
     : socket_{std::move(socket)},
       limits_{limits},
       events_{events},
+      source_{source},
       reader_{limits.header_bytes, limits.body_bytes},
       timeout_start_{monotonic_now()} {
     set_liveness_options(socket_);
--- a/src/relay/caller_connection.h
+++ b/src/relay/caller_connection.h
@@ -15,6 +15,12 @@
 
 namespace laurelhoist {
 
+/** Who sends the requests of a connection. */
+enum class request_source {
+    caller,
+    peer, ///< another host, which forwards its callers' requests
+};
+
 /** A connection from a caller. It serves one request at a time. */
 class caller_connection : public std::enable_shared_from_this<caller_connection> {
 public:
@@ -30,7 +36,7 @@
     };
 
     caller_connection(boost::asio::ip::tcp::socket socket, const caller_limits& limits,
-                      const handlers& events);
+                      const handlers& events, request_source source = request_source::caller);
 
     void start();
     /** Sets the callback for a caller that disconnects before its answer is complete. */
@@ -54,6 +60,7 @@
     /** \return whether the caller has closed the connection, even if the event loop has not read the end of
      * stream yet. Costs a system call. */
     bool has_disconnected();
+    bool is_from_peer() const { return source_ == request_source::peer; }
     bool is_serving() const { return is_serving_; }
     std::size_t unsent_bytes() const { return outgoing_.size() + in_flight_.size() - accepted_; }
 
@@ -72,6 +79,7 @@
     boost::asio::ip::tcp::socket socket_;
     caller_limits limits_;
     const handlers& events_;
+    request_source source_;
     request_reader reader_;
     std::array<char, 8192> incoming_{}; ///< read buffer; most requests arrive in two reads
     std::string outgoing_;              ///< bytes that wait for the next write
--- a/src/relay/exchange.cpp
+++ b/src/relay/exchange.cpp
@@ -335,12 +335,22 @@
         return;
     }
     connection_ = state_.pool.make(address);
+    attempt_.is_new_connection = true;
     state_.measured.count("endpoint_connections_opened");
     connection_->connect(*this);
 }
 
+void exchange::record_link(bool is_reachable) {
+    if (!attempt_.is_new_connection || (attempt_.is_link_recorded && !is_reachable)) {
+        return;
+    }
+    attempt_.is_link_recorded = true;
+    owner_.record_link(attempt_.chosen.endpoint.name, is_reachable);
+}
+
 void exchange::on_connected() {
     auto self = shared_from_this();
+    record_link(true);
     // An overloaded host reads requests seconds after they arrived, before it reads the end of the caller's
     // connection: on a fleet of 295 hosts, requests were forwarded 1.7 s after their callers had
     // disconnected. This check prevents forwarding for callers that have disconnected before this moment.
@@ -380,6 +390,7 @@
         owner_.report_connection_refused(attempt_.chosen.endpoint.name);
     }
     ++unreachable_endpoints_;
+    record_link(false);
     end_attempt(attempt_end::not_sent);
 }
 
@@ -454,6 +465,9 @@
     release_connection(end == attempt_end::refused || end == attempt_end::failed ||
                        end == attempt_end::misdirected);
     log_attempt(end);
+    if (!attempt_.has_first_byte && (end == attempt_end::silent || end == attempt_end::broken)) {
+        owner_.suspect_link(attempt_.chosen.endpoint.name);
+    }
     follow_up(end);
 }
 
@@ -558,6 +572,8 @@
     } else if (is_in_state("connecting") && now - attempt_.sent_at > connect_timeout) {
         connection_->close();
         on_connect_failed(connect_failure::unreachable);
+    } else if (is_in_state("connecting") && now - attempt_.sent_at > slow_connect && !owner_.was_paused()) {
+        record_link(false);
     } else if (is_in_state("waiting")) {
         if (now >= expires_at_ || now - waiting_since_ > max_queue_time()) {
             answer_failure(may_have_run_ ? status_gateway_timeout : status_unavailable, "no_room",
--- a/src/relay/exchange.h
+++ b/src/relay/exchange.h
@@ -46,6 +46,8 @@
         time_point sent_at;         ///< when the attempt was placed, before its connection was made
         time_point heard_at;        ///< when data last arrived
         std::int64_t events_before_attempt = 0; ///< last event id that the caller had before this attempt
+        bool is_new_connection = false;         ///< not one of the idle connections
+        bool is_link_recorded = false;          ///< \ref relay::record_link was called for its connection
         bool has_first_byte = false;
         bool has_head = false;     ///< the answer's head has arrived and its endpoint statement is recorded
         bool is_trial = false;     ///< the trial attempt of a quarantined request
@@ -88,6 +90,8 @@
     duration time_to_capacity(time_point now) const;
     void log_excluded_endpoints(time_point now);
     void open_connection();
+    /** Records once whether the attempt's new connection was made. */
+    void record_link(bool is_reachable);
     void send_request();
     void cancel_and_redispatch();
     void read_answer(std::string_view bytes);
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -18,6 +18,8 @@
 /// wake-ups of a timer for each request. It runs only while there are requests: on a large fleet a host has
 /// none for most of the time.
 constexpr duration tick_interval = milliseconds(50);
+/// A tick that is later than this shows that the process was paused or starved.
+constexpr duration max_tick_delay = milliseconds(150);
 constexpr duration sweep_interval =
     caller_connection::check_interval; ///< sweeps check connections, probes and the quarantine
 /// Number of requests that an endpoint is assumed to run at once if its service has no engine profile. Up to
@@ -34,7 +36,10 @@
              chart request_chart, const relay_settings& settings)
     : state_{loop, dialect, releases, std::move(endpoint_chart), std::move(request_chart), settings},
       end_confirmation_{state_.pool,
-                        [this](const std::vector<suspected_end>& suspects) { on_endpoint_ended(suspects); }} {
+                        [this](const std::vector<suspected_end>& suspects) { on_endpoint_ended(suspects); }},
+      probes_{state_.pool, [this](const std::string& endpoint, bool is_reachable) {
+                  record_link(endpoint, is_reachable);
+              }} {
     caller_events_.on_request = [this](const auto& caller, caller_request&& request) {
         on_request(caller, std::move(request));
     };
@@ -53,37 +58,51 @@
 
 relay::~relay() = default;
 
-void relay::listen(const socket_address& address) {
+std::unique_ptr<tcp::acceptor> relay::open_acceptor(const char* setting, const socket_address& address) {
     const tcp::endpoint endpoint(asio::ip::make_address(address.host), address.port);
     try {
-        acceptor_ = std::make_unique<tcp::acceptor>(state_.loop.context(), endpoint);
+        return std::make_unique<tcp::acceptor>(state_.loop.context(), endpoint);
     } catch (const std::exception& failure) {
-        refuse_setting("--front", address.host + ":" + std::to_string(address.port),
+        refuse_setting(setting, address.host + ":" + std::to_string(address.port),
                        std::string("cannot listen there (") + failure.what() +
                            "); give an address of this host that is free");
     }
-    accept_next();
+}
+
+void relay::listen(const socket_address& address) {
+    acceptor_ = open_acceptor("--callers", address);
+    accept_next(*acceptor_, request_source::caller);
+}
+
+void relay::listen_for_peers(const socket_address& address) {
+    peer_acceptor_ = open_acceptor("--forwarding", address);
+    accept_next(*peer_acceptor_, request_source::peer);
 }
 
 std::uint16_t relay::listening_port() const {
     return acceptor_->local_endpoint().port();
 }
 
-void relay::accept_next() {
-    acceptor_->async_accept([this](boost::system::error_code failure, tcp::socket socket) {
+std::uint16_t relay::peer_port() const {
+    return peer_acceptor_->local_endpoint().port();
+}
+
+void relay::accept_next(tcp_acceptor& acceptor, request_source source) {
+    acceptor.async_accept([this, &acceptor, source](boost::system::error_code failure, tcp::socket socket) {
         if (failure == asio::error::operation_aborted) {
             return;
         }
         if (!failure) {
             const caller_limits limits = state_.routing ? state_.routing->config().limits : caller_limits{};
-            auto caller = std::make_shared<caller_connection>(std::move(socket), limits, caller_events_);
+            auto caller =
+                std::make_shared<caller_connection>(std::move(socket), limits, caller_events_, source);
             callers_.insert(caller);
             caller->start();
         } else {
             state_.measured.count("accept_failures");
             log_warning("accept_failed", {{"reason", failure.message()}});
         }
-        accept_next();
+        accept_next(acceptor, source);
     });
 }
 
@@ -110,6 +129,7 @@
         return;
     }
     is_ticking_ = true;
+    tick_due_ = monotonic_now() + tick_interval;
     state_.loop.after(tick_interval, [this] {
         is_ticking_ = false;
         on_tick();
@@ -118,6 +138,7 @@
 
 void relay::on_tick() {
     const time_point now = monotonic_now();
+    was_paused_ = now - tick_due_ > max_tick_delay;
     for_each_active([now](exchange& each) { each.on_tick(now); });
     if (!active_.empty()) {
         start_ticking();
@@ -133,6 +154,8 @@
     state_.pool.expire(now);
     state_.quarantine.forget_old(now);
     end_confirmation_.expire(now);
+    probes_.expire(slow_connect, now);
+    check_links(now);
 }
 
 void relay::set_routing(routing_snapshot routing, std::size_t hosts) {
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -8,7 +8,9 @@
 #include "relay/caller_connection.h"
 #include "relay/end_confirmation.h"
 #include "relay/endpoint_connection.h"
+#include "relay/endpoint_probes.h"
 #include "relay/model_choice.h"
+#include "relay/peer_forwarding.h"
 #include "relay/repeat_allowance.h"
 #include "relay/wire_dialect.h"
 #include "rollout/release_rollout.h"
@@ -51,6 +53,8 @@
                                    cold_endpoints{relay_settings_in.host, relay_settings_in.cold,
                                                   relay_settings_in.cold_sharing}}},
           pool{event_loop_in.context()},
+          peers{relay_settings_in.host, relay_settings_in.failure_domain,
+                placement_hash(relay_settings_in.host)},
           quarantine{relay_settings_in.host},
           freshness{relay_settings_in.revoke_bound, freshness_margin},
           first_events{relay_settings_in.in_use.learns_reading_time} {}
@@ -66,6 +70,7 @@
     chart request_chart; ///< charts/relay.scxml
     endpoint_directory endpoints;
     connection_pool pool;
+    peer_forwarding peers;
     crash_quarantine quarantine;
     config_freshness freshness;
     first_event_estimate first_events;
@@ -86,6 +91,8 @@
     std::function<void(const std::string& endpoint)> on_connection_refused;
     /// Called when an answer changes the known rate limit of an endpoint.
     std::function<void()> on_limits_changed;
+    /// Called when the endpoints of a pool are lost to this host, or reached again.
+    std::function<void()> on_links_changed;
     /// Called when \ref quarantine has changed and other hosts may need to know.
     std::function<void()> on_crash_notices_changed;
     bool is_stopping = false;
@@ -107,8 +114,12 @@
     /** Starts to accept callers at \p address; ends the process if it cannot listen there. Port 0 stands for
      * any free port. */
     void listen(const socket_address& address);
+    /** Starts to accept requests that other hosts forward at \p address; ends the process if it cannot. */
+    void listen_for_peers(const socket_address& address);
     /** \return the port at which callers are accepted, after \ref listen. */
     std::uint16_t listening_port() const;
+    /** \return the port at which forwarded requests are accepted, after \ref listen_for_peers. */
+    std::uint16_t peer_port() const;
     /** Puts a configuration in force for all requests that arrive from now on. */
     void set_routing(routing_snapshot routing, std::size_t hosts);
     /** Sets the number of live hosts, among which bounds that hold for all of them are divided. */
@@ -136,7 +147,9 @@
 
 private:
     friend class exchange;
-    void accept_next();
+    using tcp_acceptor = boost::asio::ip::tcp::acceptor;
+    std::unique_ptr<tcp_acceptor> open_acceptor(const char* setting, const socket_address& address);
+    void accept_next(tcp_acceptor& acceptor, request_source source);
     void on_request(const std::shared_ptr<caller_connection>& caller, caller_request request);
     /** Calls \p visit with each exchange that is still in progress when its turn comes. */
     template <class Visit>
@@ -147,6 +160,16 @@
     void set_slots(std::size_t hosts);
     void set_cold_services();
     void report_connection_refused(const std::string& endpoint);
+    /** Records whether a new connection to \p endpoint was made, for \ref endpoint_reach. */
+    void record_link(const std::string& endpoint, bool is_reachable);
+    /** Records that \p endpoint broke off or was silent before its answer. */
+    void suspect_link(const std::string& endpoint);
+    /** Decides which pools are lost to this host, and begins the probes that are due. */
+    void check_links(time_point now);
+    void on_links_changed(const reach_change& change);
+    void begin_probes(time_point now);
+    /** \return whether this process was paused just now, so that elapsed time shows nothing about others. */
+    bool was_paused() const { return was_paused_; }
     /** Records what \p endpoint stated about itself in its answer to \p request. */
     void record_statement(const endpoint_record& endpoint, const endpoint_statement& statement,
                           time_point sent_at, const std::string& request);
@@ -157,11 +180,15 @@
 
     relay_state state_;
     end_confirmation end_confirmation_;
+    endpoint_probes probes_;
     caller_connection::handlers caller_events_;
-    std::unique_ptr<boost::asio::ip::tcp::acceptor> acceptor_;
+    std::unique_ptr<tcp_acceptor> acceptor_;
+    std::unique_ptr<tcp_acceptor> peer_acceptor_;
     std::unordered_set<std::shared_ptr<caller_connection>> callers_;
     std::set<std::shared_ptr<exchange>> active_;
     bool is_ticking_ = false; ///< the next tick is scheduled
+    time_point tick_due_;     ///< when the next tick is scheduled
+    bool was_paused_ = false; ///< the present tick is late
 };
 
 } // namespace laurelhoist
