The kernel no longer cuts off callers whose receive window stays closed

Callers that read nothing for over four seconds lost their answer although the host held nothing of it any more. Cause: TCP_USER_TIMEOUT of 4 s on callers' sockets; it also ends a connection whose peer keeps its window closed, and it replaces the number of keep-alive probes. Ruled out: the relay's own check, which counts only bytes that the kernel has not taken. Change: callers' sockets have keep-alive (dead after 5 s without traffic) and no user timeout; connections to endpoints, the store and peers keep it.

--- a/src/relay/caller_connection.cpp
+++ b/src/relay/caller_connection.cpp
@@ -40,7 +40,7 @@
       source_{source},
       reader_{limits.header_bytes, limits.body_bytes},
       timeout_start_{monotonic_now()} {
-    set_liveness_options(socket_);
+    set_caller_liveness_options(socket_);
 }
 
 void caller_connection::start() {
--- a/src/transport/socket_options.h
+++ b/src/transport/socket_options.h
@@ -12,4 +12,8 @@
  * succeed and reads wait forever. */
 void set_liveness_options(boost::asio::ip::tcp::socket& socket);
 
+/** The same for a caller's connection, without the time limit on unacknowledged bytes: a caller may read
+ * slowly, and the relay itself decides how long its answer may stay unread. */
+void set_caller_liveness_options(boost::asio::ip::tcp::socket& socket);
+
 } // namespace laurelhoist
--- a/test/slow_callers_test.cpp
+++ b/test/slow_callers_test.cpp
@@ -168,5 +168,15 @@
     closing.join();
 }
 
+// Guards against the kernel ending a connection because its caller's receive window stays closed for seconds.
+TEST_F(relay_fixture, an_answer_that_waits_for_its_caller_in_the_network_is_delivered) {
+    constexpr std::size_t answer_bytes = 48 << 10; // Fits the kernel's buffer and not the caller's.
+    scripted_endpoint endpoint({{answer_of("1", std::string(answer_bytes, 'x'))}});
+    start_relay(route(route_kind::idempotent, 1), {endpoint.address()});
+    slow_caller caller(port_, "1");
+    sleep_for(milliseconds(6500));
+    EXPECT_GT(caller.read_all().size(), answer_bytes);
+}
+
 } // namespace
 } // namespace laurelhoist
