A sound endpoint that is silent for about a second is not ejected

An endpoint that pauses for a second and goes on was ejected for two: three calls that time out were enough, and all calls under way at the pause time out together. Cause: a call without an answer counted like a failure that the endpoint had answered or refused. Change: calls without a connection or an answer in time are a result of their own, call_result::unanswered. Refused connections and failures eject as before. Roll-outs and the quarantine never counted silence. Test: endpoint_table.a_pause_of_a_second_ejects_nothing, with the new result; on the code before, the same calls as failures eject at the third (endpoint_table.a_failing_endpoint_is_ejected_and_probed_with_one_call).

--- a/src/relay/exchange.cpp
+++ b/src/relay/exchange.cpp
@@ -23,6 +23,8 @@
 constexpr int latency_objectives_to_stall = 4;
 /// How long a request waits that arrives before the host has read a configuration and endpoints. Both arrive
 /// within 50 ms when the store answers, whereas a refused caller waits for 500 ms.
+/// The same for an answer that has not begun. A sound endpoint may pause for about a second.
+constexpr duration min_unanswered_limit = milliseconds(1500);
 constexpr duration max_configuration_wait = milliseconds(300);
 constexpr duration retry_after_stopping = milliseconds(100);
 constexpr duration retry_after_no_configuration = milliseconds(500);
@@ -460,7 +462,11 @@
     const bool asks_for_back_off = end == attempt_end::refused && answer().statement.back_off;
     // Endpoints drop connections that are not read for some seconds.
     const bool is_dropped_unread = end == attempt_end::broken && attempt_.has_paused;
-    settle_attempt(asks_for_back_off || is_dropped_unread ? call_result::cancelled : to_call_result(end),
+    const bool has_waited = monotonic_now() - attempt_.sent_at >= slow_connect;
+    const bool is_unanswered = end == attempt_end::silent || (end == attempt_end::not_sent && has_waited);
+    settle_attempt(asks_for_back_off || is_dropped_unread ? call_result::cancelled
+                   : is_unanswered                        ? call_result::unanswered
+                                                          : to_call_result(end),
                    evidence_of(end));
     release_connection(end == attempt_end::refused || end == attempt_end::failed ||
                        end == attempt_end::misdirected);
--- a/src/routing/endpoint_table.cpp
+++ b/src/routing/endpoint_table.cpp
@@ -10,6 +10,8 @@
 constexpr int failures_to_eject = 3;            ///< consecutive failures that eject an endpoint
 constexpr duration first_ejection = seconds(2); ///< doubled with each further failure
 constexpr duration max_ejection = seconds(30);
+/// A sound endpoint may pause for about a second; unanswered calls eject only if they span more than this.
+constexpr duration longest_pause = milliseconds(1500);
 constexpr duration missing_version_ttl = seconds(2);
 constexpr duration report_ttl = seconds(5);
 constexpr duration prefix_ttl = seconds(300);
@@ -305,6 +307,20 @@
     }
 }
 
+void endpoint_table::record_failure(endpoint_state& endpoint, call_result result, duration took,
+                                    time_point now) {
+    if (endpoint.failures == 0) {
+        endpoint.silent_since = now - took;
+    }
+    ++endpoint.failures;
+    const bool may_be_paused =
+        result == call_result::unanswered && now - endpoint.silent_since < longest_pause;
+    const bool is_enough = endpoint.failures >= failures_to_eject || endpoint.state == "probing";
+    if (is_enough && !may_be_paused) {
+        eject(endpoint, now);
+    }
+}
+
 void endpoint_table::eject(endpoint_state& endpoint, time_point now) {
     const int doublings = std::min(4, endpoint.failures - failures_to_eject);
     const duration ejection_time = first_ejection * (1 << std::max(0, doublings));
@@ -351,15 +367,12 @@
                                           : endpoint.average_latency_ms * (1 - smoothing) + ms * smoothing;
         adapt_limit(endpoint);
         apply_event(endpoint, "answered");
-    } else if (result == call_result::failed || result == call_result::refused_not_run) {
+    } else if (result != call_result::cancelled) {
         endpoint.limit = std::max(1.0, endpoint.limit * limit_decrease_factor);
         // What was under way at the ejection shows the same fault, and must not double its time once for
         // each.
         if (endpoint.state != "ejected") {
-            ++endpoint.failures;
-            if (endpoint.failures >= failures_to_eject || endpoint.state == "probing") {
-                eject(endpoint, now);
-            }
+            record_failure(endpoint, result, took, now);
         }
     }
     if (endpoint.state == "gone" && endpoint.in_flight == 0) {
@@ -367,6 +380,15 @@
     }
 }
 
+void endpoint_table::end_ejections(const std::string& pool, time_point now) {
+    for (auto& [name, endpoint] : endpoints_) {
+        if (endpoint.record.pool == pool && endpoint.state == "ejected") {
+            endpoint.ejected_until = now;
+            endpoint.failures = 0;
+        }
+    }
+}
+
 void endpoint_table::on_load_report(const std::string& name, const load_report& report, time_point now) {
     const auto found = endpoints_.find(name);
     if (found == endpoints_.end() || report.running < 0) {
--- a/src/routing/endpoint_table.h
+++ b/src/routing/endpoint_table.h
@@ -27,6 +27,7 @@
     refused_not_run, ///< refused, and certainly not executed (no connection, version not loaded, busy)
     leaving,         ///< the endpoint says that it is shutting down
     failed,
+    unanswered, ///< no connection, answer or event within the time limit, which a short pause explains
     cancelled,
 };
 
@@ -79,6 +80,9 @@
 
     void on_call_started(const std::string& name, const endpoint_criteria& criteria, time_point now);
     void on_call_ended(const std::string& name, call_result result, duration took, time_point now);
+    /** Ends the ejections in \p pool, whose endpoints failed because this host had lost its links. Each gets
+     * a single request first. */
+    void end_ejections(const std::string& pool, time_point now);
     void on_load_report(const std::string& name, const load_report& report, time_point now);
     /** Records that \p name answered that it has not loaded \p version. */
     void on_version_missing(const std::string& name, const version_name& version, time_point now);
@@ -111,6 +115,7 @@
         double limit = 4;
         double average_latency_ms = 0;
         int failures = 0;
+        time_point silent_since; ///< when the first of the latest unanswered calls was made
         time_point ejected_until;
         load_report report;
         time_point reported_at;
@@ -127,6 +132,7 @@
     double expected_latency_ms(const endpoint_state& endpoint, time_point now) const;
     endpoint_state* choose_by_expected_latency(const std::vector<endpoint_state*>& eligible,
                                                const endpoint_criteria& criteria, time_point now);
+    void record_failure(endpoint_state& endpoint, call_result result, duration took, time_point now);
     void eject(endpoint_state& endpoint, time_point now);
     void adapt_limit(endpoint_state& endpoint);
     limit_range limits_of(const std::string& pool) const;
--- a/test/routing_test.cpp
+++ b/test/routing_test.cpp
@@ -202,6 +202,20 @@
     EXPECT_EQ(choose(table, begin + seconds(6)), "") << "a failed probe doubles the time";
 }
 
+// Guards against ejecting a sound endpoint that is silent for about a second.
+TEST(endpoint_table, a_pause_of_a_second_ejects_nothing) {
+    endpoint_table table = make_table(endpoint_policy::least_in_flight);
+    table.update({{"a", "", "d1", "pool", "live"}}, begin);
+    for (int call = 0; call < 8; ++call) {
+        table.on_call_started("a", {"pool", "m@1", "", {}}, begin);
+        table.on_call_ended("a", call_result::unanswered, seconds(1), begin + seconds(1));
+    }
+    EXPECT_TRUE(table.takes_work("a"));
+    table.on_call_started("a", {"pool", "m@1", "", {}}, begin + seconds(1));
+    table.on_call_ended("a", call_result::unanswered, seconds(1), begin + seconds(2));
+    EXPECT_FALSE(table.takes_work("a")); // Two seconds are no pause.
+}
+
 // A request must not go to an endpoint that has to read the whole prompt while an equally loaded one has it
 // cached.
 TEST(endpoint_table, a_cached_prefix_is_preferred_while_the_load_is_even) {
