A host without links to a service forwards its requests to one that has them

Cause: a host used only the endpoints that it reaches itself. Without links it tried up to eight for a second each, while callers kept coming. Evidence: failures of all 22 endpoints at the cut hosts within 3.5 s, none at the others; requests arrived there until callers had moved by themselves. Change: a host that has lost a service (endpoint_reach) forwards its requests, once, to a host that has not: over a port of their own, with the caller's key, the time left and the attempts made, so that the other host applies its quotas, limits, retries and bills. A request that may not be repeated is sent on once; what a host promises as not run goes elsewhere; what the request has earned in repeats moves with it. Attempts that wait for unreachable endpoints end at once. The host is not named to callers while most hosts have links. Unreachable endpoints of a lost service are excluded, so that a service that nobody reaches is refused at once; ejections end when the links return. Connections refused on lost links are not announced as restarted endpoints.

--- a/src/base/mechanisms.cpp
+++ b/src/base/mechanisms.cpp
@@ -29,6 +29,8 @@
     {"suspects_releases", &mechanisms::suspects_releases},
     {"stops_bad_releases", &mechanisms::stops_bad_releases},
     {"proves_load", &mechanisms::proves_load},
+    {"forwards_requests", &mechanisms::forwards_requests},
+    {"leaves_directory", &mechanisms::leaves_directory},
 };
 
 } // namespace
--- a/src/base/mechanisms.h
+++ b/src/base/mechanisms.h
@@ -26,6 +26,8 @@
     bool suspects_releases = true;   ///< delays cut-over and completion while a release looks bad
     bool stops_bad_releases = true;  ///< refuses requests of a service whose completed release turns bad
     bool proves_load = true;         ///< delays completion until a release has carried the load to come
+    bool forwards_requests = true;   ///< forwards requests of services whose endpoints this host has lost
+    bool leaves_directory = true;    ///< hosts that have lost a service are not named to callers
 };
 
 /** \param text comma-separated names of the mechanisms to disable, which are the names of the members
--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -136,6 +136,8 @@
     relay_.state().on_links_changed = [this] { announce_lost_pools(); };
     relay_.state().on_limits_changed = [this] { schedule_limit_updates(); };
     relay_.listen(settings_.callers);
+    relay_.listen_for_peers(settings_.forwarding);
+    relay_.state().peers.set_port(settings_.forwarding.port);
     started_at_ = monotonic_now();
     reading_since_ = started_at_;
     peer_server_ = listen_or_exit(
@@ -152,6 +154,7 @@
         refresh_endpoints();
         assign_sponsored_endpoints(monotonic_now());
         assign_trials(monotonic_now());
+        update_forwarding_peers();
         update_reading_mode();
         update_deciding_role(monotonic_now());
         check_freshness();
@@ -177,7 +180,9 @@
 }
 
 std::vector<std::string> entry_host::entries_for_caller(const std::string& domain) const {
-    return entries_for(domain, gossip_.live(monotonic_now()), max_entries_in_answer, settings_.name);
+    const std::vector<host_status>& live = gossip_.live(monotonic_now());
+    return entries_for(domain, settings_.in_use.leaves_directory ? without_lost_hosts(live) : live,
+                       max_entries_in_answer, settings_.name);
 }
 
 std::string entry_host::metrics_text() {
--- a/src/host/entry_host.h
+++ b/src/host/entry_host.h
@@ -50,8 +50,10 @@
 struct entry_host_settings {
     std::string name;
     std::string failure_domain;
-    socket_address callers;         ///< address on which callers' requests are accepted
-    socket_address peers;           ///< address for datagrams and copies of the store between entry hosts
+    socket_address callers; ///< address on which callers' requests are accepted
+    socket_address peers;   ///< address for datagrams and copies of the store between entry hosts
+    /// Address on which requests are accepted that other hosts forward; the port is the same on all hosts.
+    socket_address forwarding;
     std::vector<std::string> seeds; ///< addresses of some peers to contact first
     duration revoke_bound = seconds(5);
     duration stop_grace = seconds(8);
@@ -131,7 +133,12 @@
     std::vector<load_entry> take_load_changes(std::size_t recipients);
     void on_load_changed();
     void on_refused(const std::string& endpoint);
+    void schedule_refusal_update(duration delay);
     void send_refusal_update();
+    /** Forgets the refusals that show only that this host has lost its links; delays those that may.
+     * \return whether some are delayed */
+    bool drop_refusals_of_lost_links();
+    bool is_reached_by_others(const std::string& endpoint) const;
     void handle(const std::string& from, const refusal_update& message);
     void merge_refusals(const std::vector<refused_endpoint>& refused);
     std::vector<refused_endpoint> known_refusals(time_point now);
@@ -146,6 +153,7 @@
     void handle(const std::string& from, const limit_update& message);
     /** Tells all hosts which pools this host has lost. */
     void announce_lost_pools();
+    void update_forwarding_peers();
     void handle(const std::string& from, const status_update& message);
     void send_load_update();
     void gossip_round();
@@ -242,6 +250,7 @@
     bool is_load_update_scheduled_ = false;
     bool is_crash_update_scheduled_ = false;
     bool is_limit_update_scheduled_ = false;
+    bool has_delayed_refusals_ = false;
     std::set<std::string> unsent_refusals_;            ///< endpoints whose refusal is not sent yet
     std::map<std::string, load_entry> last_sent_load_; ///< content of the last load update, by endpoint
     std::optional<time_point>
--- a/src/host/entry_host_peers.cpp
+++ b/src/host/entry_host_peers.cpp
@@ -22,6 +22,9 @@
 constexpr duration load_batch_delay = milliseconds(20); ///< so that one message covers a burst of requests
 /// The engines of a failure domain end together, and requests detect that within about 100 ms.
 constexpr duration refusal_batch_delay = milliseconds(30);
+/// If nearly all endpoints of a service refuse connections, the other hosts say within this time whether they
+/// have lost it too.
+constexpr duration lost_links_delay = milliseconds(500);
 constexpr std::size_t max_refusals_per_message = 64; ///< 25 bytes each
 /// All requests that break off when an endpoint crashes are detected within about 5 ms.
 constexpr duration crash_batch_delay = milliseconds(10);
@@ -271,13 +274,21 @@
     const bool is_first = unsent_refusals_.empty();
     unsent_refusals_.insert(endpoint);
     if (is_first) {
-        loop_.after(refusal_batch_delay, [this] { send_refusal_update(); });
+        schedule_refusal_update(refusal_batch_delay);
     }
 }
 
+void entry_host::schedule_refusal_update(duration delay) {
+    loop_.after(delay, [this] { send_refusal_update(); });
+}
+
 // Sent to all hosts at once: an endpoint may restart within a second, and hosts that do not know of the
 // restart would treat it as idle instead of cold.
 void entry_host::send_refusal_update() {
+    if (drop_refusals_of_lost_links()) {
+        schedule_refusal_update(lost_links_delay);
+        return;
+    }
     const time_point now = monotonic_now();
     std::vector<refused_endpoint> refused;
     for (const auto& [endpoint, age] : relay_.state().endpoints.allowance().cold().refused(now)) {
--- a/src/membership/endpoint_reach.cpp
+++ b/src/membership/endpoint_reach.cpp
@@ -145,6 +145,11 @@
     return probes;
 }
 
+std::string endpoint_reach::pool_of(const std::string& endpoint) const {
+    const auto found = links_.find(endpoint);
+    return found == links_.end() ? std::string{} : found->second.endpoint.pool;
+}
+
 bool endpoint_reach::is_unreachable(const std::string& endpoint) const {
     const auto found = links_.find(endpoint);
     return found != links_.end() && found->second.state == link_state::unreachable;
--- a/src/membership/endpoint_reach.h
+++ b/src/membership/endpoint_reach.h
@@ -49,7 +49,10 @@
     std::vector<endpoint_record> next_probes(time_point now);
 
     bool has_lost(const std::string& pool) const { return lost_.count(pool) > 0; }
-    bool has_lost_any() const { return !lost_.empty(); }
+    /** \return whether the pool of \p endpoint is lost, so that its failures may show only lost links. */
+    bool has_lost_pool_of(const std::string& endpoint) const { return has_lost(pool_of(endpoint)); }
+    /** \return the pool of \p endpoint; empty if it is not listed. */
+    std::string pool_of(const std::string& endpoint) const;
     /** \return the lost pools, sorted by name. */
     std::vector<std::string> lost_pools() const { return {lost_.begin(), lost_.end()}; }
     /** \return whether the last connection to \p endpoint failed. */
--- a/src/membership/host_gossip.cpp
+++ b/src/membership/host_gossip.cpp
@@ -436,6 +436,21 @@
     return chosen;
 }
 
+std::vector<host_status> without_lost_hosts(const std::vector<host_status>& hosts) {
+    std::vector<host_status> kept;
+    std::size_t serving = 0;
+    std::size_t kept_serving = 0;
+    for (const host_status& host : hosts) {
+        const bool is_serving = host.state == "serving";
+        serving += is_serving ? 1 : 0;
+        if (host.lost_pools.empty()) {
+            kept.push_back(host);
+            kept_serving += is_serving ? 1 : 0;
+        }
+    }
+    return kept_serving * 2 >= serving ? kept : hosts;
+}
+
 std::vector<std::string> entries_for(const std::string& domain, const std::vector<host_status>& hosts,
                                      std::size_t limit, const std::string& answering_host) {
     constexpr std::size_t min_own_domain_hosts = 2;
--- a/src/membership/host_gossip.h
+++ b/src/membership/host_gossip.h
@@ -191,6 +191,10 @@
     mutable std::set<std::string> speakers_;
 };
 
+/** \return \p hosts without those that have lost a pool, or all of them if these are most of the serving
+ * ones: the rest could not take their callers. */
+std::vector<host_status> without_lost_hosts(const std::vector<host_status>& hosts);
+
 /** Picks entry addresses for a caller in \p domain, which uses one of them at random. These are the serving
  * hosts of the caller's own failure domain if there are at least two, because traffic between domains costs
  * money and a single host leaves the caller no alternative; otherwise all serving hosts.
--- a/src/placement/cold_endpoints.cpp
+++ b/src/placement/cold_endpoints.cpp
@@ -148,6 +148,13 @@
     return should_announce;
 }
 
+void cold_endpoints::forget_refusal(const std::string& endpoint) {
+    const auto found = endpoints_.find(endpoint);
+    if (found != endpoints_.end()) {
+        found->second.refused_at.reset();
+    }
+}
+
 std::map<std::string, duration> cold_endpoints::refused(time_point now) const {
     std::map<std::string, duration> ages;
     for (const auto& [name, endpoint] : endpoints_) {
--- a/src/placement/cold_endpoints.h
+++ b/src/placement/cold_endpoints.h
@@ -64,6 +64,8 @@
      * should be told: the refusal was not known or is much newer than the one known
      */
     bool on_refused(const std::string& endpoint, duration age, time_point now);
+    /** Forgets that \p endpoint refused a connection, because only this host's links were lost. */
+    void forget_refusal(const std::string& endpoint);
     /** \return the endpoints that refused a connection within \ref refused_cold_time, and how long ago. */
     std::map<std::string, duration> refused(time_point now) const;
     /** \return at most \p max_count of \ref refused, the next ones with each call, for hosts that missed
--- a/src/placement/endpoint_directory.h
+++ b/src/placement/endpoint_directory.h
@@ -104,6 +104,8 @@
      * 0.5 s, by reason */
     std::map<exclusion, int> count_exclusions(const std::string& service, time_point now) const;
     std::size_t size() const { return table_.size(); }
+    /** \see endpoint_table::end_ejections */
+    void end_ejections(const std::string& service, time_point now) { table_.end_ejections(service, now); }
 
     void on_sent(const placement& chosen, const prompt_shape& prompt, const endpoint_criteria& criteria,
                  time_point now);
--- a/src/placement/send_allowance.cpp
+++ b/src/placement/send_allowance.cpp
@@ -5,6 +5,7 @@
 namespace laurelhoist {
 
 const send_allowance::exclusion_check send_allowance::exclusion_checks[] = {
+    {exclusion::unreachable, &send_allowance::is_reachable},
     {exclusion::evacuated, &send_allowance::is_not_evacuated},
     {exclusion::leaving, &send_allowance::is_not_leaving},
     {exclusion::back_off, &send_allowance::is_past_back_off},
@@ -16,6 +17,8 @@
     switch (reason) {
     case exclusion::none:
         return "none";
+    case exclusion::unreachable:
+        return "unreachable";
     case exclusion::evacuated:
         return "evacuated";
     case exclusion::leaving:
@@ -99,6 +102,11 @@
     return effects;
 }
 
+// A single unreachable endpoint is left to its ejection.
+bool send_allowance::is_reachable(const endpoint_record& endpoint, duration, time_point) const {
+    return !reach_.has_lost(endpoint.pool) || !reach_.is_unreachable(endpoint.name);
+}
+
 bool send_allowance::is_not_evacuated(const endpoint_record& endpoint, duration, time_point) const {
     return !evacuated_.contains(endpoint.domain);
 }
--- a/src/placement/send_allowance.h
+++ b/src/placement/send_allowance.h
@@ -37,6 +37,7 @@
 /** The reason why this host sends an endpoint no request now. */
 enum class exclusion {
     none,
+    unreachable,  ///< this host has lost its pool and could not connect to it
     evacuated,    ///< operators have ordered the evacuation of its failure domain
     leaving,      ///< it has announced that it is leaving
     back_off,     ///< it has asked this host for a backoff that is not over
@@ -87,6 +88,7 @@
     };
     static const exclusion_check exclusion_checks[];
 
+    bool is_reachable(const endpoint_record& endpoint, duration max_wait, time_point now) const;
     bool is_not_evacuated(const endpoint_record& endpoint, duration max_wait, time_point now) const;
     bool is_not_leaving(const endpoint_record& endpoint, duration max_wait, time_point now) const;
     bool is_past_back_off(const endpoint_record& endpoint, duration max_wait, time_point now) const;
--- a/src/recovery/repeat_bucket.cpp
+++ b/src/recovery/repeat_bucket.cpp
@@ -62,6 +62,13 @@
     tokens_ += earned_fraction * bound_.ratio;
 }
 
+void repeat_bucket::on_handed_over(time_point now) {
+    int& requests = requests_by_step_[step_ % static_cast<std::int64_t>(steps)];
+    requests = std::max(0, requests - 1);
+    tokens_ -= earned_fraction * bound_.ratio;
+    advance(now);
+}
+
 bool repeat_bucket::has_repeat(time_point now) {
     advance(now);
     return tokens_ >= 1.0;
--- a/src/recovery/repeat_bucket.h
+++ b/src/recovery/repeat_bucket.h
@@ -37,6 +37,8 @@
      * another must not share the slack among fewer. */
     void set_hosts(std::size_t hosts);
     void on_request(time_point now);
+    /** Takes back what a request has earned, because another host handles it and earns it there. */
+    void on_handed_over(time_point now);
     /** \return whether the bucket holds a repeat. */
     bool has_repeat(time_point now);
     /** \return whether the bucket holds a repeat beyond those that are kept for retries. */
--- a/src/relay/exchange.cpp
+++ b/src/relay/exchange.cpp
@@ -18,13 +18,17 @@
 constexpr int max_unreachable_endpoints = 8;
 /// A stream has stalled after a pause of this many times the route's gap objective.
 constexpr int gap_objectives_to_stall = 4;
+/// Hosts to which one request is forwarded, one after another, if they refuse it or cannot be reached.
+constexpr int max_forwards = 3;
+/// Another host that forwards its endpoint's answer may itself wait for one silent endpoint.
+constexpr int silence_limits_of_peer = 2;
 constexpr duration min_silence_limit = seconds(2);
+/// The same for an answer that has not begun. A sound endpoint may pause for about a second.
+constexpr duration min_unanswered_limit = milliseconds(1500);
 /// An answer that has not begun has stalled after this many times the route's latency objective.
 constexpr int latency_objectives_to_stall = 4;
 /// How long a request waits that arrives before the host has read a configuration and endpoints. Both arrive
 /// within 50 ms when the store answers, whereas a refused caller waits for 500 ms.
-/// The same for an answer that has not begun. A sound endpoint may pause for about a second.
-constexpr duration min_unanswered_limit = milliseconds(1500);
 constexpr duration max_configuration_wait = milliseconds(300);
 constexpr duration retry_after_stopping = milliseconds(100);
 constexpr duration retry_after_no_configuration = milliseconds(500);
@@ -142,6 +146,9 @@
     waiting_since_ = arrived_at_;
     prompt_ = to_shape(terms_);
     events_ = event_joiner(terms_.last_event_id);
+    if (caller_->is_from_peer()) {
+        attempts_ = terms_.earlier_attempts;
+    }
     pick_service();
     state_.repeats_of(service_).on_request(arrived_at_);
     dispatch();
@@ -282,6 +289,9 @@
                        "retry later: the only release of the service fails", retry_after_release_stopped);
         return;
     }
+    if (forward_to_peer(now)) {
+        return;
+    }
     if (!choose(now)) {
         if (!tried_.empty()) {
             tried_.clear(); // A failed endpoint is better than none.
@@ -316,6 +326,35 @@
         terms_.id);
 }
 
+bool exchange::forward_to_peer(time_point now) {
+    const bool may_forward = state_.settings.in_use.forwards_requests && !caller_->is_from_peer();
+    if (!may_forward || forwards_ >= max_forwards) {
+        return false;
+    }
+    const send_allowance& allowance = state_.endpoints.allowance();
+    const std::set<std::string> sponsors = allowance.brittle().sponsors_instead_of_this_host(service_);
+    if (!allowance.reach().has_lost(service_) && sponsors.empty()) {
+        return false;
+    }
+    const std::optional<forwarding_peer> peer = state_.peers.choose(service_, tried_, sponsors, now);
+    if (!peer) {
+        return false;
+    }
+    if (++forwards_ == 1) {
+        state_.repeats_of(service_).on_handed_over(now);
+    }
+    apply_event("placed");
+    answer_.reset();
+    attempt_ = attempt{};
+    attempt_.peer = peer->host;
+    attempt_.chosen.endpoint.name = peer->host;
+    state_.peers.on_forwarded(peer->host);
+    state_.measured.count("requests_forwarded");
+    log_info("request_forwarded", {{"request", terms_.id}, {"service", service_}, {"peer", peer->host}});
+    connect_to(peer->address, now);
+    return true;
+}
+
 void exchange::open_connection() {
     apply_event("placed");
     answer_.reset();
@@ -325,9 +364,12 @@
     state_.releases.on_started(release_key(), terms_.session, now,
                                is_first_attempt_ ? attempt_order::first : attempt_order::later);
     is_first_attempt_ = false;
+    connect_to(attempt_.chosen.endpoint.address, now);
+}
+
+void exchange::connect_to(const std::string& address, time_point now) {
     attempt_.sent_at = now;
     attempt_.heard_at = now;
-    const std::string& address = attempt_.chosen.endpoint.address;
     // An idle connection may be dead without notice, and a failure on it does not show whether the request
     // was received. A request that may not be repeated therefore gets a new connection.
     connection_ = route_->may_repeat() ? state_.pool.take_idle(address, now) : nullptr;
@@ -343,7 +385,8 @@
 }
 
 void exchange::record_link(bool is_reachable) {
-    if (!attempt_.is_new_connection || (attempt_.is_link_recorded && !is_reachable)) {
+    if (attempt_.is_forwarded() || !attempt_.is_new_connection ||
+        (attempt_.is_link_recorded && !is_reachable)) {
         return;
     }
     attempt_.is_link_recorded = true;
@@ -388,10 +431,10 @@
 
 void exchange::on_connect_failed(connect_failure why) {
     auto self = shared_from_this();
-    if (why == connect_failure::refused) {
+    if (why == connect_failure::refused && !attempt_.is_forwarded()) {
         owner_.report_connection_refused(attempt_.chosen.endpoint.name);
     }
-    ++unreachable_endpoints_;
+    unreachable_endpoints_ += attempt_.is_forwarded() ? 0 : 1;
     record_link(false);
     end_attempt(attempt_end::not_sent);
 }
@@ -408,9 +451,14 @@
     constexpr int least_urgent = 9;
     terms.urgency = std::clamp(base_urgency + priority, 0, least_urgent);
     terms.resume_after = events_.last_id() > terms_.last_event_id ? events_.last_id() : 0;
-    ++attempts_;
     attempt_.events_before_attempt = events_.last_id();
     start_reader();
+    if (attempt_.is_forwarded()) {
+        terms.earlier_attempts = attempts_;
+        connection_->send(state_.dialect.write_forwarded_request(request_, terms));
+        return;
+    }
+    ++attempts_;
     if (!state_.quarantine.is_empty()) {
         attempt_.is_trial = state_.quarantine.on_sent(digest(), now);
     }
@@ -420,6 +468,11 @@
 void exchange::settle_attempt(call_result result, release_evidence evidence) {
     const time_point now = monotonic_now();
     const duration took = now - attempt_.sent_at;
+    if (attempt_.is_forwarded()) {
+        const bool has_answered = result != call_result::failed && result != call_result::unanswered;
+        state_.peers.on_ended(attempt_.peer, has_answered || attempt_.has_head, now);
+        return;
+    }
     if (result == call_result::answered) {
         record_first_byte();
     }
@@ -477,6 +530,15 @@
     follow_up(end);
 }
 
+void exchange::count_attempts_of_peer(attempt_end end) {
+    if (end == attempt_end::refused) {
+        attempt_.has_reached_no_endpoint = answer().attempts <= attempts_;
+        attempts_ = std::max(attempts_, answer().attempts);
+    } else if (end != attempt_end::not_sent) {
+        ++attempts_;
+    }
+}
+
 release_route exchange::release_key() const {
     return {service_, attempt_.chosen.endpoint.release, route_->name};
 }
@@ -497,7 +559,8 @@
     retry_context context = make_retry_context();
     context.has_budget = unreachable_endpoints_ < max_unreachable_endpoints;
     follow_up_step step = next_step_after(context, end);
-    const bool costs_retry = end != attempt_end::not_sent && end != attempt_end::declined;
+    const bool costs_retry =
+        end != attempt_end::not_sent && end != attempt_end::declined && !attempt_.has_reached_no_endpoint;
     if (step == follow_up_step::retry && costs_retry &&
         !state_.repeats_of(service_).try_retry(monotonic_now())) {
         context.has_budget = false;
@@ -516,6 +579,10 @@
         dispatch();
         return;
     case follow_up_step::refuse:
+        if (attempt_.is_forwarded() && end == attempt_end::refused) {
+            send_complete_answer("refused_by_peer"); // It knows better when to come back.
+            return;
+        }
         answer_failure(status_unavailable, "refused", "retry later: the endpoints accept no more work",
                        state_.endpoints.could_serve(service_, monotonic_now())
                            ? retry_after_full
@@ -560,10 +627,13 @@
     if (route_->kind == route_kind::non_idempotent) {
         return duration::max();
     }
+    const int factor = attempt_.is_forwarded() ? silence_limits_of_peer : 1;
     if (has_begun_answer_) {
-        return std::max<duration>(min_silence_limit, route_->gap_objective * gap_objectives_to_stall);
+        return factor *
+               std::max<duration>(min_silence_limit, route_->gap_objective * gap_objectives_to_stall);
     }
-    return std::max<duration>(min_silence_limit / 2, route_->latency_objective * latency_objectives_to_stall);
+    return factor *
+           std::max<duration>(min_unanswered_limit, route_->latency_objective * latency_objectives_to_stall);
 }
 
 duration exchange::max_queue_time() const {
@@ -609,6 +679,24 @@
     }
 }
 
+void exchange::on_service_lost(const std::string& service, time_point now) {
+    const bool waits_there =
+        service_ == service && !attempt_.is_forwarded() &&
+        state_.endpoints.allowance().reach().is_unreachable(attempt_.chosen.endpoint.name);
+    if (waits_there && is_in_state("connecting")) {
+        connection_->close();
+        on_connect_failed(connect_failure::unreachable);
+        return;
+    }
+    const bool is_sent = is_in_state("asked") || is_in_state("answering");
+    const bool is_silent = now - attempt_.heard_at > slow_connect && !is_waiting_for_caller();
+    if (waits_there && is_sent && is_silent && route_->may_repeat() && attempts_ < route_->max_attempts &&
+        state_.repeats_of(service_).has_retry(now)) {
+        auto self = shared_from_this();
+        end_attempt(attempt_end::silent);
+    }
+}
+
 bool exchange::has_stalled(time_point now) const {
     const bool may_go_elsewhere =
         state_.settings.in_use.resumes_silent && route_->may_repeat() && attempts_ < route_->max_attempts;
@@ -628,6 +716,7 @@
                                {"end", to_string(end)},
                                {"retry_after_ms", static_cast<std::int64_t>(to_ms(back_off))},
                                {"endpoint", chosen.endpoint.name},
+                               {"peer", attempt_.peer},
                                {"release", chosen.endpoint.release},
                                {"attempt", attempts_},
                                {"model", attempt_.model},
@@ -653,6 +742,8 @@
               {"team", team_name()},
               {"digest", digest_ ? to_text(*digest_) : std::string{}},
               {"endpoint", attempt_.chosen.endpoint.name},
+              {"peer", attempt_.peer},
+              {"is_from_peer", caller_->is_from_peer()},
               {"release", attempt_.chosen.endpoint.release},
               {"session", terms_.session},
               {"model", attempt_.model},
--- a/src/relay/exchange.h
+++ b/src/relay/exchange.h
@@ -30,6 +30,8 @@
     /** Checks whether this request is now quarantined; if so, refuses it unless its answer has begun, it is
      * the trial attempt, or it has been sent and may not be repeated. */
     void on_quarantine_changed();
+    /** Ends an attempt that waits for an endpoint of \p service which this host has found unreachable. */
+    void on_service_lost(const std::string& service, time_point now);
 
     void on_connected() override;
     void on_connect_failed(connect_failure why) override;
@@ -46,8 +48,9 @@
         time_point sent_at;         ///< when the attempt was placed, before its connection was made
         time_point heard_at;        ///< when data last arrived
         std::int64_t events_before_attempt = 0; ///< last event id that the caller had before this attempt
-        bool is_new_connection = false;         ///< not one of the idle connections
-        bool is_link_recorded = false;          ///< \ref relay::record_link was called for its connection
+        std::string peer; ///< host to which the request is forwarded; empty: sent to an endpoint
+        bool is_new_connection = false; ///< not one of the idle connections
+        bool is_link_recorded = false;  ///< \ref relay::record_link was called for its connection
         bool has_first_byte = false;
         bool has_head = false;     ///< the answer's head has arrived and its endpoint statement is recorded
         bool is_trial = false;     ///< the trial attempt of a quarantined request
@@ -58,6 +61,8 @@
         bool is_accepted = false;      ///< the answer is good enough to be forwarded
         bool has_paused = false;       ///< reading was paused at least once because of a slow caller
 
+        bool has_reached_no_endpoint = false; ///< the other host refused the request and sent it nowhere
+        bool is_forwarded() const { return !peer.empty(); }
         bool is_slow() const { return *slowness != '\0'; }
     };
 
@@ -89,7 +94,13 @@
     /** \return the Retry-After for a service of which no endpoint accepts work, with jitter. */
     duration time_to_capacity(time_point now) const;
     void log_excluded_endpoints(time_point now);
+    /** Forwards the request to another host if this one has lost the service and that one has not.
+     * \return whether it is forwarded */
+    bool forward_to_peer(time_point now);
     void open_connection();
+    /** Counts the endpoints to which another host has sent the forwarded request. */
+    void count_attempts_of_peer(attempt_end end);
+    void connect_to(const std::string& address, time_point now);
     /** Records once whether the attempt's new connection was made. */
     void record_link(bool is_reachable);
     void send_request();
@@ -117,6 +128,8 @@
     void give_up_on_caller();
     void on_answer_complete();
     void complete_stream();
+    /** Handles the complete answer of another host to a forwarded request. */
+    void on_forwarded_answer_complete();
     void send_complete_answer(const char* outcome);
     void begin_stream_answer();
     void end_attempt(attempt_end end);
@@ -184,6 +197,7 @@
     int unreachable_endpoints_ = 0; ///< attempts that could not connect or reached another instance
     bool has_started_ = false;      ///< \ref begin has been called
     bool is_first_attempt_ = true;  ///< no attempt has been placed yet
+    int forwards_ = 0;              ///< times that the request was forwarded to another host
     bool may_have_run_ = false;
     bool has_begun_answer_ = false;
     bool is_caller_gone_ = false;
--- a/src/relay/exchange_answers.cpp
+++ b/src/relay/exchange_answers.cpp
@@ -1,6 +1,9 @@
 // The part of an exchange that reads an endpoint's answer and forwards it to the caller.
 #include "relay/exchange.h"
 
+#include <algorithm>
+#include <iterator>
+
 namespace laurelhoist {
 
 namespace {
@@ -11,9 +14,18 @@
 /// The constant part of the time to the first event: a network round trip and the engine's first step (5 ms).
 constexpr double fixed_latency_ms = 8;
 
+/** \return whether \p status promises that the request has not run and never will. */
+bool promises_not_run(int status) {
+    constexpr int promises[] = {408, 421, 429, 503};
+    return std::find(std::begin(promises), std::end(promises), status) != std::end(promises);
+}
+
 } // namespace
 
 bool exchange::is_good_enough(const answer_terms& given) {
+    if (attempt_.is_forwarded()) {
+        return true; // The other host has made the choice.
+    }
     if (attempt_.is_trial) {
         return true; // A trial is a single attempt, and a complete answer clears the request.
     }
@@ -114,6 +126,9 @@
         return; // A misdirected answer comes from another instance.
     }
     attempt_.has_head = true;
+    if (attempt_.is_forwarded()) {
+        return; // The other host has recorded it.
+    }
     owner_.record_statement(attempt_.chosen.endpoint, answer().statement, attempt_.sent_at, terms_.id);
 }
 
@@ -122,6 +137,9 @@
         return;
     }
     attempt_.has_first_byte = true;
+    if (attempt_.is_forwarded()) {
+        return;
+    }
     const time_point now = monotonic_now();
     const duration took = now - attempt_.sent_at;
     // Compared with the reading time of the request's own prompt and not with the predicted time: a slow
@@ -211,7 +229,7 @@
 
 void exchange::record_pace(std::int64_t min_intervals) {
     const std::int64_t intervals = events_of_attempt() - attempt_.first_events;
-    if (attempt_.is_paced || intervals < min_intervals) {
+    if (attempt_.is_forwarded() || attempt_.is_paced || intervals < min_intervals) {
         return;
     }
     attempt_.is_paced = true;
@@ -252,9 +270,30 @@
     caller_->finish(keeps);
 }
 
+void exchange::on_forwarded_answer_complete() {
+    const int status = reader_->status();
+    const bool is_success = status / status_class == 2;
+    if (!answer().has_receipt && promises_not_run(status)) {
+        end_attempt(attempt_end::refused);
+    } else if (is_success && !answer().has_receipt) {
+        end_attempt(attempt_end::broken);
+    } else if (is_event_stream()) {
+        complete_stream();
+    } else {
+        settle_attempt(call_result::answered, release_evidence::none);
+        clear_suspicion();
+        release_connection(true);
+        send_complete_answer(is_success             ? "served"
+                             : answer().has_receipt ? "endpoint_failure"
+                                                    : "peer_failure");
+    }
+}
+
 void exchange::on_answer_complete() {
     constexpr int first_server_error = 500;
-    if (answer().is_misdirected) {
+    if (attempt_.is_forwarded()) {
+        on_forwarded_answer_complete();
+    } else if (answer().is_misdirected) {
         // The intended instance is gone, so this does not count as an attempt but as an unreachable endpoint,
         // of which the number is limited.
         --attempts_;
@@ -284,7 +323,7 @@
         on_answer_complete();
         return;
     }
-    if (may_have_ended_endpoint()) {
+    if (may_have_ended_endpoint() && !attempt_.is_forwarded()) {
         owner_.end_confirmation_.probe_endpoint(attempt_.chosen.endpoint.address, make_suspected_end(),
                                                 monotonic_now());
     }
@@ -333,8 +372,11 @@
         return;
     }
     const std::string body = json{{"error", reason}, {"remedy", remedy}, {"request_id", terms_.id}}.dump();
-    caller_->write(
-        answer_head(status, state_.dialect.relay_answer_headers(terms_.id, retry_after), false, body.size()));
+    header_list headers = state_.dialect.relay_answer_headers(terms_.id, retry_after);
+    if (caller_->is_from_peer()) {
+        state_.dialect.add_attempts(headers, attempts_);
+    }
+    caller_->write(answer_head(status, headers, false, body.size()));
     caller_->write(body);
     const bool keeps = keeps_caller_connection();
     finish(reason, status);
--- a/src/relay/peer_forwarding.cpp
+++ b/src/relay/peer_forwarding.cpp
@@ -16,6 +16,7 @@
 // them have lost the pool too: then the few that are left would have to carry the whole domain.
 std::vector<const host_status*> peer_forwarding::candidates(const std::string& pool,
                                                             const std::set<std::string>& avoided,
+                                                            const std::set<std::string>& allowed,
                                                             time_point now) const {
     std::vector<const host_status*> own_domain;
     std::vector<const host_status*> all;
@@ -26,7 +27,7 @@
         const auto load = loads_.find(peer.name);
         const bool is_resting = load != loads_.end() && now < load->second.avoided_until;
         if (peer.name == host_ || peer.state != "serving" || peer.has_lost(pool) || is_resting ||
-            avoided.count(peer.name) > 0) {
+            avoided.count(peer.name) > 0 || (!allowed.empty() && allowed.count(peer.name) == 0)) {
             continue;
         }
         all.push_back(&peer);
@@ -38,8 +39,9 @@
 }
 
 std::optional<forwarding_peer> peer_forwarding::choose(const std::string& pool,
-                                                       const std::set<std::string>& avoided, time_point now) {
-    const std::vector<const host_status*> peers = candidates(pool, avoided, now);
+                                                       const std::set<std::string>& avoided,
+                                                       const std::set<std::string>& allowed, time_point now) {
+    const std::vector<const host_status*> peers = candidates(pool, avoided, allowed, now);
     if (peers.empty() || port_ == 0) {
         return std::nullopt;
     }
--- a/src/relay/peer_forwarding.h
+++ b/src/relay/peer_forwarding.h
@@ -38,9 +38,10 @@
     void set_hosts(std::vector<host_status> hosts) { hosts_ = std::move(hosts); }
 
     /** \return the host to forward a request of \p pool to, or nothing if no other one reaches its endpoints
-     * \param avoided names of hosts that have already failed this request */
+     * \param avoided names of hosts that have already failed this request
+     * \param allowed names of the only hosts that may be chosen; empty: any */
     std::optional<forwarding_peer> choose(const std::string& pool, const std::set<std::string>& avoided,
-                                          time_point now);
+                                          const std::set<std::string>& allowed, time_point now);
     void on_forwarded(const std::string& host) { ++loads_[host].in_flight; }
     /** \param has_answered whether the host answered, even if it refused */
     void on_ended(const std::string& host, bool has_answered, time_point now);
@@ -52,7 +53,7 @@
     };
 
     std::vector<const host_status*> candidates(const std::string& pool, const std::set<std::string>& avoided,
-                                               time_point now) const;
+                                               const std::set<std::string>& allowed, time_point now) const;
 
     std::string host_;
     std::string domain_;
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -20,6 +20,8 @@
 constexpr duration tick_interval = milliseconds(50);
 /// A tick that is later than this shows that the process was paused or starved.
 constexpr duration max_tick_delay = milliseconds(150);
+/// What another host may add to the headers of a request that it forwards.
+constexpr std::size_t peer_header_bytes = 256;
 constexpr duration sweep_interval =
     caller_connection::check_interval; ///< sweeps check connections, probes and the quarantine
 /// Number of requests that an endpoint is assumed to run at once if its service has no engine profile. Up to
@@ -93,7 +95,8 @@
             return;
         }
         if (!failure) {
-            const caller_limits limits = state_.routing ? state_.routing->config().limits : caller_limits{};
+            caller_limits limits = state_.routing ? state_.routing->config().limits : caller_limits{};
+            limits.header_bytes += source == request_source::peer ? peer_header_bytes : 0;
             auto caller =
                 std::make_shared<caller_connection>(std::move(socket), limits, caller_events_, source);
             callers_.insert(caller);
@@ -113,17 +116,6 @@
     created->start();
 }
 
-// Iterates over a copy, because \p visit may end this exchange or another one.
-template <class Visit>
-void relay::for_each_active(const Visit& visit) {
-    const std::vector<std::shared_ptr<exchange>> active(active_.begin(), active_.end());
-    for (const auto& each : active) {
-        if (active_.count(each) > 0) {
-            visit(*each);
-        }
-    }
-}
-
 void relay::start_ticking() {
     if (is_ticking_) {
         return;
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -167,6 +167,8 @@
     /** Decides which pools are lost to this host, and begins the probes that are due. */
     void check_links(time_point now);
     void on_links_changed(const reach_change& change);
+    /** Ends the attempts that wait for unreachable endpoints of \p service, so that they are forwarded. */
+    void move_off(const std::string& service);
     void begin_probes(time_point now);
     /** \return whether this process was paused just now, so that elapsed time shows nothing about others. */
     bool was_paused() const { return was_paused_; }
@@ -191,4 +193,15 @@
     bool was_paused_ = false; ///< the present tick is late
 };
 
+// Iterates over a copy, because \p visit may end this exchange or another one.
+template <class Visit>
+void relay::for_each_active(const Visit& visit) {
+    const std::vector<std::shared_ptr<exchange>> active(active_.begin(), active_.end());
+    for (const auto& each : active) {
+        if (active_.count(each) > 0) {
+            visit(*each);
+        }
+    }
+}
+
 } // namespace laurelhoist
--- a/src/relay/relay_links.cpp
+++ b/src/relay/relay_links.cpp
@@ -38,11 +38,23 @@
     } else {
         log_info("endpoint_links_regained", fields);
     }
+    const std::string service = change.pool;
+    if (change.is_lost) {
+        // Posted, because an exchange may have just reported the connection that decided.
+        state_.loop.post([this, service] { move_off(service); });
+    } else {
+        state_.endpoints.end_ejections(service, monotonic_now());
+    }
     if (state_.on_links_changed) {
         state_.on_links_changed();
     }
 }
 
+void relay::move_off(const std::string& service) {
+    const time_point now = monotonic_now();
+    for_each_active([&](exchange& each) { each.on_service_lost(service, now); });
+}
+
 void relay::begin_probes(time_point now) {
     for (const endpoint_record& endpoint : state_.endpoints.allowance().reach().next_probes(now)) {
         state_.measured.count("link_probes");
--- a/src/relay/repeat_allowance.cpp
+++ b/src/relay/repeat_allowance.cpp
@@ -12,6 +12,10 @@
     return (!in_use_.bounds_repeats || shared_.has_repeat(now)) && try_take(retries_, now);
 }
 
+bool repeat_allowance::has_retry(time_point now) {
+    return (!in_use_.bounds_repeats || shared_.has_repeat(now)) && retries_.has_token();
+}
+
 bool repeat_allowance::try_step_up(time_point now) {
     return (!in_use_.bounds_repeats || shared_.has_spare_repeat(now)) && try_take(steps_up_, now);
 }
--- a/src/relay/repeat_allowance.h
+++ b/src/relay/repeat_allowance.h
@@ -19,8 +19,12 @@
     void set_hosts(std::size_t hosts) { shared_.set_hosts(hosts); }
     /** Records a request of a caller. */
     void on_request(time_point now);
+    /** Takes back a request that another host handles. */
+    void on_handed_over(time_point now) { shared_.on_handed_over(now); }
     /** Takes one retry, or one stream that is resumed. \return whether it may be made now */
     bool try_retry(time_point now);
+    /** \return whether \ref try_retry would succeed. */
+    bool has_retry(time_point now);
     /** Takes one step up to a larger model. \return whether it may be made now */
     bool try_step_up(time_point now);
 
--- a/src/routing/retry_budget.h
+++ b/src/routing/retry_budget.h
@@ -21,9 +21,10 @@
         : allowance_{allowance}, tokens_{allowance.burst} {}
 
     void on_first_attempt() { tokens_ = std::min(allowance_.burst, tokens_ + allowance_.per_first_attempt); }
+    bool has_token() const { return tokens_ >= 1.0; }
     /** Takes a token if there is one. \return whether a retry may be made now. */
     bool try_take() {
-        if (tokens_ < 1.0) {
+        if (!has_token()) {
             return false;
         }
         tokens_ -= 1.0;
--- a/test/forwarding_test.cpp
+++ b/test/forwarding_test.cpp
@@ -1,6 +1,8 @@
 // Requests of hosts that have lost their links to the endpoints.
 #include "relay_fixture.h"
 
+#include <rapidcheck/gtest.h>
+
 namespace laurelhoist {
 namespace {
 
@@ -12,7 +14,12 @@
         start_peer(served, peer_endpoints);
     }
 
-    static std::string closed_address() { return "127.0.0.1:" + std::to_string(free_port()); }
+    /** \return an address that refuses connections, and that nothing else gets during the test. */
+    std::string closed_address() {
+        tcp::socket& bound = closed_.emplace_back(context_, tcp::v4());
+        bound.bind({asio::ip::make_address("127.0.0.1"), 0});
+        return "127.0.0.1:" + std::to_string(bound.local_endpoint().port());
+    }
 
     void start_peer(const traffic_route& served, const std::vector<std::string>& endpoints) {
         relay_settings settings;
@@ -34,7 +41,10 @@
         peer_->set_endpoints(records);
         peer_->listen_for_peers({"127.0.0.1", 0});
         set_peers(peer_->peer_port());
+        std::promise<void> running; // A stop before the loop runs would be lost.
+        peer_loop_.post([&] { running.set_value(); });
         peer_thread_ = std::thread([this] { peer_loop_.run(); });
+        running.get_future().wait();
     }
 
     /** Lets h1 know of h2, which accepts forwarded requests at \p port, and of nobody else. */
@@ -51,6 +61,22 @@
         });
     }
 
+    static std::uint16_t port_of(const scripted_endpoint& endpoint) {
+        const std::string address = endpoint.address();
+        return static_cast<std::uint16_t>(std::stoi(address.substr(address.rfind(':') + 1)));
+    }
+
+    /** Lets h1 find that it has lost the service, although its endpoints work. */
+    void lose_service() {
+        run_on_relay_thread([this] {
+            endpoint_reach& reach = relay_->state().endpoints.allowance().reach();
+            for (const endpoint_record& endpoint : records_) {
+                reach.on_unreachable(endpoint.name, monotonic_now());
+            }
+            (void)reach.evaluate(monotonic_now());
+        });
+    }
+
     void TearDown() override {
         if (peer_thread_.joinable()) {
             peer_loop_.stop();
@@ -59,13 +85,16 @@
         relay_fixture::TearDown();
     }
 
+    asio::io_context context_;
+    std::list<tcp::socket> closed_; ///< bound and not listening
     event_loop peer_loop_;
     rollout_tracker peer_releases_;
     std::unique_ptr<relay> peer_;
     std::thread peer_thread_;
 };
 
-// Guards against refusing the callers of a host that has lost its links while other hosts reach the endpoints.
+// Guards against refusing the callers of a host that has lost its links while other hosts reach the
+// endpoints.
 TEST_F(forwarding_fixture, a_host_without_links_serves_through_a_peer) {
     scripted_endpoint sound({{answer_of("1", "served")}});
     start(route(route_kind::non_idempotent, 1), {sound.address()});
@@ -75,5 +104,88 @@
     EXPECT_EQ(sound.requests().size(), 1U);
 }
 
+// Guards against callers that wait where nobody reaches the service: they are refused at once.
+TEST_F(forwarding_fixture, a_service_that_nobody_reaches_is_refused_at_once) {
+    start(route(route_kind::idempotent, 3), {});
+    set_peers(peer_->peer_port(), {"claims"});
+    const time_point began = monotonic_now();
+    EXPECT_TRUE(contains(send_request("1"), " 503 "));
+    EXPECT_LT(monotonic_now() - began, milliseconds(300));
+}
+
+// Guards against a request that goes round among hosts which have all lost their links.
+TEST_F(forwarding_fixture, a_forwarded_request_is_not_forwarded_again) {
+    start(route(route_kind::idempotent, 3), {closed_address(), closed_address(), closed_address()});
+    host_status first;
+    first.name = "h1";
+    first.gossip_address = "127.0.0.1:1";
+    first.state = "serving";
+    std::promise<void> done;
+    peer_loop_.post([&] {
+        peer_->state().peers.set_port(port_);
+        peer_->state().peers.set_hosts({first});
+        done.set_value();
+    });
+    done.get_future().wait();
+    EXPECT_TRUE(contains(send_request("1"), " 503 "));
+}
+
+// Guards against running a request twice that may run only once: a peer that breaks off may have run it.
+TEST_F(forwarding_fixture, a_non_idempotent_request_is_forwarded_once) {
+    scripted_endpoint breaking({{"", false, true}, {answer_of("1", "again")}});
+    start(route(route_kind::non_idempotent, 3), {});
+    set_peers(port_of(breaking));
+    EXPECT_TRUE(contains(send_request("1"), " 502 "));
+    EXPECT_EQ(breaking.requests().size(), 1U);
+}
+
+// Guards against calling "not run" a request that a peer may have run.
+TEST_F(forwarding_fixture, a_failure_of_the_peer_is_passed_on_as_it_is) {
+    scripted_endpoint failing({{"HTTP/1.1 504 Gateway Timeout\r\nId: 1\r\nContent-Length: 0\r\n\r\n"}});
+    start(route(route_kind::non_idempotent, 3), {});
+    set_peers(port_of(failing));
+    EXPECT_TRUE(contains(send_request("1"), " 504 "));
+}
+
+// Guards against a stream that is cut when the links are lost in its middle, and against more endpoints for
+// it than its route allows, summed over both hosts.
+TEST_F(forwarding_fixture, a_stream_goes_on_through_a_peer) {
+    scripted_endpoint breaking({{"", false, true, [this](const std::string&) {
+                                     lose_service();
+                                     return stream_head("1") + chunk_of(event(1) + event(2));
+                                 }}});
+    scripted_endpoint peer({{stream_head("1") + chunk_of(event(3)) + std::string(last_chunk)}});
+    start_relay(route(route_kind::stream, 3), {breaking.address()});
+    set_peers(port_of(peer));
+    earn_repeats();
+    const std::string answer = send_request("1");
+    EXPECT_TRUE(contains(answer, chunk_of(event(1) + event(2)))) << answer;
+    EXPECT_TRUE(contains(answer, chunk_of(event(3)))) << answer;
+    ASSERT_EQ(peer.requests().size(), 1U);
+    EXPECT_TRUE(contains(peer.requests().back(), "Attempts: 1")); // Of the three, two are left.
+    EXPECT_TRUE(contains(peer.requests().back(), "Resume: 2"));
+}
+
+// Guards against a peer that hands a request to more endpoints than are left to it.
+TEST_F(forwarding_fixture, the_peer_makes_only_the_attempts_that_are_left) {
+    scripted_endpoint breaking({{"", false, true}, {answer_of("1", "again")}});
+    start(route(route_kind::idempotent, 1), {breaking.address()});
+    EXPECT_TRUE(contains(send_request("1"), " 502 "));
+    EXPECT_EQ(breaking.requests().size(), 1U);
+}
+
+// Guards against double repeats: the requests that a host hands over earn them at the other host only.
+RC_GTEST_PROP(repeat_bucket_property, requests_that_are_handed_over_earn_no_repeats, ()) {
+    const int requests = *rc::gen::inRange(1, 60);
+    repeat_bucket handing_over(repeat_bound{}, time_point{});
+    time_point now{};
+    for (int i = 0; i < requests; ++i) {
+        now += milliseconds(*rc::gen::inRange(0, 300));
+        handing_over.on_request(now);
+        handing_over.on_handed_over(now);
+    }
+    RC_ASSERT(!handing_over.has_repeat(now + seconds(1)));
+}
+
 } // namespace
 } // namespace laurelhoist
--- a/test/relay_fixture.h
+++ b/test/relay_fixture.h
@@ -37,6 +37,8 @@
         terms.has_key = request.headers.find("Key") != nullptr;
         terms.key = request.headers.value_or_empty("Key");
         terms.input_tokens = route_tokens;
+        terms.earlier_attempts =
+            static_cast<int>(parse_number(request.headers.value_or_empty("Attempts")).value_or(0));
         return terms;
     }
     std::string write_request(const caller_request& request, const dispatch_terms& terms) const override {
@@ -47,12 +49,23 @@
         append_header(message, "Content-Length", std::to_string(request.body.size()));
         return message + "\r\n" + request.body;
     }
+    std::string write_forwarded_request(const caller_request& request,
+                                        const dispatch_terms& terms) const override {
+        std::string message = request.method + " " + request.target + " HTTP/1.1\r\n";
+        append_header(message, "Host", request.headers.value_or_empty("Host"));
+        append_header(message, "Id", request.headers.value_or_empty("Id"));
+        append_header(message, "Resume", std::to_string(terms.resume_after));
+        append_header(message, "Attempts", std::to_string(terms.earlier_attempts));
+        append_header(message, "Content-Length", std::to_string(request.body.size()));
+        return message + "\r\n" + request.body;
+    }
     answer_terms read_answer(int, const header_list& headers) const override {
         answer_terms terms;
         terms.is_misdirected = headers.find("Misdirected") != nullptr;
         terms.is_not_run = headers.find("Not-Run") != nullptr || terms.is_misdirected;
         terms.has_receipt = headers.find("Receipt") != nullptr;
         terms.request_id = headers.value_or_empty("Id");
+        terms.attempts = static_cast<int>(parse_number(headers.value_or_empty("Attempts")).value_or(0));
         terms.statement.is_leaving = headers.value_or_empty("Leaving") == "1";
         terms.statement.back_off = retry_after_in(headers);
         terms.statement.rate_limit = parse_decimal(headers.value_or_empty("Limit"));
@@ -68,6 +81,9 @@
         }
         return headers;
     }
+    void add_attempts(header_list& headers, int attempts) const override {
+        headers.add("Attempts", std::to_string(attempts));
+    }
     std::int64_t route_tokens = 0; ///< prompt length of all requests
 };
 
