Hosts bound the rejections of endpoints that say they are brittle

An endpoint may state (Server-Brittle) that it ends if it has to reject more than N requests in a second for want of room. Nothing read that, so hosts that pressed on a full service would end its endpoints one after another. A pool counts as brittle as a whole, since a host may not have heard of each of its endpoints, until a later answer without the statement.

--- a/src/placement/endpoint_directory.cpp
+++ b/src/placement/endpoint_directory.cpp
@@ -308,6 +308,7 @@
 // prompts between engines by chance (0.025 of worth at the smallest site, 0.003 at two larger ones), and
 // engines that are five times as slow are detected little sooner than by their backlogs (0.002 to 0.011).
 void endpoint_directory::on_first_byte(const placement& chosen) {
+    allowance_.on_answered(chosen.endpoint.name);
     endpoint_load& load = own_load_[chosen.endpoint.name];
     load.reading_ms -= chosen.reading_ms;
     if (chosen.unread_tokens > 0) {
@@ -318,6 +319,9 @@
 void endpoint_directory::on_ended(const placement& chosen, bool had_first_byte, call_result result,
                                   duration took, time_point now) {
     table_.on_call_ended(chosen.endpoint.name, result, took, now);
+    if (!had_first_byte) {
+        allowance_.on_answered(chosen.endpoint.name);
+    }
     const auto found = own_load_.find(chosen.endpoint.name);
     if (found == own_load_.end()) {
         return;
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "placement/back_offs.h"
+#include "placement/brittle_endpoints.h"
 #include "placement/cold_endpoints.h"
 #include "placement/endpoint_directory.h"
 #include "placement/first_event_estimate.h"
--- a/src/placement/send_allowance.cpp
+++ b/src/placement/send_allowance.cpp
@@ -10,6 +10,7 @@
     {exclusion::leaving, &send_allowance::is_not_leaving},
     {exclusion::back_off, &send_allowance::is_past_back_off},
     {exclusion::rate_limited, &send_allowance::is_within_rate_limit},
+    {exclusion::brittle, &send_allowance::is_permitted},
     {exclusion::cold, &send_allowance::is_within_cold_limit},
 };
 
@@ -27,6 +28,8 @@
         return "back_off";
     case exclusion::rate_limited:
         return "rate_limited";
+    case exclusion::brittle:
+        return "brittle";
     case exclusion::cold:
         return "cold";
     }
@@ -34,19 +37,21 @@
 }
 
 send_allowance::send_allowance(std::string host, cold_endpoints cold)
-    : cold_{std::move(cold)}, limits_{std::move(host)} {}
+    : cold_{std::move(cold)}, limits_{host}, brittle_{std::move(host)} {}
 
 void send_allowance::update(const std::vector<endpoint_record>& endpoints, time_point now) {
     reach_.update(endpoints);
     cold_.update(endpoints, now);
     limits_.update(endpoints, now);
     back_offs_.update(endpoints, now);
+    brittle_.update(endpoints);
     leaving_.update(endpoints, now);
 }
 
 void send_allowance::set_hosts(const host_view& view, time_point now) {
     cold_.set_hosts(view, now);
     limits_.set_hosts(view, now);
+    brittle_.set_hosts(view);
 }
 
 void send_allowance::set_evacuated(const evacuation_set& evacuated, time_point now) {
@@ -88,6 +93,7 @@
 void send_allowance::on_sent(const std::string& endpoint, time_point now) {
     cold_.on_sent(endpoint, now);
     limits_.on_sent(endpoint, now);
+    brittle_.on_sent(endpoint);
 }
 
 statement_effects send_allowance::note(const endpoint_record& endpoint, const endpoint_statement& statement,
@@ -95,6 +101,9 @@
     statement_effects effects;
     effects.is_limit_changed = limits_.note(endpoint, {statement.rate_limit, sent_at, now}, now);
     effects.is_newly_leaving = statement.is_leaving && leaving_.note(endpoint, now);
+    const bool was_brittle = brittle_.is_brittle(endpoint.pool);
+    brittle_.note(endpoint.pool, statement.rejections_per_s, sent_at, now);
+    effects.is_brittleness_changed = brittle_.is_brittle(endpoint.pool) != was_brittle;
     effects.has_back_off = statement.back_off.has_value();
     if (effects.has_back_off) {
         back_offs_.note(endpoint, *statement.back_off, now);
@@ -125,6 +134,10 @@
     return limits_.may_send_within(endpoint.name, max_wait, now);
 }
 
+bool send_allowance::is_permitted(const endpoint_record& endpoint, duration max_wait, time_point now) const {
+    return brittle_.may_send(endpoint, max_wait > duration::zero(), now);
+}
+
 bool send_allowance::is_within_cold_limit(const endpoint_record& endpoint, duration max_wait,
                                           time_point now) const {
     return cold_.may_send_within(endpoint.name, max_wait, now);
--- a/src/placement/send_allowance.h
+++ b/src/placement/send_allowance.h
@@ -12,6 +12,7 @@
 #include "membership/endpoint_reach.h"
 #include "membership/evacuation_set.h"
 #include "placement/back_offs.h"
+#include "placement/brittle_endpoints.h"
 #include "placement/cold_endpoints.h"
 #include "placement/leaving_endpoints.h"
 #include "placement/rate_limits.h"
@@ -25,13 +26,16 @@
     /// For how long it wants no further requests from this host; nothing: no backoff.
     std::optional<duration> back_off{};
     bool is_leaving = false; ///< the endpoint is about to stop
+    /// Requests that it can reject in a second without ending; nothing: any number.
+    std::optional<double> rejections_per_s{};
 };
 
 /** The changes that an \ref endpoint_statement caused on this host. */
 struct statement_effects {
-    bool is_limit_changed = false; ///< \see rate_limits::note
-    bool has_back_off = false;     ///< the statement asked for a backoff
-    bool is_newly_leaving = false; ///< the endpoint was not known to be leaving
+    bool is_limit_changed = false;       ///< \see rate_limits::note
+    bool has_back_off = false;           ///< the statement asked for a backoff
+    bool is_brittleness_changed = false; ///< its pool is brittle now, or no longer
+    bool is_newly_leaving = false;       ///< the endpoint was not known to be leaving
 };
 
 /** The reason why this host sends an endpoint no request now. */
@@ -42,6 +46,7 @@
     leaving,      ///< it has announced that it is leaving
     back_off,     ///< it has asked this host for a backoff that is not over
     rate_limited, ///< it has stated a rate limit, and this host may not send its next request yet
+    brittle,      ///< a rejection could end it, and this host holds no free permit of it
     cold,         ///< it is cold, and this host may not send its next request yet
 };
 
@@ -70,6 +75,9 @@
      * period may get a request, or nothing if there is no such endpoint */
     std::optional<duration> time_until_available(const std::string& service, time_point now) const;
     void on_sent(const std::string& endpoint, time_point now);
+    /** Records that the answer to a request has begun, or that the request has ended without one. */
+    void on_answered(const std::string& endpoint) { brittle_.on_answered(endpoint); }
+    void on_rejected(const std::string& endpoint, time_point now) { brittle_.on_rejected(endpoint, now); }
     /** Takes the statements of \p endpoint in its answer to a request that was sent at \p sent_at. */
     statement_effects note(const endpoint_record& endpoint, const endpoint_statement& statement,
                            time_point sent_at, time_point now);
@@ -78,6 +86,7 @@
     const cold_endpoints& cold() const { return cold_; }
     endpoint_reach& reach() { return reach_; }
     const endpoint_reach& reach() const { return reach_; }
+    const brittle_endpoints& brittle() const { return brittle_; }
     rate_limits& limits() { return limits_; }
     const rate_limits& limits() const { return limits_; }
 
@@ -93,6 +102,7 @@
     bool is_not_leaving(const endpoint_record& endpoint, duration max_wait, time_point now) const;
     bool is_past_back_off(const endpoint_record& endpoint, duration max_wait, time_point now) const;
     bool is_within_rate_limit(const endpoint_record& endpoint, duration max_wait, time_point now) const;
+    bool is_permitted(const endpoint_record& endpoint, duration max_wait, time_point now) const;
     bool is_within_cold_limit(const endpoint_record& endpoint, duration max_wait, time_point now) const;
 
     endpoint_reach reach_;
@@ -100,6 +110,7 @@
     rate_limits limits_;
     back_offs back_offs_;
     leaving_endpoints leaving_;
+    brittle_endpoints brittle_;
     evacuation_set evacuated_;
 };
 
--- a/src/relay/exchange.cpp
+++ b/src/relay/exchange.cpp
@@ -524,7 +524,12 @@
     release_connection(end == attempt_end::refused || end == attempt_end::failed ||
                        end == attempt_end::misdirected);
     log_attempt(end);
-    if (!attempt_.has_first_byte && (end == attempt_end::silent || end == attempt_end::broken)) {
+    if (end == attempt_end::refused && !attempt_.is_forwarded()) {
+        state_.endpoints.allowance().on_rejected(attempt_.chosen.endpoint.name, monotonic_now());
+    }
+    if (attempt_.is_forwarded()) {
+        count_attempts_of_peer(end);
+    } else if (!attempt_.has_first_byte && (end == attempt_end::silent || end == attempt_end::broken)) {
         owner_.suspect_link(attempt_.chosen.endpoint.name);
     }
     follow_up(end);
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -197,6 +197,13 @@
         state_.measured.count("endpoints_saying_they_leave");
         log_info("endpoint_leaving", {{"endpoint", endpoint.name}, {"request", request}});
     }
+    if (effects.is_brittleness_changed) {
+        log_info("endpoints_brittle",
+                 {{"service", endpoint.pool},
+                  {"endpoint", endpoint.name},
+                  {"rejections_per_s", statement.rejections_per_s.value_or(logged_no_limit)},
+                  {"request", request}});
+    }
     if (effects.is_limit_changed) {
         log_info("endpoint_rate_limit", {{"endpoint", endpoint.name},
                                          {"requests_per_s", statement.rate_limit.value_or(logged_no_limit)},
