Forwarding in a file of its own; tests of its messages and of the directory

exchange_forwarding.cpp holds what notices lost links and forwards; status classes are named once. New checks: the wire of a forwarded request, odd values of the brittle statement, the status update, hosts left out of the directory. No behaviour changes.

--- a/src/relay/exchange.cpp
+++ b/src/relay/exchange.cpp
@@ -18,8 +18,6 @@
 constexpr int max_unreachable_endpoints = 8;
 /// A stream has stalled after a pause of this many times the route's gap objective.
 constexpr int gap_objectives_to_stall = 4;
-/// Hosts to which one request is forwarded, one after another, if they refuse it or cannot be reached.
-constexpr int max_forwards = 3;
 /// Another host that forwards its endpoint's answer may itself wait for one silent endpoint.
 constexpr int silence_limits_of_peer = 2;
 constexpr duration min_silence_limit = seconds(2);
@@ -326,35 +324,6 @@
         terms_.id);
 }
 
-bool exchange::forward_to_peer(time_point now) {
-    const bool may_forward = state_.settings.in_use.forwards_requests && !caller_->is_from_peer();
-    if (!may_forward || forwards_ >= max_forwards) {
-        return false;
-    }
-    const send_allowance& allowance = state_.endpoints.allowance();
-    const std::set<std::string> sponsors = allowance.brittle().sponsors_instead_of_this_host(service_);
-    if (!allowance.reach().has_lost(service_) && sponsors.empty()) {
-        return false;
-    }
-    const std::optional<forwarding_peer> peer = state_.peers.choose(service_, tried_, sponsors, now);
-    if (!peer) {
-        return false;
-    }
-    if (++forwards_ == 1) {
-        state_.repeats_of(service_).on_handed_over(now);
-    }
-    apply_event("placed");
-    answer_.reset();
-    attempt_ = attempt{};
-    attempt_.peer = peer->host;
-    attempt_.chosen.endpoint.name = peer->host;
-    state_.peers.on_forwarded(peer->host);
-    state_.measured.count("requests_forwarded");
-    log_info("request_forwarded", {{"request", terms_.id}, {"service", service_}, {"peer", peer->host}});
-    connect_to(peer->address, now);
-    return true;
-}
-
 void exchange::open_connection() {
     apply_event("placed");
     answer_.reset();
@@ -384,15 +353,6 @@
     connection_->connect(*this);
 }
 
-void exchange::record_link(bool is_reachable) {
-    if (attempt_.is_forwarded() || !attempt_.is_new_connection ||
-        (attempt_.is_link_recorded && !is_reachable)) {
-        return;
-    }
-    attempt_.is_link_recorded = true;
-    owner_.record_link(attempt_.chosen.endpoint.name, is_reachable);
-}
-
 void exchange::on_connected() {
     auto self = shared_from_this();
     record_link(true);
@@ -535,15 +495,6 @@
     follow_up(end);
 }
 
-void exchange::count_attempts_of_peer(attempt_end end) {
-    if (end == attempt_end::refused) {
-        attempt_.has_reached_no_endpoint = answer().attempts <= attempts_;
-        attempts_ = std::max(attempts_, answer().attempts);
-    } else if (end != attempt_end::not_sent) {
-        ++attempts_;
-    }
-}
-
 release_route exchange::release_key() const {
     return {service_, attempt_.chosen.endpoint.release, route_->name};
 }
@@ -684,24 +635,6 @@
     }
 }
 
-void exchange::on_service_lost(const std::string& service, time_point now) {
-    const bool waits_there =
-        service_ == service && !attempt_.is_forwarded() &&
-        state_.endpoints.allowance().reach().is_unreachable(attempt_.chosen.endpoint.name);
-    if (waits_there && is_in_state("connecting")) {
-        connection_->close();
-        on_connect_failed(connect_failure::unreachable);
-        return;
-    }
-    const bool is_sent = is_in_state("asked") || is_in_state("answering");
-    const bool is_silent = now - attempt_.heard_at > slow_connect && !is_waiting_for_caller();
-    if (waits_there && is_sent && is_silent && route_->may_repeat() && attempts_ < route_->max_attempts &&
-        state_.repeats_of(service_).has_retry(now)) {
-        auto self = shared_from_this();
-        end_attempt(attempt_end::silent);
-    }
-}
-
 bool exchange::has_stalled(time_point now) const {
     const bool may_go_elsewhere =
         state_.settings.in_use.resumes_silent && route_->may_repeat() && attempts_ < route_->max_attempts;
--- a/src/relay/exchange.h
+++ b/src/relay/exchange.h
@@ -68,6 +68,7 @@
 
     static constexpr int status_bad_gateway = 502;
     static constexpr int status_unavailable = 503;
+    static constexpr int status_class = 100; ///< status codes of a kind share what remains if divided by this
 
     void await_configuration(time_point now);
     void begin();
--- a/src/relay/exchange_answers.cpp
+++ b/src/relay/exchange_answers.cpp
@@ -1,25 +1,15 @@
 // The part of an exchange that reads an endpoint's answer and forwards it to the caller.
 #include "relay/exchange.h"
 
-#include <algorithm>
-#include <iterator>
-
 namespace laurelhoist {
 
 namespace {
 
 /// A prompt of this length takes an engine 50 ms or more, which affects the choices of other hosts.
 constexpr std::int64_t long_prompt_tokens = 1500;
-constexpr int status_class = 100;
 /// The constant part of the time to the first event: a network round trip and the engine's first step (5 ms).
 constexpr double fixed_latency_ms = 8;
 
-/** \return whether \p status promises that the request has not run and never will. */
-bool promises_not_run(int status) {
-    constexpr int promises[] = {408, 421, 429, 503};
-    return std::find(std::begin(promises), std::end(promises), status) != std::end(promises);
-}
-
 } // namespace
 
 bool exchange::is_good_enough(const answer_terms& given) {
@@ -270,25 +260,6 @@
     caller_->finish(keeps);
 }
 
-void exchange::on_forwarded_answer_complete() {
-    const int status = reader_->status();
-    const bool is_success = status / status_class == 2;
-    if (!answer().has_receipt && promises_not_run(status)) {
-        end_attempt(attempt_end::refused);
-    } else if (is_success && !answer().has_receipt) {
-        end_attempt(attempt_end::broken);
-    } else if (is_event_stream()) {
-        complete_stream();
-    } else {
-        settle_attempt(call_result::answered, release_evidence::none);
-        clear_suspicion();
-        release_connection(true);
-        send_complete_answer(is_success             ? "served"
-                             : answer().has_receipt ? "endpoint_failure"
-                                                    : "peer_failure");
-    }
-}
-
 void exchange::on_answer_complete() {
     constexpr int first_server_error = 500;
     if (attempt_.is_forwarded()) {
--- a/test/host_test.cpp
+++ b/test/host_test.cpp
@@ -13,6 +13,8 @@
     status.name = "h1";
     status.beat = 12;
     gossip.statuses = {status};
+    host_status cut_off = status;
+    cut_off.lost_pools = {"chats", "claims"};
     gossip.load = {{"e1", 4000, 3}};
     gossip.counts = {{"pool", "v2", "drafts", 10, 1, 2}};
     gossip.rollouts = {{"pool", "v2", 1200, true, 0.05, true}};
@@ -29,6 +31,7 @@
                                      refusal_update{{{"e1", 40}}},
                                      report_handover{"pool", "v2", rollout_state::completed, 41},
                                      crash_update{{{0xf000'0000'0000'0001U, {{9, 20, 10}}, 50}}},
+                                     status_update{cut_off},
                                      forwarded_message{std::string("\0\xff a", 4)}};
     for (const peer_message& message : messages) {
         const std::optional<peer_message> decoded = decode_peer_message(encode_peer_message(message));
--- a/test/membership_test.cpp
+++ b/test/membership_test.cpp
@@ -348,6 +348,20 @@
     }
 }
 
+// Guards against sending callers to hosts without links, and against leaving no host for them.
+TEST(entries_for, hosts_that_have_lost_a_pool_are_left_out_unless_they_are_most) {
+    std::vector<host_status> hosts(4);
+    for (std::size_t i = 0; i < hosts.size(); ++i) {
+        hosts[i].name = "h" + std::to_string(i);
+        hosts[i].state = "serving";
+    }
+    hosts[0].lost_pools = {"claims"};
+    hosts[1].lost_pools = {"claims"};
+    EXPECT_EQ(without_lost_hosts(hosts).size(), 2U);
+    hosts[2].lost_pools = {"claims"};
+    EXPECT_EQ(without_lost_hosts(hosts).size(), 4U);
+}
+
 // Traffic between failure domains costs money, but a single host of its own domain leaves a caller no
 // alternative.
 TEST(entries_for, prefers_the_callers_own_domain_if_it_has_two_hosts) {
--- a/test/platform_test.cpp
+++ b/test/platform_test.cpp
@@ -279,6 +279,54 @@
     }
 }
 
+std::optional<double> rejections_in(const std::vector<std::string>& values) {
+    header_list headers;
+    for (const std::string& value : values) {
+        headers.add("Server-Brittle", value);
+    }
+    return header_dialect().read_answer(200, headers).statement.rejections_per_s;
+}
+
+TEST(header_dialect, decodes_how_many_rejections_an_endpoint_bears) {
+    EXPECT_EQ(rejections_in({"20"}), 20.0);
+    EXPECT_EQ(rejections_in({"0"}), 0.0);
+    EXPECT_EQ(rejections_in({"2.5", "many", "7"}), 2.5);
+    EXPECT_EQ(rejections_in({"99999999999999999999"}), 1e20);
+    for (const char* none : {"", "-1", "nan", "inf", "1e3", "yes", "0x2"}) {
+        EXPECT_EQ(rejections_in({none}), std::nullopt) << none;
+    }
+}
+
+// Guards against a forwarded request that the other host refuses or handles as another one, and against its
+// internal field reaching an endpoint.
+TEST(header_dialect, a_forwarded_request_is_read_as_the_caller_sent_it) {
+    const header_dialect dialect;
+    const caller_request request = request_with({{"Authorization", "Token k1"},
+                                                 {"X-Request-Id", "77"},
+                                                 {"X-Model", "*"},
+                                                 {"X-Deadline-Ms", "9000"},
+                                                 {"Laurelhoist-Attempts", "9"},
+                                                 {"Session", "s"}});
+    dispatch_terms terms;
+    terms.time_left = milliseconds(1234);
+    terms.earlier_attempts = 2;
+    terms.resume_after = 5;
+    request_reader reader(4096, 4096);
+    reader.feed(dialect.write_forwarded_request(request, terms));
+    ASSERT_EQ(reader.advance(), request_reader::progress::complete);
+    const caller_request received = reader.take();
+    const request_terms read = dialect.read_request(received);
+    EXPECT_EQ(read.key, "k1");
+    EXPECT_EQ(read.id, "77");
+    EXPECT_EQ(read.session, "s");
+    EXPECT_EQ(read.time_left, milliseconds(1234));
+    EXPECT_EQ(read.earlier_attempts, 2);
+    EXPECT_EQ(read.last_event_id, 5);
+    EXPECT_EQ(received.headers.value_or_empty("X-Model"), "*");
+    EXPECT_EQ(dialect.write_request(received, dispatch_terms{}).find("Laurelhoist-Attempts"),
+              std::string::npos);
+}
+
 TEST(header_dialect, decodes_that_an_endpoint_is_leaving) {
     for (const char* value : {"1", "0", "", "yes"}) {
         header_list headers;
