--- a/src/membership/endpoint_reach.cpp
+++ b/src/membership/endpoint_reach.cpp
@@ -1,6 +1,7 @@
 #include "membership/endpoint_reach.h"
 
 #include <algorithm>
+#include <set>
 
 namespace laurelhoist {
 
@@ -44,7 +45,7 @@
     }
     links_ = std::move(kept);
     for (auto item = lost_.begin(); item != lost_.end();) {
-        item = pools.count(*item) > 0 ? std::next(item) : lost_.erase(item);
+        item = pools.count(item->first) > 0 ? std::next(item) : lost_.erase(item);
     }
 }
 
@@ -72,19 +73,26 @@
     }
 }
 
+// A connection made before the pool was lost does not show that it has returned.
+bool endpoint_reach::is_counted(const link& observed, time_point now) const {
+    const auto lost = lost_.find(observed.endpoint.pool);
+    const duration age = now - observed.seen_at;
+    if (lost == lost_.end()) {
+        return age < (observed.state == link_state::reachable ? reachable_for : unreachable_for);
+    }
+    return observed.state == link_state::unreachable ||
+           (observed.seen_at >= lost->second && age < reachable_for_when_lost);
+}
+
 endpoint_reach::counts_by_pool endpoint_reach::count(time_point now) const {
     counts_by_pool counts;
     for (const auto& [name, each] : links_) {
         pool_count& pool = counts[each.endpoint.pool];
-        const bool is_lost = has_lost(each.endpoint.pool);
-        const duration age = now - each.seen_at;
         ++pool.listed;
-        pool.unreachable +=
-            each.state == link_state::unreachable && (is_lost || age < unreachable_for) ? 1 : 0;
-        pool.reachable +=
-            each.state == link_state::reachable && age < (is_lost ? reachable_for_when_lost : reachable_for)
-                ? 1
-                : 0;
+        if (is_counted(each, now)) {
+            pool.unreachable += each.state == link_state::unreachable ? 1 : 0;
+            pool.reachable += each.state == link_state::reachable ? 1 : 0;
+        }
     }
     return counts;
 }
@@ -101,7 +109,7 @@
             continue;
         }
         if (is_lost) {
-            lost_.insert(pool);
+            lost_[pool] = now;
         } else {
             lost_.erase(pool);
         }
@@ -145,6 +153,14 @@
     return probes;
 }
 
+std::vector<std::string> endpoint_reach::lost_pools() const {
+    std::vector<std::string> pools;
+    for (const auto& [pool, since] : lost_) {
+        pools.push_back(pool);
+    }
+    return pools;
+}
+
 std::string endpoint_reach::pool_of(const std::string& endpoint) const {
     const auto found = links_.find(endpoint);
     return found == links_.end() ? std::string{} : found->second.endpoint.pool;
--- a/src/membership/endpoint_reach.h
+++ b/src/membership/endpoint_reach.h
@@ -14,7 +14,6 @@
 #include "membership/host_list.h"
 
 #include <map>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -54,7 +53,7 @@
     /** \return the pool of \p endpoint; empty if it is not listed. */
     std::string pool_of(const std::string& endpoint) const;
     /** \return the lost pools, sorted by name. */
-    std::vector<std::string> lost_pools() const { return {lost_.begin(), lost_.end()}; }
+    std::vector<std::string> lost_pools() const;
     /** \return whether the last connection to \p endpoint failed. */
     bool is_unreachable(const std::string& endpoint) const;
 
@@ -75,11 +74,12 @@
     using counts_by_pool = std::map<std::string, pool_count>;
 
     void observe(const std::string& endpoint, link_state state, time_point now);
+    bool is_counted(const link& observed, time_point now) const;
     counts_by_pool count(time_point now) const;
     std::size_t probe_limit(const std::string& pool, const pool_count& counts) const;
 
-    std::map<std::string, link> links_; ///< by endpoint name
-    std::set<std::string> lost_;        ///< names of the lost pools
+    std::map<std::string, link> links_;      ///< by endpoint name
+    std::map<std::string, time_point> lost_; ///< lost pools, and since when
 };
 
 /// A connection that is not made within this time counts as failed for \ref endpoint_reach. Connecting takes
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -227,6 +227,9 @@
 void relay::on_endpoint_ended(const std::vector<suspected_end>& suspects) {
     const time_point now = monotonic_now();
     for (const suspected_end& each : suspects) {
+        if (state_.endpoints.allowance().reach().has_lost_pool_of(each.endpoint)) {
+            continue; // Its refusal shows lost links and no end.
+        }
         state_.quarantine.on_end(each.digest, each.end, now);
         log_info("endpoint_ended_under_request", {{"request", each.request},
                                                   {"digest", to_text(each.digest)},
--- a/test/endpoint_reach_test.cpp
+++ b/test/endpoint_reach_test.cpp
@@ -87,6 +87,20 @@
     EXPECT_LT(ms, 4000);
 }
 
+// Guards against a decision that changes back and forth: connections made before the loss show no return.
+TEST_F(reach_fixture, connections_made_before_the_loss_do_not_end_it) {
+    endpoint_reach reach = start(18);
+    for (int i = 0; i < 9; ++i) {
+        reach.on_connected("e" + std::to_string(i), at_ms(0));
+    }
+    for (int i = 9; i < 14; ++i) {
+        reach.on_unreachable("e" + std::to_string(i), at_ms(1100));
+    }
+    ASSERT_EQ(reach.evaluate(at_ms(1100)).size(), 1U);
+    EXPECT_TRUE(reach.evaluate(at_ms(1150)).empty());
+    EXPECT_TRUE(reach.has_lost("engines"));
+}
+
 // Guards against probing a large pool from each of hundreds of hosts when a few of its endpoints are down.
 TEST_F(reach_fixture, few_failures_among_many_successes_are_not_probed) {
     endpoint_reach reach = start(60);
--- a/test/forwarding_test.cpp
+++ b/test/forwarding_test.cpp
@@ -166,6 +166,21 @@
     EXPECT_TRUE(contains(peer.requests().back(), "Resume: 2"));
 }
 
+// Guards against a failure of the peer that is written into the middle of a stream.
+TEST_F(forwarding_fixture, a_failure_of_the_peer_in_mid_stream_resets_the_caller) {
+    scripted_endpoint breaking({{"", false, true, [this](const std::string&) {
+                                     lose_service();
+                                     return stream_head("1") + chunk_of(event(1));
+                                 }}});
+    scripted_endpoint peer({{"HTTP/1.1 502 Bad Gateway\r\nId: 1\r\nContent-Length: 0\r\n\r\n"}});
+    start_relay(route(route_kind::stream, 2), {breaking.address()});
+    set_peers(port_of(peer));
+    earn_repeats();
+    const std::string answer = send_request("1");
+    EXPECT_FALSE(contains(answer, "502")) << answer;
+    EXPECT_TRUE(was_reset_);
+}
+
 // Guards against a peer that hands a request to more endpoints than are left to it.
 TEST_F(forwarding_fixture, the_peer_makes_only_the_attempts_that_are_left) {
     scripted_endpoint breaking({{"", false, true}, {answer_of("1", "again")}});
