--- a/test/soak/platform_soak.py
+++ b/test/soak/platform_soak.py
@@ -57,7 +57,7 @@
         # Each process has an address of its own and the same port for peers, as on a network. With one address for all
         # of them no host would learn of another.
         self.address, self.seeds = host_address(number), []
-        self.ports = {"peers": peers_port}
+        self.ports = {"peers": peers_port, "forwarding": peers_port + 1}
         for name in ("callers", "readiness", "directory"):
             self.ports[name] = free_port(self.address, self.ports.values())
         self.store_port = store_port
