--- a/src/relay/exchange.cpp
+++ b/src/relay/exchange.cpp
@@ -648,8 +648,10 @@
     const std::string known_by = end == attempt_end::broken ? to_text(digest()) : std::string{};
     const duration back_off =
         answer_ ? answer_->statement.back_off.value_or(duration::zero()) : duration::zero();
+    const std::string parts = end == attempt_end::broken ? shared_parts() : std::string{};
     log_info("attempt_ended", {{"request", terms_.id},
                                {"digest", known_by},
+                               {"parts", parts},
                                {"events", events_of_attempt()},
                                {"end", to_string(end)},
                                {"retry_after_ms", static_cast<std::int64_t>(to_ms(back_off))},
--- a/src/relay/exchange.h
+++ b/src/relay/exchange.h
@@ -144,6 +144,8 @@
     void log_attempt(attempt_end end);
     /** \return the digest that identifies repeats of this request; computed on first use. */
     request_digest digest();
+    /** \return the ids of the first parts of the prompt but the last, for the log. */
+    std::string shared_parts() const;
     std::string team_name() const { return team_ == nullptr ? std::string{} : team_->name; }
     /** \return the number of events that the present attempt has forwarded. */
     std::int64_t events_of_attempt() const { return events_.last_id() - attempt_.events_before_attempt; }
--- a/src/relay/exchange_quarantine.cpp
+++ b/src/relay/exchange_quarantine.cpp
@@ -10,6 +10,15 @@
     return *digest_;
 }
 
+std::string exchange::shared_parts() const {
+    constexpr std::size_t max_listed = 16;
+    std::string listed;
+    for (std::size_t i = 0; i + 1 < terms_.prompt.size() && i < max_listed; ++i) {
+        listed.append(i == 0 ? "" : " ").append(terms_.prompt[i].id);
+    }
+    return listed;
+}
+
 // Guards against a request that ends each endpoint that starts to run it. Forwarding it would also break the
 // streams of all other callers there, and callers send it again with a new id. Checked wherever a request is
 // sent to an endpoint: first and later attempts, steps up to a larger model, resumed streams, and requests
--- a/test/relay_fixture.h
+++ b/test/relay_fixture.h
@@ -11,9 +11,11 @@
 
 #include <boost/asio.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <future>
 #include <mutex>
+#include <sstream>
 #include <thread>
 
 namespace laurelhoist {
@@ -37,6 +39,7 @@
         terms.has_key = request.headers.find("Key") != nullptr;
         terms.key = request.headers.value_or_empty("Key");
         terms.input_tokens = route_tokens;
+        terms.prompt = read_prompt(request.headers.value_or_empty("Prompt"));
         terms.earlier_attempts =
             static_cast<int>(parse_number(request.headers.value_or_empty("Attempts")).value_or(0));
         return terms;
@@ -46,6 +49,7 @@
         append_header(message, "Id", request.headers.value_or_empty("Id"));
         append_header(message, "Resume", std::to_string(terms.resume_after));
         append_header(message, "Model", terms.model);
+        append_header(message, "Prompt", request.headers.value_or_empty("Prompt"));
         append_header(message, "Content-Length", std::to_string(request.body.size()));
         return message + "\r\n" + request.body;
     }
@@ -84,6 +88,16 @@
     void add_attempts(header_list& headers, int attempts) const override {
         headers.add("Attempts", std::to_string(attempts));
     }
+    /** \return the parts named in \p text, separated by spaces. */
+    static std::vector<prompt_part> read_prompt(const std::string& text) {
+        std::vector<prompt_part> parts;
+        std::istringstream words(text);
+        for (std::string id; words >> id;) {
+            parts.push_back({id, 1});
+        }
+        return parts;
+    }
+
     std::int64_t route_tokens = 0; ///< prompt length of all requests
 };
 
@@ -181,14 +195,17 @@
     std::thread thread_;
 };
 
-/** An endpoint that simulates a crash when it receives a request with a certain body: its connections are
- * reset and nothing listens at its address any more. It answers all other requests. */
+/** An endpoint that simulates a crash when it receives a request with a certain body, or with a certain part
+ * of the prompt that is not the last one: its connections are reset and nothing listens at its address any
+ * more. It answers all other requests. */
 class crashing_endpoint {
 public:
-    explicit crashing_endpoint(std::string crashing_body)
+    /** \param crashing_part empty: no part crashes it */
+    explicit crashing_endpoint(std::string crashing_body, std::string crashing_part = "")
         : acceptor_{context_, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)},
           address_{"127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port())},
-          crashing_body_{std::move(crashing_body)} {
+          crashing_body_{std::move(crashing_body)},
+          crashing_part_{std::move(crashing_part)} {
         accept_next();
         thread_ = std::thread([this] { context_.run(); });
     }
@@ -240,7 +257,7 @@
         }
         const std::string body = from.buffer.substr(head_length, body_length);
         from.buffer.erase(0, head_length + body_length);
-        if (body == crashing_body_) {
+        if (body == crashing_body_ || has_crashing_part(head)) {
             end();
             return;
         }
@@ -260,6 +277,19 @@
         }
     }
 
+    bool has_crashing_part(const std::string& head) const {
+        const std::string field = "Prompt: ";
+        const std::size_t at = head.find(field);
+        if (at == std::string::npos || crashing_part_.empty()) {
+            return false;
+        }
+        const std::size_t begin = at + field.size();
+        const auto parts = test_dialect::read_prompt(head.substr(begin, head.find("\r\n", begin) - begin));
+        return std::any_of(parts.begin(), parts.end(), [&](const prompt_part& part) {
+            return part.id == crashing_part_ && &part != &parts.back();
+        });
+    }
+
     static std::size_t number_after(const std::string& head, const std::string& field) {
         const std::size_t at = head.find(field);
         return at == std::string::npos ? 0 : std::stoul(head.substr(at + field.size()));
@@ -269,6 +299,7 @@
     tcp::acceptor acceptor_;
     std::string address_;
     std::string crashing_body_;
+    std::string crashing_part_;
     std::vector<std::shared_ptr<connection>> connections_;
     std::atomic<int> crash_count_{0};
     std::thread thread_;
--- a/test/relay_test.cpp
+++ b/test/relay_test.cpp
@@ -364,6 +364,44 @@
         << "other requests are still served";
 }
 
+// Guards against requests that share one part of their prompts and differ in all else, each of which ends the
+// endpoints that begin to answer it: no two of them have the same digest. Requests with the same first part
+// are served all the while.
+TEST_F(relay_fixture, requests_with_a_part_that_ends_endpoints_are_quarantined) {
+    std::vector<std::unique_ptr<crashing_endpoint>> endpoints;
+    std::vector<std::string> addresses;
+    for (int i = 0; i < 24; ++i) {
+        endpoints.push_back(std::make_unique<crashing_endpoint>("unused", "dead"));
+        addresses.push_back(endpoints.back()->address());
+    }
+    start_relay(route(route_kind::idempotent, 3), addresses);
+    const auto ended = [&endpoints] {
+        int count = 0;
+        for (const auto& endpoint : endpoints) {
+            count += endpoint->crash_count();
+        }
+        return count;
+    };
+    const auto send = [this](int id, const std::string& parts) {
+        const std::string number = std::to_string(id);
+        return send_request(number, "Prompt: " + parts + " own" + number + "\r\n", "prompt " + number);
+    };
+    for (int id = 1; id <= 10; id += 2) {
+        send(id, id % 4 == 1 ? "first dead" : "dead other first");
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+        EXPECT_TRUE(contains(send(id + 1, "first other"), "served")) << "the other parts are innocent";
+    }
+    EXPECT_LE(ended(), 5);
+    EXPECT_GE(ended(), 3);
+    const std::string answer = send(11, "first dead other");
+    EXPECT_TRUE(contains(answer, "HTTP/1.1 503")) << answer;
+    EXPECT_FALSE(contains(answer, "Retry-After")) << "the caller is not invited to retry";
+    const int before = ended();
+    EXPECT_TRUE(contains(send_request("12", "Prompt: first other dead\r\n", "12"), "served"))
+        << "the last part is the request's own and ends no endpoint";
+    EXPECT_EQ(ended(), before);
+}
+
 // Guards against forwarding a success that the endpoint has not confirmed with a receipt.
 TEST_F(relay_fixture, a_success_without_a_receipt_is_answered_with_502) {
     scripted_endpoint endpoint({{"HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 2\r\n\r\nok", false, false}});
--- a/test/soak/platform_soak.py
+++ b/test/soak/platform_soak.py
@@ -17,11 +17,13 @@
 import tempfile
 import time
 
-from standins import LONG_STREAM_EVENTS, Endpoint, Proxy, Store, response_signature
+from standins import CRASHING_PART, LONG_STREAM_EVENTS, Endpoint, Proxy, Store, response_signature
 
 REVOKE_S = 5.0              # longest time for which a withdrawn key may still be accepted
 LEAVING_S = 2.0             # time after which a leaving endpoint gets no new request
 CRASH_NOTICE_S = 3.0        # time after which every host knows of a request that crashes endpoints
+CRASHES_TO_KNOW = {"body": 3, "part": 5}  # crashes after which a request, or a part of prompts, is known
+MIN_SOUND_REQUESTS = 20     # sound requests with the same first part that are enough to judge how they are served
 MAX_TRIALS = 3              # crashes tolerated, over all hosts, once they know of the request that causes them
 LIMIT_NOTICE_S = 3.0        # time after which an endpoint's rate limit must be kept by every host
 LIMIT_ANSWER_S = 0.5        # time after which a host that forwarded an answer stating a limit must keep the limit
@@ -98,8 +100,8 @@
     """One run of a seed: a fleet, its callers, the injected faults and the checks."""
 
     def __init__(self, seed, seconds, program, directory, entries, injects_faults, checks_time_bounds=True,
-                 sends_crash_requests=False, names_limits=False, asks_for_back_off=False, slow_callers=0):
-        self.checks_time_bounds, self.sends_crash_requests = checks_time_bounds, sends_crash_requests
+                 crashes_on="", names_limits=False, asks_for_back_off=False, slow_callers=0):
+        self.checks_time_bounds, self.crashes_on = checks_time_bounds, crashes_on
         self.slow_callers = slow_callers
         self.names_limits, self.asks_for_back_off = names_limits, asks_for_back_off
         self.random = random.Random(seed)
@@ -109,6 +111,7 @@
         self.refused, self.sent_at, self.keys = {}, {}, {"key-a": None, "key-b": None}
         self.version = 0
         self.crashes = []  # (arrival time, entry) of each request that crashed an endpoint
+        self.served = set()  # ids of the requests answered with 200
 
     async def execute(self):
         self.store = await Store().listen()
@@ -121,7 +124,7 @@
         await asyncio.sleep(1.5)
         deadline = time.monotonic() + self.seconds
         tasks = [asyncio.create_task(self.call(number, deadline)) for number in range(16)]
-        if self.sends_crash_requests:
+        if self.crashes_on:
             tasks.append(asyncio.create_task(self.send_crash_requests(deadline)))
         if self.names_limits:
             tasks.append(asyncio.create_task(self.limit_endpoints()))
@@ -227,6 +230,8 @@
             text = await reader.readexactly(int(headers.get("content-length", "0")))
             self.check_answer(request_id, status, headers, text)
         self.counts[status] += 1
+        if status == 200:
+            self.served.add(request_id)
         if status in NOT_RUN:
             self.refused[request_id] = status
         return headers.get("connection") != "close"
@@ -302,16 +307,25 @@
             entry, number = rng.choice(self.entries), number + 1
             request_id = f"{self.seed}-deadly-{number}"
             self.sent_at[request_id] = (time.monotonic(), "key-a", "drafts", entry)
-            asyncio.create_task(self.send_crash_request(entry, request_id))
+            asyncio.create_task(self.send_crash_request(entry, request_id, *self.crashing_prompt(rng, number)))
             await asyncio.sleep(rng.uniform(0.1, 0.4))
 
-    async def send_crash_request(self, entry, request_id):
+    def crashing_prompt(self, rng, number):
+        """The prompt and the body of a request that crashes an endpoint. With `crashes_on` = "part" no two are alike
+        but for one part, which stands anywhere but at the end."""
+        if self.crashes_on == "body":
+            return "aa:100,bb:800", "deadly"
+        parts = ["aa:100", f"{rng.randrange(16):x}:300"]
+        parts.insert(rng.randrange(3), f"{CRASHING_PART}:200")
+        return ",".join([*parts, f"c0de{number:x}:300"]), f"draft {number}"
+
+    async def send_crash_request(self, entry, request_id, prompt, body):
         try:
             reader, writer = await asyncio.open_connection(entry.address, entry.ports["callers"])
             writer.write(f"POST /drafts/1 HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: {request_id}\r\n"
                          "Authorization: Token key-a\r\nX-Deadline-Ms: 4000\r\nX-Model: *\r\nX-Token-Counts: 900,100\r\n"
-                         "X-Prompt-Prefix: aa:100,bb:800\r\nConnection: close\r\nContent-Length: 6\r\n\r\n"
-                         "deadly".encode())
+                         f"X-Prompt-Prefix: {prompt}\r\nConnection: close\r\nContent-Length: {len(body)}\r\n\r\n"
+                         f"{body}".encode())
             status = (await asyncio.wait_for(reader.readline(), 5)).decode().split(" ")[1:2]
             self.counts[f"deadly_{status[0] if status else 'cut'}"] += 1
             writer.close()
@@ -373,13 +387,19 @@
             self.check_leaving(run)
 
     def check_crash_requests(self):
-        if len(self.crashes) < 3 or not self.checks_time_bounds:
+        ends_to_know = CRASHES_TO_KNOW[self.crashes_on] if self.crashes_on else 0
+        if not ends_to_know or len(self.crashes) < ends_to_know or not self.checks_time_bounds:
             return
-        known_at = sorted(at for at, _ in self.crashes)[2] + CRASH_NOTICE_S
+        known_at = sorted(at for at, _ in self.crashes)[ends_to_know - 1] + CRASH_NOTICE_S
         late = [at for at, entry in self.crashes if at > known_at and at > entry.disturbed_at + UNDISTURBED_S]
         if len(late) > MAX_TRIALS:
             self.fail("a request that crashes endpoints is quarantined",
                       f"{len(late)} times, {len(self.crashes)} in all")
+        sound = [request_id for request_id, (at, _, kind, _) in self.sent_at.items()
+                 if kind == "drafts" and at > known_at + CRASH_NOTICE_S and "deadly" not in request_id]
+        if len(sound) >= MIN_SOUND_REQUESTS and len(self.served.intersection(sound)) < len(sound) / 2:
+            self.fail("sound requests are served beside those that crash endpoints",
+                      f"{len(self.served.intersection(sound))} of {len(sound)}")
 
     def check_limits(self):
         limited = collections.defaultdict(list)
@@ -583,8 +603,9 @@
     parser.add_argument("--seconds", type=float, default=8)
     parser.add_argument("--entries", type=int, default=3)
     parser.add_argument("--calm", action="store_true", help="no faults")
-    parser.add_argument("--deadly", action="store_true",
-                        help="one caller keeps sending requests that crash each endpoint that runs them")
+    parser.add_argument("--deadly", choices=["body", "part"], nargs="?", const="body", default="",
+                        help="a caller keeps sending requests that crash each endpoint that runs them: the same request "
+                             "again, or requests that share one part of their prompts")
     parser.add_argument("--limits", action="store_true", help="an endpoint of each service names a rate limit")
     parser.add_argument("--rests", action="store_true", help="endpoints refuse every request and ask for a back-off")
     parser.add_argument("--slow-callers", type=int, default=0, metavar="N",
--- a/test/soak/standins.py
+++ b/test/soak/standins.py
@@ -8,6 +8,7 @@
 
 LONG_STREAM_EVENTS = 160    # a long stream has several times the bytes that the kernel buffers for one connection
 LONG_EVENT_BYTES = 65536
+CRASHING_PART = "dead"      # an engine crashes when it begins an answer to a prompt with this part, but for the last one
 
 
 def response_signature(request_id, body):
@@ -34,6 +35,11 @@
     return method, target, headers, body
 
 
+def has_crashing_part(headers):
+    parts = [item.split(":")[0] for item in headers.get("x-prompt-prefix", "").split(",")]
+    return CRASHING_PART in parts[:-1]
+
+
 def answer(status, body, fields=()):
     text = f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n"
     return (text + "".join(f"{name}: {value}\r\n" for name, value in fields) + "\r\n").encode() + body
@@ -236,6 +242,11 @@
         writer.write((f"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Request-Id: {request_id}\r\n{lines}"
                       f"X-Response-Signature: {response_signature(request_id, b'')}\r\nX-Confidence: {confidence}\r\n"
                       "Transfer-Encoding: chunked\r\n\r\n").encode())
+        if has_crashing_part(headers):
+            await writer.drain()
+            await asyncio.sleep(0.06)
+            self.on_crash_request(self, request_id, run["at"])
+            raise ConnectionResetError
         for number in range(first, count + 1):
             event = f"id: {number}\ndata: {request_id} {number}/{count}{padding}\n\n".encode()
             is_broken_before = is_long and first > 1
