The earliest report of an end counts, so that a slow notice hides no quarantine

Callers saw: a crashing request sent again by hosts that had heard of its ends and counted two of nine. Cause: notices carry ages, and transit makes them too small. A notice of the first end that took 20 ms moved that end behind the second attempt, which follows it by 5 ms; the sequence was broken at that host for good, because later reports of a known end were ignored. Change: a report of a known end replaces it if it is earlier. Reports only err to the late side. Test: a_slow_notice_of_an_end_does_not_break_the_sequence fails without the change.

--- a/src/recovery/crash_quarantine.cpp
+++ b/src/recovery/crash_quarantine.cpp
@@ -133,17 +133,25 @@
 }
 
 bool crash_quarantine::add_end(record& entry, const endpoint_end& end) {
-    const bool is_known = std::any_of(entry.ends.begin(), entry.ends.end(), [&](const endpoint_end& each) {
+    if (entry.cleared_at && end.ended_at <= *entry.cleared_at) {
+        return false;
+    }
+    const auto known = std::find_if(entry.ends.begin(), entry.ends.end(), [&](const endpoint_end& each) {
         return each.process == end.process &&
                std::chrono::abs(each.ended_at - end.ended_at) < same_end_window;
     });
-    if (is_known || (entry.cleared_at && end.ended_at <= *entry.cleared_at)) {
-        return false;
+    endpoint_end added = end;
+    if (known != entry.ends.end()) {
+        // Transit only makes ages too small, so the earliest of several reports of an end is the truest.
+        if (end.ended_at >= known->ended_at) {
+            return false;
+        }
+        entry.ends.erase(known);
     }
     const auto later = std::upper_bound(
-        entry.ends.begin(), entry.ends.end(), end,
+        entry.ends.begin(), entry.ends.end(), added,
         [](const endpoint_end& left, const endpoint_end& right) { return left.ended_at < right.ended_at; });
-    entry.ends.insert(later, end);
+    entry.ends.insert(later, added);
     if (entry.ends.size() > max_ends_per_request) {
         entry.ends.erase(entry.ends.begin());
     }
--- a/test/recovery_test.cpp
+++ b/test/recovery_test.cpp
@@ -168,6 +168,21 @@
     EXPECT_LE(quarantine.take_pending(at_ms(6000)).for_trackers.size(), most);
 }
 
+// Guards against a host that never quarantines a request although all others do. The notice of the first end
+// took 30 ms, so that the end seemed to be later than the second attempt, which was sent 5 ms after it.
+TEST(crash_quarantine, a_slow_notice_of_an_end_does_not_break_the_sequence) {
+    const std::vector<end_report> ends = {{1, 300, 200}, {2, 195, 100}, {3, 95, 0}};
+    constexpr std::int64_t not_cleared = -1;
+    crash_quarantine quarantine("h1");
+    quarantine.merge({{crashing, {ends[0]}, not_cleared}}, at_ms(30));
+    quarantine.merge({{crashing, {ends[1], ends[2]}, not_cleared}}, at_ms(1));
+    EXPECT_EQ(quarantine.ends_of(crashing), 2);
+    quarantine.merge({{crashing, {ends[0]}, not_cleared}}, at_ms(1));
+    EXPECT_EQ(quarantine.ends_of(crashing), 3) << "the next notice of the first end was faster";
+    quarantine.merge({{crashing, {ends[0]}, not_cleared}}, at_ms(40));
+    EXPECT_EQ(quarantine.ends_of(crashing), 3) << "a slower one changes nothing";
+}
+
 // Guards against the eviction of a quarantined request by a notice that reports no end.
 TEST(crash_quarantine, a_notice_without_ends_evicts_no_record) {
     constexpr std::uint32_t most = 512;
