Parts of prompts that end endpoints are quarantined

Cause: the quarantine recognized repeats of one request, by a digest with its body. Requests that differ in all but one part never repeat, so each began with a clean record at each host. Class: evidence kept by what an attempt is, and not by what it has in common with others. Change: an end counts as well against each part of the attempt's prompt but the last; an answer that begins anywhere clears all parts of its prompt, so that shared parts never add up and the one that ends endpoints does. Three separate ends under two requests or more quarantine a part on all hosts, whatever else a request holds. Answers are declined at their first event, no longer at their head: an engine that ended 90 ms after its attempt had been declined ended under nobody.

--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -200,7 +200,7 @@
     return measured.to_text();
 }
 
-std::vector<quarantined_request> entry_host::quarantined() const {
+std::vector<quarantined_cause> entry_host::quarantined() const {
     return relay_.state().quarantine.quarantined(monotonic_now());
 }
 
--- a/src/host/entry_host.h
+++ b/src/host/entry_host.h
@@ -92,10 +92,11 @@
     /** \return the addresses that a caller in \p domain may use. */
     std::vector<std::string> entries_for_caller(const std::string& domain) const;
     std::string metrics_text();
-    /** \return the requests that are quarantined because endpoints crashed during them. */
-    std::vector<quarantined_request> quarantined() const;
-    /** Lifts the quarantine of a request on all hosts, by an operator's order. */
-    void lift_quarantine(request_digest digest) { relay_.lift_quarantine(digest); }
+    /** \return the requests and parts of prompts that are quarantined because endpoints crashed under them.
+     */
+    std::vector<quarantined_cause> quarantined() const;
+    /** Lifts the quarantine of a request or a part of prompts on all hosts, by an operator's order. */
+    void lift_quarantine(const crash_cause& cause) { relay_.lift_quarantine(cause); }
     metrics& measured() { return relay_.state().measured; }
 
 private:
--- a/src/host/peer_messages.cpp
+++ b/src/host/peer_messages.cpp
@@ -66,7 +66,9 @@
                                       {"first_sent_in_rollout", "Q"},
                                       {"is_at_peak", "R"},
                                       {"lost_pools", "S"},
-                                      {"status", "T"}};
+                                      {"status", "T"},
+                                      {"kind", "U"},
+                                      {"request", "V"}};
 
 using field_map = std::map<std::string, std::string>;
 
--- a/src/recovery/crash_quarantine.cpp
+++ b/src/recovery/crash_quarantine.cpp
@@ -7,32 +7,15 @@
 
 namespace {
 
-/// Bound on the records, of about 300 bytes each, so that a caller who keeps sending new bodies cannot
-/// exhaust the memory.
+/// Bound on the records of each kind, of about 300 bytes each, so that a caller who keeps sending new bodies
+/// or parts cannot exhaust the memory.
 constexpr std::size_t max_records = 512;
-constexpr std::size_t max_ends_per_request = 16;
-/// How long one or two ends count against a request. Callers repeat a request within their time limit of
-/// about 20 s, and a request that ends an endpoint once in several minutes does little harm.
-constexpr duration unquarantined_ttl = seconds(120);
-/// Delay from the last end until a quarantined request is tried again, and its growth with each further end.
-/// A common question that was quarantined wrongly is served again soon; a request that does end endpoints
-/// ends four more in the first hour, after 20 s, 100 s, 420 s and 1,700 s.
-constexpr duration first_trial_delay = seconds(20);
-constexpr double trial_delay_factor = 4.0;
-constexpr duration max_trial_delay = seconds(3600);
-/// A quarantine expires this long after its trial was due, because the one host that may try the request may
-/// never receive it.
-constexpr duration quarantine_ttl = seconds(600);
-/// A trial without a result after this time is made again.
-constexpr duration trial_timeout = seconds(30);
-/// How long a clearing is kept, so that it overrides older notices of ends that arrive later.
-constexpr duration clearing_ttl = seconds(30);
-/// Transit makes ages too small, so a clearing that seems later by less than this is the known one again.
-constexpr duration clearing_tolerance = seconds(1);
-/// Hosts detect the same end within this time. A later end with the same process code is that of a restarted
-/// process, whose new start time the store shows only seconds later.
-constexpr duration same_end_window = milliseconds(500);
-constexpr std::size_t trackers_per_request = 3; ///< two may be lost or unreachable
+constexpr std::size_t trackers_per_cause = 3; ///< two may be lost or unreachable
+/// A request with several quarantined parts is tried this much later for each further one. Most of them are
+/// innocent, and a request without the others shows that at less risk.
+constexpr duration delay_per_further_cause = milliseconds(1500);
+/// How long the same of many quarantined causes are passed on before the next ones have their turn.
+constexpr duration turn_length = milliseconds(400);
 
 std::int64_t age_ms(time_point at, time_point now) {
     return std::max<std::int64_t>(0, std::llround(to_ms(now - at)));
@@ -42,24 +25,18 @@
     return now - milliseconds(std::max<std::int64_t>(0, age));
 }
 
-std::uint64_t rank_of(request_digest digest, const std::string& host) {
+std::uint64_t rank_of(std::uint64_t digest, const std::string& host) {
     return placement_hash(host, digest);
 }
 
-} // namespace
-
-std::vector<endpoint_end> consecutive_ends(const std::vector<endpoint_end>& ends) {
-    std::vector<endpoint_end> sequence;
-    for (const endpoint_end& end : ends) {
-        if (sequence.empty() || end.sent_at >= sequence.back().ended_at) {
-            sequence.push_back(end);
-        }
-    }
-    return sequence;
+bool is_known_kind(int kind) {
+    return kind >= 0 && static_cast<std::size_t>(kind) < cause_kinds;
 }
 
-std::vector<std::string> trackers_of(request_digest digest, std::vector<std::string> hosts) {
-    const std::size_t count = std::min(trackers_per_request, hosts.size());
+} // namespace
+
+std::vector<std::string> trackers_of(std::uint64_t digest, std::vector<std::string> hosts) {
+    const std::size_t count = std::min(trackers_per_cause, hosts.size());
     std::partial_sort(hosts.begin(), hosts.begin() + static_cast<std::ptrdiff_t>(count), hosts.end(),
                       [digest](const std::string& left, const std::string& right) {
                           return rank_of(digest, left) < rank_of(digest, right);
@@ -73,224 +50,286 @@
     has_full_view_ = has_full_view;
 }
 
-bool crash_quarantine::is_trial_host(request_digest digest) const {
-    if (!has_full_view_) {
-        return false;
+bool crash_quarantine::is_empty() const {
+    return std::all_of(entries_.begin(), entries_.end(), [](const entry_map& each) { return each.empty(); });
+}
+
+const crash_quarantine::entry* crash_quarantine::find(const crash_cause& cause) const {
+    const entry_map& entries = entries_of(cause.kind);
+    const auto found = entries.find(cause.digest);
+    return found == entries.end() ? nullptr : &found->second;
+}
+
+crash_quarantine::entry* crash_quarantine::find(const crash_cause& cause) {
+    return const_cast<entry*>(std::as_const(*this).find(cause));
+}
+
+crash_quarantine::found_entries crash_quarantine::find_quarantined(const crash_causes& causes) const {
+    found_entries found;
+    for (const crash_cause& cause : causes.all()) {
+        const entry* known = find(cause);
+        if (known != nullptr && known->record.is_quarantined()) {
+            found.emplace_back(cause, known);
+        }
     }
+    return found;
+}
+
+bool crash_quarantine::is_first_by_rank(std::uint64_t digest) const {
     const std::uint64_t own = rank_of(digest, host_);
     return std::all_of(hosts_.begin(), hosts_.end(), [&](const std::string& other) {
         return other == host_ || own < rank_of(digest, other);
     });
 }
 
-time_point crash_quarantine::trial_due(const record& entry) {
-    const double factor = std::pow(trial_delay_factor, entry.counted_ends - ends_to_quarantine);
-    const double max_factor = to_ms(max_trial_delay) / to_ms(first_trial_delay);
-    return entry.ends.back().ended_at +
-           std::chrono::duration_cast<duration>(first_trial_delay * std::min(factor, max_factor));
+bool crash_quarantine::is_tracker(std::uint64_t digest) const {
+    const std::vector<std::string> trackers = trackers_of(digest, hosts_);
+    return std::find(trackers.begin(), trackers.end(), host_) != trackers.end();
 }
 
-bool crash_quarantine::may_send(request_digest digest, time_point now) const {
-    const auto found = records_.find(digest);
-    if (found == records_.end() || !is_quarantined(found->second)) {
+bool crash_quarantine::may_send(const crash_causes& causes, time_point now) const {
+    const found_entries found = find_quarantined(causes);
+    if (found.empty()) {
         return true;
     }
-    const record& entry = found->second;
-    const bool is_tried = entry.tried_at && now - *entry.tried_at < trial_timeout;
-    return now >= trial_due(entry) && !is_tried && is_trial_host(digest);
+    const duration extra = delay_per_further_cause * (found.size() - 1);
+    std::uint64_t least = found.front().first.digest;
+    for (const auto& [cause, known] : found) {
+        if (now < known->record.trial_due() + extra || known->record.is_being_tried(now)) {
+            return false;
+        }
+        least = std::min(least, cause.digest);
+    }
+    return has_full_view_ && is_first_by_rank(least);
 }
 
-bool crash_quarantine::on_sent(request_digest digest, time_point now) {
-    const auto found = records_.find(digest);
-    if (found == records_.end() || !is_quarantined(found->second)) {
-        return false;
+bool crash_quarantine::on_sent(const crash_causes& causes, time_point now) {
+    const found_entries found = find_quarantined(causes);
+    for (const auto& each : found) {
+        find(each.first)->record.set_tried_at(now);
     }
-    found->second.tried_at = now;
-    return true;
+    return !found.empty();
 }
 
-int crash_quarantine::ends_of(request_digest digest) const {
-    const auto found = records_.find(digest);
-    return found == records_.end() ? 0 : found->second.counted_ends;
+void crash_quarantine::on_trial_not_run(const crash_causes& causes) {
+    for (const auto& each : find_quarantined(causes)) {
+        find(each.first)->record.set_tried_at(std::nullopt);
+    }
 }
 
-crash_quarantine::record& crash_quarantine::find_or_add(request_digest digest, time_point now) {
-    const auto found = records_.find(digest);
-    if (found != records_.end()) {
-        return found->second;
-    }
-    if (records_.size() >= max_records) {
-        const auto least =
-            std::min_element(records_.begin(), records_.end(), [](const auto& left, const auto& right) {
-                return std::make_pair(left.second.counted_ends, left.second.changed_at) <
-                       std::make_pair(right.second.counted_ends, right.second.changed_at);
-            });
-        records_.erase(least);
-    }
-    record& made = records_[digest];
-    made.changed_at = now;
-    return made;
+int crash_quarantine::ends_of(const crash_cause& cause) const {
+    const entry* known = find(cause);
+    return known == nullptr ? 0 : known->record.counted_ends();
 }
 
-bool crash_quarantine::add_end(record& entry, const endpoint_end& end) {
-    if (entry.cleared_at && end.ended_at <= *entry.cleared_at) {
-        return false;
+crash_quarantine::entry* crash_quarantine::find_or_add(const crash_cause& cause, time_point now) {
+    if (entry* known = find(cause)) {
+        return known;
     }
-    const auto known = std::find_if(entry.ends.begin(), entry.ends.end(), [&](const endpoint_end& each) {
-        return each.process == end.process &&
-               std::chrono::abs(each.ended_at - end.ended_at) < same_end_window;
-    });
-    endpoint_end added = end;
-    if (known != entry.ends.end()) {
-        // Transit only makes ages too small, so the earliest of several reports of an end is the truest.
-        if (end.ended_at >= known->ended_at) {
-            return false;
+    entry_map& entries = entries_of(cause.kind);
+    if (entries.size() >= max_records) {
+        const auto weight = [](const entry& each) {
+            return std::make_tuple(each.record.is_quarantined(), each.record.counted_ends(),
+                                   each.record.changed_at());
+        };
+        const auto least =
+            std::min_element(entries.begin(), entries.end(), [&](const auto& left, const auto& right) {
+                return weight(left.second) < weight(right.second);
+            });
+        if (least->second.record.is_quarantined()) {
+            return nullptr;
         }
-        entry.ends.erase(known);
-    }
-    const auto later = std::upper_bound(
-        entry.ends.begin(), entry.ends.end(), added,
-        [](const endpoint_end& left, const endpoint_end& right) { return left.ended_at < right.ended_at; });
-    entry.ends.insert(later, added);
-    if (entry.ends.size() > max_ends_per_request) {
-        entry.ends.erase(entry.ends.begin());
+        entries.erase(least);
     }
-    return true;
+    return &entries.emplace(cause.digest, entry{crash_record(cause.kind, now)}).first->second;
 }
 
-bool crash_quarantine::clear_before(record& entry, time_point cleared_at) {
-    if (entry.cleared_at && cleared_at <= *entry.cleared_at + clearing_tolerance) {
-        return false;
+void crash_quarantine::on_changed(const crash_cause& cause, entry& changed, const crash_record& before,
+                                  audience tells, time_point now) {
+    const crash_record& record = changed.record;
+    changed.is_fleet_wide = changed.is_fleet_wide || record.counted_ends() >= ends_to_announce;
+    changed.tells = std::max(changed.tells, tells);
+    if (record.is_quarantined() && record.counted_ends() > before.counted_ends()) {
+        log_warning("request_quarantined", {{"cause", to_string(cause.kind)},
+                                            {"digest", to_text(cause.digest)},
+                                            {"ends", record.counted_ends()},
+                                            {"requests", record.requests()},
+                                            {"trial_in_ms", std::llround(to_ms(record.trial_due() - now))}});
+    } else if (before.is_quarantined() && !record.is_quarantined()) {
+        log_info("quarantine_lifted", {{"cause", to_string(cause.kind)}, {"digest", to_text(cause.digest)}});
     }
-    entry.cleared_at = cleared_at;
-    entry.ends.erase(std::remove_if(entry.ends.begin(), entry.ends.end(),
-                                    [&](const endpoint_end& end) { return end.ended_at <= cleared_at; }),
-                     entry.ends.end());
-    return true;
 }
 
-void crash_quarantine::update_count(request_digest digest, record& entry, int counted_before,
-                                    time_point now) {
-    entry.counted_ends = static_cast<int>(consecutive_ends(entry.ends).size());
-    entry.is_fleet_wide = entry.is_fleet_wide || entry.counted_ends >= ends_to_announce;
-    entry.changed_at = now;
-    const bool was_quarantined = counted_before >= ends_to_quarantine;
-    if (is_quarantined(entry) && entry.counted_ends > counted_before) {
-        log_warning("request_quarantined", {{"digest", to_text(digest)},
-                                            {"ends", entry.counted_ends},
-                                            {"trial_in_ms", std::llround(to_ms(trial_due(entry) - now))}});
-    } else if (was_quarantined && !is_quarantined(entry)) {
-        log_info("quarantine_lifted", {{"digest", to_text(digest)}});
+void crash_quarantine::on_end(const crash_causes& causes, const endpoint_end& end, time_point now) {
+    endpoint_end counted = end;
+    counted.request = static_cast<std::uint32_t>(causes.request);
+    for (const crash_cause& cause : causes.all()) {
+        entry* known = find_or_add(cause, now);
+        if (known == nullptr) {
+            log_warning("crash_record_dropped",
+                        {{"cause", to_string(cause.kind)},
+                         {"digest", to_text(cause.digest)},
+                         {"remedy", "lift quarantines that are no longer needed: the list is full"}});
+            continue;
+        }
+        const crash_record before = known->record;
+        if (known->record.add_end(counted, now)) {
+            on_changed(cause, *known, before, audience::trackers, now);
+        }
     }
 }
 
-void crash_quarantine::on_end(request_digest digest, const endpoint_end& end, time_point now) {
-    record& entry = find_or_add(digest, now);
-    const int before = entry.counted_ends;
-    if (add_end(entry, end)) {
-        update_count(digest, entry, before, now);
-        entry.is_pending = true;
+void crash_quarantine::on_begun(const std::vector<part_digest>& parts, time_point now) {
+    for (const part_digest part : parts) {
+        clear({cause_kind::prompt_part, part}, now);
     }
 }
 
-void crash_quarantine::clear(request_digest digest, time_point now) {
-    const auto found = records_.find(digest);
-    if (found == records_.end() || found->second.ends.empty()) {
+void crash_quarantine::clear(const crash_cause& cause, time_point now) {
+    entry* known = find(cause);
+    if (known == nullptr || !known->record.has_ends()) {
         return;
     }
-    record& entry = found->second;
-    const int before = entry.counted_ends;
-    clear_before(entry, now);
-    update_count(digest, entry, before, now);
-    entry.is_pending = true;
+    const crash_record before = known->record;
+    known->record.clear_before(now, now);
+    on_changed(cause, *known, before, audience::trackers, now);
 }
 
 bool crash_quarantine::has_use(const crash_notice& notice) const {
+    const auto kind = static_cast<cause_kind>(notice.kind);
     const bool is_clearing = notice.cleared_age_ms >= 0;
-    return !notice.ends.empty() || records_.count(notice.digest) > 0 ||
-           (is_clearing && records_.size() < max_records);
+    return !notice.ends.empty() || find({kind, notice.digest}) != nullptr ||
+           (is_clearing && entries_of(kind).size() < max_records);
 }
 
 void crash_quarantine::merge(const std::vector<crash_notice>& notices, time_point now) {
     for (const crash_notice& notice : notices) {
-        if (!has_use(notice)) {
-            continue;
-        }
-        record& entry = find_or_add(notice.digest, now);
-        const int before = entry.counted_ends;
-        bool has_changed =
-            notice.cleared_age_ms >= 0 && clear_before(entry, time_from_age(notice.cleared_age_ms, now));
-        for (const end_report& end : notice.ends) {
-            const endpoint_end heard{end.process, time_from_age(end.sent_age_ms, now),
-                                     time_from_age(end.ended_age_ms, now)};
-            has_changed = add_end(entry, heard) || has_changed;
+        if (is_known_kind(notice.kind) && has_use(notice)) {
+            merge(notice, now);
         }
-        if (!has_changed) {
-            continue;
-        }
-        update_count(notice.digest, entry, before, now);
-        // The count was combined here from notices of several hosts, none of which knows the total, so it is
-        // passed on.
-        entry.is_pending = entry.is_pending || (entry.counted_ends > static_cast<int>(notice.ends.size()) &&
-                                                entry.counted_ends >= ends_to_announce);
     }
 }
 
+void crash_quarantine::merge(const crash_notice& notice, time_point now) {
+    const crash_cause cause{static_cast<cause_kind>(notice.kind), notice.digest};
+    entry* known = find_or_add(cause, now);
+    if (known == nullptr) {
+        return;
+    }
+    const crash_record before = known->record;
+    bool has_changed = notice.cleared_age_ms >= 0 &&
+                       known->record.clear_before(time_from_age(notice.cleared_age_ms, now), now);
+    for (const end_report& end : notice.ends) {
+        const endpoint_end heard{end.process, time_from_age(end.sent_age_ms, now),
+                                 time_from_age(end.ended_age_ms, now), end.request};
+        has_changed = known->record.add_end(heard, now) || has_changed;
+    }
+    if (!has_changed) {
+        return;
+    }
+    // The count was combined here from notices of several hosts, none of which knows the total, so it is
+    // passed on.
+    const int counted = known->record.counted_ends();
+    const bool is_combined = counted > static_cast<int>(notice.ends.size()) && counted >= ends_to_announce;
+    on_changed(cause, *known, before, is_combined ? audience::all : audience::none, now);
+}
+
 void crash_quarantine::forget_old(time_point now) {
-    for (auto item = records_.begin(); item != records_.end();) {
-        const record& entry = item->second;
-        const time_point over_at = is_quarantined(entry) ? trial_due(entry) + quarantine_ttl
-                                   : !entry.ends.empty() ? entry.ends.back().ended_at + unquarantined_ttl
-                                                         : entry.cleared_at.value_or(now) + clearing_ttl;
-        const bool is_over = now > over_at || (entry.ends.empty() && !entry.cleared_at);
-        item = is_over ? records_.erase(item) : std::next(item);
+    for (entry_map& entries : entries_) {
+        for (auto item = entries.begin(); item != entries.end();) {
+            item = item->second.record.is_expired(now) ? entries.erase(item) : std::next(item);
+        }
     }
 }
 
-crash_notice crash_quarantine::to_notice(request_digest digest, const record& entry, time_point now) {
+crash_notice crash_quarantine::to_notice(const crash_cause& cause, const entry& described, time_point now) {
+    const crash_record& record = described.record;
     crash_notice notice;
-    notice.digest = digest;
-    for (const endpoint_end& end : consecutive_ends(entry.ends)) {
-        notice.ends.push_back({end.process, age_ms(end.sent_at, now), age_ms(end.ended_at, now)});
+    notice.kind = static_cast<int>(cause.kind);
+    notice.digest = cause.digest;
+    for (const endpoint_end& end : record.counted()) {
+        notice.ends.push_back(
+            {end.process, age_ms(end.sent_at, now), age_ms(end.ended_at, now), end.request});
     }
-    notice.cleared_age_ms = entry.cleared_at ? age_ms(*entry.cleared_at, now) : -1;
+    notice.cleared_age_ms = record.cleared_at() ? age_ms(*record.cleared_at(), now) : -1;
     return notice;
 }
 
 std::vector<crash_notice> crash_quarantine::known(std::size_t max_count, time_point now) const {
-    std::vector<std::pair<time_point, request_digest>> order;
-    for (const auto& [digest, entry] : records_) {
-        if (entry.is_fleet_wide) {
-            order.emplace_back(entry.changed_at, digest);
+    struct candidate {
+        bool is_quarantined;
+        time_point changed_at;
+        crash_cause cause;
+        const entry* described;
+    };
+    std::vector<candidate> order;
+    for (const cause_kind kind : all_cause_kinds) {
+        for (const auto& [digest, each] : entries_of(kind)) {
+            if (each.is_fleet_wide) {
+                order.push_back(
+                    {each.record.is_quarantined(), each.record.changed_at(), {kind, digest}, &each});
+            }
         }
     }
-    std::sort(order.rbegin(), order.rend());
-    order.resize(std::min(max_count, order.size()));
+    std::sort(order.begin(), order.end(), [](const candidate& left, const candidate& right) {
+        return std::tie(left.is_quarantined, left.changed_at) >
+               std::tie(right.is_quarantined, right.changed_at);
+    });
+    const auto first_other =
+        std::find_if(order.begin(), order.end(), [](const candidate& each) { return !each.is_quarantined; });
+    const auto quarantined_count = static_cast<std::size_t>(first_other - order.begin());
+    if (quarantined_count > max_count) {
+        const auto turn = static_cast<std::size_t>(now.time_since_epoch() / turn_length);
+        std::rotate(order.begin(),
+                    order.begin() + static_cast<std::ptrdiff_t>(turn * max_count % quarantined_count),
+                    first_other);
+    }
     std::vector<crash_notice> notices;
-    for (const auto& [changed_at, digest] : order) {
-        notices.push_back(to_notice(digest, records_.at(digest), now));
+    for (std::size_t i = 0; i < std::min(max_count, order.size()); ++i) {
+        notices.push_back(to_notice(order[i].cause, *order[i].described, now));
     }
     return notices;
 }
 
 crash_quarantine::pending_notices crash_quarantine::take_pending(time_point now) {
     pending_notices taken;
-    for (auto& [digest, entry] : records_) {
-        if (!entry.is_pending) {
-            continue;
+    for (const cause_kind kind : all_cause_kinds) {
+        for (auto& [digest, each] : entries_of(kind)) {
+            if (each.tells == audience::none) {
+                continue;
+            }
+            const bool is_for_all = each.tells == audience::all || each.is_fleet_wide;
+            each.tells = audience::none;
+            (is_for_all ? taken.for_all : taken.for_trackers).push_back(to_notice({kind, digest}, each, now));
         }
-        entry.is_pending = false;
-        (entry.is_fleet_wide ? taken.for_all : taken.for_trackers).push_back(to_notice(digest, entry, now));
     }
     return taken;
 }
 
-std::vector<quarantined_request> crash_quarantine::quarantined(time_point now) const {
-    std::vector<quarantined_request> listed;
-    for (const auto& [digest, entry] : records_) {
-        if (is_quarantined(entry)) {
-            const duration left = std::max<duration>(duration::zero(), trial_due(entry) - now);
-            listed.push_back({to_text(digest), entry.counted_ends, std::llround(to_ms(left))});
+quarantined_cause crash_quarantine::to_listed(const crash_cause& cause, const entry& described,
+                                              time_point now) {
+    const crash_record& record = described.record;
+    const duration left = std::max<duration>(duration::zero(), record.trial_due() - now);
+    return {to_string(cause.kind), to_text(cause.digest), record.counted_ends(), record.requests(),
+            std::llround(to_ms(left))};
+}
+
+std::vector<quarantined_cause> crash_quarantine::quarantined_among(const crash_causes& causes,
+                                                                   time_point now) const {
+    std::vector<quarantined_cause> listed;
+    for (const auto& [cause, known] : find_quarantined(causes)) {
+        listed.push_back(to_listed(cause, *known, now));
+    }
+    return listed;
+}
+
+std::vector<quarantined_cause> crash_quarantine::quarantined(time_point now) const {
+    std::vector<quarantined_cause> listed;
+    for (const cause_kind kind : all_cause_kinds) {
+        for (const auto& [digest, each] : entries_of(kind)) {
+            if (each.record.is_quarantined()) {
+                listed.push_back(to_listed({kind, digest}, each, now));
+            }
         }
     }
     return listed;
--- /dev/null
+++ b/src/recovery/crash_record.h
@@ -0,0 +1,82 @@
+/** \file
+ * Defines the evidence against one possible cause of ends of endpoints, and what follows from it: whether the
+ * cause is quarantined, and when it is tried again.
+ *
+ * Which ends count differs by kind. A request's attempts follow one another, so its ends count in a row
+ * (\ref consecutive_ends), and three quarantine it. A part of prompts is in many requests at once: its ends
+ * count if they follow one another or are apart in time (\ref separate_ends), so that the loss of a failure
+ * domain counts once, and three quarantine it if they happened under two requests or more; otherwise one
+ * request is to blame.
+ */
+#pragma once
+
+#include "base/base.h"
+#include "recovery/crash_cause.h"
+
+#include <optional>
+#include <vector>
+
+namespace laurelhoist {
+
+/// Number of counted ends that quarantine a cause. Where many engines end for other reasons, an innocent
+/// request is often in flight at one end, sometimes at two consecutive ones, and hardly ever at three.
+constexpr int ends_to_quarantine = 3;
+
+/** The end of an endpoint's process while an attempt was in flight there. */
+struct endpoint_end {
+    std::uint32_t process = 0; ///< \ref process_hash of the endpoint
+    time_point sent_at;        ///< when the attempt was sent
+    time_point ended_at;
+    std::uint32_t request = 0; ///< the low bits of the attempt's request digest
+};
+
+/** \return the longest sequence of \p ends in which each attempt was sent at or after the end before it
+ * \param ends ordered by end time */
+std::vector<endpoint_end> consecutive_ends(const std::vector<endpoint_end>& ends);
+
+/** \return the longest sequence of \p ends in which each attempt was sent at or after the end before it, or
+ * ended some time after it \param ends ordered by end time */
+std::vector<endpoint_end> separate_ends(const std::vector<endpoint_end>& ends);
+
+/** The ends under one cause, and when it was last cleared. */
+class crash_record {
+public:
+    crash_record(cause_kind kind, time_point now) : kind_{kind}, changed_at_{now} {}
+
+    /** Adds an end that this host or another one has detected. \return whether it changes the record */
+    bool add_end(const endpoint_end& end, time_point now);
+    /** Drops the ends up to \p cleared_at. \return whether other hosts may need to know */
+    bool clear_before(time_point cleared_at, time_point now);
+    /** Records that this host sends the trial of the quarantined cause, or that the trial was not run. */
+    void set_tried_at(std::optional<time_point> tried_at) { tried_at_ = tried_at; }
+
+    bool is_quarantined() const { return is_quarantined_; }
+    bool has_ends() const { return !ends_.empty(); }
+    int counted_ends() const { return counted_ends_; }
+    /** \return the number of requests under which the counted ends happened. */
+    int requests() const;
+    /** \return the ends that count, in order. */
+    std::vector<endpoint_end> counted() const;
+    std::optional<time_point> cleared_at() const { return cleared_at_; }
+    time_point changed_at() const { return changed_at_; }
+    /** \return when the quarantined cause may be tried again. */
+    time_point trial_due() const;
+    /** \return whether a trial of this host may still be in flight. */
+    bool is_being_tried(time_point now) const;
+    bool is_expired(time_point now) const;
+
+private:
+    void recount(time_point now);
+    /** \return how many ends came long after the quarantine had taken effect, under trials. */
+    int failed_trials() const;
+
+    cause_kind kind_;
+    std::vector<endpoint_end> ends_; ///< bounded, ordered by end time
+    std::optional<time_point> cleared_at_;
+    std::optional<time_point> tried_at_; ///< when this host last sent it as a trial
+    time_point changed_at_;
+    int counted_ends_ = 0;
+    bool is_quarantined_ = false;
+};
+
+} // namespace laurelhoist
--- a/src/relay/end_confirmation.h
+++ b/src/relay/end_confirmation.h
@@ -19,7 +19,7 @@
 
 /** A request that an endpoint was running when its process may have ended. */
 struct suspected_end {
-    request_digest digest = 0;
+    crash_causes causes;
     endpoint_end end;
     std::string endpoint;
     std::string request; ///< request id, for the log
--- a/src/relay/event_stream.cpp
+++ b/src/relay/event_stream.cpp
@@ -30,6 +30,10 @@
 
 } // namespace
 
+bool has_complete_event(std::string_view text) {
+    return first_event_length(text) > 0;
+}
+
 std::optional<std::int64_t> event_id(std::string_view event) {
     while (!event.empty()) {
         const std::size_t end = event.find('\n');
--- a/src/relay/event_stream.h
+++ b/src/relay/event_stream.h
@@ -42,6 +42,8 @@
     bool is_in_order_ = true;
 };
 
+/** \return whether \p text contains a complete event. */
+bool has_complete_event(std::string_view text);
 /** \return the number in the `id:` line of \p event, or nothing if there is none. */
 std::optional<std::int64_t> event_id(std::string_view event);
 
--- a/src/relay/exchange.cpp
+++ b/src/relay/exchange.cpp
@@ -90,6 +90,17 @@
     return shape;
 }
 
+/** \return the distinct digests of the parts of \p prompt but the last, which belongs to one request only. */
+std::vector<part_digest> digests_of_shared_parts(const std::vector<prompt_part>& prompt) {
+    std::vector<part_digest> digests;
+    for (std::size_t i = 0; i + 1 < prompt.size(); ++i) {
+        digests.push_back(digest_of_part(prompt[i].id));
+    }
+    std::sort(digests.begin(), digests.end());
+    digests.erase(std::unique(digests.begin(), digests.end()), digests.end());
+    return digests;
+}
+
 } // namespace
 
 exchange::exchange(relay& owner, std::shared_ptr<caller_connection> caller, caller_request request)
@@ -143,6 +154,7 @@
     expires_at_ = arrived_at_ + longest;
     waiting_since_ = arrived_at_;
     prompt_ = to_shape(terms_);
+    shared_parts_ = digests_of_shared_parts(terms_.prompt);
     events_ = event_joiner(terms_.last_event_id);
     if (caller_->is_from_peer()) {
         attempts_ = terms_.earlier_attempts;
@@ -420,7 +432,7 @@
     }
     ++attempts_;
     if (!state_.quarantine.is_empty()) {
-        attempt_.is_trial = state_.quarantine.on_sent(digest(), now);
+        attempt_.is_trial = state_.quarantine.on_sent(causes(), now);
     }
     connection_->send(state_.dialect.write_request(request_, terms));
 }
@@ -487,6 +499,9 @@
     if (end == attempt_end::refused && !attempt_.is_forwarded()) {
         state_.endpoints.allowance().on_rejected(attempt_.chosen.endpoint.name, monotonic_now());
     }
+    if (attempt_.is_trial && proves_not_run(end)) {
+        state_.quarantine.on_trial_not_run(causes());
+    }
     if (attempt_.is_forwarded()) {
         count_attempts_of_peer(end);
     } else if (!attempt_.has_first_byte && (end == attempt_end::silent || end == attempt_end::broken)) {
@@ -648,7 +663,7 @@
     const std::string known_by = end == attempt_end::broken ? to_text(digest()) : std::string{};
     const duration back_off =
         answer_ ? answer_->statement.back_off.value_or(duration::zero()) : duration::zero();
-    const std::string parts = end == attempt_end::broken ? shared_parts() : std::string{};
+    const std::string parts = end == attempt_end::broken ? shared_parts_text() : std::string{};
     log_info("attempt_ended", {{"request", terms_.id},
                                {"digest", known_by},
                                {"parts", parts},
--- a/src/relay/exchange.h
+++ b/src/relay/exchange.h
@@ -58,7 +58,7 @@
         bool is_paced = false;     ///< how fast its events came has been compared, or cannot be
         time_point first_event_at; ///< when its first event was forwarded
         std::int64_t first_events = 0; ///< number of events forwarded at that time
-        bool is_accepted = false;      ///< the answer is good enough to be forwarded
+        bool is_accepted = false;      ///< the answer has begun and is good enough to be forwarded
         bool has_paused = false;       ///< reading was paused at least once because of a slow caller
 
         bool has_reached_no_endpoint = false; ///< the other host refused the request and sent it nowhere
@@ -119,6 +119,9 @@
     void record_pace(std::int64_t min_intervals);
     void notify_load_changed();
     void record_endpoint_statement();
+    /** Decides whether the answer is good enough to be forwarded, once its first event has arrived.
+     * \return whether it is; otherwise it has been declined */
+    bool accept_answer();
     /** Forwards the complete events received so far. \return whether the attempt continues */
     bool forward_events();
     /** Reads on from the endpoint once the caller has received enough of what was forwarded. */
@@ -144,8 +147,10 @@
     void log_attempt(attempt_end end);
     /** \return the digest that identifies repeats of this request; computed on first use. */
     request_digest digest();
-    /** \return the ids of the first parts of the prompt but the last, for the log. */
-    std::string shared_parts() const;
+    /** \return what an endpoint's end during this request can be blamed on. */
+    crash_causes causes();
+    /** \return the first of the prompt's parts but the last, for the log. */
+    std::string shared_parts_text() const;
     std::string team_name() const { return team_ == nullptr ? std::string{} : team_->name; }
     /** \return the number of events that the present attempt has forwarded. */
     std::int64_t events_of_attempt() const { return events_.last_id() - attempt_.events_before_attempt; }
@@ -163,6 +168,9 @@
     /// when it starts to run.
     bool may_have_ended_endpoint() const { return events_of_attempt() == 0; }
     suspected_end make_suspected_end();
+    /** Clears the parts of the prompt, as an answer to it has begun. */
+    void clear_parts();
+    /** Clears the request and its parts after a complete answer. */
     void clear_suspicion();
     retry_context make_retry_context() const;
     release_route release_key() const;
@@ -192,7 +200,8 @@
     std::size_t min_model_size_ = 0; ///< index of the smallest model to use; raised for each step up
     duration config_age_{};          ///< time since the configuration was confirmed, when the request arrived
     std::optional<request_digest> digest_;
-    int confidence_ = -1;      ///< stated confidence of the answer; -1 if none
+    std::vector<part_digest> shared_parts_; ///< distinct parts of the prompt but the last
+    int confidence_ = -1;                   ///< stated confidence of the answer; -1 if none
     int first_event_ms_ = -1;  ///< from the request's arrival to the first forwarded event; -1 if none
     int longest_gap_ms_ = -1;  ///< longest pause between forwarded events; -1 if fewer than two
     time_point last_event_at_; ///< when an event was last forwarded
--- a/src/relay/exchange_answers.cpp
+++ b/src/relay/exchange_answers.cpp
@@ -149,18 +149,33 @@
     }
 }
 
+// Decided at the first event and not at the head, because an endpoint may end between the two. An attempt
+// that had been declined by then would not be there to show what the endpoint ended under.
+bool exchange::accept_answer() {
+    clear_parts();
+    if (!is_good_enough(answer())) {
+        min_model_size_ = attempt_.model_rank + 1;
+        end_attempt(attempt_end::declined);
+        return false;
+    }
+    attempt_.is_accepted = true;
+    return true;
+}
+
 bool exchange::forward_events() {
     if (!answer().has_receipt) {
         end_attempt(attempt_end::broken);
         return false;
     }
     confidence_ = answer().confidence.value_or(-1);
-    if (!attempt_.is_accepted && !is_good_enough(answer())) {
-        min_model_size_ = attempt_.model_rank + 1;
-        end_attempt(attempt_end::declined);
-        return false;
+    if (!attempt_.is_accepted) {
+        if (!has_complete_event(body_)) {
+            return true;
+        }
+        if (!accept_answer()) {
+            return false;
+        }
     }
-    attempt_.is_accepted = true;
     std::string out;
     const std::optional<int> count = events_.feed(body_, out);
     body_.clear();
--- a/src/relay/exchange_quarantine.cpp
+++ b/src/relay/exchange_quarantine.cpp
@@ -10,35 +10,43 @@
     return *digest_;
 }
 
-std::string exchange::shared_parts() const {
+crash_causes exchange::causes() {
+    return {digest(), shared_parts_};
+}
+
+std::string exchange::shared_parts_text() const {
     constexpr std::size_t max_listed = 16;
     std::string listed;
-    for (std::size_t i = 0; i + 1 < terms_.prompt.size() && i < max_listed; ++i) {
-        listed.append(i == 0 ? "" : " ").append(terms_.prompt[i].id);
+    for (std::size_t i = 0; i < shared_parts_.size() && i < max_listed; ++i) {
+        listed.append(i == 0 ? "" : " ").append(to_text(shared_parts_[i]));
     }
     return listed;
 }
 
-// Guards against a request that ends each endpoint that starts to run it. Forwarding it would also break the
-// streams of all other callers there, and callers send it again with a new id. Checked wherever a request is
-// sent to an endpoint: first and later attempts, steps up to a larger model, resumed streams, and requests
-// that have waited.
+// Guards against a request that ends each endpoint that starts to run it, by itself or by a part of its
+// prompt. Forwarding it would also break the streams of all other callers there, and callers send it again
+// with a new id. Checked wherever a request is sent to an endpoint: first and later attempts, steps up to a
+// larger model, resumed streams, and requests that have waited.
 bool exchange::is_quarantined(time_point now) {
-    return !state_.quarantine.is_empty() && !state_.quarantine.may_send(digest(), now);
+    return !state_.quarantine.is_empty() && !state_.quarantine.may_send(causes(), now);
 }
 
 void exchange::answer_quarantined() {
-    answer_failure(
-        may_have_run_ ? status_bad_gateway : status_unavailable, "ends_endpoints",
-        "do not send this request again unchanged: each endpoint that started to run it ended; an operator "
-        "can lift the quarantine",
-        {});
+    state_.measured.count("requests_quarantined");
+    log_info(
+        "request_refused_as_quarantined",
+        {{"request", terms_.id}, {"causes", state_.quarantine.quarantined_among(causes(), monotonic_now())}});
+    answer_failure(may_have_run_ ? status_bad_gateway : status_unavailable, "ends_endpoints",
+                   "do not send this request again unchanged: each endpoint that started to run it, or "
+                   "requests with the "
+                   "same part of the prompt, ended; an operator can lift the quarantine",
+                   {});
 }
 
 void exchange::on_quarantine_changed() {
     const bool is_unsent = is_in_state("waiting") || is_in_state("connecting");
     const bool may_stop = is_unsent || (is_in_state("asked") && route_->may_repeat() && !attempt_.is_trial);
-    if (!has_started_ || !may_stop || state_.quarantine.ends_of(digest()) < ends_to_quarantine) {
+    if (!has_started_ || !may_stop || !state_.quarantine.has_quarantined(causes())) {
         return;
     }
     auto self = shared_from_this();
@@ -55,11 +63,18 @@
     const endpoint_record& endpoint = attempt_.chosen.endpoint;
     const std::uint32_t process = process_hash(endpoint.name, endpoint.started_at_ms);
     const endpoint_end end{process, attempt_.sent_at, monotonic_now()};
-    return {digest(), end, endpoint.name, terms_.id, team_name()};
+    return {causes(), end, endpoint.name, terms_.id, team_name()};
+}
+
+void exchange::clear_parts() {
+    if (!state_.quarantine.is_empty()) {
+        owner_.clear_parts(shared_parts_);
+    }
 }
 
 void exchange::clear_suspicion() {
     if (!state_.quarantine.is_empty()) {
+        owner_.clear_parts(shared_parts_);
         owner_.clear_suspicion(digest());
     }
 }
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -224,18 +224,28 @@
     }
 }
 
+json relay::ends_by_part(const std::vector<part_digest>& parts) const {
+    constexpr std::size_t max_listed = 16;
+    json ends = json::object();
+    for (std::size_t i = 0; i < parts.size() && i < max_listed; ++i) {
+        ends[to_text(parts[i])] = state_.quarantine.ends_of({cause_kind::prompt_part, parts[i]});
+    }
+    return ends;
+}
+
 void relay::on_endpoint_ended(const std::vector<suspected_end>& suspects) {
     const time_point now = monotonic_now();
     for (const suspected_end& each : suspects) {
         if (state_.endpoints.allowance().reach().has_lost_pool_of(each.endpoint)) {
             continue; // Its refusal shows lost links and no end.
         }
-        state_.quarantine.on_end(each.digest, each.end, now);
+        state_.quarantine.on_end(each.causes, each.end, now);
         log_info("endpoint_ended_under_request", {{"request", each.request},
-                                                  {"digest", to_text(each.digest)},
+                                                  {"digest", to_text(each.causes.request)},
                                                   {"endpoint", each.endpoint},
                                                   {"team", each.team},
-                                                  {"ends", state_.quarantine.ends_of(each.digest)}});
+                                                  {"ends", state_.quarantine.ends_of(each.causes.request)},
+                                                  {"ends_by_part", ends_by_part(each.causes.parts)}});
     }
     state_.measured.count("endpoints_ended_under_requests");
     on_quarantine_changed();
@@ -255,8 +265,19 @@
     }
 }
 
-void relay::lift_quarantine(request_digest digest) {
-    state_.quarantine.clear(digest, monotonic_now());
+// Called for each answer that begins, so that hosts are told only if an end is forgotten.
+void relay::clear_parts(const std::vector<part_digest>& parts) {
+    const bool has_ends = std::any_of(parts.begin(), parts.end(), [this](part_digest part) {
+        return state_.quarantine.ends_of({cause_kind::prompt_part, part}) > 0;
+    });
+    if (has_ends) {
+        state_.quarantine.on_begun(parts, monotonic_now());
+        on_quarantine_changed();
+    }
+}
+
+void relay::lift_quarantine(const crash_cause& cause) {
+    state_.quarantine.clear(cause, monotonic_now());
     on_quarantine_changed();
 }
 
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -125,12 +125,12 @@
     /** Sets the number of live hosts, among which bounds that hold for all of them are divided. */
     void set_hosts(std::size_t hosts) { state_.hosts = std::max<std::size_t>(1, hosts); }
     void set_endpoints(const std::vector<endpoint_record>& endpoints);
-    /** Merges another host's notices about requests under which endpoints ended. */
+    /** Merges another host's notices about what endpoints ended under. */
     void merge_crash_notices(const std::vector<crash_notice>& notices);
     /** Merges another host's notices about the rate limits of endpoints. */
     void merge_limit_notices(const std::vector<limit_notice>& notices);
-    /** Clears a request, by order of an operator or because it was answered. */
-    void lift_quarantine(request_digest digest);
+    /** Clears a request or a part of prompts, by order of an operator. */
+    void lift_quarantine(const crash_cause& cause);
     relay_state& state() { return state_; }
     const relay_state& state() const { return state_; }
 
@@ -176,7 +176,10 @@
     void record_statement(const endpoint_record& endpoint, const endpoint_statement& statement,
                           time_point sent_at, const std::string& request);
     void on_endpoint_ended(const std::vector<suspected_end>& suspects);
+    /** \return for the log, how many ends count against each of \p parts. */
+    json ends_by_part(const std::vector<part_digest>& parts) const;
     void clear_suspicion(request_digest digest);
+    void clear_parts(const std::vector<part_digest>& parts);
     void on_quarantine_changed();
     void on_restarted(const endpoint_record& endpoint);
 
