A stream that ends inside an event, or unframed without any, is broken off

Callers could get part of an event at the end of a stream that looked complete (chunks that end inside an event), or an empty stream where an engine closed its connection in an orderly way after the head of an answer with neither a length nor chunks. Both count as broken now: the stream is resumed after its last event. Tests: a_stream_that_ends_inside_an_event_resumes (its third case) and a_stream_without_framing_and_events_is_broken failed before; whole answers without framing, plain ones that are reset and streams that are reset between events were right before and have tests now.

--- a/src/relay/event_stream.cpp
+++ b/src/relay/event_stream.cpp
@@ -72,9 +72,4 @@
     return passed_on;
 }
 
-void event_joiner::finish(std::string& out) {
-    out.append(partial_);
-    partial_.clear();
-}
-
 } // namespace laurelhoist
--- a/src/relay/event_stream.h
+++ b/src/relay/event_stream.h
@@ -30,8 +30,6 @@
     /** Adds body bytes of the current run and appends the complete events that the caller lacks to \p out.
      * \return the number of events appended, or nothing if an event id was skipped */
     std::optional<int> feed(std::string_view bytes, std::string& out);
-    /** Appends the bytes after the last complete event; to be called when the run has completed. */
-    void finish(std::string& out);
 
     std::int64_t last_id() const { return last_id_; }
     bool has_partial_event() const { return !partial_.empty(); }
--- a/src/relay/exchange.h
+++ b/src/relay/exchange.h
@@ -130,6 +130,9 @@
     bool is_waiting_for_caller() const { return connection_ && connection_->is_reading_paused(); }
     /** Ends a request whose time limit has passed while its caller did not read. */
     void give_up_on_caller();
+    /** \return whether the events received so far, if nothing follows them, are those of a run that broke
+     * off. */
+    bool is_broken_off();
     void on_answer_complete();
     void complete_stream();
     /** Handles the complete answer of another host to a forwarded request. */
--- a/src/relay/exchange_answers.cpp
+++ b/src/relay/exchange_answers.cpp
@@ -258,14 +258,20 @@
     caller_->write(answer_head(reader_->status(), reader_->headers(), true, 0));
 }
 
+// An endpoint that breaks off may close its connection in an orderly way, or end the chunks of its answer.
+// Only an event that has not ended shows it, or, without a framing, that there is no event at all.
+bool exchange::is_broken_off() {
+    if (!is_event_stream()) {
+        return false;
+    }
+    const bool is_inside_event = attempt_.is_accepted ? events_.has_partial_event() : !body_.empty();
+    const bool has_begun = attempt_.is_accepted || attempt_.events_before_attempt > 0;
+    return is_inside_event || (!has_begun && reader_->ends_with_connection());
+}
+
 void exchange::complete_stream() {
     begin_stream_answer();
-    std::string rest;
-    events_.finish(rest);
-    std::string end;
-    append_chunk(end, rest);
-    end.append(last_chunk);
-    caller_->write(end);
+    caller_->write(last_chunk);
     record_pace(pace_baseline::min_intervals);
     settle_attempt(call_result::answered, release_evidence::good);
     clear_suspicion();
@@ -289,10 +295,10 @@
         end_attempt(attempt_end::refused);
     } else if (reader_->status() >= first_server_error) {
         end_attempt(attempt_end::failed);
+    } else if (is_broken_off() || (reader_->status() / status_class == 2 && !answer().has_receipt)) {
+        end_attempt(attempt_end::broken);
     } else if (is_event_stream()) {
         complete_stream();
-    } else if (reader_->status() / status_class == 2 && !answer().has_receipt) {
-        end_attempt(attempt_end::broken);
     } else {
         settle_attempt(call_result::answered, release_evidence::good);
         clear_suspicion();
@@ -304,8 +310,7 @@
 void exchange::on_closed(connection_end end) {
     auto self = shared_from_this();
     const bool is_orderly = end == connection_end::finished;
-    if (is_orderly && reader_->has_head() && !is_stray_answer() && !events_.has_partial_event() &&
-        reader_->finish()) {
+    if (is_orderly && reader_->has_head() && !is_stray_answer() && !is_broken_off() && reader_->finish()) {
         on_answer_complete();
         return;
     }
--- a/src/relay/exchange_forwarding.cpp
+++ b/src/relay/exchange_forwarding.cpp
@@ -73,7 +73,7 @@
         end_attempt(attempt_end::refused);
     } else if (has_begun_answer_ && !is_event_stream()) {
         end_attempt(attempt_end::failed); // Another answer must not follow the part that the caller has.
-    } else if (is_success && !answer().has_receipt) {
+    } else if (is_broken_off() || (is_success && !answer().has_receipt)) {
         end_attempt(attempt_end::broken);
     } else if (is_event_stream()) {
         complete_stream();
--- a/src/relay/http_codec.cpp
+++ b/src/relay/http_codec.cpp
@@ -264,8 +264,12 @@
     return static_cast<int>(state_->parser.get().result_int());
 }
 
+bool answer_reader::ends_with_connection() const {
+    return state_->parser.need_eof();
+}
+
 bool answer_reader::keeps_alive() const {
-    return state_->parser.get().keep_alive() && !state_->parser.need_eof();
+    return state_->parser.get().keep_alive() && !ends_with_connection();
 }
 
 } // namespace laurelhoist
--- a/src/relay/http_codec.h
+++ b/src/relay/http_codec.h
@@ -108,6 +108,9 @@
     bool is_complete() const;
     int status() const;
     const header_list& headers() const { return headers_; }
+    /** \return whether the answer has neither a length nor chunks, so that the end of the connection ends it.
+     */
+    bool ends_with_connection() const;
     /** \return whether the endpoint accepts another request on this connection. */
     bool keeps_alive() const;
 
--- a/test/relay_test.cpp
+++ b/test/relay_test.cpp
@@ -422,6 +422,72 @@
     EXPECT_TRUE(contains(first.requests()[1], "Resume: 1"));
 }
 
+/** \return the head of an event stream to request 7 that has neither a length nor chunks and ends with its
+ * connection. */
+std::string unframed_head() {
+    return "HTTP/1.1 200 OK\r\nId: 7\r\nReceipt: r\r\nContent-Type: text/event-stream\r\n\r\n";
+}
+
+// Guards against a whole answer without length and chunks that is taken for a broken one.
+TEST_F(relay_fixture, a_stream_without_framing_ends_with_its_connection) {
+    scripted_endpoint first({{unframed_head() + event(1) + event(2), true, false}});
+    start_relay(route(route_kind::stream, 3), {first.address()});
+    const std::string answer = send_request("7");
+    EXPECT_TRUE(contains(answer, event(1))) << answer;
+    EXPECT_TRUE(contains(answer, event(2)));
+    EXPECT_TRUE(contains(answer, "0\r\n\r\n")) << "the caller can tell that it is whole";
+    EXPECT_EQ(first.requests().size(), 1U);
+}
+
+// Guards against a stream that its endpoint broke off inside an event, and that the caller gets as a whole
+// one.
+TEST_F(relay_fixture, a_stream_that_ends_inside_an_event_resumes) {
+    const std::string rest = stream_head("7") + chunk_of(event(2)) + "0\r\n\r\n";
+    const std::string part = event(2).substr(0, 8);
+    const std::vector<scripted_answer> cut = {
+        {unframed_head() + event(1) + part, true, false},
+        {unframed_head() + event(1) + part, false, true},
+        {stream_head("7") + chunk_of(event(1)) + chunk_of(part) + "0\r\n\r\n", false, false},
+        {unframed_head() + event(1), false, true}};
+    std::vector<std::unique_ptr<scripted_endpoint>> endpoints;
+    std::vector<std::string> addresses;
+    for (const scripted_answer& each : cut) {
+        endpoints.push_back(
+            std::make_unique<scripted_endpoint>(std::vector<scripted_answer>{each, {rest, false, false}}));
+    }
+    start_relay(route(route_kind::stream, 3), {endpoints.front()->address()});
+    earn_repeats();
+    for (std::size_t i = 0; i < cut.size(); ++i) {
+        run_on_relay_thread([&] {
+            records_.front() = {
+                "cut" + std::to_string(i), endpoints[i]->address(), "d1", "claims", "live", "v1", 1000};
+            relay_->set_endpoints(records_);
+        });
+        const std::string answer = send_request("7");
+        EXPECT_TRUE(contains(answer, chunk_of(event(1)) + chunk_of(event(2)) + "0\r\n\r\n")) << i << answer;
+        ASSERT_EQ(endpoints[i]->requests().size(), 2U) << i;
+        EXPECT_TRUE(contains(endpoints[i]->requests()[1], "Resume: 1"));
+    }
+}
+
+// Guards against a head without any event that is taken for a whole answer because its endpoint, which ended,
+// closed the connection in an orderly way.
+TEST_F(relay_fixture, a_stream_without_framing_and_events_is_broken) {
+    scripted_endpoint first({{unframed_head(), true, false}, {unframed_head() + event(1), true, false}});
+    start_relay(route(route_kind::stream, 3), {first.address()});
+    EXPECT_TRUE(contains(send_request("7"), event(1)));
+    EXPECT_EQ(first.requests().size(), 2U);
+}
+
+// Guards against a plain answer without length that was reset on its way and looks complete.
+TEST_F(relay_fixture, a_reset_answer_without_framing_is_not_complete) {
+    const std::string answer = "HTTP/1.1 200 OK\r\nId: 7\r\nReceipt: r\r\n\r\nwhole or not";
+    scripted_endpoint first({{answer, false, true}, {answer, true, false}});
+    start_relay(route(route_kind::non_idempotent, 1), {first.address()});
+    EXPECT_TRUE(contains(send_request("7"), "HTTP/1.1 502"));
+    EXPECT_TRUE(contains(send_request("7"), "whole or not"));
+}
+
 // Guards against a stream that stalls until the silence limit after its engine crashed and restarted behind a
 // network partition: the connection to the earlier process is never closed, only the store shows the restart.
 TEST_F(relay_fixture, a_stream_to_a_restarted_endpoint_resumes_at_once) {
