--- a/test/soak/standins.py
+++ b/test/soak/standins.py
@@ -3,11 +3,14 @@
 import asyncio
 import hashlib
 import json
+import socket
+import struct
 import time
 import urllib.parse
 
 LONG_STREAM_EVENTS = 160    # a long stream has several times the bytes that the kernel buffers for one connection
 LONG_EVENT_BYTES = 65536
+UNFRAMED_SHARE = 0.2        # of short streams: they have neither a length nor chunks and end with their connection
 CRASHING_PART = "dead"      # an engine crashes when it begins an answer to a prompt with this part, but for the last one
 
 
@@ -47,6 +50,9 @@
 
 def reset(writer):
     """Aborts the connection, so that the other side sees a reset instead of an orderly close."""
+    connection = writer.get_extra_info("socket")
+    if connection is not None and not writer.transport.is_closing():
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
     writer.transport.abort()
 
 
@@ -239,9 +245,11 @@
         first = int(headers.get("last-event-id", "0")) + 1
         confidence = self.random.choice([20, 80])
         lines = "".join(f"{name}: {value}\r\n" for name, value in self.statements())
+        is_framed = is_long or self.random.random() > UNFRAMED_SHARE
+        framing = "Transfer-Encoding: chunked\r\n" if is_framed else ""
         writer.write((f"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Request-Id: {request_id}\r\n{lines}"
                       f"X-Response-Signature: {response_signature(request_id, b'')}\r\nX-Confidence: {confidence}\r\n"
-                      "Transfer-Encoding: chunked\r\n\r\n").encode())
+                      f"{framing}\r\n").encode())
         if has_crashing_part(headers):
             await writer.drain()
             await asyncio.sleep(0.06)
@@ -252,13 +260,16 @@
             is_broken_before = is_long and first > 1
             if self.fault in ("lost", "half") and number > first + 2 and not is_broken_before:
                 run["broken"] = True
-                writer.write(b"%x\r\n" % len(event) + event[:7])
+                writer.write(b"%x\r\n" % len(event) + event[:7] if is_framed else event[:7])
                 await writer.drain()
-                reset(writer)
+                if is_framed or self.random.random() < 0.5:
+                    reset(writer)
                 raise ConnectionResetError
-            writer.write(b"%x\r\n" % len(event) + event + b"\r\n")
+            writer.write(b"%x\r\n" % len(event) + event + b"\r\n" if is_framed else event)
             await writer.drain()
             await asyncio.sleep(0 if is_long else 0.01)
+        if not is_framed:
+            raise ConnectionResetError  # Closes the connection, which ends the answer.
         writer.write(b"0\r\n\r\n")
 
 
@@ -274,20 +285,32 @@
             reset(writer)
             return
         there_reader, there_writer = await asyncio.open_connection("127.0.0.1", self.target)
-        await asyncio.gather(self.pump(reader, there_writer, False), self.pump(there_reader, writer, True),
+        both = (writer, there_writer)
+        await asyncio.gather(self.pump(reader, there_writer, both, False), self.pump(there_reader, writer, both, True),
                              return_exceptions=True)
 
-    async def pump(self, reader, writer, is_answer):
+    async def pump(self, reader, writer, both, is_answer):
+        """Copies one direction. A side that was reset, or whose data was dropped, must not look closed in order."""
+        try:
+            is_whole = await self.copy(reader, writer, is_answer)
+        except ConnectionError:
+            is_whole = False
+        if not is_whole:
+            for each in both:
+                reset(each)
+        elif not writer.is_closing():
+            writer.close()
+
+    async def copy(self, reader, writer, is_answer):
+        is_whole = True
         while data := await reader.read(65536):
             if self.mode == "silent" or (self.mode == "deaf" and is_answer):
+                is_whole = False
                 continue
             if self.mode == "reset":
-                break
+                return False
             if self.mode == "delay":
                 await asyncio.sleep(0.08)
             writer.write(data)
             await writer.drain()
-        if self.mode == "reset":
-            reset(writer)
-        elif not writer.is_closing():
-            writer.close()
+        return is_whole
