--- a/test/platform_test.cpp
+++ b/test/platform_test.cpp
@@ -218,6 +218,21 @@
     EXPECT_EQ(terms.last_event_id, 12);
 }
 
+// Guards against a part that is taken for the last one, and so for the request's own, because the parts after
+// it are spelled in another way.
+TEST(header_dialect, parts_without_a_number_and_in_further_fields_count) {
+    const header_dialect dialect;
+    const request_terms terms = dialect.read_request(
+        request_with({{"X-Prompt-Prefix", "5c:800, 91,"}, {"x-prompt-prefix", "e4:x,f0:10"}}));
+    std::vector<std::string> ids;
+    for (const prompt_part& part : terms.prompt) {
+        ids.push_back(part.id);
+    }
+    EXPECT_EQ(ids, std::vector<std::string>({"5c", " 91", "e4", "f0"}));
+    EXPECT_EQ(terms.prompt[1].tokens, 0);
+    EXPECT_EQ(terms.prompt[3].tokens, 10);
+}
+
 // A caller may forge the name of a team or fields by which only the relay may control an endpoint. Neither
 // these nor the caller's key may reach the endpoint.
 TEST(header_dialect, does_not_forward_keys_and_forged_fields) {
