--- a/src/relay/exchange.cpp
+++ b/src/relay/exchange.cpp
@@ -90,17 +90,6 @@
     return shape;
 }
 
-/** \return the distinct digests of the parts of \p prompt but the last, which belongs to one request only. */
-std::vector<part_digest> digests_of_shared_parts(const std::vector<prompt_part>& prompt) {
-    std::vector<part_digest> digests;
-    for (std::size_t i = 0; i + 1 < prompt.size(); ++i) {
-        digests.push_back(digest_of_part(prompt[i].id));
-    }
-    std::sort(digests.begin(), digests.end());
-    digests.erase(std::unique(digests.begin(), digests.end()), digests.end());
-    return digests;
-}
-
 } // namespace
 
 exchange::exchange(relay& owner, std::shared_ptr<caller_connection> caller, caller_request request)
@@ -154,7 +143,7 @@
     expires_at_ = arrived_at_ + longest;
     waiting_since_ = arrived_at_;
     prompt_ = to_shape(terms_);
-    shared_parts_ = digests_of_shared_parts(terms_.prompt);
+    shared_parts_ = digests_of_shared_parts(terms_);
     events_ = event_joiner(terms_.last_event_id);
     if (caller_->is_from_peer()) {
         attempts_ = terms_.earlier_attempts;
@@ -637,19 +626,6 @@
     }
 }
 
-void exchange::on_endpoint_restarted(const endpoint_record& endpoint) {
-    const bool is_under_way = is_in_state("connecting") || is_in_state("asked") || is_in_state("answering");
-    if (is_under_way && is_restart_of(endpoint, attempt_.chosen.endpoint)) {
-        auto self = shared_from_this();
-        if (is_in_state("asked") && may_have_ended_endpoint()) {
-            owner_.on_endpoint_ended({make_suspected_end()});
-        }
-        if (!is_in_state("finished")) { // Counting the end may have quarantined and finished this request.
-            end_attempt(is_in_state("connecting") ? attempt_end::not_sent : attempt_end::broken);
-        }
-    }
-}
-
 bool exchange::has_stalled(time_point now) const {
     const bool may_go_elsewhere =
         state_.settings.in_use.resumes_silent && route_->may_repeat() && attempts_ < route_->max_attempts;
--- a/src/relay/exchange.h
+++ b/src/relay/exchange.h
@@ -12,6 +12,10 @@
 
 namespace laurelhoist {
 
+/** \return the distinct digests of the parts of the prompt but the last, which belongs to one request only.
+ */
+std::vector<part_digest> digests_of_shared_parts(const request_terms& terms);
+
 /** One request in progress.
  *
  * Its states are defined in charts/relay.scxml: waiting (for an endpoint that accepts work), connecting,
--- a/src/relay/exchange_quarantine.cpp
+++ b/src/relay/exchange_quarantine.cpp
@@ -1,8 +1,20 @@
 // The part of an exchange that refuses quarantined requests and reports the ends of endpoints.
 #include "relay/exchange.h"
 
+#include <algorithm>
+
 namespace laurelhoist {
 
+std::vector<part_digest> digests_of_shared_parts(const request_terms& terms) {
+    std::vector<part_digest> digests;
+    for (std::size_t i = 0; i + 1 < terms.prompt.size(); ++i) {
+        digests.push_back(digest_of_part(terms.prompt[i].id));
+    }
+    std::sort(digests.begin(), digests.end());
+    digests.erase(std::unique(digests.begin(), digests.end()), digests.end());
+    return digests;
+}
+
 request_digest exchange::digest() {
     if (!digest_) {
         digest_ = digest_of({request_.method, request_.target, team_name(), request_.body});
@@ -59,6 +71,19 @@
     answer_quarantined();
 }
 
+void exchange::on_endpoint_restarted(const endpoint_record& endpoint) {
+    const bool is_under_way = is_in_state("connecting") || is_in_state("asked") || is_in_state("answering");
+    if (is_under_way && is_restart_of(endpoint, attempt_.chosen.endpoint)) {
+        auto self = shared_from_this();
+        if (is_in_state("asked") && may_have_ended_endpoint()) {
+            owner_.on_endpoint_ended({make_suspected_end()});
+        }
+        if (!is_in_state("finished")) { // Counting the end may have quarantined and finished this request.
+            end_attempt(is_in_state("connecting") ? attempt_end::not_sent : attempt_end::broken);
+        }
+    }
+}
+
 suspected_end exchange::make_suspected_end() {
     const endpoint_record& endpoint = attempt_.chosen.endpoint;
     const std::uint32_t process = process_hash(endpoint.name, endpoint.started_at_ms);
