--- a/src/recovery/crash_quarantine.cpp
+++ b/src/recovery/crash_quarantine.cpp
@@ -61,7 +61,9 @@
 }
 
 crash_quarantine::entry* crash_quarantine::find(const crash_cause& cause) {
-    return const_cast<entry*>(std::as_const(*this).find(cause));
+    entry_map& entries = entries_of(cause.kind);
+    const auto found = entries.find(cause.digest);
+    return found == entries.end() ? nullptr : &found->second;
 }
 
 crash_quarantine::found_entries crash_quarantine::find_quarantined(const crash_causes& causes) const {
@@ -255,38 +257,36 @@
     return notice;
 }
 
-std::vector<crash_notice> crash_quarantine::known(std::size_t max_count, time_point now) const {
-    struct candidate {
-        bool is_quarantined;
-        time_point changed_at;
-        crash_cause cause;
-        const entry* described;
-    };
-    std::vector<candidate> order;
+crash_quarantine::found_entries crash_quarantine::fleet_wide_entries() const {
+    found_entries found;
     for (const cause_kind kind : all_cause_kinds) {
         for (const auto& [digest, each] : entries_of(kind)) {
             if (each.is_fleet_wide) {
-                order.push_back(
-                    {each.record.is_quarantined(), each.record.changed_at(), {kind, digest}, &each});
+                found.emplace_back(crash_cause{kind, digest}, &each);
             }
         }
     }
-    std::sort(order.begin(), order.end(), [](const candidate& left, const candidate& right) {
-        return std::tie(left.is_quarantined, left.changed_at) >
-               std::tie(right.is_quarantined, right.changed_at);
-    });
-    const auto first_other =
-        std::find_if(order.begin(), order.end(), [](const candidate& each) { return !each.is_quarantined; });
+    const auto weight = [](const auto& each) {
+        return std::make_pair(each.second->record.is_quarantined(), each.second->record.changed_at());
+    };
+    std::sort(found.begin(), found.end(),
+              [&](const auto& left, const auto& right) { return weight(left) > weight(right); });
+    return found;
+}
+
+std::vector<crash_notice> crash_quarantine::known(std::size_t max_count, time_point now) const {
+    found_entries order = fleet_wide_entries();
+    const auto first_other = std::find_if(
+        order.begin(), order.end(), [](const auto& each) { return !each.second->record.is_quarantined(); });
     const auto quarantined_count = static_cast<std::size_t>(first_other - order.begin());
     if (quarantined_count > max_count) {
         const auto turn = static_cast<std::size_t>(now.time_since_epoch() / turn_length);
-        std::rotate(order.begin(),
-                    order.begin() + static_cast<std::ptrdiff_t>(turn * max_count % quarantined_count),
-                    first_other);
+        const std::size_t first = turn * max_count % quarantined_count;
+        std::rotate(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(first), first_other);
     }
     std::vector<crash_notice> notices;
     for (std::size_t i = 0; i < std::min(max_count, order.size()); ++i) {
-        notices.push_back(to_notice(order[i].cause, *order[i].described, now));
+        notices.push_back(to_notice(order[i].first, *order[i].second, now));
     }
     return notices;
 }
--- a/src/recovery/crash_quarantine.h
+++ b/src/recovery/crash_quarantine.h
@@ -133,6 +133,8 @@
     const entry* find(const crash_cause& cause) const;
     entry* find(const crash_cause& cause);
     found_entries find_quarantined(const crash_causes& causes) const;
+    /** \return the entries that concern all hosts: quarantined ones first, then the most recently changed. */
+    found_entries fleet_wide_entries() const;
     /** \return the entry of \p cause, or null if there is no room for it beside what is quarantined. */
     entry* find_or_add(const crash_cause& cause, time_point now);
     bool is_first_by_rank(std::uint64_t digest) const;
--- a/test/crash_parts_test.cpp
+++ b/test/crash_parts_test.cpp
@@ -77,7 +77,8 @@
 TEST(crash_parts, the_ends_under_one_request_quarantine_none_of_its_parts) {
     crash_quarantine quarantine("h1");
     for (std::uint32_t i = 1; i <= 4; ++i) {
-        quarantine.on_end({7, {shared_part}}, {i, at_ms(300 * i - 50), at_ms(300 * i)}, at_ms(300 * i));
+        const std::int64_t ended_ms = std::int64_t{300} * i;
+        quarantine.on_end({7, {shared_part}}, {i, at_ms(ended_ms - 50), at_ms(ended_ms)}, at_ms(ended_ms));
     }
     EXPECT_FALSE(quarantine.may_send({7, {shared_part}}, at_ms(1300)));
     EXPECT_TRUE(quarantine.may_send({8, {shared_part}}, at_ms(1300)));
@@ -96,7 +97,9 @@
 TEST(crash_parts, quick_ends_count_if_each_attempt_followed_the_end_before) {
     crash_quarantine quarantine("h1");
     for (std::uint32_t i = 1; i <= 3; ++i) {
-        quarantine.on_end({i, {crashing_part}}, {i, at_ms(40 * i), at_ms(40 * i + 30)}, at_ms(40 * i + 30));
+        const std::int64_t sent_ms = std::int64_t{40} * i;
+        quarantine.on_end({i, {crashing_part}}, {i, at_ms(sent_ms), at_ms(sent_ms + 30)},
+                          at_ms(sent_ms + 30));
     }
     EXPECT_FALSE(quarantine.may_send({7, {crashing_part}}, at_ms(200)));
 }
