Tests: one schedule of virtual time and one group of crashing endpoints

Both simulations of crashes had a queue of tasks of their own, both relay tests a loop that makes endpoints. The tests, their seeds and bounds are unchanged.

--- a/test/crash_parts_fleet.h
+++ b/test/crash_parts_fleet.h
@@ -6,9 +6,10 @@
 
 #include "recovery/recovery.h"
 
+#include "virtual_schedule.h"
+
 #include <algorithm>
-#include <functional>
-#include <queue>
+#include <memory>
 #include <random>
 #include <string>
 #include <vector>
@@ -78,21 +79,16 @@
     }
 
     parts_report play() {
-        schedule(0, [this] { arrive_sound(); });
-        schedule(day_.trouble_from_ms, [this] { arrive_crashing(); });
-        schedule(0, [this] { gossip(); });
+        schedule_.after(0, [this] { arrive_sound(); });
+        schedule_.after(day_.trouble_from_ms, [this] { arrive_crashing(); });
+        schedule_.after(0, [this] { gossip(); });
         if (day_.other_ends_per_s > 0) {
-            schedule(interval(day_.other_ends_per_s), [this] { end_any(); });
+            schedule_.after(interval(day_.other_ends_per_s), [this] { end_any(); });
         }
         if (day_.restarts_hosts) {
-            schedule(3000, [this] { restart_any(); });
-        }
-        while (!work_.empty() && work_.top().at <= day_.length_ms) {
-            const task next = work_.top();
-            work_.pop();
-            now_ = next.at;
-            next.run();
+            schedule_.after(3000, [this] { restart_any(); });
         }
+        schedule_.run(day_.length_ms);
         return report_;
     }
 
@@ -102,14 +98,6 @@
     static constexpr std::size_t small_fleet = 10;
     static constexpr std::size_t subjects = 20;
 
-    struct task {
-        std::int64_t at;
-        std::uint64_t number;
-        std::function<void()> run;
-        bool operator<(const task& other) const {
-            return std::tie(at, number) > std::tie(other.at, other.number);
-        }
-    };
     struct attempt {
         simulated_request request;
         std::size_t host = 0;
@@ -127,7 +115,7 @@
     };
 
     static time_point at_ms(std::int64_t ms) { return time_point{seconds(1000)} + milliseconds(ms); }
-    time_point now() const { return at_ms(now_); }
+    time_point now() const { return at_ms(schedule_.now()); }
     std::size_t below(std::size_t bound) { return random_() % bound; }
     std::int64_t between(std::int64_t low, std::int64_t high) {
         return low + static_cast<std::int64_t>(below(static_cast<std::size_t>(high - low + 1)));
@@ -136,16 +124,12 @@
         const double ms = std::exponential_distribution<double>(per_s / 1000)(random_);
         return std::max<std::int64_t>(1, static_cast<std::int64_t>(ms));
     }
-    void schedule(std::int64_t delay, std::function<void()> run) {
-        work_.push({now_ + delay, ++tasks_, std::move(run)});
-    }
-
     void arrive_sound() {
-        schedule(interval(day_.sound_per_s), [this] { arrive_sound(); });
+        schedule_.after(interval(day_.sound_per_s), [this] { arrive_sound(); });
         const bool is_other_route = below(3) == 0;
         simulated_request request{++digests_, {is_other_route ? "b0" : "a0", subject(), own_part()}, -1};
         const bool is_counted_after = !is_other_route && is_after_notice(2 * time_to_notice_ms);
-        const bool is_counted_before = !is_other_route && now_ < day_.trouble_from_ms;
+        const bool is_counted_before = !is_other_route && schedule_.now() < day_.trouble_from_ms;
         report_.sound_before += is_counted_before ? 1 : 0;
         report_.sound_after += is_counted_after ? 1 : 0;
         begins_.push_back(is_counted_before  ? &report_.begun_before
@@ -156,7 +140,7 @@
 
     // A request with a crashing part has the route's other parts, in any order but for its own last part.
     void arrive_crashing() {
-        schedule(interval(day_.crashing_per_s), [this] { arrive_crashing(); });
+        schedule_.after(interval(day_.crashing_per_s), [this] { arrive_crashing(); });
         const std::size_t which = below(day_.crashing_parts);
         simulated_request request{++digests_, {"a0", subject(), own_part()}, static_cast<int>(which)};
         const auto at = static_cast<std::ptrdiff_t>(which % 3);
@@ -170,7 +154,7 @@
 
     bool is_after_notice(std::int64_t delay) const {
         return std::all_of(ends_at_.begin(), ends_at_.end(), [&](const std::vector<std::int64_t>& ends) {
-            return ends.size() >= ends_to_notice && now_ > ends[ends_to_notice - 1] + delay;
+            return ends.size() >= ends_to_notice && schedule_.now() > ends[ends_to_notice - 1] + delay;
         });
     }
 
@@ -182,26 +166,28 @@
         }
         engine& chosen = engines_[below(engines_.size())];
         if (!chosen.is_up) {
-            schedule(3, [this, request, host, number] { send(request, host, number); });
+            schedule_.after(3, [this, request, host, number] { send(request, host, number); });
             return;
         }
-        auto sent = std::make_shared<attempt>(attempt{std::move(request), host, number, now_, false, false});
+        auto sent = std::make_shared<attempt>(
+            attempt{std::move(request), host, number, schedule_.now(), false, false});
         sent->is_trial = on_sent(quarantine, sent->request);
         count_send(*sent);
         chosen.unanswered.push_back(sent);
-        chosen.free_at = std::max(chosen.free_at, now_) + between(5, 25);
+        chosen.free_at = std::max(chosen.free_at, schedule_.now()) + between(5, 25);
         const std::uint32_t process = chosen.process;
         engine* at = &chosen;
-        schedule(chosen.free_at - now_, [this, at, process, sent] { begin(*at, process, sent); });
+        schedule_.after(chosen.free_at - schedule_.now(),
+                        [this, at, process, sent] { begin(*at, process, sent); });
     }
 
     void count_send(const attempt& sent) {
         const int part = sent.request.crashing_part;
-        if (part < 0 || now_ - started_[sent.host] <= time_to_notice_ms) {
+        if (part < 0 || schedule_.now() - started_[sent.host] <= time_to_notice_ms) {
             return;
         }
         const std::vector<std::int64_t>& ends = ends_at_[static_cast<std::size_t>(part)];
-        if (ends.size() >= ends_to_notice && now_ > ends[ends_to_notice - 1] + time_to_notice_ms) {
+        if (ends.size() >= ends_to_notice && schedule_.now() > ends[ends_to_notice - 1] + time_to_notice_ms) {
             ++report_.late_sends[static_cast<std::size_t>(part)];
         }
     }
@@ -215,17 +201,17 @@
             return;
         }
         if (sent->request.crashing_part >= 0) {
-            schedule(between(40, 110), [this, &at, process, sent] {
+            schedule_.after(between(40, 110), [this, &at, process, sent] {
                 if (at.process == process && at.is_up) {
                     const auto part = static_cast<std::size_t>(sent->request.crashing_part);
-                    ends_at_[part].push_back(now_);
+                    ends_at_[part].push_back(schedule_.now());
                     ++report_.ends[part];
                     end(at);
                 }
             });
             return;
         }
-        schedule(5, [this, &at, process, sent] {
+        schedule_.after(5, [this, &at, process, sent] {
             if (at.process == process && at.is_up && !sent->is_over) {
                 answer_begins(at, sent);
             }
@@ -253,8 +239,8 @@
                 continue;
             }
             sent->is_over = true;
-            const std::int64_t ended_at = now_;
-            schedule(between(2, 8), [this, sent, process, ended_at] {
+            const std::int64_t ended_at = schedule_.now();
+            schedule_.after(between(2, 8), [this, sent, process, ended_at] {
                 on_end(hosts_[sent->host], sent->request, {process, at_ms(sent->sent_at), at_ms(ended_at)});
                 announce(sent->host);
                 if (sent->number < day_.max_attempts) {
@@ -262,15 +248,15 @@
                 }
             });
         }
-        schedule(between(2500, 4000), [this, &at] {
+        schedule_.after(between(2500, 4000), [this, &at] {
             at.process = ++processes_;
             at.is_up = true;
-            at.free_at = now_;
+            at.free_at = schedule_.now();
         });
     }
 
     void end_any() {
-        schedule(interval(day_.other_ends_per_s), [this] { end_any(); });
+        schedule_.after(interval(day_.other_ends_per_s), [this] { end_any(); });
         engine& chosen = engines_[below(engines_.size())];
         if (chosen.is_up) {
             end(chosen);
@@ -278,16 +264,16 @@
     }
 
     void restart_any() {
-        schedule(7000, [this] { restart_any(); });
+        schedule_.after(7000, [this] { restart_any(); });
         const std::size_t host = below(hosts_.size());
         hosts_[host] = crash_quarantine(names_[host]);
         hosts_[host].set_hosts(names_, true);
-        started_[host] = now_;
+        started_[host] = schedule_.now();
         deliver(host, hosts_[(host + 1) % hosts_.size()].known(8, now()));
     }
 
     void gossip() {
-        schedule(400, [this] { gossip(); });
+        schedule_.after(400, [this] { gossip(); });
         for (const crash_quarantine& host : hosts_) {
             deliver(below(hosts_.size()), host.known(8, now()));
         }
@@ -298,7 +284,7 @@
             return;
         }
         report_.notices += static_cast<std::int64_t>(notices.size());
-        schedule(between(1, 20), [this, to, notices] {
+        schedule_.after(between(1, 20), [this, to, notices] {
             hosts_[to].merge(notices, now());
             announce(to);
         });
@@ -364,11 +350,9 @@
     std::vector<engine> engines_;
     std::vector<std::vector<std::int64_t>> ends_at_; ///< of each crashing part
     std::vector<int*> begins_; ///< by request: the counter of answers that began at the first attempt
-    std::priority_queue<task> work_;
-    std::uint64_t tasks_ = 0;
+    virtual_schedule schedule_;
     std::uint64_t digests_ = 0;
     std::uint32_t processes_ = 0;
-    std::int64_t now_ = 0;
     parts_report report_;
 };
 
--- a/test/recovery_test.cpp
+++ b/test/recovery_test.cpp
@@ -1,10 +1,10 @@
 #include "recovery/recovery.h"
 
+#include "virtual_schedule.h"
+
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
-#include <functional>
-#include <queue>
 #include <random>
 #include <set>
 
@@ -252,20 +252,15 @@
      * \p grace_ms after the third end */
     int late_sends(std::int64_t length_ms, std::int64_t grace_ms) {
         for (std::int64_t at = 0; at < length_ms; at += 100 + static_cast<std::int64_t>(below(300))) {
-            after(at, [this] { send_attempts(below(hosts_.size()), 0); });
+            schedule_.at(at, [this] { send_attempts(below(hosts_.size()), 0); });
         }
         for (std::int64_t at = 0; at < length_ms; at += gossip_ms) {
-            after(at, [this] { gossip(); });
+            schedule_.at(at, [this] { gossip(); });
         }
         for (std::int64_t at = 3000; at < length_ms; at += 7000) {
-            after(at, [this] { restart(below(hosts_.size())); });
-        }
-        while (!work_.empty()) {
-            const task next = work_.top();
-            work_.pop();
-            now_ = next.at;
-            next.run();
+            schedule_.at(at, [this] { restart(below(hosts_.size())); });
         }
+        schedule_.run();
         int late = 0;
         for (const auto& [at, is_in_touch] : sent_) {
             const bool is_after = ends_.size() >= 3 && at > ends_[2] + grace_ms;
@@ -278,31 +273,22 @@
     static constexpr std::int64_t gossip_ms = 400;
     static constexpr std::int64_t in_touch_ms = 3000;
     static constexpr std::size_t small_fleet = 10;
-    struct task {
-        std::int64_t at;
-        std::uint64_t number;
-        std::function<void()> run;
-        bool operator<(const task& other) const {
-            return std::tie(at, number) > std::tie(other.at, other.number);
-        }
-    };
-
     std::size_t below(std::size_t bound) { return random_() % bound; }
-    void after(std::int64_t at, std::function<void()> run) { work_.push({at, ++tasks_, std::move(run)}); }
 
     void send_attempts(std::size_t host, int attempt) {
         constexpr int attempts = 3;
-        if (attempt >= attempts || (has_quarantine_ && !hosts_[host].may_send(crashing, at_ms(now_)))) {
+        if (attempt >= attempts ||
+            (has_quarantine_ && !hosts_[host].may_send(crashing, at_ms(schedule_.now())))) {
             return;
         }
-        hosts_[host].on_sent(crashing, at_ms(now_));
-        sent_.emplace_back(now_, now_ - started_[host] > in_touch_ms);
-        const std::int64_t sent_at = now_;
-        after(now_ + 20 + static_cast<std::int64_t>(below(400)), [this, host, attempt, sent_at] {
-            ends_.push_back(now_);
-            const endpoint_end end{++processes_, at_ms(sent_at), at_ms(now_)};
-            after(now_ + 5, [this, host, end] {
-                hosts_[host].on_end(crashing, end, at_ms(now_));
+        hosts_[host].on_sent(crashing, at_ms(schedule_.now()));
+        sent_.emplace_back(schedule_.now(), schedule_.now() - started_[host] > in_touch_ms);
+        const std::int64_t sent_at = schedule_.now();
+        schedule_.after(20 + static_cast<std::int64_t>(below(400)), [this, host, attempt, sent_at] {
+            ends_.push_back(schedule_.now());
+            const endpoint_end end{++processes_, at_ms(sent_at), at_ms(schedule_.now())};
+            schedule_.after(5, [this, host, end] {
+                hosts_[host].on_end(crashing, end, at_ms(schedule_.now()));
                 announce(host);
             });
             send_attempts(host, attempt + 1);
@@ -314,14 +300,14 @@
         if (notices.empty() || below(one_lost_in) == 0) {
             return;
         }
-        after(now_ + 1 + static_cast<std::int64_t>(below(20)), [this, to, notices] {
-            hosts_[to].merge(notices, at_ms(now_));
+        schedule_.after(1 + static_cast<std::int64_t>(below(20)), [this, to, notices] {
+            hosts_[to].merge(notices, at_ms(schedule_.now()));
             announce(to);
         });
     }
 
     void announce(std::size_t from) {
-        const auto pending_notices = hosts_[from].take_pending(at_ms(now_));
+        const auto pending_notices = hosts_[from].take_pending(at_ms(schedule_.now()));
         std::vector<std::string> trackers = names_;
         if (names_.size() > small_fleet) {
             trackers = trackers_of(crashing, names_);
@@ -338,15 +324,15 @@
 
     void gossip() {
         for (const crash_quarantine& host : hosts_) {
-            send(below(hosts_.size()), host.known(8, at_ms(now_)));
+            send(below(hosts_.size()), host.known(8, at_ms(schedule_.now())));
         }
     }
 
     void restart(std::size_t host) {
         hosts_[host] = crash_quarantine(names_[host]);
         hosts_[host].set_hosts(names_, true);
-        started_[host] = now_;
-        send(host, hosts_[(host + 1) % hosts_.size()].known(8, at_ms(now_)));
+        started_[host] = schedule_.now();
+        send(host, hosts_[(host + 1) % hosts_.size()].known(8, at_ms(schedule_.now())));
     }
 
     std::mt19937 random_;
@@ -354,10 +340,8 @@
     std::vector<std::string> names_;
     std::vector<crash_quarantine> hosts_;
     std::vector<std::int64_t> started_;
-    std::priority_queue<task> work_;
-    std::uint64_t tasks_ = 0;
+    virtual_schedule schedule_;
     std::uint32_t processes_ = 0;
-    std::int64_t now_ = 0;
     std::vector<std::pair<std::int64_t, bool>> sent_;
     std::vector<std::int64_t> ends_;
 };
--- a/test/relay_fixture.h
+++ b/test/relay_fixture.h
@@ -305,6 +305,35 @@
     std::thread thread_;
 };
 
+/** Endpoints that all crash on the same body or part. */
+class crashing_endpoints {
+public:
+    explicit crashing_endpoints(int count, const std::string& crashing_body,
+                                const std::string& crashing_part = "") {
+        for (int i = 0; i < count; ++i) {
+            endpoints_.push_back(std::make_unique<crashing_endpoint>(crashing_body, crashing_part));
+        }
+    }
+    std::vector<std::string> addresses() const {
+        std::vector<std::string> found;
+        for (const auto& endpoint : endpoints_) {
+            found.push_back(endpoint->address());
+        }
+        return found;
+    }
+    /** \return how many have crashed. */
+    int crash_count() const {
+        int count = 0;
+        for (const auto& endpoint : endpoints_) {
+            count += endpoint->crash_count();
+        }
+        return count;
+    }
+
+private:
+    std::vector<std::unique_ptr<crashing_endpoint>> endpoints_;
+};
+
 /** \return a complete successful answer to the request \p id, with the header fields \p more. */
 inline std::string answer_of(const std::string& id, const std::string& body, const std::string& more = "") {
     return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nReceipt: r\r\n" + more +
--- a/test/relay_test.cpp
+++ b/test/relay_test.cpp
@@ -335,26 +335,14 @@
 // its id.
 TEST_F(relay_fixture, a_request_that_ends_its_endpoints_is_quarantined) {
     const std::string crashing_prompt = "a prompt that no engine survives";
-    std::vector<std::unique_ptr<crashing_endpoint>> endpoints;
-    std::vector<std::string> addresses;
-    for (int i = 0; i < 12; ++i) {
-        endpoints.push_back(std::make_unique<crashing_endpoint>(crashing_prompt));
-        addresses.push_back(endpoints.back()->address());
-    }
-    start_relay(route(route_kind::idempotent, 3), addresses);
-    const auto ended = [&endpoints] {
-        int count = 0;
-        for (const auto& endpoint : endpoints) {
-            count += endpoint->crash_count();
-        }
-        return count;
-    };
+    const crashing_endpoints endpoints(12, crashing_prompt);
+    start_relay(route(route_kind::idempotent, 3), endpoints.addresses());
     EXPECT_TRUE(contains(send_request("1", "", "another prompt"), "served"));
     for (int id = 2; id <= 4; ++id) {
         send_request(std::to_string(id), "", crashing_prompt);
         std::this_thread::sleep_for(std::chrono::milliseconds(50));
     }
-    EXPECT_EQ(ended(), 3) << "three ends under one request quarantine it";
+    EXPECT_EQ(endpoints.crash_count(), 3) << "three ends under one request quarantine it";
     const time_point asked_at = monotonic_now();
     const std::string answer = send_request("5", "", crashing_prompt);
     EXPECT_TRUE(contains(answer, "HTTP/1.1 503")) << answer;
@@ -368,20 +356,8 @@
 // endpoints that begin to answer it: no two of them have the same digest. Requests with the same first part
 // are served all the while.
 TEST_F(relay_fixture, requests_with_a_part_that_ends_endpoints_are_quarantined) {
-    std::vector<std::unique_ptr<crashing_endpoint>> endpoints;
-    std::vector<std::string> addresses;
-    for (int i = 0; i < 24; ++i) {
-        endpoints.push_back(std::make_unique<crashing_endpoint>("unused", "dead"));
-        addresses.push_back(endpoints.back()->address());
-    }
-    start_relay(route(route_kind::idempotent, 3), addresses);
-    const auto ended = [&endpoints] {
-        int count = 0;
-        for (const auto& endpoint : endpoints) {
-            count += endpoint->crash_count();
-        }
-        return count;
-    };
+    const crashing_endpoints endpoints(24, "unused", "dead");
+    start_relay(route(route_kind::idempotent, 3), endpoints.addresses());
     const auto send = [this](int id, const std::string& parts) {
         const std::string number = std::to_string(id);
         return send_request(number, "Prompt: " + parts + " own" + number + "\r\n", "prompt " + number);
@@ -391,15 +367,15 @@
         std::this_thread::sleep_for(std::chrono::milliseconds(50));
         EXPECT_TRUE(contains(send(id + 1, "first other"), "served")) << "the other parts are innocent";
     }
-    EXPECT_LE(ended(), 5);
-    EXPECT_GE(ended(), 3);
+    EXPECT_LE(endpoints.crash_count(), 5);
+    EXPECT_GE(endpoints.crash_count(), 3);
     const std::string answer = send(11, "first dead other");
     EXPECT_TRUE(contains(answer, "HTTP/1.1 503")) << answer;
     EXPECT_FALSE(contains(answer, "Retry-After")) << "the caller is not invited to retry";
-    const int before = ended();
+    const int before = endpoints.crash_count();
     EXPECT_TRUE(contains(send_request("12", "Prompt: first other dead\r\n", "12"), "served"))
         << "the last part is the request's own and ends no endpoint";
-    EXPECT_EQ(ended(), before);
+    EXPECT_EQ(endpoints.crash_count(), before);
 }
 
 // Guards against forwarding a success that the endpoint has not confirmed with a receipt.
