--- /dev/null
+++ b/test/release_evidence_test.cpp
@@ -0,0 +1,128 @@
+// Roll-outs on fleets of 3 to 400 hosts and 2 to 100 endpoints, at 1 to 500 requests a second, in virtual
+// time.
+#include "release_fleet.h"
+
+#include <gtest/gtest.h>
+
+#include <cmath>
+#include <ostream>
+
+namespace laurelhoist {
+namespace {
+
+double log_uniform(random_source& random, double least, double most) {
+    return std::exp(std::log(least) + random.uniform() * (std::log(most) - std::log(least)));
+}
+
+/** \return a day with random sizes, load and disturbances. */
+release_day random_day(unsigned seed, release_fault fault) {
+    random_source random(1000 + seed);
+    release_day day;
+    day.seed = seed;
+    day.hosts = static_cast<std::size_t>(std::lround(log_uniform(random, 3, 400)));
+    day.endpoints = static_cast<int>(std::lround(log_uniform(random, 2, 100)));
+    day.requests_per_s = log_uniform(random, 1, 500);
+    day.time_limit = 16'000 + static_cast<std::int64_t>(random.below(9)) * 1000;
+    day.fault = fault;
+    day.is_stream = fault == release_fault::slow_streams || fault == release_fault::under_load ||
+                    (fault == release_fault::none && random.chance(0.5));
+    day.has_cut = random.chance(0.3);
+    day.has_burst = random.chance(0.3);
+    day.loses_messages = random.chance(0.5);
+    day.restarts_hosts = random.chance(0.3);
+    day.has_cold_endpoint = random.chance(0.3);
+    return day;
+}
+
+std::string describe(const release_day& day, const release_report& report) {
+    return "seed " + std::to_string(day.seed) + ", fault " + std::to_string(static_cast<int>(day.fault)) +
+           ", hosts " + std::to_string(day.hosts) + ", endpoints " + std::to_string(day.endpoints) +
+           ", requests/s " + std::to_string(day.requests_per_s) + ", limit " +
+           std::to_string(day.time_limit) + ", cut " + std::to_string(day.has_cut) + ", burst " +
+           std::to_string(day.has_burst) + ", losses " + std::to_string(day.loses_messages) + ", restarts " +
+           std::to_string(day.restarts_hosts) + ", cold " + std::to_string(day.has_cold_endpoint) + ": " +
+           (report.state ? to_string(*report.state) : "no report") + " at " +
+           std::to_string(report.reported_at) + ", exposed " + std::to_string(report.exposed) + " of " +
+           std::to_string(report.sent) + ", bad " + std::to_string(report.bad) + ", late sends " +
+           std::to_string(report.late_sends) + (report.is_stopped ? ", stopped" : "");
+}
+
+double exposure_allowed(const release_day& day, const release_report& report) {
+    return day.settings.exposure_share * report.sent + release_fleet::exposure_slack;
+}
+
+constexpr unsigned days_of_each_kind = 60;
+
+void expect_no_bad_release_goes_on(release_fault fault) {
+    int completed = 0;
+    for (unsigned seed = 1; seed <= days_of_each_kind; ++seed) {
+        const release_day day = random_day(seed, fault);
+        const release_report report = release_fleet(day).play();
+        EXPECT_EQ(report.late_sends, 0) << describe(day, report);
+        EXPECT_LE(report.exposed, exposure_allowed(day, report)) << describe(day, report);
+        if (report.state == rollout_state::completed) {
+            ++completed;
+            ADD_FAILURE() << "reported complete: " << describe(day, report);
+        }
+    }
+    EXPECT_EQ(completed, 0);
+}
+
+// A release that fails most of its answers is reported complete, or goes on getting requests.
+TEST(release_evidence, a_release_that_fails_is_never_complete) {
+    expect_no_bad_release_goes_on(release_fault::errors);
+}
+
+// A dozen trial answers of a release that is slow happen to be in time, and it is reported complete.
+TEST(release_evidence, a_release_that_answers_late_is_never_complete) {
+    expect_no_bad_release_goes_on(release_fault::late_answers);
+}
+
+// A release that begins its streams in time and crawls is reported complete on a dozen streams.
+TEST(release_evidence, a_release_whose_streams_crawl_is_never_complete) {
+    expect_no_bad_release_goes_on(release_fault::slow_streams);
+}
+
+// The good answers of other routes hide that a release fails on one of them.
+TEST(release_evidence, a_release_that_fails_on_one_route_is_never_complete) {
+    expect_no_bad_release_goes_on(release_fault::one_route);
+}
+
+// A release turns bad when nothing of the established one is left, and goes on getting requests.
+TEST(release_evidence, a_release_that_turns_bad_later_gets_no_more_requests) {
+    for (const release_fault fault : {release_fault::errors, release_fault::late_answers}) {
+        for (unsigned seed = 1; seed <= days_of_each_kind; ++seed) {
+            release_day day = random_day(seed, fault);
+            day.turns_bad_at = day.time_limit + 2000;
+            const release_report report = release_fleet(day).play();
+            EXPECT_EQ(report.late_sends, 0) << describe(day, report);
+            EXPECT_LE(report.exposed, exposure_allowed(day, report)) << describe(day, report);
+        }
+    }
+}
+
+// The evidence that completion asks for keeps a good release from being reported, or a burst, a cold endpoint
+// or a cut ends it.
+TEST(release_evidence, a_good_release_is_complete_and_stays) {
+    for (unsigned seed = 1; seed <= 2 * days_of_each_kind; ++seed) {
+        const release_day day = random_day(seed, release_fault::none);
+        const release_report report = release_fleet(day).play();
+        EXPECT_EQ(report.state, rollout_state::completed) << describe(day, report);
+        EXPECT_FALSE(report.is_stopped) << describe(day, report);
+        EXPECT_LE(report.exposed, exposure_allowed(day, report)) << describe(day, report);
+    }
+}
+
+// All endpoints of the established release are unlisted for some seconds, and the trial gets every request.
+TEST(release_evidence, a_release_on_trial_stays_within_its_share_while_no_other_is_known) {
+    for (unsigned seed = 1; seed <= days_of_each_kind; ++seed) {
+        release_day day = random_day(seed, seed % 2 == 0 ? release_fault::late_answers : release_fault::none);
+        day.loses_established = true;
+        const release_report report = release_fleet(day).play();
+        EXPECT_LE(report.exposed, exposure_allowed(day, report)) << describe(day, report);
+        EXPECT_EQ(report.late_sends, 0) << describe(day, report);
+    }
+}
+
+} // namespace
+} // namespace laurelhoist
