Roll-outs log the evidence of each test at the cutover and at the report

The logs of a release that was reported complete did not show what its tests held, nor from when on an answer counted as late.

--- a/src/host/entry_host_rollouts.cpp
+++ b/src/host/entry_host_rollouts.cpp
@@ -161,7 +161,8 @@
     log_info("rollout_report", {{"service", due.order.service},
                                 {"release", due.order.release},
                                 {"state", to_string(due.state)},
-                                {"reason", due.reason}});
+                                {"reason", due.reason},
+                                {"evidence", due.evidence}});
     write_report(due.order, due.state, [this, due](const store_result<stored_object>& result) {
         const store_failure* failure = std::get_if<store_failure>(&result);
         if (failure != nullptr && *failure != store_failure::conflict) {
--- a/src/rollout/release_rollout.cpp
+++ b/src/rollout/release_rollout.cpp
@@ -336,9 +336,9 @@
     ++average.count;
 }
 
-rollout_tracker::totals rollout_tracker::total_of(const rollout_record& rollout, const std::string& route,
-                                                  bool of_new_release) const {
-    totals sum;
+answer_totals rollout_tracker::total_of(const rollout_record& rollout, const std::string& route,
+                                        bool of_new_release) const {
+    answer_totals sum;
     for_each_count(rollout.order.service, [&](const release_route& key, const release_counts& counts) {
         const bool is_new = key.release == rollout.order.release;
         const bool is_included = route == all_routes ? is_outcome(key) : key.route == route;
--- a/src/rollout/release_rollout.h
+++ b/src/rollout/release_rollout.h
@@ -23,6 +23,7 @@
 #include "rollout/brake.h"
 #include "rollout/load_proof.h"
 #include "rollout/release_stop.h"
+#include "rollout/release_test.h"
 #include "rollout/session_memory.h"
 #include "rollout/stream_pace.h"
 #include "rollout/trial_plan.h"
@@ -141,6 +142,7 @@
     rollout_order order;
     rollout_state state = rollout_state::running;
     std::string reason;
+    json evidence; ///< what each test of the release shows, for the log
 };
 
 /** The roll-outs of all services, as one host sees them. It does no I/O, and the time is an argument. */
@@ -216,10 +218,6 @@
     std::vector<rollout_report> advance(time_point now);
 
 private:
-    struct totals {
-        std::int64_t good = 0;
-        std::int64_t bad = 0;
-    };
     /// Attempts that all known hosts have sent during a roll-out.
     struct sent_totals {
         std::int64_t all = 0;
@@ -233,8 +231,8 @@
         /// Time of the cutover, since which this host sends all requests to the new release. Nothing before
         /// it, and once the release has no endpoint left.
         std::optional<time_point> cut_over_at;
-        totals totals_at_cutover; ///< answers of the new release before the cutover
-        double trial_share = 0;   ///< largest share of the requests during the trial, of all hosts
+        answer_totals totals_at_cutover; ///< answers of the new release before the cutover
+        double trial_share = 0;          ///< largest share of the requests during the trial, of all hosts
         std::optional<time_point> peak_since; ///< when the trial reached its peak; nothing before it
         bool is_on_trial = false;             ///< set once the hosts have exchanged their recent sessions
         sent_totals sent_before;              ///< attempts that were sent until \ref counted_at
@@ -242,16 +240,13 @@
         double recent_per_ms = 0;             ///< rate of attempts at the service over the last rate window
         double recent_first_per_ms = 0;       ///< the same of first attempts only
         load_proof proof;
-        bool is_held = false;                           ///< completion waits for \ref proof
-        std::optional<time_point> completed_at;         ///< when this host first saw that it is complete
-        bool is_stopped = false;                        ///< \ref must_stop
-        std::map<std::string, std::int64_t> recent_bad; ///< by route: bad answers since \ref evidence was 0
+        bool is_held = false;                   ///< completion waits for \ref proof
+        std::optional<time_point> completed_at; ///< when this host first saw that it is complete
+        bool is_stopped = false;                ///< \ref must_stop
         bool is_braked = false;
         bool has_moved() const { return cut_over_at.has_value(); }
         bool is_at_peak() const { return peak_since && !has_moved(); }
-        std::map<std::string, totals> included; ///< by route: the answers that the evidence already includes
-        std::map<std::string, double> evidence; ///< by route, and of the tests over all: log likelihood ratio
-                                                ///< of bad to good, at least 0
+        std::map<std::string, release_test> tests; ///< by route, and those over all routes
     };
     /// What one other host has counted.
     struct host_counts {
@@ -271,7 +266,8 @@
     template <class Visit>
     void for_each_count(const std::string& service, const Visit& visit) const;
     /** \param route empty: all routes */
-    totals total_of(const rollout_record& rollout, const std::string& route, bool of_new_release) const;
+    answer_totals total_of(const rollout_record& rollout, const std::string& route,
+                           bool of_new_release) const;
     std::int64_t good_answers_of(const std::string& service, const std::string& release) const;
     trial_plan plan_of(const rollout_record& rollout) const;
     /// \return whether slow answers of \p key are evidence against its release.
@@ -298,6 +294,8 @@
     void merge_counts(release_counts& held, const release_counts& seen) const;
     void measure_rate(rollout_record& rollout, time_point now) const;
     void update_evidence(rollout_record& rollout);
+    /** \return for the log, by route: the answers, the evidence, and from when on an answer is late. */
+    json describe_evidence(const rollout_record& rollout) const;
     void brake_on_evidence(rollout_record& rollout) const;
     failure_spread spread_of(const rollout_record& rollout, const std::string& route) const;
     /// Stops a release that is complete if it has turned bad.
--- a/src/rollout/release_rollout_evidence.cpp
+++ b/src/rollout/release_rollout_evidence.cpp
@@ -11,11 +11,6 @@
 
 namespace {
 
-/// Evidence that brakes a release: a good one reaches it in one of 2,000 roll-outs.
-constexpr double rollback_evidence = 7.6;
-/// Evidence that holds back the cutover and the report of completion: two bad answers beyond those that good
-/// ones offset. Three bad answers in a slow trial preceded a cutover after which half of all requests failed.
-constexpr double suspicious_evidence = 2.5;
 /// Fewer bad answers since the cutover are not significant: faults of single endpoints cause as many.
 constexpr double min_bad_answers = 5;
 /// Share of good answers of the old release until enough are counted; the test assumes at most this share.
@@ -40,15 +35,17 @@
 constexpr duration min_overdue = milliseconds(8000);
 constexpr duration default_overdue = milliseconds(10'000); ///< used until the mean duration is known
 
-brake_hypotheses release_hypotheses(const std::string& route, std::int64_t good, std::int64_t bad) {
-    version_counts established;
-    established.rated = good;
-    established.failed = bad;
+/// \param established answers of the established release, which shift the baseline
+release_hypotheses hypotheses_of(const std::string& route, const answer_totals& established) {
+    version_counts baseline;
+    baseline.rated = established.good;
+    baseline.failed = established.bad;
     rollout_plan plan;
     const bool is_of_first_events = route == first_event_route;
     plan.tolerated_drop = is_of_first_events ? tolerated_late_share : tolerated_drop;
     plan.braked_drop = is_of_first_events ? braked_late_share : braked_drop;
-    return hypotheses_for(default_good_share, established, plan);
+    const brake_hypotheses against = hypotheses_for(default_good_share, baseline, plan);
+    return {against, against};
 }
 
 } // namespace
@@ -143,9 +140,6 @@
     }
 }
 
-// Adds the answers since the last call to the evidence of each route and of all routes. The evidence never
-// falls below zero, so that a release that turns bad after hundreds of good answers is braked as soon as one
-// that was bad from the start.
 void rollout_tracker::update_evidence(rollout_record& rollout) {
     // The answers of all routes together show a release that is bad on every one of them sooner.
     std::set<std::string> routes{all_routes};
@@ -155,32 +149,37 @@
         }
     });
     for (const std::string& route : routes) {
-        const totals new_totals = total_of(rollout, route, true);
-        const totals old_totals = total_of(rollout, route, false);
-        const brake_hypotheses hypotheses = release_hypotheses(route, old_totals.good, old_totals.bad);
-        totals& included = rollout.included[route];
-        const auto new_bad = static_cast<double>(std::max<std::int64_t>(0, new_totals.bad - included.bad));
-        const auto new_good = static_cast<double>(std::max<std::int64_t>(0, new_totals.good - included.good));
-        included = new_totals;
-        const double change =
-            new_bad * std::log(hypotheses.unacceptable_bad_share / hypotheses.acceptable_bad_share) +
-            new_good *
-                std::log((1 - hypotheses.unacceptable_bad_share) / (1 - hypotheses.acceptable_bad_share));
-        double& evidence = rollout.evidence[route];
-        evidence = std::max(0.0, evidence + change);
-        rollout.recent_bad[route] =
-            evidence > 0 ? rollout.recent_bad[route] + static_cast<std::int64_t>(new_bad) : 0;
+        rollout.tests[route].include(total_of(rollout, route, true),
+                                     hypotheses_of(route, total_of(rollout, route, false)));
     }
 }
 
+json rollout_tracker::describe_evidence(const rollout_record& rollout) const {
+    json described = json::object();
+    for (const auto& [route, test] : rollout.tests) {
+        const answer_totals on_new = total_of(rollout, route, true);
+        const answer_totals established = total_of(rollout, route, false);
+        const auto mean = mean_first_byte_.find({rollout.order.service, "", route});
+        described[route] = {
+            {"good", on_new.good},
+            {"bad", on_new.bad},
+            {"old_good", established.good},
+            {"old_bad", established.bad},
+            {"against", test.evidence_against()},
+            {"for", test.evidence_for()},
+            {"late_above", mean == mean_first_byte_.end() ? 0.0 : mean->second.mean * slow_factor}};
+    }
+    return described;
+}
+
 void rollout_tracker::brake_on_evidence(rollout_record& rollout) const {
-    for (const auto& [route, evidence] : rollout.evidence) {
-        if (evidence < rollback_evidence || rollout.is_braked) {
+    for (const auto& [route, test] : rollout.tests) {
+        if (!test.is_failed() || rollout.is_braked) {
             continue;
         }
         rollout.is_braked = true;
-        const totals new_totals = total_of(rollout, route, true);
-        const totals old_totals = total_of(rollout, route, false);
+        const answer_totals new_totals = total_of(rollout, route, true);
+        const answer_totals old_totals = total_of(rollout, route, false);
         log_warning("rollout_braked", {{"service", rollout.order.service},
                                        {"release", rollout.order.release},
                                        {"route", route},
@@ -204,13 +203,14 @@
 
 void rollout_tracker::watch_completed(rollout_record& rollout) {
     update_evidence(rollout);
-    for (const auto& [route, evidence] : rollout.evidence) {
+    for (const auto& [route, test] : rollout.tests) {
         const release_route key{rollout.order.service, rollout.order.release, route};
         if (!is_outcome(key)) {
             continue;
         }
-        const release_failures failures{evidence, rollout.recent_bad[route], spread_of(rollout, route)};
-        if (evidence == 0 && own_.count(key) > 0) {
+        const release_failures failures{test.evidence_against(), test.recent_bad(),
+                                        spread_of(rollout, route)};
+        if (failures.evidence == 0 && own_.count(key) > 0) {
             own_[key].tallies.clear();
         }
         if (has_all_counts_ && !rollout.is_stopped && must_stop(failures)) {
@@ -220,7 +220,7 @@
                        {"release", key.release},
                        {"route", route},
                        {"bad", failures.bad},
-                       {"evidence", evidence},
+                       {"evidence", failures.evidence},
                        {"failed_part", failures.spread.failed_part()},
                        {"remedy", "order another release, or remove the order to let this one serve again"}});
         }
@@ -228,9 +228,8 @@
 }
 
 bool rollout_tracker::is_suspicious(const rollout_record& rollout) const {
-    return settings_.suspects &&
-           std::any_of(rollout.evidence.begin(), rollout.evidence.end(),
-                       [](const auto& item) { return item.second >= suspicious_evidence; });
+    return settings_.suspects && std::any_of(rollout.tests.begin(), rollout.tests.end(),
+                                             [](const auto& item) { return item.second.is_suspicious(); });
 }
 
 // Guards the report of completion against a release that fails only under full load, which it gets a second
@@ -238,13 +237,13 @@
 // and mixed with earlier good answers: too few for the sequential test of any route. The cost is that the
 // report of a good release may be late.
 bool rollout_tracker::has_worsened(const rollout_record& rollout) const {
-    const totals new_totals = total_of(rollout, all_routes, true);
+    const answer_totals new_totals = total_of(rollout, all_routes, true);
     const auto bad = static_cast<double>(new_totals.bad - rollout.totals_at_cutover.bad);
     const auto all = bad + static_cast<double>(new_totals.good - rollout.totals_at_cutover.good);
     if (bad < min_bad_answers) {
         return false;
     }
-    const totals old_totals = total_of(rollout, all_routes, false);
+    const answer_totals old_totals = total_of(rollout, all_routes, false);
     const auto old_all = static_cast<double>(old_totals.good + old_totals.bad);
     const double baseline =
         old_all < min_good_answers ? 1 - default_good_share : static_cast<double>(old_totals.bad) / old_all;
--- a/src/rollout/release_rollout_phases.cpp
+++ b/src/rollout/release_rollout_phases.cpp
@@ -155,7 +155,8 @@
     rollout.totals_at_cutover = total_of(rollout, all_routes, true);
     log_info("rollout_moves", {{"service", rollout.order.service},
                                {"release", rollout.order.release},
-                               {"age_ms", to_ms(now - rollout.since)}});
+                               {"age_ms", to_ms(now - rollout.since)},
+                               {"evidence", describe_evidence(rollout)}});
 }
 
 void rollout_tracker::advance_phase(rollout_record& rollout, time_point now) const {
@@ -259,7 +260,8 @@
             rollout.proof.on_cut_over(load_of(rollout, now), now);
         }
         if (const std::optional<rollout_state> next = due_state(rollout, now)) {
-            due.push_back({rollout.order, *next, rollout.is_braked ? "braked by evidence" : "on schedule"});
+            due.push_back({rollout.order, *next, rollout.is_braked ? "braked by evidence" : "on schedule",
+                           describe_evidence(rollout)});
         }
     }
     return due;
--- /dev/null
+++ b/src/rollout/release_test.h
@@ -0,0 +1,58 @@
+/** \file
+ * Defines the sequential test of a release: whether the answers counted so far speak against it or for it.
+ *
+ * Every answer changes two sums of log likelihood ratios. The evidence against the release never falls below
+ * zero, so that a release that turns bad after hundreds of good answers is braked as soon as one that was bad
+ * from the start. The evidence for it never exceeds a limit, so that a few bad answers take it below what
+ * completion requires, however many good ones came before.
+ *
+ * Example: with hypotheses of 0.12 and 0.42 a good answer adds 0.42 to the evidence for the release, and
+ * twelve of them suffice. Of 26 answers with 6 bad ones neither sum decides.
+ */
+#pragma once
+
+#include "rollout/brake.h"
+
+#include <cstdint>
+
+namespace laurelhoist {
+
+/** Good and bad answers. */
+struct answer_totals {
+    std::int64_t good = 0;
+    std::int64_t bad = 0;
+};
+LAUREL_VALUE_TYPE(answer_totals, good, bad)
+
+/** What an answer is weighed against. */
+struct release_hypotheses {
+    brake_hypotheses against;  ///< of the test that brakes a release
+    brake_hypotheses in_favor; ///< of the test that a release has to pass before its completion
+};
+
+/** The test of one release on one route, or by one property of its answers. */
+class release_test {
+public:
+    /** Includes the answers that \p counted has beyond those included before. */
+    void include(const answer_totals& counted, const release_hypotheses& hypotheses);
+
+    double evidence_against() const { return against_; }
+    double evidence_for() const { return in_favor_; }
+    /** \return the bad answers since the evidence against the release was last zero. */
+    std::int64_t recent_bad() const { return recent_bad_; }
+
+    /** \return whether the release is bad: a good one is found bad in one of 2,000 roll-outs. */
+    bool is_failed() const;
+    /** \return whether there are about two bad answers beyond those that good ones offset. */
+    bool is_suspicious() const;
+    /** \return whether the release is good: one at the limit of the test passes once in a hundred times. */
+    bool is_passed() const;
+
+private:
+    answer_totals included_;
+    double against_ = 0;
+    double in_favor_ = 0;
+    std::int64_t recent_bad_ = 0;
+};
+
+} // namespace laurelhoist
