Completion of a release requires evidence for it

Completion asked only that nothing spoke against the release; besides, answers that could not be compared counted as good.

- Usual times are those of all hosts together, outliers bounded; without one an answer counts neither way.
- The test over all routes weighs each answer by what is usual on its route: one that always fails hides nothing.
- Answers without a prompt are tested for time apart from prompts, and more strictly.
- After its time the peak no longer overloads one endpoint, whose answers could not be compared.
- A stream that crawls is counted once its next event is overdue: the sound ones ended long before.

--- a/src/base/mechanisms.cpp
+++ b/src/base/mechanisms.cpp
@@ -28,6 +28,7 @@
     {"bounds_repeats", &mechanisms::bounds_repeats},
     {"suspects_releases", &mechanisms::suspects_releases},
     {"stops_bad_releases", &mechanisms::stops_bad_releases},
+    {"requires_evidence", &mechanisms::requires_evidence},
     {"proves_load", &mechanisms::proves_load},
     {"forwards_requests", &mechanisms::forwards_requests},
     {"leaves_directory", &mechanisms::leaves_directory},
--- a/src/base/mechanisms.h
+++ b/src/base/mechanisms.h
@@ -25,6 +25,7 @@
     bool bounds_repeats = true;      ///< keeps repeats within this host's part of the budget of all hosts
     bool suspects_releases = true;   ///< delays cut-over and completion while a release looks bad
     bool stops_bad_releases = true;  ///< refuses requests of a service whose completed release turns bad
+    bool requires_evidence = true;   ///< delays completion until the answers speak for a release
     bool proves_load = true;         ///< delays completion until a release has carried the load to come
     bool forwards_requests = true;   ///< forwards requests of services whose endpoints this host has lost
     bool leaves_directory = true;    ///< hosts that have lost a service are not named to callers
--- a/src/host/peer_messages.cpp
+++ b/src/host/peer_messages.cpp
@@ -68,7 +68,12 @@
                                       {"lost_pools", "S"},
                                       {"status", "T"},
                                       {"kind", "U"},
-                                      {"request", "V"}};
+                                      {"request", "V"},
+                                      {"times", "W"},
+                                      {"mean", "X"},
+                                      {"answers", "Y"},
+                                      {"tallies", "aa"},
+                                      {"is_stopped", "ab"}};
 
 using field_map = std::map<std::string, std::string>;
 
--- a/src/relay/exchange.cpp
+++ b/src/relay/exchange.cpp
@@ -603,6 +603,9 @@
 
 void exchange::on_tick(time_point now) {
     auto self = shared_from_this();
+    if (is_in_state("answering")) {
+        record_overdue_pace(now);
+    }
     if (!has_started_) {
         await_configuration(now);
     } else if (is_in_state("connecting") && now - attempt_.sent_at > connect_timeout) {
--- a/src/relay/exchange_answers.cpp
+++ b/src/relay/exchange_answers.cpp
@@ -248,6 +248,23 @@
     }
 }
 
+// A stream that crawls shows it before it has made many events. Counted only then, the few streams of a trial
+// that were sound had ended long before the others, and spoke for their release alone.
+void exchange::record_overdue_pace(time_point now) {
+    if (attempt_.is_forwarded() || attempt_.is_paced || attempt_.has_paused || attempt_.is_slow() ||
+        attempt_.first_events == 0) {
+        return;
+    }
+    const std::int64_t begun = events_of_attempt() - attempt_.first_events + 1;
+    const int intervals = std::max(pace_baseline::min_intervals, static_cast<int>(begun));
+    const stream_pace pace{attempt_.model, now - attempt_.first_event_at, intervals};
+    if (state_.releases.is_slow_pace(service_, pace)) {
+        attempt_.is_paced = true;
+        attempt_.slowness = "pace";
+        state_.releases.on_stream_paced(release_key(), pace);
+    }
+}
+
 void exchange::begin_stream_answer() {
     if (has_begun_answer_) {
         return;
--- a/src/rollout/release_rollout.cpp
+++ b/src/rollout/release_rollout.cpp
@@ -9,10 +9,22 @@
 
 namespace {
 
-constexpr double smoothing = 0.05;
+/// Outliers of the usual times count as this multiple; beyond it an answer is late, or overdue.
+constexpr double outlier_factor = 4.0;
+constexpr std::int64_t min_answers_for_mean = 20;
 /// For how long a release is watched after its completion; later its failures say less about it.
 constexpr duration watch_time = seconds(60);
 
+/// Names the times for each event of a model among those of routes.
+const std::string pace_prefix = "(pace)";
+
+void append_paces(std::vector<usual_time>& times, const std::vector<usual_time>& paces) {
+    for (usual_time each : paces) {
+        each.name = pace_prefix + each.name;
+        times.push_back(each);
+    }
+}
+
 /// Maps \p subject to [0, 1) by its hash.
 double hash_fraction(const std::string& subject) {
     constexpr std::uint64_t parts = 10'000;
@@ -47,6 +59,10 @@
     return "unknown";
 }
 
+rollout_tracker::rollout_tracker(const rollout_settings& settings)
+    : settings_{settings}, sessions_{settings.session_life}, durations_{min_answers_for_mean, outlier_factor},
+      first_bytes_{min_answers_for_mean, outlier_factor} {}
+
 // A new order's age includes max_order_age, so that completion is reported within the time limit. A store
 // that is about to drop its history sends its watches nothing; an order written at that time, counted from
 // when the host saw it, was completed 0.5 s late.
@@ -173,7 +189,8 @@
     if (rollout.has_moved()) {
         return {release, ""};
     }
-    return {release, "", plan_of(rollout).base_share, rollout.is_at_peak()};
+    const trial_plan plan = plan_of(rollout);
+    return {release, "", rollout.is_at_peak() ? plan.peak_share : plan.base_share, rollout.is_overloading};
 }
 
 void rollout_tracker::on_started(const release_route& key, const std::string& session, time_point now,
@@ -205,7 +222,7 @@
     }
     update_running(key);
     if (progress == attempt_progress::whole && started_at && !is_new_release(key)) {
-        update_mean(mean_durations_[{key.service, "", key.route}], to_ms(now - *started_at));
+        durations_.observe(key.service, key.route, to_ms(now - *started_at));
     }
     if (!session.empty()) {
         sessions_.on_finished(key.service, placement_hash(session), now);
@@ -266,15 +283,63 @@
             counts.push_back(seen);
         }
     }
+    for (const auto& [service, rollout] : rollouts_) {
+        release_counts timed;
+        timed.service = service;
+        timed.times = first_bytes_.own(service);
+        append_paces(timed.times, paces_.times().own(service));
+        if (is_open(rollout) && !timed.times.empty()) {
+            counts.push_back(timed);
+        }
+    }
     return counts;
 }
 
+// All hosts use the same usual times: one that has just started, or that is seldom asked for the service, has
+// none of its own, and without them it finds no answer late.
+void rollout_tracker::combine_times() {
+    std::map<std::pair<std::string, std::string>, usual_time> combined;
+    const auto add = [&](const std::vector<usual_time>& times) {
+        for (const usual_time& each : times) {
+            usual_time& sum = combined[{each.service, each.name}];
+            const std::int64_t answers = sum.answers + each.answers;
+            const double weight = answers == 0 ? 0.0 : static_cast<double>(each.answers) / static_cast<double>(answers);
+            sum = {each.service, each.name, sum.mean + weight * (each.mean - sum.mean), answers};
+        }
+    };
+    for (const release_counts& own : own_counts()) {
+        add(own.times);
+    }
+    for (const auto& [host, counted] : by_host_) {
+        for (const auto& [key, counts] : counted.by_route) {
+            add(counts.times);
+        }
+    }
+    for (const auto& [key, time] : combined) {
+        hear(time);
+    }
+}
+
+void rollout_tracker::hear(const usual_time& time) {
+    const bool is_pace = time.name.compare(0, pace_prefix.size(), pace_prefix) == 0;
+    if (is_pace) {
+        paces_.times().hear({time.service, time.name.substr(pace_prefix.size()), time.mean, time.answers});
+    } else {
+        first_bytes_.hear(time);
+    }
+}
+
 std::vector<rollout_gossip> rollout_tracker::own_gossip(time_point now) const {
     std::vector<rollout_gossip> gossip;
     for (const auto& [service, rollout] : rollouts_) {
         const auto age = std::chrono::duration_cast<milliseconds>(now - rollout.since).count();
+        std::vector<usual_time> times;
+        if (is_open(rollout)) {
+            times = first_bytes_.heard(service);
+            append_paces(times, paces_.times().heard(service));
+        }
         gossip.push_back({service, rollout.order.release, age, rollout.is_braked, rollout.trial_share,
-                          rollout.has_moved(), rollout.is_at_peak(), rollout.is_stopped});
+                          rollout.has_moved(), rollout.is_at_peak(), rollout.is_stopped, times});
     }
     return gossip;
 }
@@ -318,6 +383,7 @@
             found->second.since = since;
             found->second.trial_share = item.trial_share > 0 ? item.trial_share : found->second.trial_share;
         }
+        std::for_each(item.times.begin(), item.times.end(), [this](const usual_time& time) { hear(time); });
         found->second.is_braked = found->second.is_braked || item.is_braked;
         found->second.is_stopped = found->second.is_stopped || item.is_stopped;
         if (item.is_at_peak && !found->second.peak_since) {
@@ -331,11 +397,6 @@
     }
 }
 
-void rollout_tracker::update_mean(running_mean& average, double measured) {
-    average.mean += (average.count == 0 ? 1.0 : smoothing) * (measured - average.mean);
-    ++average.count;
-}
-
 answer_totals rollout_tracker::total_of(const rollout_record& rollout, const std::string& route,
                                         bool of_new_release) const {
     answer_totals sum;
--- a/src/rollout/release_rollout.h
+++ b/src/rollout/release_rollout.h
@@ -27,6 +27,7 @@
 #include "rollout/session_memory.h"
 #include "rollout/stream_pace.h"
 #include "rollout/trial_plan.h"
+#include "rollout/usual_times.h"
 
 #include <map>
 #include <optional>
@@ -73,9 +74,10 @@
     std::int64_t first_sent_in_rollout = 0; ///< those of \ref sent_in_rollout that were first attempts
     std::int64_t running = 0;               ///< answers that have begun and not ended, at present
     std::vector<endpoint_tally> tallies{};  ///< answers by endpoint since the release last looked good
+    std::vector<usual_time> times{};        ///< with an empty \ref release: of the established release
 };
 LAUREL_VALUE_TYPE(release_counts, service, release, route, good, bad, sent_in_rollout, target,
-                  first_sent_in_rollout, running, tallies)
+                  first_sent_in_rollout, running, tallies, times)
 
 /** Whether an attempt is the first one of its request. */
 enum class attempt_order { first, later };
@@ -102,15 +104,18 @@
     bool has_moved = false;  ///< the sender has cut over: it sends all requests to the new release
     bool is_at_peak = false; ///< the trial has reached its peak
     bool is_stopped = false; ///< the release turned bad after its completion and gets no more requests
+    std::vector<usual_time> times{}; ///< of the established release, over all hosts
 };
 LAUREL_VALUE_TYPE(rollout_gossip, service, release, age_ms, is_braked, trial_share, has_moved, is_at_peak,
-                  is_stopped)
+                  is_stopped, times)
 
 /** Settings for all roll-outs of a host. */
 struct rollout_settings {
     double exposure_share = 0.15; ///< share of a roll-out's requests that a bad release may get
     /// Bad answers hold back the cutover and its completion. \see mechanisms::suspects_releases
     bool suspects = true;
+    /// Completion waits for evidence for the release. \see mechanisms::requires_evidence
+    bool requires_evidence = true;
     /// Completion waits for evidence at the load to come. \see mechanisms::proves_load
     bool proves_load = true;
     /// A release that turns bad after its completion gets no more requests. \see
@@ -148,8 +153,7 @@
 /** The roll-outs of all services, as one host sees them. It does no I/O, and the time is an argument. */
 class rollout_tracker {
 public:
-    explicit rollout_tracker(const rollout_settings& settings = {})
-        : settings_{settings}, sessions_{settings.session_life} {}
+    explicit rollout_tracker(const rollout_settings& settings = {});
 
     /** Sets whether this host receives the counts of all hosts, and has done so for long enough that all have
      * arrived. Only such a host knows the total exposure, and only it may start the cutover. */
@@ -193,6 +197,10 @@
     /** Compares how fast a stream has proceeded with the established release. This is counted apart from its
      * outcome. \return whether it was slow */
     bool on_stream_paced(const release_route& key, const stream_pace& pace);
+    /** \return whether a stream of \p service is slow already, although it may not have ended. */
+    bool is_slow_pace(const std::string& service, const stream_pace& pace) const {
+        return paces_.is_slow(service, pace);
+    }
     /** Counts a good or a bad answer.
      * \param endpoint that gave it; empty: it does not show whether endpoints fail alike */
     void on_outcome(const release_route& key, bool is_good, const std::string& endpoint = {});
@@ -234,6 +242,7 @@
         answer_totals totals_at_cutover; ///< answers of the new release before the cutover
         double trial_share = 0;          ///< largest share of the requests during the trial, of all hosts
         std::optional<time_point> peak_since; ///< when the trial reached its peak; nothing before it
+        bool is_overloading = false;          ///< a single endpoint has the peak of the trial
         bool is_on_trial = false;             ///< set once the hosts have exchanged their recent sessions
         sent_totals sent_before;              ///< attempts that were sent until \ref counted_at
         time_point counted_at;                ///< start of the current rate window
@@ -253,15 +262,8 @@
         std::map<release_route, release_counts> by_route;
         time_point heard_at;
     };
-    /// Exponentially smoothed mean of durations, or of their ratios to the predicted durations.
-    struct running_mean {
-        double mean = 0;
-        std::int64_t count = 0;
-    };
-
     static bool is_open(const rollout_record& rollout);
     static bool is_watched(const rollout_record& rollout, time_point now);
-    static void update_mean(running_mean& average, double measured);
     /** Calls \p visit with each key of \p service that this host or another has counts for. */
     template <class Visit>
     void for_each_count(const std::string& service, const Visit& visit) const;
@@ -301,11 +303,16 @@
     /// Stops a release that is complete if it has turned bad.
     void watch_completed(rollout_record& rollout);
     bool is_suspicious(const rollout_record& rollout) const;
+    /** \return whether every test of the new release that matters speaks for it. */
+    bool is_shown_good(const rollout_record& rollout) const;
     void begin_peak(rollout_record& rollout, time_point now) const;
     void cut_over(rollout_record& rollout, time_point now) const;
     /** \return whether the new release has failed clearly more often since the cutover than the old one. */
     bool has_worsened(const rollout_record& rollout) const;
     void advance_phase(rollout_record& rollout, time_point now) const;
+    /// The peak shows what it can in its time. If there is no decision by then, the trial goes on at the same
+    /// share and the usual load of each endpoint: answers of an overloaded one do not show whether it is slow.
+    void update_overload(rollout_record& rollout, time_point now) const;
     void count_overdue(const rollout_record& rollout, time_point now);
     duration overdue_after(const release_route& key) const;
     std::optional<rollout_state> due_state(rollout_record& rollout, time_point now) const;
@@ -322,16 +329,18 @@
     std::map<std::string, host_counts> by_host_;
     std::map<std::string, std::map<std::string, int>> endpoints_;
     std::map<std::string, std::map<std::string, int>> fleet_endpoints_; ///< \ref set_fleet_counts
-    bool is_slow(const release_route& key, const response_timing& timing);
+    /// \return nothing if the usual time is not known.
+    std::optional<bool> is_slow(const release_route& key, const response_timing& timing);
+    /// Combines the usual times that all hosts have measured.
+    void combine_times();
+    void hear(const usual_time& time);
     bool is_new_release(const release_route& key) const;
 
     std::map<release_route, std::multiset<time_point>>
         attempts_in_flight_;                      ///< start times of attempts in flight
     std::map<release_route, std::int64_t> begun_; ///< attempts whose answers have begun and not ended
-    /// Durations of whole answers of old releases in ms, by service and route.
-    std::map<release_route, running_mean> mean_durations_;
-    /// Times to the first byte on old releases, in ms or as a ratio to the prediction, by service and route.
-    std::map<release_route, running_mean> mean_first_byte_;
+    usual_times durations_;   ///< of whole answers in ms, by route
+    usual_times first_bytes_; ///< times to the first byte in ms or as a ratio to the prediction, by route
 };
 
 } // namespace laurelhoist
--- a/src/rollout/release_rollout_evidence.cpp
+++ b/src/rollout/release_rollout_evidence.cpp
@@ -20,10 +20,14 @@
 constexpr double braked_drop = 0.25;
 constexpr double tolerated_late_share = 0.1; ///< the same for answers that begin late
 constexpr double braked_late_share = 0.4;
-constexpr std::int64_t min_samples_for_mean = 20;
-/// An answer is slow only if its time to the first byte, as a ratio to the predicted time if there is one,
-/// exceeds the mean of the old release by this factor.
-constexpr double slow_factor = 4.0;
+/// By how much a release has to be worse on a single route to be kept from its completion.
+constexpr double withheld_drop = 0.4;
+/// Routes and properties with a smaller part of the service's answers need no evidence of their own.
+constexpr double min_part_of_answers = 0.1;
+/// An answer is slow only if its time to the first byte exceeds the mean of the old release by this factor.
+constexpr double slow_factor = 2.5;
+/// The same for times as a ratio to the predicted one, which is wrong by a factor of two now and then.
+constexpr double slow_factor_of_prompts = 4.0;
 /// Time to the first byte beyond reading the prompt: network, one engine step and the usual queueing.
 constexpr double fixed_overhead_ms = 50.0;
 constexpr double min_slow_excess_ms = 150.0; ///< a slow answer exceeds the expected time by at least this
@@ -35,17 +39,33 @@
 constexpr duration min_overdue = milliseconds(8000);
 constexpr duration default_overdue = milliseconds(10'000); ///< used until the mean duration is known
 
+/// \return the share of bad answers to expect of a good release on a route. Few answers of the established
+/// release count in part: a route on which all 26 of them had failed must not count against the new one.
+double usual_bad_share(const answer_totals& established) {
+    constexpr double prior_answers = 10;
+    const auto bad = static_cast<double>(established.bad);
+    const double all = bad + static_cast<double>(established.good);
+    return (bad + prior_answers * (1 - default_good_share)) / (all + prior_answers);
+}
+
 /// \param established answers of the established release, which shift the baseline
-release_hypotheses hypotheses_of(const std::string& route, const answer_totals& established) {
-    version_counts baseline;
-    baseline.rated = established.good;
-    baseline.failed = established.bad;
+/// \param is_of_all_routes the answers are weighed together with those of the other routes
+release_hypotheses hypotheses_of(const std::string& route, const answer_totals& established,
+                                 bool is_of_all_routes = false) {
+    const double usual_quality = std::min(default_good_share, 1 - usual_bad_share(established));
     rollout_plan plan;
     const bool is_of_first_events = route == first_event_route;
     plan.tolerated_drop = is_of_first_events ? tolerated_late_share : tolerated_drop;
     plan.braked_drop = is_of_first_events ? braked_late_share : braked_drop;
-    const brake_hypotheses against = hypotheses_for(default_good_share, baseline, plan);
-    return {against, against};
+    release_hypotheses hypotheses;
+    hypotheses.against = hypotheses_for(usual_quality, {}, plan);
+    plan.braked_drop = is_of_all_routes ? braked_drop : withheld_drop;
+    hypotheses.in_favor = hypotheses_for(usual_quality, {}, plan);
+    return hypotheses;
+}
+
+std::int64_t count_of(const answer_totals& answers) {
+    return answers.good + answers.bad;
 }
 
 } // namespace
@@ -57,32 +77,34 @@
     }
     const rollout_record& rollout = rollouts_.at(key.service);
     const int endpoints = fleet_endpoints_of_other_releases(key.service, key.release);
-    return !rollout.is_at_peak() || rollout.trial_share * endpoints <= 1.0;
+    return !rollout.is_overloading || rollout.trial_share * endpoints <= 1.0;
 }
 
 // Compares the ratio of the measured to the expected time: a larger model or a longer prompt takes several
 // times as long on any release, which must not count against one of them. The mean is the old releases', and
 // answers of both old and new releases are compared with it.
-bool rollout_tracker::is_slow(const release_route& key, const response_timing& timing) {
+std::optional<bool> rollout_tracker::is_slow(const release_route& key, const response_timing& timing) {
     const double ms = to_ms(timing.first_byte);
     const bool has_expectation = timing.expected_ms > 0;
     const double measure = has_expectation ? ms / (timing.expected_ms + fixed_overhead_ms) : ms;
-    running_mean& average = mean_first_byte_[{key.service, "", key.route}];
-    const double expected = has_expectation ? timing.expected_ms : average.mean;
-    const bool is_much_slower = ms > expected + min_slow_excess_ms && measure > average.mean * slow_factor;
-    const bool has_enough_samples = average.count >= min_samples_for_mean;
+    const std::optional<double> usual = first_bytes_.find(key.service, key.route);
     if (!is_new_release(key)) {
-        update_mean(average, measure);
+        first_bytes_.observe(key.service, key.route, measure);
+    }
+    if (!usual) {
+        return std::nullopt;
     }
-    return has_enough_samples && is_much_slower;
+    const double expected = has_expectation ? timing.expected_ms : *usual;
+    const double factor = has_expectation ? slow_factor_of_prompts : slow_factor;
+    return ms > expected + min_slow_excess_ms && measure > *usual * factor;
 }
 
 duration rollout_tracker::overdue_after(const release_route& key) const {
-    const auto mean = mean_durations_.find({key.service, "", key.route});
-    if (mean == mean_durations_.end() || mean->second.count < min_samples_for_mean) {
+    const std::optional<double> usual_ms = durations_.find(key.service, key.route);
+    if (!usual_ms) {
         return default_overdue;
     }
-    const auto threshold = std::chrono::duration<double, std::milli>(mean->second.mean * overdue_factor);
+    const auto threshold = std::chrono::duration<double, std::milli>(*usual_ms * overdue_factor);
     return std::max(min_overdue, std::chrono::duration_cast<duration>(threshold));
 }
 
@@ -106,26 +128,27 @@
 // Slow answers are counted when they begin rather than when they end: streams of a release that was eight
 // times as slow ended 15 s after the request, after the cutover.
 bool rollout_tracker::on_first_byte_received(const release_route& key, const response_timing& timing) {
-    const bool is_late = is_slow(key, timing);
+    const std::optional<bool> is_late = is_slow(key, timing);
     ++begun_[key];
     update_running(key);
-    if (counts_slow_answers(key)) {
-        on_outcome({key.service, key.release, first_event_route}, !is_late);
+    if (is_late && counts_slow_answers(key)) {
+        const char* route = timing.expected_ms > 0 ? first_event_route : answer_time_route;
+        on_outcome({key.service, key.release, route}, !*is_late);
     }
-    return is_late;
+    return is_late.value_or(false);
 }
 
 // Streams of the established release are compared as well, so that the share of slow ones at the usual load
 // enters the baseline of the test.
 bool rollout_tracker::on_stream_paced(const release_route& key, const stream_pace& pace) {
-    const bool is_slow = paces_.is_slow(key.service, pace);
+    const std::optional<bool> is_slow = paces_.compare(key.service, pace);
     if (!is_new_release(key)) {
         paces_.observe(key.service, pace);
     }
-    if (counts_slow_answers(key)) {
-        on_outcome({key.service, key.release, pace_route}, !is_slow);
+    if (is_slow && counts_slow_answers(key)) {
+        on_outcome({key.service, key.release, pace_route}, !*is_slow);
     }
-    return is_slow;
+    return is_slow.value_or(false);
 }
 
 void rollout_tracker::on_outcome(const release_route& key, bool is_good, const std::string& endpoint) {
@@ -141,17 +164,25 @@
 }
 
 void rollout_tracker::update_evidence(rollout_record& rollout) {
-    // The answers of all routes together show a release that is bad on every one of them sooner.
-    std::set<std::string> routes{all_routes};
+    std::set<std::string> routes;
     for_each_count(rollout.order.service, [&](const release_route& key, const release_counts&) {
         if (key.release == rollout.order.release) {
             routes.insert(key.route);
         }
     });
+    // The answers of all routes together show a release that is bad on every one of them sooner. Each is
+    // weighed by what is usual on its own route: one whose requests fail on any release hides nothing.
+    evidence_change of_all;
     for (const std::string& route : routes) {
-        rollout.tests[route].include(total_of(rollout, route, true),
-                                     hypotheses_of(route, total_of(rollout, route, false)));
+        release_test& test = rollout.tests[route];
+        const answer_totals added = test.take_new(total_of(rollout, route, true));
+        const answer_totals established = total_of(rollout, route, false);
+        test.include(weigh(added, hypotheses_of(route, established)));
+        if (is_outcome({rollout.order.service, rollout.order.release, route})) {
+            of_all += weigh(added, hypotheses_of(route, established, true));
+        }
     }
+    rollout.tests[all_routes].include(of_all);
 }
 
 json rollout_tracker::describe_evidence(const rollout_record& rollout) const {
@@ -159,7 +190,6 @@
     for (const auto& [route, test] : rollout.tests) {
         const answer_totals on_new = total_of(rollout, route, true);
         const answer_totals established = total_of(rollout, route, false);
-        const auto mean = mean_first_byte_.find({rollout.order.service, "", route});
         described[route] = {
             {"good", on_new.good},
             {"bad", on_new.bad},
@@ -167,7 +197,8 @@
             {"old_bad", established.bad},
             {"against", test.evidence_against()},
             {"for", test.evidence_for()},
-            {"late_above", mean == mean_first_byte_.end() ? 0.0 : mean->second.mean * slow_factor}};
+            {"late_above",
+                             slow_factor * first_bytes_.find(rollout.order.service, route).value_or(0)}};
     }
     return described;
 }
@@ -232,6 +263,23 @@
                                              [](const auto& item) { return item.second.is_suspicious(); });
 }
 
+// A release that is tried on few answers, or on good and bad ones in turn, is neither bad nor good for the
+// tests. Without evidence for it, one was reported complete after 75 answers, a quarter of them late.
+bool rollout_tracker::is_shown_good(const rollout_record& rollout) const {
+    if (!settings_.requires_evidence) {
+        return true;
+    }
+    const auto answers_of = [&](const std::string& route) {
+        return count_of(total_of(rollout, route, true)) + count_of(total_of(rollout, route, false));
+    };
+    const auto least = min_part_of_answers * static_cast<double>(answers_of(all_routes));
+    return std::all_of(rollout.tests.begin(), rollout.tests.end(), [&](const auto& item) {
+        const auto& [route, test] = item;
+        const bool is_rare = route != all_routes && static_cast<double>(answers_of(route)) < least;
+        return is_rare || test.is_passed();
+    });
+}
+
 // Guards the report of completion against a release that fails only under full load, which it gets a second
 // before the time limit. In one such case a tenth of the answers had failed by then, spread over the routes
 // and mixed with earlier good answers: too few for the sequential test of any route. The cost is that the
--- a/src/rollout/release_rollout_phases.cpp
+++ b/src/rollout/release_rollout_phases.cpp
@@ -159,6 +159,11 @@
                                {"evidence", describe_evidence(rollout)}});
 }
 
+void rollout_tracker::update_overload(rollout_record& rollout, time_point now) const {
+    rollout.is_overloading =
+        rollout.is_at_peak() && now - *rollout.peak_since <= plan_of(rollout).max_peak_time;
+}
+
 void rollout_tracker::advance_phase(rollout_record& rollout, time_point now) const {
     const int new_endpoints = endpoints_of(rollout.order.service, rollout.order.release);
     const duration age = now - rollout.since;
@@ -226,7 +231,7 @@
         now - rollout.since > rollout.order.time_limit - report_margin - settings_.order_delay;
     const bool is_in_doubt = settings_.suspects && has_worsened(rollout);
     if (has_settled && is_near_time_limit && !is_suspicious(rollout) && !is_in_doubt &&
-        !is_unproven(rollout, now)) {
+        is_shown_good(rollout) && !is_unproven(rollout, now)) {
         return rollout_state::completed;
     }
     if (rollout.order.state == rollout_state::ordered) {
@@ -247,6 +252,9 @@
         if (!is_open(rollout)) {
             continue;
         }
+        if (has_all_counts_) {
+            combine_times();
+        }
         count_overdue(rollout, now);
         update_evidence(rollout);
         brake_on_evidence(rollout);
@@ -254,7 +262,8 @@
         if (!rollout.is_braked) {
             advance_phase(rollout, now);
         }
-        if (rollout.is_at_peak()) {
+        update_overload(rollout, now);
+        if (rollout.is_overloading) {
             rollout.proof.on_trial_peak(load_of(rollout, now));
         } else if (rollout.has_moved()) {
             rollout.proof.on_cut_over(load_of(rollout, now), now);
--- a/src/rollout/rollout_counts.h
+++ b/src/rollout/rollout_counts.h
@@ -12,13 +12,15 @@
 constexpr const char* all_routes = "";
 /// Stand for how fast streams proceed and for when answers begin, which are tested apart from outcomes. Many
 /// answers are too short for a pace and would hide the slow ones in a common test; and the few endpoints of a
-/// trial have not read the shared parts of prompts, so that a tenth of a good release's answers begins late.
+/// trial have not read the shared parts of prompts, so that a tenth of a good release's answers to prompts
+/// begins late. Answers without a prompt are tested more strictly.
 constexpr const char* pace_route = "(pace)";
 constexpr const char* first_event_route = "(first event)";
+constexpr const char* answer_time_route = "(answer time)";
 constexpr std::int64_t min_good_answers = 10; ///< good answers of the new release that the cutover requires
 
 inline bool is_outcome(const release_route& key) {
-    return key.route != pace_route && key.route != first_event_route;
+    return key.route != pace_route && key.route != first_event_route && key.route != answer_time_route;
 }
 
 } // namespace laurelhoist::internal
--- a/src/rollout/stream_pace.h
+++ b/src/rollout/stream_pace.h
@@ -8,10 +8,10 @@
 #pragma once
 
 #include "base/base.h"
+#include "rollout/usual_times.h"
 
-#include <map>
+#include <optional>
 #include <string>
-#include <utility>
 
 namespace laurelhoist {
 
@@ -30,17 +30,22 @@
     /** A stream is measured once, when it has made this many intervals or has ended. */
     static constexpr int measured_intervals = 16;
 
+    pace_baseline();
     /** Includes a stream of the established release in the mean. */
     void observe(const std::string& service, const stream_pace& pace);
-    /** \return whether \p pace is several times as slow as the mean; false until the mean is known. */
-    bool is_slow(const std::string& service, const stream_pace& pace) const;
+    /** \return whether \p pace is several times as slow as the mean; nothing while the mean is unknown or
+     * \p pace has too few intervals. */
+    std::optional<bool> compare(const std::string& service, const stream_pace& pace) const;
+    /** \return whether \p pace is known to be several times as slow as the mean. */
+    bool is_slow(const std::string& service, const stream_pace& pace) const {
+        return compare(service, pace).value_or(false);
+    }
+    /** Mean times for each event in ms, by model. */
+    usual_times& times() { return times_; }
+    const usual_times& times() const { return times_; }
 
 private:
-    struct running_mean {
-        double ms_per_event = 0;
-        int count = 0;
-    };
-    std::map<std::pair<std::string, std::string>, running_mean> means_; ///< by service and model
+    usual_times times_;
 };
 
 } // namespace laurelhoist
--- a/test/release_trial_test.cpp
+++ b/test/release_trial_test.cpp
@@ -29,6 +29,7 @@
     int fails_from = 1000;  ///< the new release fails half of the requests from this many at one endpoint on
     double pace_factor = 1; ///< time for each event, as a multiple of the old release's
     bool proves_load = true;
+    bool requires_evidence = true;
     duration turns_bad_after{}; ///< time after the report from which requests fail; zero: never
     double usual_failures = 0;  ///< part of the answers that fail on any release
     double bad_endpoints = 1;   ///< part of the endpoints that turn bad
@@ -51,6 +52,7 @@
         rollout_settings settings;
         settings.exposure_share = given.exposure_share;
         settings.proves_load = given.proves_load;
+        settings.requires_evidence = given.requires_evidence;
         for (int i = 0; i < hosts; ++i) {
             trackers_.emplace_back(settings);
             trackers_[i].set_endpoint_counts("pool", {{"v1", given.endpoints}, {"v2", given.endpoints}});
@@ -275,8 +277,11 @@
         given.service_time = seconds(5);
         given.requests_per_s = 4.0 * endpoints;
         given.fails_from = static_cast<int>(std::lround(mean_load(given)));
-        const release_result bad = release_simulation(given).run();
-        EXPECT_EQ(bad.state, rollout_state::rolled_back) << endpoints << " endpoints";
+        for (const bool requires_evidence : {true, false}) {
+            given.requires_evidence = requires_evidence;
+            const release_result bad = release_simulation(given).run();
+            EXPECT_EQ(bad.state, rollout_state::rolled_back) << endpoints << " endpoints";
+        }
         given.proves_load = false;
         EXPECT_EQ(release_simulation(given).run().state, rollout_state::completed)
             << endpoints << " endpoints: the case needs the evidence at the load to come";
