A release on trial stays within its share while no other release is listed

Operators saw a slow release get 186 of 396 requests of its roll-out, 89 allowed: endpoints were cut from the store, the entries of the established release lapsed, and the only endpoint left, of the new release, got every request. Now a host sends it at most the exposure share of what it sends, and refuses the rest at once (503, release_on_trial).

--- a/src/relay/exchange.cpp
+++ b/src/relay/exchange.cpp
@@ -220,9 +220,12 @@
     }
 }
 
+routed_request exchange::make_routed_request() const {
+    return {terms_.session, terms_.id, !tried_.empty()};
+}
+
 endpoint_criteria exchange::make_placement_criteria() const {
-    const release_choice release =
-        state_.releases.choose(service_, {terms_.session, terms_.id, !tried_.empty()}, monotonic_now());
+    const release_choice release = state_.releases.choose(service_, make_routed_request(), monotonic_now());
     endpoint_criteria criteria;
     criteria.pool = service_;
     criteria.avoided = tried_;
@@ -291,6 +294,11 @@
     if (forward_to_peer(now)) {
         return;
     }
+    if (state_.releases.choose(service_, make_routed_request(), now).is_refused) {
+        answer_failure(may_have_run_ ? status_bad_gateway : status_unavailable, "release_on_trial",
+                       "retry later: only the release on trial has endpoints", retry_after_unavailable);
+        return;
+    }
     if (!choose(now)) {
         if (!tried_.empty()) {
             tried_.clear(); // A failed endpoint is better than none.
--- a/src/relay/exchange.h
+++ b/src/relay/exchange.h
@@ -87,6 +87,7 @@
         std::vector<model_option> options;
         std::vector<placement> placements;
     };
+    routed_request make_routed_request() const;
     endpoint_criteria make_placement_criteria() const;
     static constexpr std::size_t no_size_limit = std::numeric_limits<std::size_t>::max();
     /** \return the placements of at most \p max_count of the route's models, from index \p min_size on. */
--- a/src/rollout/release_rollout.cpp
+++ b/src/rollout/release_rollout.cpp
@@ -43,6 +43,14 @@
     return count;
 }
 
+/// \return the choice that excludes \p release and is refused where there is no other.
+release_choice refuse_unless(bool has_other, const std::string& release) {
+    release_choice choice;
+    choice.excluded = release;
+    choice.is_refused = !has_other;
+    return choice;
+}
+
 } // namespace
 
 const char* to_string(rollout_state state) {
@@ -159,6 +167,26 @@
            !sessions_.is_recent(rollout.order.service, session, now);
 }
 
+// While the entries of the established endpoints are missing, a release on trial stays within its share of what
+// this host sends, so that the bound holds over all hosts without messages: one got 186 of 396 requests, where
+// 89 were allowed, because its only endpoint was the only one listed.
+bool rollout_tracker::may_serve_alone(const rollout_record& rollout, time_point now) const {
+    if (rollout.has_moved()) {
+        return true; // The cutover allowed for it.
+    }
+    if (now - rollout.since >= rollout.order.time_limit) {
+        return !is_suspicious(rollout);
+    }
+    std::int64_t all = 1;
+    std::int64_t to_new_release = 1;
+    for (const auto& [key, counts] : own_) {
+        const bool is_counted = key.service == rollout.order.service && counts.target == rollout.order.release;
+        all += is_counted ? counts.sent_in_rollout : 0;
+        to_new_release += is_counted && key.release == rollout.order.release ? counts.sent_in_rollout : 0;
+    }
+    return static_cast<double>(to_new_release) <= settings_.exposure_share * static_cast<double>(all);
+}
+
 release_choice rollout_tracker::choose(const std::string& service, const routed_request& request,
                                        time_point now) const {
     const auto found = rollouts_.find(service);
@@ -176,12 +204,12 @@
     if (rollout.order.state == rollout_state::completed) {
         return {has_new ? release : std::string{}, ""};
     }
+    const bool has_old = endpoints_of_other_releases(service, release) > 0;
     if (rollout.is_braked || rollout.order.state == rollout_state::rolled_back) {
-        return {"", release};
+        return refuse_unless(has_old, release);
     }
-    const bool has_old = endpoints_of_other_releases(service, release) > 0;
     if (!has_old) {
-        return {release, ""};
+        return may_serve_alone(rollout, now) ? release_choice{release, ""} : refuse_unless(has_old, release);
     }
     if (!has_new || !is_for_new_release(rollout, request, now)) {
         return {"", release};
--- a/src/rollout/release_rollout.h
+++ b/src/rollout/release_rollout.h
@@ -140,6 +140,7 @@
     std::string excluded;              ///< a release that is not allowed; empty: none
     double endpoint_share = 1.0;       ///< share of the endpoints of \ref required to choose from
     bool uses_single_endpoint = false; ///< one endpoint of \ref required in the whole fleet
+    bool is_refused = false;           ///< no release that is in use may serve it
 };
 
 /** A change of a roll-out's state to be written to the store for the operators. */
@@ -275,6 +276,8 @@
     /// \return whether slow answers of \p key are evidence against its release.
     bool counts_slow_answers(const release_route& key) const;
     bool is_in_trial_group(const std::string& service, const std::string& session) const;
+    /// \return whether the release may serve a request while no endpoint of another is known.
+    bool may_serve_alone(const rollout_record& rollout, time_point now) const;
     bool is_for_new_release(const rollout_record& rollout, const routed_request& request,
                             time_point now) const;
     /// \param peak_time time from now to the cutover, during which the trial is at its peak
