The share of a trial follows the answers that a decision takes

A service that is asked 40 times a second at four endpoints had a dozen trial answers until the peak, one that is asked rarely at many endpoints none: the share followed the load of an endpoint alone. It is raised until 40 answers are to be expected, within the exposure bound, of which half of the slack (--exposure_slack, from the operators' bounds) counts now.

--- a/src/host/peer_messages.cpp
+++ b/src/host/peer_messages.cpp
@@ -73,7 +73,8 @@
                                       {"mean", "X"},
                                       {"answers", "Y"},
                                       {"tallies", "aa"},
-                                      {"is_stopped", "ab"}};
+                                      {"is_stopped", "ab"},
+                                      {"evidence_share", "ac"}};
 
 using field_map = std::map<std::string, std::string>;
 
--- a/src/rollout/release_rollout.cpp
+++ b/src/rollout/release_rollout.cpp
@@ -68,7 +68,9 @@
 }
 
 rollout_tracker::rollout_tracker(const rollout_settings& settings)
-    : settings_{settings}, sessions_{settings.session_life}, durations_{min_answers_for_mean, outlier_factor},
+    : settings_{settings},
+      sessions_{settings.session_life},
+      durations_{min_answers_for_mean, outlier_factor},
       first_bytes_{min_answers_for_mean, outlier_factor} {}
 
 // A new order's age includes max_order_age, so that completion is reported within the time limit. A store
@@ -141,12 +143,13 @@
 }
 
 trial_plan rollout_tracker::plan_of(const rollout_record& rollout) const {
-    return plan_trial(rollout.trial_share, settings_.exposure_share, rollout.order.time_limit);
+    return plan_trial(rollout.trial_share, settings_.exposure_share, rollout.order.time_limit,
+                      rollout.evidence_share);
 }
 
 bool rollout_tracker::is_in_trial_group(const std::string& service, const std::string& session) const {
     const auto found = rollouts_.find(service);
-    const double share = found == rollouts_.end() ? max_trial_share : found->second.trial_share;
+    const double share = found == rollouts_.end() ? max_trial_share : plan_of(found->second).peak_share;
     return !session.empty() && hash_fraction(session) < share;
 }
 
@@ -167,12 +170,12 @@
            !sessions_.is_recent(rollout.order.service, session, now);
 }
 
-// While the entries of the established endpoints are missing, a release on trial stays within its share of what
-// this host sends, so that the bound holds over all hosts without messages: one got 186 of 396 requests, where
-// 89 were allowed, because its only endpoint was the only one listed.
+// While the entries of the established endpoints are missing, a release on trial stays within its share of
+// what this host sends, so that the bound holds over all hosts without messages: one got 186 of 396 requests,
+// where 89 were allowed, because its only endpoint was the only one listed.
 bool rollout_tracker::may_serve_alone(const rollout_record& rollout, time_point now) const {
-    if (rollout.has_moved()) {
-        return true; // The cutover allowed for it.
+    if (rollout.has_moved() || !rollout.has_seen_established) {
+        return true; // The cutover allowed for it, or there is nothing to fall back to.
     }
     if (now - rollout.since >= rollout.order.time_limit) {
         return !is_suspicious(rollout);
@@ -180,7 +183,8 @@
     std::int64_t all = 1;
     std::int64_t to_new_release = 1;
     for (const auto& [key, counts] : own_) {
-        const bool is_counted = key.service == rollout.order.service && counts.target == rollout.order.release;
+        const bool is_counted =
+            key.service == rollout.order.service && counts.target == rollout.order.release;
         all += is_counted ? counts.sent_in_rollout : 0;
         to_new_release += is_counted && key.release == rollout.order.release ? counts.sent_in_rollout : 0;
     }
@@ -218,7 +222,9 @@
         return {release, ""};
     }
     const trial_plan plan = plan_of(rollout);
-    return {release, "", rollout.is_at_peak() ? plan.peak_share : plan.base_share, rollout.is_overloading};
+    const std::string& subject = request.session.empty() ? request.id : request.session;
+    return {release, "", rollout.is_at_peak() ? plan.peak_share : plan.base_share,
+            rollout.is_overloading && hash_fraction(subject) < plan.overload_share};
 }
 
 void rollout_tracker::on_started(const release_route& key, const std::string& session, time_point now,
@@ -331,7 +337,8 @@
         for (const usual_time& each : times) {
             usual_time& sum = combined[{each.service, each.name}];
             const std::int64_t answers = sum.answers + each.answers;
-            const double weight = answers == 0 ? 0.0 : static_cast<double>(each.answers) / static_cast<double>(answers);
+            const double weight =
+                answers == 0 ? 0.0 : static_cast<double>(each.answers) / static_cast<double>(answers);
             sum = {each.service, each.name, sum.mean + weight * (each.mean - sum.mean), answers};
         }
     };
@@ -367,7 +374,8 @@
             append_paces(times, paces_.times().heard(service));
         }
         gossip.push_back({service, rollout.order.release, age, rollout.is_braked, rollout.trial_share,
-                          rollout.has_moved(), rollout.is_at_peak(), rollout.is_stopped, times});
+                          rollout.has_moved(), rollout.is_at_peak(), rollout.is_stopped, times,
+                          rollout.evidence_share});
     }
     return gossip;
 }
@@ -411,6 +419,7 @@
             found->second.since = since;
             found->second.trial_share = item.trial_share > 0 ? item.trial_share : found->second.trial_share;
         }
+        found->second.evidence_share = std::max(found->second.evidence_share, item.evidence_share);
         std::for_each(item.times.begin(), item.times.end(), [this](const usual_time& time) { hear(time); });
         found->second.is_braked = found->second.is_braked || item.is_braked;
         found->second.is_stopped = found->second.is_stopped || item.is_stopped;
--- a/src/rollout/release_rollout.h
+++ b/src/rollout/release_rollout.h
@@ -105,13 +105,15 @@
     bool is_at_peak = false; ///< the trial has reached its peak
     bool is_stopped = false; ///< the release turned bad after its completion and gets no more requests
     std::vector<usual_time> times{}; ///< of the established release, over all hosts
+    double evidence_share = 0;       ///< share of the requests that the trial needs to become evident
 };
 LAUREL_VALUE_TYPE(rollout_gossip, service, release, age_ms, is_braked, trial_share, has_moved, is_at_peak,
-                  is_stopped, times)
+                  is_stopped, times, evidence_share)
 
 /** Settings for all roll-outs of a host. */
 struct rollout_settings {
     double exposure_share = 0.15; ///< share of a roll-out's requests that a bad release may get
+    double exposure_slack = 0;    ///< requests that it may get beyond its share
     /// Bad answers hold back the cutover and its completion. \see mechanisms::suspects_releases
     bool suspects = true;
     /// Completion waits for evidence for the release. \see mechanisms::requires_evidence
@@ -240,8 +242,10 @@
         /// Time of the cutover, since which this host sends all requests to the new release. Nothing before
         /// it, and once the release has no endpoint left.
         std::optional<time_point> cut_over_at;
-        answer_totals totals_at_cutover; ///< answers of the new release before the cutover
-        double trial_share = 0;          ///< largest share of the requests during the trial, of all hosts
+        answer_totals totals_at_cutover;   ///< answers of the new release before the cutover
+        double trial_share = 0;            ///< largest share of the requests during the trial, of all hosts
+        double evidence_share = 0;         ///< \ref update_evidence_share, the largest of all hosts
+        bool has_seen_established = false; ///< whether another release has served since the order
         std::optional<time_point> peak_since; ///< when the trial reached its peak; nothing before it
         bool is_overloading = false;          ///< a single endpoint has the peak of the trial
         bool is_on_trial = false;             ///< set once the hosts have exchanged their recent sessions
@@ -282,6 +286,10 @@
                             time_point now) const;
     /// \param peak_time time from now to the cutover, during which the trial is at its peak
     bool fits_exposure_bound(const rollout_record& rollout, time_point now, duration peak_time) const;
+    /// Raises the trial's share so far that its answers suffice for a decision, within the exposure bound.
+    void update_evidence_share(rollout_record& rollout, time_point now) const;
+    /// \return the requests that the new release may get until the time limit.
+    double exposure_bound(double requests_per_ms, double time_ms) const;
     /// \return the time from the cutover to the time limit that suffices for the report of completion.
     duration time_after_cutover() const;
     bool may_begin_peak(const rollout_record& rollout, time_point now) const;
@@ -314,7 +322,8 @@
     bool has_worsened(const rollout_record& rollout) const;
     void advance_phase(rollout_record& rollout, time_point now) const;
     /// The peak shows what it can in its time. If there is no decision by then, the trial goes on at the same
-    /// share and the usual load of each endpoint: answers of an overloaded one do not show whether it is slow.
+    /// share and the usual load of each endpoint: answers of an overloaded one do not show whether it is
+    /// slow.
     void update_overload(rollout_record& rollout, time_point now) const;
     void count_overdue(const rollout_record& rollout, time_point now);
     duration overdue_after(const release_route& key) const;
@@ -342,7 +351,7 @@
     std::map<release_route, std::multiset<time_point>>
         attempts_in_flight_;                      ///< start times of attempts in flight
     std::map<release_route, std::int64_t> begun_; ///< attempts whose answers have begun and not ended
-    usual_times durations_;   ///< of whole answers in ms, by route
+    usual_times durations_;                       ///< of whole answers in ms, by route
     usual_times first_bytes_; ///< times to the first byte in ms or as a ratio to the prediction, by route
 };
 
--- a/src/rollout/release_rollout_evidence.cpp
+++ b/src/rollout/release_rollout_evidence.cpp
@@ -197,8 +197,7 @@
             {"old_bad", established.bad},
             {"against", test.evidence_against()},
             {"for", test.evidence_for()},
-            {"late_above",
-                             slow_factor * first_bytes_.find(rollout.order.service, route).value_or(0)}};
+            {"late_above", slow_factor * first_bytes_.find(rollout.order.service, route).value_or(0)}};
     }
     return described;
 }
--- a/src/rollout/release_rollout_phases.cpp
+++ b/src/rollout/release_rollout_phases.cpp
@@ -29,6 +29,8 @@
 /// continue on the new one.
 constexpr duration report_margin = milliseconds(500);
 constexpr duration decision_interval = milliseconds(250); ///< between calls of \c advance
+/// Answers of a trial with which nearly all bad releases are braked: a test takes 20 to 30.
+constexpr double wanted_trial_answers = 40;
 
 } // namespace
 
@@ -50,7 +52,38 @@
     const double exposed = static_cast<double>(sent.to_new_release) +
                            plan_of(rollout).peak_share * recent_per_ms * peak_ms +
                            rate_margin * highest_per_ms * (left_ms - peak_ms);
-    return exposed <= settings_.exposure_share * usual_per_ms * (age_ms + left_ms);
+    return exposed <= exposure_bound(usual_per_ms, age_ms + left_ms);
+}
+
+// Half of the slack is left for what the rates do not show.
+double rollout_tracker::exposure_bound(double requests_per_ms, double time_ms) const {
+    return settings_.exposure_share * requests_per_ms * time_ms + settings_.exposure_slack / 2;
+}
+
+// A service that is asked 40 times a second at four endpoints had 12 trial answers until the peak: whether a
+// release that was slow in every other answer was noticed was left to chance.
+void rollout_tracker::update_evidence_share(rollout_record& rollout, time_point now) const {
+    // Too low a rate, from the counts of some hosts only, would make the share too large.
+    const bool knows_all_counts = has_all_counts_ && now - rollout.seen_at > 2 * count_exchange_time;
+    if (!rollout.is_on_trial || !knows_all_counts || rollout.peak_since) {
+        return;
+    }
+    const trial_plan plan = plan_of(rollout);
+    const sent_totals sent = sent_in(rollout);
+    const double age_ms = std::max(1.0, to_ms(now - rollout.since));
+    const double limit_ms = to_ms(rollout.order.time_limit);
+    const double per_ms = std::max(static_cast<double>(sent.all) / age_ms, rollout.recent_per_ms);
+    const double trial_ms =
+        limit_ms - to_ms(session_exchange_time) - to_ms(plan.peak_time) - to_ms(time_after_cutover());
+    if (per_ms <= 0 || trial_ms <= 0) {
+        return;
+    }
+    const double at_peak = plan.overload_share * per_ms * to_ms(plan.peak_time);
+    const double after = rate_margin * per_ms * to_ms(time_after_cutover());
+    const double wanted = wanted_trial_answers - at_peak;
+    const double allowed = exposure_bound(per_ms, limit_ms) - after - at_peak;
+    const double share = std::min(wanted, allowed) / (per_ms * trial_ms);
+    rollout.evidence_share = std::max(rollout.evidence_share, std::min(share, max_trial_share));
 }
 
 // While most endpoints are silent, requests get one attempt only: no larger model has room, and there is
@@ -176,6 +209,7 @@
     // The time since this host saw the order counts as well: only then did it begin to send its sessions.
     rollout.is_on_trial =
         rollout.is_on_trial || (age > session_exchange_time && now - rollout.seen_at > session_exchange_time);
+    update_evidence_share(rollout, now);
     const bool is_second_half = age >= rollout.order.time_limit / 2;
     const bool knows_all_counts = has_all_counts_ && now - rollout.seen_at > count_exchange_time;
     if (rollout.has_moved() || !rollout.is_on_trial || !is_second_half || !knows_all_counts) {
@@ -255,6 +289,9 @@
         if (has_all_counts_) {
             combine_times();
         }
+        const sent_totals sent = sent_in(rollout);
+        rollout.has_seen_established = rollout.has_seen_established || sent.all > sent.to_new_release ||
+                                       endpoints_of_other_releases(service, rollout.order.release) > 0;
         count_overdue(rollout, now);
         update_evidence(rollout);
         brake_on_evidence(rollout);
--- a/src/rollout/usual_times.cpp
+++ b/src/rollout/usual_times.cpp
@@ -15,7 +15,8 @@
     time.service = service;
     time.name = name;
     ++time.answers;
-    const double usual = time.answers > min_answers_ ? std::min(measured, time.mean * outlier_factor_) : measured;
+    const double usual =
+        time.answers > min_answers_ ? std::min(measured, time.mean * outlier_factor_) : measured;
     const double weight = std::max(smoothing, 1.0 / static_cast<double>(time.answers));
     time.mean += weight * (usual - time.mean);
 }
--- a/src/rollout/usual_times.h
+++ b/src/rollout/usual_times.h
@@ -2,8 +2,8 @@
  * Defines the usual times of a service's answers, with which those of a new release are compared.
  *
  * A host of a large fleet sees few answers of a rarely asked service, and one that has just started none. The
- * hosts that receive the counts of all therefore combine what each has measured, and every host uses the value
- * that is based on the most answers.
+ * hosts that receive the counts of all therefore combine what each has measured, and every host uses the
+ * value that is based on the most answers.
  */
 #pragma once
 
