A completed release that fails in waves gets no more requests; endpoints of failures are counted apart

The watch after completion has a second, slower sum over all answers, with the usual share of the routes on which they were given; it asks for three seconds, most endpoints and hosts, and the usual load.

Found by reading: the endpoints of late answers were mixed with those of failures in the stop for failures. No test showed it. While the report waits for evidence, a line says so.

--- a/src/rollout/release_rollout.h
+++ b/src/rollout/release_rollout.h
@@ -21,11 +21,11 @@
 #pragma once
 
 #include "rollout/brake.h"
+#include "rollout/completion_watch.h"
 #include "rollout/load_proof.h"
 #include "rollout/release_stop.h"
 #include "rollout/release_test.h"
 #include "rollout/session_memory.h"
-#include "rollout/slowness_watch.h"
 #include "rollout/stream_pace.h"
 #include "rollout/trial_plan.h"
 #include "rollout/usual_times.h"
@@ -256,7 +256,8 @@
         double recent_per_ms = 0;             ///< rate of attempts at the service over the last rate window
         double recent_first_per_ms = 0;       ///< the same of first attempts only
         load_proof proof;
-        slowness_watch slowness;
+        completion_watch watch;
+        bool lacks_evidence = false;            ///< completion waits for evidence for the release
         bool is_held = false;                   ///< completion waits for \ref proof
         std::optional<time_point> completed_at; ///< when this host first saw that it is complete
         bool is_stopped = false;                ///< \ref must_stop
@@ -305,6 +306,8 @@
     rollout_load load_of(const rollout_record& rollout, time_point now) const;
     /// \return whether completion has to wait until the new release has carried the load to come.
     bool is_unproven(rollout_record& rollout, time_point now) const;
+    /// \return whether completion has to wait for evidence for the new release.
+    bool lacks_evidence(rollout_record& rollout, time_point now) const;
     void update_running(const release_route& key);
     /** Merges the counts \p seen of another host into \p held. Messages may overtake one another. */
     void merge_counts(release_counts& held, const release_counts& seen) const;
@@ -316,9 +319,10 @@
     failure_spread spread_of(const rollout_record& rollout, const std::string& route) const;
     /// Stops a release that is complete if it has turned bad.
     void watch_completed(rollout_record& rollout, time_point now);
-    /// Stops it if it is slow. \see slowness_watch
-    void watch_slowness(rollout_record& rollout, time_point now);
-    slowness_spread slowness_of(const rollout_record& rollout, const std::string& route) const;
+    /// Stops it if it has been bad for some seconds. \see completion_watch
+    void watch_for_long(rollout_record& rollout, time_point now);
+    watched_spread watched_spread_of(const rollout_record& rollout, const std::string& route) const;
+    double usual_share_of(const rollout_record& rollout, const std::string& route) const;
     /// \return the first attempts a second for each of \p endpoints in the last rate window.
     static double load_of_each(const rollout_record& rollout, int endpoints);
     bool is_suspicious(const rollout_record& rollout) const;
--- a/src/rollout/release_rollout_evidence.cpp
+++ b/src/rollout/release_rollout_evidence.cpp
@@ -28,13 +28,14 @@
 constexpr double slow_factor = 2.5;
 /// The same for times as a ratio to the predicted one, which is wrong by a factor of two now and then.
 constexpr double slow_factor_of_prompts = 4.0;
-/// What is watched after the completion, and how much more of it may be late. Streams slow down while all
-/// prompts are read anew after a cutover.
-struct watched_time {
+/// What is watched for long after the completion, and how much more of it may be bad. Streams slow down while
+/// all prompts are read anew after a cutover.
+struct watched_answers {
     const char* route;
-    double tolerated_rise;
+    watched_rises rises;
 };
-constexpr watched_time watched_times[] = {{answer_time_route, 0.15}, {pace_route, 0.25}};
+constexpr watched_answers watched_routes[] = {
+    {answer_time_route, {0.15, 0.4}}, {pace_route, {0.25, 0.5}}, {all_routes, {0.04, 0.15}}};
 /// Time to the first byte beyond reading the prompt: network, one engine step and the usual queueing.
 constexpr double fixed_overhead_ms = 50.0;
 constexpr double min_slow_excess_ms = 150.0; ///< a slow answer exceeds the expected time by at least this
@@ -230,7 +231,7 @@
 failure_spread rollout_tracker::spread_of(const rollout_record& rollout, const std::string& route) const {
     failure_spread united;
     for_each_count(rollout.order.service, [&](const release_route& key, const release_counts& counts) {
-        const bool is_included = route == all_routes || key.route == route;
+        const bool is_included = route == all_routes ? is_outcome(key) : key.route == route;
         if (is_included && key.release == rollout.order.release) {
             united.add(counts.tallies);
         }
@@ -238,20 +239,23 @@
     return united;
 }
 
-slowness_spread rollout_tracker::slowness_of(const rollout_record& rollout, const std::string& route) const {
-    const release_route key{rollout.order.service, rollout.order.release, route};
-    slowness_spread spread;
+watched_spread rollout_tracker::watched_spread_of(const rollout_record& rollout,
+                                                  const std::string& route) const {
+    watched_spread spread;
     const auto add = [&](const std::string& host, const std::map<release_route, release_counts>& uses) {
-        const auto found = uses.find(key);
-        if (found == uses.end()) {
-            return;
-        }
         endpoint_tally of_host{static_cast<std::uint32_t>(placement_hash(host)), 0, 0};
-        for (const endpoint_tally& each : found->second.tallies) {
-            of_host.good += each.good;
-            of_host.bad += each.bad;
+        for (const auto& [key, counts] : uses) {
+            const bool is_included = route == all_routes ? is_outcome(key) : key.route == route;
+            if (!is_included || key.service != rollout.order.service ||
+                key.release != rollout.order.release) {
+                continue;
+            }
+            for (const endpoint_tally& each : counts.tallies) {
+                of_host.good += each.good;
+                of_host.bad += each.bad;
+            }
+            spread.by_endpoint.add(counts.tallies);
         }
-        spread.by_endpoint.add(found->second.tallies);
         spread.by_host.add({of_host});
     };
     add("", own_);
@@ -261,25 +265,44 @@
     return spread;
 }
 
+// The share of bad answers of the established release if it were asked on the routes on which the new one is.
+double rollout_tracker::usual_share_of(const rollout_record& rollout, const std::string& route) const {
+    if (route != all_routes) {
+        return usual_bad_share(total_of(rollout, route, false));
+    }
+    double expected = 0;
+    double answers = 0;
+    for (const auto& [each, test] : rollout.tests) {
+        if (each != all_routes && is_outcome({rollout.order.service, rollout.order.release, each})) {
+            const auto count = static_cast<double>(count_of(total_of(rollout, each, true)));
+            expected += count * usual_bad_share(total_of(rollout, each, false));
+            answers += count;
+        }
+    }
+    return answers == 0 ? 0.0 : expected / answers;
+}
+
 double rollout_tracker::load_of_each(const rollout_record& rollout, int endpoints) {
     constexpr double ms_per_s = 1000;
     return rollout.recent_first_per_ms * ms_per_s / std::max(1, endpoints);
 }
 
 // A release that was slow from the start was reported complete by chance, and served late for the rest of the
-// day: failures alone were counted after the report. Prompts are left out: all are read anew then.
-void rollout_tracker::watch_slowness(rollout_record& rollout, time_point now) {
+// day: failures alone were counted after the report. Prompts are left out: all are read anew then. One that
+// failed a fifth of its answers, in waves, looked good again between them.
+void rollout_tracker::watch_for_long(rollout_record& rollout, time_point now) {
     measure_rate(rollout, now);
     const std::string& service = rollout.order.service;
-    rollout.slowness.on_load(load_of_each(rollout, endpoints_of(service, rollout.order.release)));
-    for (const auto& [route, tolerated_rise] : watched_times) {
-        rollout.slowness.include(route, total_of(rollout, route, true),
-                                 usual_bad_share(total_of(rollout, route, false)), tolerated_rise);
+    rollout.watch.on_load(load_of_each(rollout, endpoints_of(service, rollout.order.release)));
+    for (const watched_answers& each : watched_routes) {
+        const std::string route = each.route;
+        rollout.watch.include(route, total_of(rollout, route, true), usual_share_of(rollout, route),
+                              each.rises);
         const auto own = own_.find({service, rollout.order.release, route});
-        if (rollout.slowness.is_clear(route) && own != own_.end()) {
+        if (rollout.watch.is_clear(route) && own != own_.end()) {
             own->second.tallies.clear();
         }
-        const bool must_stop = rollout.slowness.must_stop(route, slowness_of(rollout, route), now);
+        const bool must_stop = rollout.watch.must_stop(route, watched_spread_of(rollout, route), now);
         if (has_all_counts_ && !rollout.is_stopped && must_stop) {
             rollout.is_stopped = true;
             log_error("release_stopped",
@@ -294,7 +317,7 @@
 
 void rollout_tracker::watch_completed(rollout_record& rollout, time_point now) {
     update_evidence(rollout);
-    watch_slowness(rollout, now);
+    watch_for_long(rollout, now);
     for (const auto& [route, test] : rollout.tests) {
         const release_route key{rollout.order.service, rollout.order.release, route};
         if (!is_outcome(key)) {
@@ -302,7 +325,7 @@
         }
         const release_failures failures{test.evidence_against(), test.recent_bad(),
                                         spread_of(rollout, route)};
-        if (failures.evidence == 0 && own_.count(key) > 0) {
+        if (failures.evidence == 0 && rollout.watch.is_clear(all_routes) && own_.count(key) > 0) {
             own_[key].tallies.clear();
         }
         if (has_all_counts_ && !rollout.is_stopped && must_stop(failures)) {
--- a/src/rollout/release_rollout_phases.cpp
+++ b/src/rollout/release_rollout_phases.cpp
@@ -150,6 +150,19 @@
     return is_held;
 }
 
+bool rollout_tracker::lacks_evidence(rollout_record& rollout, time_point now) const {
+    const bool is_waiting = !is_shown_good(rollout);
+    if (is_waiting != rollout.lacks_evidence) {
+        rollout.lacks_evidence = is_waiting;
+        log_info(is_waiting ? "rollout_report_held" : "rollout_report_released",
+                 {{"service", rollout.order.service},
+                  {"release", rollout.order.release},
+                  {"age_ms", to_ms(now - rollout.since)},
+                  {"evidence", describe_evidence(rollout)}});
+    }
+    return is_waiting;
+}
+
 std::int64_t rollout_tracker::requests_sent(const std::string& service) const {
     const auto found = rollouts_.find(service);
     return found == rollouts_.end() ? 0 : sent_in(found->second).all;
@@ -265,7 +278,7 @@
         now - rollout.since > rollout.order.time_limit - report_margin - settings_.order_delay;
     const bool is_in_doubt = settings_.suspects && has_worsened(rollout);
     if (has_settled && is_near_time_limit && !is_suspicious(rollout) && !is_in_doubt &&
-        is_shown_good(rollout) && !is_unproven(rollout, now)) {
+        !lacks_evidence(rollout, now) && !is_unproven(rollout, now)) {
         return rollout_state::completed;
     }
     if (rollout.order.state == rollout_state::ordered) {
@@ -298,7 +311,7 @@
         measure_rate(rollout, now);
         if (!rollout.has_moved()) {
             const int endpoints = endpoints_of_other_releases(service, rollout.order.release);
-            rollout.slowness.on_established_load(load_of_each(rollout, endpoints));
+            rollout.watch.on_established_load(load_of_each(rollout, endpoints));
         }
         if (!rollout.is_braked) {
             advance_phase(rollout, now);
