--- a/src/rollout/release_rollout_phases.cpp
+++ b/src/rollout/release_rollout_phases.cpp
@@ -29,8 +29,8 @@
 /// continue on the new one.
 constexpr duration report_margin = milliseconds(500);
 constexpr duration decision_interval = milliseconds(250); ///< between calls of \c advance
-/// Answers of a trial: a decision takes 20 to 30, on each of several routes.
-constexpr double wanted_trial_answers = 60;
+/// Answers of a trial with which nearly all bad releases are braked: a test takes 20 to 30.
+constexpr double wanted_trial_answers = 40;
 
 } // namespace
 
