Usual times do not make decisions new: no broadcast for each answer on large fleets

Found by reading: hosts that decide broadcast their decisions when they change, and the usual times among them change with every answer, so that a large fleet would hear four broadcasts a second for as long as a roll-out is open. Not measured.

--- a/src/host/entry_host_rollouts.cpp
+++ b/src/host/entry_host_rollouts.cpp
@@ -3,6 +3,7 @@
 #include "host/entry_host.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace laurelhoist {
 
@@ -28,6 +29,8 @@
 /// many again for a lost message.
 constexpr duration count_collection_time = milliseconds(1700);
 
+constexpr double shares_to_announce = 50; ///< a trial's share is announced when it has risen by a fiftieth
+
 /// Time within which all objects have been listed again after the store has dropped its history.
 constexpr duration relisting_time = milliseconds(1000);
 
@@ -104,6 +107,9 @@
     std::vector<rollout_gossip> decisions = rollouts_.own_gossip(now);
     for (rollout_gossip& decision : decisions) {
         decision.age_ms = 0;
+        // These change with every answer and spread by gossip.
+        decision.times.clear();
+        decision.evidence_share = std::round(decision.evidence_share * shares_to_announce);
     }
     const bool is_new = decisions != last_sent_decisions_;
     last_sent_decisions_ = std::move(decisions);
--- a/src/rollout/release_rollout.cpp
+++ b/src/rollout/release_rollout.cpp
@@ -320,8 +320,7 @@
     for (const auto& [service, rollout] : rollouts_) {
         release_counts timed;
         timed.service = service;
-        timed.times = first_bytes_.own(service);
-        append_paces(timed.times, paces_.times().own(service));
+        timed.times = own_times(service);
         if (is_open(rollout) && !timed.times.empty()) {
             counts.push_back(timed);
         }
@@ -329,6 +328,12 @@
     return counts;
 }
 
+std::vector<usual_time> rollout_tracker::own_times(const std::string& service) const {
+    std::vector<usual_time> times = first_bytes_.own(service);
+    append_paces(times, paces_.times().own(service));
+    return times;
+}
+
 // All hosts use the same usual times: one that has just started, or that is seldom asked for the service, has
 // none of its own, and without them it finds no answer late.
 void rollout_tracker::combine_times() {
@@ -342,8 +347,8 @@
             sum = {each.service, each.name, sum.mean + weight * (each.mean - sum.mean), answers};
         }
     };
-    for (const release_counts& own : own_counts()) {
-        add(own.times);
+    for (const auto& [service, rollout] : rollouts_) {
+        add(own_times(service));
     }
     for (const auto& [host, counted] : by_host_) {
         for (const auto& [key, counts] : counted.by_route) {
--- a/src/rollout/release_rollout.h
+++ b/src/rollout/release_rollout.h
@@ -358,6 +358,7 @@
     /// Combines the usual times that all hosts have measured.
     void combine_times();
     void hear(const usual_time& time);
+    std::vector<usual_time> own_times(const std::string& service) const;
     bool is_new_release(const release_route& key) const;
 
     std::map<release_route, std::multiset<time_point>>
