--- a/test/forwarding_test.cpp
+++ b/test/forwarding_test.cpp
@@ -61,6 +61,16 @@
         });
     }
 
+    template <class Call>
+    void run_on_peer_thread(const Call& call) {
+        std::promise<void> done;
+        peer_loop_.post([&] {
+            call();
+            done.set_value();
+        });
+        done.get_future().wait();
+    }
+
     static std::uint16_t port_of(const scripted_endpoint& endpoint) {
         const std::string address = endpoint.address();
         return static_cast<std::uint16_t>(std::stoi(address.substr(address.rfind(':') + 1)));
@@ -104,6 +114,38 @@
     EXPECT_EQ(sound.requests().size(), 1U);
 }
 
+// Guards against answers about a release that no host counts, or two: the host that sends to the endpoint
+// counts.
+TEST_F(forwarding_fixture, a_forwarded_attempt_is_counted_once) {
+    scripted_endpoint sound({{answer_of("1", "served")}});
+    start(route(route_kind::non_idempotent, 1), {sound.address()});
+    lose_service();
+    rollout_order order;
+    order.service = "claims";
+    order.release = "v2";
+    order.time_limit = seconds(24);
+    const auto begin = [&](rollout_tracker& tracker) {
+        tracker.set_endpoint_counts("claims", {{"", 1}});
+        tracker.set_orders({order}, monotonic_now());
+    };
+    run_on_relay_thread([&] { begin(releases_); });
+    run_on_peer_thread([&] { begin(peer_releases_); });
+    EXPECT_TRUE(contains(send_request("1"), " 200 "));
+    std::int64_t by_first = 0;
+    std::int64_t by_peer = 0;
+    const auto count = [](const rollout_tracker& tracker) {
+        std::int64_t sum = 0;
+        for (const release_counts& each : tracker.own_counts()) {
+            sum += each.good + each.bad + each.sent_in_rollout;
+        }
+        return sum;
+    };
+    run_on_relay_thread([&] { by_first = count(releases_); });
+    run_on_peer_thread([&] { by_peer = count(peer_releases_); });
+    EXPECT_EQ(by_first, 0);
+    EXPECT_EQ(by_peer, 2) << "one attempt, and one good answer";
+}
+
 // Guards against callers that wait where nobody reaches the service: they are refused at once.
 TEST_F(forwarding_fixture, a_service_that_nobody_reaches_is_refused_at_once) {
     start(route(route_kind::idempotent, 3), {});
