A probe that is a long stream does not hold its endpoint for as long as it lasts

Class: a decision that waits for the end of a stream, which may be many times the usual answer away.

Mend: a probe whose stream has gone on for as long as the mean answer of the service ends the probing. Ejections and reinstatements are logged now; they had to be read from attempt_ended before.

--- a/src/placement/endpoint_directory.h
+++ b/src/placement/endpoint_directory.h
@@ -111,6 +111,10 @@
                  time_point now);
     /** Moves the request from waiting to running once the first byte of its answer has arrived. */
     void on_first_byte(const placement& chosen);
+    /** Records that an event of a streamed answer has arrived. \param took time since the request was sent */
+    void on_event(const placement& chosen, duration took) {
+        table_.on_call_progress(chosen.endpoint.name, took);
+    }
     /** Removes the load of an attempt that has ended.
      * \param had_first_byte whether \ref on_first_byte was called for it */
     void on_ended(const placement& chosen, bool had_first_byte, call_result result, duration took,
--- a/src/relay/exchange_answers.cpp
+++ b/src/relay/exchange_answers.cpp
@@ -235,6 +235,9 @@
         longest_gap_ms_ = std::max(longest_gap_ms_, static_cast<int>(to_ms(now - last_event_at_)));
     }
     last_event_at_ = now;
+    if (!attempt_.is_forwarded()) {
+        state_.endpoints.on_event(attempt_.chosen, now - attempt_.sent_at);
+    }
     record_pace(pace_baseline::measured_intervals);
 }
 
--- a/src/routing/endpoint_table.cpp
+++ b/src/routing/endpoint_table.cpp
@@ -1,5 +1,7 @@
 #include "routing/endpoint_table.h"
 
+#include "base/log.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -326,6 +328,19 @@
     const duration ejection_time = first_ejection * (1 << std::max(0, doublings));
     endpoint.ejected_until = now + std::min(ejection_time, max_ejection);
     apply_event(endpoint, "failed");
+    log_info("endpoint_ejected", {{"endpoint", endpoint.record.name},
+                                  {"service", endpoint.record.pool},
+                                  {"failures", endpoint.failures},
+                                  {"for_ms", to_ms(endpoint.ejected_until - now)}});
+}
+
+void endpoint_table::reinstate(endpoint_state& endpoint) {
+    endpoint.failures = 0;
+    if (endpoint.state == "probing") {
+        apply_event(endpoint, "answered");
+        log_info("endpoint_reinstated",
+                 {{"endpoint", endpoint.record.name}, {"service", endpoint.record.pool}});
+    }
 }
 
 double endpoint_table::lowest_average_latency_ms(const std::string& pool) const {
@@ -349,6 +364,17 @@
     }
 }
 
+void endpoint_table::on_call_progress(const std::string& name, duration took) {
+    const auto found = endpoints_.find(name);
+    if (found == endpoints_.end() || found->second.state != "probing") {
+        return;
+    }
+    const double usual_ms = average_latency_ms(found->second.record.pool);
+    if (usual_ms > 0 && to_ms(took) >= usual_ms) {
+        reinstate(found->second);
+    }
+}
+
 void endpoint_table::on_call_ended(const std::string& name, call_result result, duration took,
                                    time_point now) {
     const auto found = endpoints_.find(name);
@@ -360,13 +386,12 @@
     if (result == call_result::leaving) {
         mark_leaving(name, now);
     } else if (result == call_result::answered) {
-        endpoint.failures = 0;
+        reinstate(endpoint);
         const double ms = to_ms(took);
         endpoint.average_latency_ms = endpoint.average_latency_ms == 0
                                           ? ms
                                           : endpoint.average_latency_ms * (1 - smoothing) + ms * smoothing;
         adapt_limit(endpoint);
-        apply_event(endpoint, "answered");
     } else if (result != call_result::cancelled) {
         endpoint.limit = std::max(1.0, endpoint.limit * limit_decrease_factor);
         // What was under way at the ejection shows the same fault, and must not double its time once for
--- a/src/routing/endpoint_table.h
+++ b/src/routing/endpoint_table.h
@@ -79,6 +79,10 @@
                      const endpoint_filter& may_be_used = nullptr) const;
 
     void on_call_started(const std::string& name, const endpoint_criteria& criteria, time_point now);
+    /** Records that a part of a streamed answer has arrived. A probe whose stream has gone on for as long as
+     * answers usually take ends the probing: streams may last many times that.
+     * \param took time since the call started */
+    void on_call_progress(const std::string& name, duration took);
     void on_call_ended(const std::string& name, call_result result, duration took, time_point now);
     /** Ends the ejections in \p pool, whose endpoints failed because this host had lost its links. Each gets
      * a single request first. */
@@ -134,6 +138,7 @@
                                                const endpoint_criteria& criteria, time_point now);
     void record_failure(endpoint_state& endpoint, call_result result, duration took, time_point now);
     void eject(endpoint_state& endpoint, time_point now);
+    void reinstate(endpoint_state& endpoint);
     void adapt_limit(endpoint_state& endpoint);
     limit_range limits_of(const std::string& pool) const;
     double lowest_average_latency_ms(const std::string& pool) const;
--- a/test/routing_test.cpp
+++ b/test/routing_test.cpp
@@ -202,6 +202,24 @@
     EXPECT_EQ(choose(table, begin + seconds(6)), "") << "a failed probe doubles the time";
 }
 
+// A probe that was a long stream kept its endpoint from other requests for as long as the stream lasted.
+TEST(endpoint_table, a_probe_that_streams_on_reinstates_its_endpoint) {
+    endpoint_table table = make_table();
+    table.update({three_endpoints()[0]}, begin);
+    table.on_call_started("a", {"pool", "m@1", "", {}}, begin);
+    table.on_call_ended("a", call_result::answered, milliseconds(200), begin);
+    for (int i = 0; i < 3; ++i) {
+        table.on_call_started("a", {"pool", "m@1", "", {}}, begin);
+        table.on_call_ended("a", call_result::failed, milliseconds(5), begin);
+    }
+    EXPECT_EQ(choose(table, begin + seconds(3)), "a");
+    table.on_call_started("a", {"pool", "m@1", "", {}}, begin + seconds(3));
+    table.on_call_progress("a", milliseconds(150));
+    EXPECT_EQ(choose(table, begin + seconds(3)), "") << "streams break early";
+    table.on_call_progress("a", milliseconds(200));
+    EXPECT_EQ(choose(table, begin + seconds(3)), "a");
+}
+
 // Guards against ejecting a sound endpoint that is silent for about a second.
 TEST(endpoint_table, a_pause_of_a_second_ejects_nothing) {
     endpoint_table table = make_table(endpoint_policy::least_in_flight);
