Outliers among the first answers do not make the usual time

A cut makes a tenth of the established release's connections take a second. While a host had fewer than 20 answers, and for hosts with a single one, such answers entered the mean whole: of 29 hosts asked twice a second the usual 15 ms became over 60, and a release eight times as slow was in time.

The mean so far bounds a new answer from the second one on, the smallest answer bounds the mean until there are 20, and the mean of a host is bounded by the median of all.

--- a/src/rollout/release_rollout.cpp
+++ b/src/rollout/release_rollout.cpp
@@ -18,6 +18,10 @@
 /// Names the times for each event of a model among those of routes.
 const std::string pace_prefix = "(pace)";
 
+bool is_pace(const std::string& name) {
+    return name.compare(0, pace_prefix.size(), pace_prefix) == 0;
+}
+
 void append_paces(std::vector<usual_time>& times, const std::vector<usual_time>& paces) {
     for (usual_time each : paces) {
         each.name = pace_prefix + each.name;
@@ -337,14 +341,10 @@
 // All hosts use the same usual times: one that has just started, or that is seldom asked for the service, has
 // none of its own, and without them it finds no answer late.
 void rollout_tracker::combine_times() {
-    std::map<std::pair<std::string, std::string>, usual_time> combined;
+    std::map<std::pair<std::string, std::string>, std::vector<usual_time>> measured;
     const auto add = [&](const std::vector<usual_time>& times) {
         for (const usual_time& each : times) {
-            usual_time& sum = combined[{each.service, each.name}];
-            const std::int64_t answers = sum.answers + each.answers;
-            const double weight =
-                answers == 0 ? 0.0 : static_cast<double>(each.answers) / static_cast<double>(answers);
-            sum = {each.service, each.name, sum.mean + weight * (each.mean - sum.mean), answers};
+            measured[{each.service, each.name}].push_back(each);
         }
     };
     for (const auto& [service, rollout] : rollouts_) {
@@ -355,14 +355,13 @@
             add(counts.times);
         }
     }
-    for (const auto& [key, time] : combined) {
-        hear(time);
+    for (const auto& [key, of_hosts] : measured) {
+        hear((is_pace(key.second) ? paces_.times() : first_bytes_).combine(of_hosts));
     }
 }
 
 void rollout_tracker::hear(const usual_time& time) {
-    const bool is_pace = time.name.compare(0, pace_prefix.size(), pace_prefix) == 0;
-    if (is_pace) {
+    if (is_pace(time.name)) {
         paces_.times().hear({time.service, time.name.substr(pace_prefix.size()), time.mean, time.answers});
     } else {
         first_bytes_.hear(time);
--- a/src/rollout/usual_times.h
+++ b/src/rollout/usual_times.h
@@ -32,12 +32,16 @@
 public:
     /** \param min_answers fewer do not make a mean
      * \param outlier_factor a longer time, relative to the mean, counts as this multiple of it: a connection
-     *        over a link that loses packets takes twenty times as long, and would hide slow answers */
+     *        over a link that loses packets takes twenty times as long, and would hide slow answers. Until
+     *        there are \p min_answers the smallest one bounds the mean in the same way */
     usual_times(std::int64_t min_answers, double outlier_factor)
         : min_answers_{min_answers}, outlier_factor_{outlier_factor} {}
 
     /** Includes an answer of the established release. */
     void observe(const std::string& service, const std::string& name, double measured);
+    /** \return the mean over the answers that \p of_hosts have measured of one thing. The few answers of a
+     * host may all be outliers. */
+    usual_time combine(const std::vector<usual_time>& of_hosts) const;
     /** Takes a mean over the answers of several hosts. */
     void hear(const usual_time& combined);
     /** \return the mean over the most answers; nothing if there are too few. */
--- a/test/stream_pace_test.cpp
+++ b/test/stream_pace_test.cpp
@@ -76,5 +76,29 @@
     EXPECT_EQ(reports.front().state, rollout_state::rolled_back);
 }
 
+// A connection over a link that loses packets takes a second. If the first answer of a service was one, an
+// answer that took eight times as long as usual was in time.
+TEST(usual_times, the_first_answers_may_be_outliers) {
+    for (const int outlier : {0, 5, 19}) {
+        usual_times times(20, 4.0);
+        for (int i = 0; i < 20; ++i) {
+            times.observe("pool", "a", i == outlier ? 1000 : 15);
+        }
+        EXPECT_LT(*times.find("pool", "a"), 30);
+    }
+}
+
+// Hosts that have a single answer each cannot tell which is an outlier.
+TEST(usual_times, a_host_whose_answers_are_outliers_does_not_move_the_mean_of_all) {
+    const usual_times times(20, 4.0);
+    std::vector<usual_time> of_hosts(30, {"pool", "a", 15, 1});
+    for (int i = 0; i < 3; ++i) {
+        of_hosts[i * 10].mean = 1000;
+    }
+    const usual_time combined = times.combine(of_hosts);
+    EXPECT_EQ(combined.answers, 30);
+    EXPECT_LT(combined.mean, 30);
+}
+
 } // namespace
 } // namespace laurelhoist
