--- a/src/rollout/release_rollout.h
+++ b/src/rollout/release_rollout.h
@@ -251,7 +251,8 @@
         std::optional<time_point> peak_since; ///< when the trial reached its peak; nothing before it
         bool is_overloading = false;          ///< a single endpoint has the peak of the trial
         bool is_on_trial = false;             ///< set once the hosts have exchanged their recent sessions
-        sent_totals sent_before;              ///< attempts that were sent until \ref counted_at
+        sent_totals sent;                     ///< attempts that were sent until the latest \ref advance
+        sent_totals sent_before;              ///< the same until \ref counted_at
         time_point counted_at;                ///< start of the current rate window
         double recent_per_ms = 0;             ///< rate of attempts at the service over the last rate window
         double recent_first_per_ms = 0;       ///< the same of first attempts only
@@ -308,6 +309,9 @@
     bool is_unproven(rollout_record& rollout, time_point now) const;
     /// \return whether completion has to wait for evidence for the new release.
     bool lacks_evidence(rollout_record& rollout, time_point now) const;
+    /// Logs that completion has to wait for \p reason, or no longer has to.
+    static void log_hold(const rollout_record& rollout, const char* reason, bool is_held, const json& inputs,
+                         time_point now);
     void update_running(const release_route& key);
     /** Merges the counts \p seen of another host into \p held. Messages may overtake one another. */
     void merge_counts(release_counts& held, const release_counts& seen) const;
@@ -316,12 +320,13 @@
     /** \return for the log, by route: the answers, the evidence, and from when on an answer is late. */
     json describe_evidence(const rollout_record& rollout) const;
     void brake_on_evidence(rollout_record& rollout) const;
-    failure_spread spread_of(const rollout_record& rollout, const std::string& route) const;
     /// Stops a release that is complete if it has turned bad.
     void watch_completed(rollout_record& rollout, time_point now);
     /// Stops it if it has been bad for some seconds. \see completion_watch
     void watch_for_long(rollout_record& rollout, time_point now);
+    /// \return which endpoints and which hosts have seen bad answers on \p route; empty: on any.
     watched_spread watched_spread_of(const rollout_record& rollout, const std::string& route) const;
+    void stop(rollout_record& rollout, const std::string& route, const failure_spread& spread) const;
     double usual_share_of(const rollout_record& rollout, const std::string& route) const;
     /// \return the first attempts a second for each of \p endpoints in the last rate window.
     static double load_of_each(const rollout_record& rollout, int endpoints);
--- a/src/rollout/release_rollout_evidence.cpp
+++ b/src/rollout/release_rollout_evidence.cpp
@@ -201,14 +201,13 @@
     for (const auto& [route, test] : rollout.tests) {
         const answer_totals on_new = total_of(rollout, route, true);
         const answer_totals established = total_of(rollout, route, false);
-        described[route] = {
-            {"good", on_new.good},
-            {"bad", on_new.bad},
-            {"old_good", established.good},
-            {"old_bad", established.bad},
-            {"against", test.evidence_against()},
-            {"for", test.evidence_for()},
-            {"late_above", slow_factor * first_bytes_.find(rollout.order.service, route).value_or(0)}};
+        described[route] = {{"good", on_new.good},
+                            {"bad", on_new.bad},
+                            {"old_good", established.good},
+                            {"old_bad", established.bad},
+                            {"against", test.evidence_against()},
+                            {"for", test.evidence_for()},
+                            {"usual_time", first_bytes_.find(rollout.order.service, route).value_or(0)}};
     }
     return described;
 }
@@ -231,17 +230,6 @@
     }
 }
 
-failure_spread rollout_tracker::spread_of(const rollout_record& rollout, const std::string& route) const {
-    failure_spread united;
-    for_each_count(rollout.order.service, [&](const release_route& key, const release_counts& counts) {
-        const bool is_included = route == all_routes ? is_outcome(key) : key.route == route;
-        if (is_included && key.release == rollout.order.release) {
-            united.add(counts.tallies);
-        }
-    });
-    return united;
-}
-
 watched_spread rollout_tracker::watched_spread_of(const rollout_record& rollout,
                                                   const std::string& route) const {
     watched_spread spread;
@@ -305,19 +293,28 @@
         if (rollout.watch.is_clear(route) && own != own_.end()) {
             own->second.tallies.clear();
         }
-        const bool must_stop = rollout.watch.must_stop(route, watched_spread_of(rollout, route), now);
-        if (has_all_counts_ && !rollout.is_stopped && must_stop) {
-            rollout.is_stopped = true;
-            log_error("release_stopped",
-                      {{"service", service},
-                       {"release", rollout.order.release},
-                       {"route", route},
-                       {"evidence", describe_evidence(rollout)},
-                       {"remedy", "order another release, or remove the order to let this one serve again"}});
+        const watched_spread spread = watched_spread_of(rollout, route);
+        if (rollout.watch.must_stop(route, spread, now)) {
+            stop(rollout, route, spread.by_endpoint);
         }
     }
 }
 
+void rollout_tracker::stop(rollout_record& rollout, const std::string& route,
+                           const failure_spread& spread) const {
+    if (!has_all_counts_ || rollout.is_stopped) {
+        return;
+    }
+    rollout.is_stopped = true;
+    log_error("release_stopped",
+              {{"service", rollout.order.service},
+               {"release", rollout.order.release},
+               {"route", route},
+               {"failed_part", spread.failed_part()},
+               {"evidence", describe_evidence(rollout)},
+               {"remedy", "order another release, or remove the order to let this one serve again"}});
+}
+
 void rollout_tracker::watch_completed(rollout_record& rollout, time_point now) {
     update_evidence(rollout);
     watch_for_long(rollout, now);
@@ -327,20 +324,12 @@
             continue;
         }
         const release_failures failures{test.evidence_against(), test.recent_bad(),
-                                        spread_of(rollout, route)};
+                                        watched_spread_of(rollout, route).by_endpoint};
         if (failures.evidence == 0 && rollout.watch.is_clear(all_routes) && own_.count(key) > 0) {
             own_[key].tallies.clear();
         }
-        if (has_all_counts_ && !rollout.is_stopped && must_stop(failures)) {
-            rollout.is_stopped = true;
-            log_error("release_stopped",
-                      {{"service", key.service},
-                       {"release", key.release},
-                       {"route", route},
-                       {"bad", failures.bad},
-                       {"evidence", failures.evidence},
-                       {"failed_part", failures.spread.failed_part()},
-                       {"remedy", "order another release, or remove the order to let this one serve again"}});
+        if (must_stop(failures)) {
+            stop(rollout, route, failures.spread);
         }
     }
 }
--- a/src/rollout/release_rollout_phases.cpp
+++ b/src/rollout/release_rollout_phases.cpp
@@ -40,7 +40,7 @@
 // time limit.
 bool rollout_tracker::fits_exposure_bound(const rollout_record& rollout, time_point now,
                                           duration peak_time) const {
-    const sent_totals sent = sent_in(rollout);
+    const sent_totals& sent = rollout.sent;
     const double age_ms = std::max(1.0, to_ms(now - rollout.since));
     const double usual_per_ms = static_cast<double>(sent.all) / age_ms;
     // A burst that has just begun hardly raises the mean rate: with the mean alone, a release got 341 of
@@ -69,7 +69,7 @@
         return;
     }
     const trial_plan plan = plan_of(rollout);
-    const sent_totals sent = sent_in(rollout);
+    const sent_totals& sent = rollout.sent;
     const double age_ms = std::max(1.0, to_ms(now - rollout.since));
     const double limit_ms = to_ms(rollout.order.time_limit);
     const double per_ms = std::max(static_cast<double>(sent.all) / age_ms, rollout.recent_per_ms);
@@ -133,19 +133,27 @@
     return load;
 }
 
+void rollout_tracker::log_hold(const rollout_record& rollout, const char* reason, bool is_held,
+                               const json& inputs, time_point now) {
+    log_info(is_held ? "rollout_report_held" : "rollout_report_released",
+             {{"service", rollout.order.service},
+              {"release", rollout.order.release},
+              {"age_ms", to_ms(now - rollout.since)},
+              {"reason", reason},
+              {"inputs", inputs}});
+}
+
 bool rollout_tracker::is_unproven(rollout_record& rollout, time_point now) const {
     const rollout_load load = load_of(rollout, now);
     const bool is_held = settings_.proves_load && !rollout.proof.is_sufficient(load, now);
     if (is_held != rollout.is_held) {
         rollout.is_held = is_held;
-        log_info(is_held ? "rollout_report_held" : "rollout_report_released",
-                 {{"service", rollout.order.service},
-                  {"release", rollout.order.release},
-                  {"age_ms", to_ms(now - rollout.since)},
-                  {"carried", rollout.proof.carried()},
+        log_hold(rollout, "load", is_held,
+                 {{"carried", rollout.proof.carried()},
                   {"expected", load_proof::expected(load)},
                   {"on_established", load.on_established},
-                  {"on_new", load.on_new}});
+                  {"on_new", load.on_new}},
+                 now);
     }
     return is_held;
 }
@@ -154,11 +162,7 @@
     const bool is_waiting = !is_shown_good(rollout);
     if (is_waiting != rollout.lacks_evidence) {
         rollout.lacks_evidence = is_waiting;
-        log_info(is_waiting ? "rollout_report_held" : "rollout_report_released",
-                 {{"service", rollout.order.service},
-                  {"release", rollout.order.release},
-                  {"age_ms", to_ms(now - rollout.since)},
-                  {"evidence", describe_evidence(rollout)}});
+        log_hold(rollout, "evidence", is_waiting, describe_evidence(rollout), now);
     }
     return is_waiting;
 }
@@ -173,7 +177,7 @@
     if (since < rate_window) {
         return;
     }
-    const sent_totals sent = sent_in(rollout);
+    const sent_totals& sent = rollout.sent;
     const auto rate = [since](std::int64_t before, std::int64_t after) {
         return static_cast<double>(std::max<std::int64_t>(0, after - before)) / to_ms(since);
     };
@@ -293,7 +297,12 @@
         if (rollout.order.state == rollout_state::completed && !rollout.completed_at) {
             rollout.completed_at = now;
         }
-        if (settings_.stops_bad && is_watched(rollout, now)) {
+        const bool is_judged = settings_.stops_bad && is_watched(rollout, now);
+        if (!is_judged && !is_open(rollout)) {
+            continue;
+        }
+        rollout.sent = sent_in(rollout);
+        if (is_judged) {
             watch_completed(rollout, now);
         }
         if (!is_open(rollout)) {
@@ -302,8 +311,8 @@
         if (has_all_counts_) {
             combine_times();
         }
-        const sent_totals sent = sent_in(rollout);
-        rollout.has_seen_established = rollout.has_seen_established || sent.all > sent.to_new_release ||
+        rollout.has_seen_established = rollout.has_seen_established ||
+                                       rollout.sent.all > rollout.sent.to_new_release ||
                                        endpoints_of_other_releases(service, rollout.order.release) > 0;
         count_overdue(rollout, now);
         update_evidence(rollout);
