A planned stop leaves the unsent rest of an answer to the kernel

New log lines at the end of a stop (request_cut_by_stop) showed the cause: each of the requests left waited for its caller, with the host's whole buffer (266 to 288 KB) unsent and 142 to 159 of 160 events read, 8 s after they began. The host waited for callers until its time limit, 7 s, and then ended with what they had not read.

--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -408,7 +408,10 @@
     }
     const bool is_done = relay_.close_idle();
     if (is_done || since > settings_.stop_grace - stop_margin) {
-        log_info("stopped", {{"active", relay_.active()}, {"after_ms", to_ms(since)}});
+        relay_.log_cut_requests();
+        log_info("stopped", {{"active", relay_.active()},
+                             {"unsent_bytes", relay_.unsent_bytes()},
+                             {"after_ms", to_ms(since)}});
         loop_.stop();
     }
 }
--- a/src/relay/caller_connection.cpp
+++ b/src/relay/caller_connection.cpp
@@ -27,6 +27,8 @@
 /// A caller that accepts nothing for this long is disconnected. Endpoints drop an answer that stays unread
 /// for some seconds, so a longer wait would not save it.
 constexpr duration unread_timeout = seconds(4);
+/// Send buffer at the end of the process; the kernel lowers it to its own limit.
+constexpr int handover_bytes = 4 << 20;
 /// Checks are counted instead of the time, which also passes while the host is suspended.
 constexpr int max_unread_checks = unread_timeout / caller_connection::check_interval;
 
@@ -227,7 +229,17 @@
     }
 }
 
+// A caller may take longer to read its answer than the process has left. The kernel goes on delivering what
+// it has taken, after the process has ended too.
+void caller_connection::hand_over_unsent() {
+    boost::system::error_code ignored;
+    socket_.set_option(asio::socket_base::send_buffer_size(handover_bytes), ignored);
+}
+
 bool caller_connection::close_if_idle() {
+    if (unsent_bytes() > 0) {
+        hand_over_unsent();
+    }
     if (is_serving_ || reader_.has_partial_request() || unsent_bytes() > 0) {
         return false;
     }
--- a/src/relay/caller_connection.h
+++ b/src/relay/caller_connection.h
@@ -53,7 +53,8 @@
      * takes too long to arrive. To be called every \ref check_interval. */
     void check_timeouts(time_point now);
     static constexpr duration check_interval = milliseconds(250);
-    /** Closes the connection unless a request is being received or served, or a part of an answer is unsent.
+    /** Closes the connection unless a request is being received or served, or a part of an answer is unsent,
+     * which the kernel is told to take. For a process that is about to end.
      * \return whether it was idle */
     bool close_if_idle();
 
@@ -74,6 +75,7 @@
     void on_written(bool has_failed, std::size_t bytes);
     void end_answer();
     void reset_on_close();
+    void hand_over_unsent();
     void close();
 
     boost::asio::ip::tcp::socket socket_;
--- a/src/relay/exchange.cpp
+++ b/src/relay/exchange.cpp
@@ -668,6 +668,19 @@
                                {"after_ms", static_cast<int>(to_ms(monotonic_now() - attempt_.sent_at))}});
 }
 
+void exchange::log_cut_by_stop() const {
+    const time_point now = monotonic_now();
+    const time_point heard_at = std::max(attempt_.heard_at, arrived_at_);
+    log_warning("request_cut_by_stop", {{"request", terms_.id},
+                                        {"endpoint", attempt_.chosen.endpoint.name},
+                                        {"attempts", attempts_},
+                                        {"events_to", events_.last_id()},
+                                        {"is_waiting_for_caller", is_waiting_for_caller()},
+                                        {"unsent_bytes", caller_->unsent_bytes()},
+                                        {"took_ms", to_ms(now - arrived_at_)},
+                                        {"heard_ms_ago", to_ms(now - heard_at)}});
+}
+
 void exchange::finish(const char* outcome, int status) {
     if (is_in_state("finished")) {
         return;
--- a/src/relay/exchange.h
+++ b/src/relay/exchange.h
@@ -30,6 +30,8 @@
     void on_tick(time_point now);
     /** Ends the present attempt if it was sent to an earlier process of \p endpoint. */
     void on_endpoint_restarted(const endpoint_record& endpoint);
+    /** Logs what this request waits for, because the process ends before it. */
+    void log_cut_by_stop() const;
 
     /** Checks whether this request is now quarantined; if so, refuses it unless its answer has begun, it is
      * the trial attempt, or it has been sent and may not be repeated. */
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -321,6 +321,10 @@
     state_.stopping_since = monotonic_now();
 }
 
+void relay::log_cut_requests() {
+    for_each_active([](exchange& each) { each.log_cut_by_stop(); });
+}
+
 bool relay::close_idle() {
     const std::vector<std::shared_ptr<caller_connection>> callers(callers_.begin(), callers_.end());
     for (const auto& caller : callers) {
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -139,6 +139,8 @@
     /** Closes idle callers' connections. \return whether no request and no connection is left */
     bool close_idle();
     std::size_t active() const { return active_.size(); }
+    /** Logs each request that is still in progress when the process ends. */
+    void log_cut_requests();
     /** \return the bytes of answers that wait for their callers to read. */
     std::size_t unsent_bytes() const;
     /** \return the unsent bytes of one caller from which on no more of its answer is read: an even share of
--- a/test/slow_callers_test.cpp
+++ b/test/slow_callers_test.cpp
@@ -168,6 +168,27 @@
     closing.join();
 }
 
+// A caller that reads more slowly than a planned stop lasts was cut off, although its answer was there.
+TEST_F(relay_fixture, a_planned_stop_leaves_the_rest_of_an_answer_to_the_kernel) {
+    constexpr std::size_t answer_bytes =
+        4 << 20; // Fits the largest buffer of the kernel and not the usual one.
+    scripted_endpoint endpoint({{answer_of("7", std::string(answer_bytes, 'x')), false, false}});
+    start_relay(route(route_kind::idempotent, 1), {endpoint.address()});
+    slow_caller caller(port_, "7");
+    sleep_for(milliseconds(500));
+    run_on_relay_thread([&] {
+        EXPECT_GT(relay_->unsent_bytes(), 0U) << "the caller must not have read it";
+        relay_->begin_stop();
+        relay_->close_idle();
+    });
+    sleep_for(milliseconds(300));
+    run_on_relay_thread([&] { EXPECT_EQ(relay_->unsent_bytes(), 0U); });
+    loop_.stop();
+    thread_.join();
+    relay_.reset();
+    EXPECT_GT(caller.read_all().size(), answer_bytes);
+}
+
 // Guards against the kernel ending a connection because its caller's receive window stays closed for seconds.
 TEST_F(relay_fixture, an_answer_that_waits_for_its_caller_in_the_network_is_delivered) {
     constexpr std::size_t answer_bytes = 48 << 10; // Fits the kernel's buffer and not the caller's.
