--- a/src/rollout/usual_times.cpp
+++ b/src/rollout/usual_times.cpp
@@ -8,35 +8,37 @@
 
 constexpr double smoothing = 0.05; ///< weight of a new answer in the mean once there are many
 
-/// \return the mean that half of the answers are at or below, each with the mean of its host.
-double median_of(std::vector<usual_time> times) {
+/// \return the mean of \p times by their answers, each at most \p outlier_factor times the median.
+double bounded_mean(std::vector<usual_time> times, double outlier_factor) {
     std::sort(times.begin(), times.end(), [](const auto& l, const auto& r) { return l.mean < r.mean; });
-    std::int64_t left = 0;
+    std::int64_t answers = 0;
     for (const usual_time& each : times) {
-        left += each.answers;
+        answers += each.answers;
     }
-    left /= 2;
+    double median = 0;
+    std::int64_t before = 0;
     for (const usual_time& each : times) {
-        left -= each.answers;
-        if (left < 0) {
-            return each.mean;
-        }
+        median = 2 * before < answers ? each.mean : median;
+        before += each.answers;
+    }
+    double sum = 0;
+    for (const usual_time& each : times) {
+        const double bounded = median > 0 ? std::min(each.mean, median * outlier_factor) : each.mean;
+        sum += static_cast<double>(each.answers) * bounded;
     }
-    return times.empty() ? 0.0 : times.back().mean;
+    return answers == 0 ? 0.0 : sum / static_cast<double>(answers);
 }
 
 } // namespace
 
 usual_time usual_times::combine(const std::vector<usual_time>& of_hosts) const {
-    const double largest = outlier_factor_ * median_of(of_hosts);
     usual_time combined;
     for (const usual_time& each : of_hosts) {
         combined.service = each.service;
         combined.name = each.name;
         combined.answers += each.answers;
-        combined.mean += static_cast<double>(each.answers) * std::min(each.mean, largest);
     }
-    combined.mean /= static_cast<double>(std::max<std::int64_t>(1, combined.answers));
+    combined.mean = bounded_mean(of_hosts, outlier_factor_);
     return combined;
 }
 
@@ -44,12 +46,15 @@
     usual_time& time = own_[{service, name}];
     time.service = service;
     time.name = name;
-    if (time.answers > 0 && time.answers < min_answers_) {
-        time.mean =
-            std::min(time.mean, measured * outlier_factor_); // The answers so far may all be outliers.
-    }
-    const double usual = time.answers > 0 ? std::min(measured, time.mean * outlier_factor_) : measured;
     ++time.answers;
+    if (time.answers <= min_answers_) {
+        std::vector<usual_time>& first = first_[{service, name}];
+        first.push_back({service, name, measured, 1});
+        time.mean = bounded_mean(first, outlier_factor_);
+        return;
+    }
+    first_.erase({service, name});
+    const double usual = time.mean > 0 ? std::min(measured, time.mean * outlier_factor_) : measured;
     const double weight = std::max(smoothing, 1.0 / static_cast<double>(time.answers));
     time.mean += weight * (usual - time.mean);
 }
--- a/src/rollout/usual_times.h
+++ b/src/rollout/usual_times.h
@@ -33,7 +33,7 @@
     /** \param min_answers fewer do not make a mean
      * \param outlier_factor a longer time, relative to the mean, counts as this multiple of it: a connection
      *        over a link that loses packets takes twenty times as long, and would hide slow answers. Until
-     *        there are \p min_answers the smallest one bounds the mean in the same way */
+     *        there are \p min_answers the median stands for the mean */
     usual_times(std::int64_t min_answers, double outlier_factor)
         : min_answers_{min_answers}, outlier_factor_{outlier_factor} {}
 
@@ -59,6 +59,8 @@
     std::int64_t min_answers_;
     double outlier_factor_;
     times_by_name own_;
+    /// Answers until there are \ref min_answers_.
+    std::map<std::pair<std::string, std::string>, std::vector<usual_time>> first_;
     times_by_name heard_;
 };
 
--- a/test/stream_pace_test.cpp
+++ b/test/stream_pace_test.cpp
@@ -88,6 +88,20 @@
     }
 }
 
+// Events that arrive together make a pace of 0 ms. A mean that followed it would make every stream slow.
+TEST(usual_times, an_answer_in_no_time_does_not_end_the_mean) {
+    usual_times times(8, 2.0);
+    for (int i = 0; i < 20; ++i) {
+        times.observe("pool", "a", i % 5 == 1 ? 0 : 40);
+    }
+    EXPECT_GT(*times.find("pool", "a"), 30);
+    usual_times idle(8, 2.0);
+    for (int i = 0; i < 100; ++i) {
+        idle.observe("pool", "a", i < 8 ? 0 : 40);
+    }
+    EXPECT_GT(*idle.find("pool", "a"), 30);
+}
+
 // Hosts that have a single answer each cannot tell which is an outlier.
 TEST(usual_times, a_host_whose_answers_are_outliers_does_not_move_the_mean_of_all) {
     const usual_times times(20, 4.0);
