--- a/test/slow_callers_test.cpp
+++ b/test/slow_callers_test.cpp
@@ -147,6 +147,26 @@
     });
 }
 
+// A slow caller's stream was the probe of an ejected endpoint, which no other request got until it ended.
+TEST_F(relay_fixture, a_probe_for_a_slow_caller_keeps_no_other_request_waiting) {
+    const auto short_stream = [](const std::string& id) {
+        return scripted_answer{stream_head(id) + long_events(1, 1) + "0\r\n\r\n", false, false};
+    };
+    const scripted_answer broken{"", false, true};
+    scripted_endpoint endpoint(
+        {short_stream("1"), broken, broken, broken, long_stream("5"), short_stream("6")});
+    start_relay(route(route_kind::stream, 1), {endpoint.address()});
+    for (const char* id : {"1", "2", "3", "4"}) {
+        send_request(id);
+    }
+    sleep_for(milliseconds(2200)); // The endpoint is ejected for two seconds.
+    const slow_caller caller(port_, "5");
+    sleep_for(milliseconds(300));
+    const time_point sent_at = monotonic_now();
+    EXPECT_TRUE(contains(send_request("6"), "id: 1"));
+    EXPECT_LT(monotonic_now() - sent_at, milliseconds(1500));
+}
+
 // Guards against a planned stop that closes a connection whose caller has not received its whole answer yet.
 TEST_F(relay_fixture, a_planned_stop_does_not_cut_an_answer_that_is_read_slowly) {
     scripted_endpoint endpoint({{answer_of("7", std::string(long_body_bytes, 'x')), false, false}});
