--- a/test/stream_pace_test.cpp
+++ b/test/stream_pace_test.cpp
@@ -106,8 +106,8 @@
 TEST(usual_times, a_host_whose_answers_are_outliers_does_not_move_the_mean_of_all) {
     const usual_times times(20, 4.0);
     std::vector<usual_time> of_hosts(30, {"pool", "a", 15, 1});
-    for (int i = 0; i < 3; ++i) {
-        of_hosts[i * 10].mean = 1000;
+    for (const std::size_t outlier : {0, 10, 20}) {
+        of_hosts[outlier].mean = 1000;
     }
     const usual_time combined = times.combine(of_hosts);
     EXPECT_EQ(combined.answers, 30);
