Design of the parts for hard load; the relay decides about load in four functions

Cause: decisions under load (waiting, return times, urgency) stood inside the dispatch of an exchange, so that parts built beside each other would meet there.

--- a/src/base/mechanisms.cpp
+++ b/src/base/mechanisms.cpp
@@ -32,6 +32,12 @@
     {"proves_load", &mechanisms::proves_load},
     {"forwards_requests", &mechanisms::forwards_requests},
     {"leaves_directory", &mechanisms::leaves_directory},
+    {"weighs_joint_ends", &mechanisms::weighs_joint_ends},
+    {"orders_waiting", &mechanisms::orders_waiting},
+    {"refuses_hopeless", &mechanisms::refuses_hopeless},
+    {"protects_shares", &mechanisms::protects_shares},
+    {"knows_pace", &mechanisms::knows_pace},
+    {"yields_models", &mechanisms::yields_models},
 };
 
 } // namespace
--- a/src/base/mechanisms.h
+++ b/src/base/mechanisms.h
@@ -29,6 +29,12 @@
     bool proves_load = true;         ///< delays completion until a release has carried the load to come
     bool forwards_requests = true;   ///< forwards requests of services whose endpoints this host has lost
     bool leaves_directory = true;    ///< hosts that have lost a service are not named to callers
+    bool weighs_joint_ends = true;   ///< ends of endpoints that come together are not blamed on requests
+    bool orders_waiting = true;      ///< places waiting requests by priority, team and objective
+    bool refuses_hopeless = true;    ///< refuses on arrival what cannot be answered within its time limit
+    bool protects_shares = true;     ///< serves load beyond a team's usual share after that of others
+    bool knows_pace = true;          ///< placement includes how fast each engine makes events
+    bool yields_models = true;       ///< uses larger models less while engines are saturated
 };
 
 /** \param text comma-separated names of the mechanisms to disable, which are the names of the members
--- a/src/relay/exchange.cpp
+++ b/src/relay/exchange.cpp
@@ -8,7 +8,6 @@
 
 constexpr int status_unauthorized = 401;
 constexpr int status_not_found = 404;
-constexpr int status_gateway_timeout = 504;
 
 /// Connecting within a network takes a few ms; an endpoint that takes longer than this is unreachable.
 constexpr duration connect_timeout = milliseconds(1000);
@@ -32,7 +31,6 @@
 constexpr duration retry_after_no_configuration = milliseconds(500);
 /// Operators have to order another release.
 constexpr duration retry_after_release_stopped = seconds(5);
-constexpr duration retry_after_full = milliseconds(700);
 constexpr duration retry_after_unavailable = milliseconds(1000);
 /// Largest jitter, as a part of the Retry-After time, so that callers do not all return at the same moment.
 constexpr double retry_jitter = 0.25;
@@ -150,7 +148,9 @@
     }
     pick_service();
     state_.repeats_of(service_).on_request(arrived_at_);
-    dispatch();
+    if (admit_load()) {
+        dispatch();
+    }
 }
 
 bool exchange::admit() {
@@ -311,8 +311,10 @@
             log_excluded_endpoints(now);
             answer_failure(may_have_run_ ? status_bad_gateway : status_unavailable, "no_endpoint",
                            "retry later: no endpoint of the service accepts work", time_to_capacity(now));
+            return;
         }
-        return; // The request waits; on_tick calls dispatch again.
+        wait_for_room(now);
+        return;
     }
     open_connection();
 }
@@ -415,10 +417,7 @@
     terms.endpoint = attempt_.chosen.endpoint.name;
     terms.team = team_name();
     terms.model = attempt_.model;
-    const int priority = team_ != nullptr && team_->priority ? *team_->priority : route_->priority;
-    constexpr int base_urgency = 3;
-    constexpr int least_urgent = 9;
-    terms.urgency = std::clamp(base_urgency + priority, 0, least_urgent);
+    terms.urgency = urgency();
     terms.resume_after = events_.last_id() > terms_.last_event_id ? events_.last_id() : 0;
     attempt_.events_before_attempt = events_.last_id();
     start_reader();
@@ -553,7 +552,7 @@
         }
         answer_failure(status_unavailable, "refused", "retry later: the endpoints accept no more work",
                        state_.endpoints.could_serve(service_, monotonic_now())
-                           ? retry_after_full
+                           ? time_to_room(monotonic_now())
                            : time_to_capacity(monotonic_now()));
         return;
     case follow_up_step::fail:
@@ -604,11 +603,6 @@
            std::max<duration>(min_unanswered_limit, route_->latency_objective * latency_objectives_to_stall);
 }
 
-duration exchange::max_queue_time() const {
-    constexpr int share_of_objective = 2;
-    return route_->latency_objective / share_of_objective;
-}
-
 void exchange::on_tick(time_point now) {
     auto self = shared_from_this();
     if (is_in_state("answering")) {
@@ -622,12 +616,7 @@
     } else if (is_in_state("connecting") && now - attempt_.sent_at > slow_connect && !owner_.was_paused()) {
         record_link(false);
     } else if (is_in_state("waiting")) {
-        if (now >= expires_at_ || now - waiting_since_ > max_queue_time()) {
-            answer_failure(may_have_run_ ? status_gateway_timeout : status_unavailable, "no_room",
-                           "retry later: every endpoint of the service is full", retry_after_full);
-        } else {
-            dispatch();
-        }
+        check_waiting(now);
     } else if (is_waiting_for_caller()) {
         if (now >= expires_at_) {
             give_up_on_caller();
--- a/src/relay/exchange.h
+++ b/src/relay/exchange.h
@@ -74,6 +74,7 @@
 
     static constexpr int status_bad_gateway = 502;
     static constexpr int status_unavailable = 503;
+    static constexpr int status_gateway_timeout = 504;
     static constexpr int status_class = 100; ///< status codes of a kind share what remains if divided by this
 
     void await_configuration(time_point now);
@@ -84,6 +85,18 @@
     bool admit_team();
     void pick_service();
     void dispatch();
+    /** \return whether a request that has just arrived may be placed; otherwise it has been refused. */
+    bool admit_load();
+    /** \return the priority of the team, or of the route if the team has none; 0 is the most urgent. */
+    int priority() const;
+    /** \return the urgency that engines order their queues by, 0 is the most urgent. */
+    int urgency() const;
+    /** \return the Retry-After for a service whose endpoints are all full. */
+    duration time_to_room(time_point now) const;
+    /** Keeps the request until an endpoint has room for it. */
+    void wait_for_room(time_point now);
+    /** Places a waiting request if there is room, or refuses it once it has waited for too long. */
+    void check_waiting(time_point now);
     /** The models that could answer and, at the same index, the placement of each. */
     struct model_placements {
         std::vector<model_option> options;
