--- a/src/recovery/crash_quarantine.cpp
+++ b/src/recovery/crash_quarantine.cpp
@@ -162,7 +162,52 @@
     }
 }
 
+void crash_quarantine::set_endpoints(const std::vector<endpoint_record>& endpoints, time_point now) {
+    if (weighs_joint_ends_ && ended_.update(endpoints, now)) {
+        weigh_all(now);
+    }
+}
+
+void crash_quarantine::on_refused(const std::string& endpoint, time_point refused_at, time_point now) {
+    if (weighs_joint_ends_ && ended_.on_refused(endpoint, refused_at, now)) {
+        weigh_all(now);
+    }
+}
+
+end_weight crash_quarantine::weight_of(const endpoint_end& end, const crash_record& record) const {
+    if (ended_.was_sent_to_ended(end)) {
+        return end_weight::none;
+    }
+    const std::optional<joint_ends> joint = ended_.joint_with(end);
+    if (!joint) {
+        return end_weight::full;
+    }
+    const int present = record.processes_ended(joint->first, std::max(joint->last, end.ended_at));
+    const int needed = (std::min(joint->count, static_cast<int>(max_ends)) + 1) / 2;
+    return present >= needed ? end_weight::in_row : end_weight::none;
+}
+
+bool crash_quarantine::weigh(crash_record& record, time_point now) {
+    const int before = record.ends_without_weight();
+    const auto weight = [&](const endpoint_end& end) { return weight_of(end, record); };
+    const bool has_changed = weighs_joint_ends_ && record.weigh(weight, now);
+    ends_not_counted_ += static_cast<std::uint64_t>(std::max(0, record.ends_without_weight() - before));
+    return has_changed;
+}
+
+void crash_quarantine::weigh_all(time_point now) {
+    for (const cause_kind kind : all_cause_kinds) {
+        for (auto& [digest, each] : entries_of(kind)) {
+            const crash_record before = each.record;
+            if (each.record.has_ends() && weigh(each.record, now)) {
+                on_changed({kind, digest}, each, before, audience::none, now);
+            }
+        }
+    }
+}
+
 void crash_quarantine::on_end(const crash_causes& causes, const endpoint_end& end, time_point now) {
+    const bool is_news = weighs_joint_ends_ && ended_.on_ended(end.process, end.ended_at, now);
     endpoint_end counted = end;
     counted.request = static_cast<std::uint32_t>(causes.request);
     for (const crash_cause& cause : causes.all()) {
@@ -176,9 +221,13 @@
         }
         const crash_record before = known->record;
         if (known->record.add_end(counted, now)) {
+            weigh(known->record, now);
             on_changed(cause, *known, before, audience::trackers, now);
         }
     }
+    if (is_news) {
+        weigh_all(now);
+    }
 }
 
 void crash_quarantine::on_begun(const std::vector<part_digest>& parts, time_point now) {
@@ -205,11 +254,21 @@
 }
 
 void crash_quarantine::merge(const std::vector<crash_notice>& notices, time_point now) {
+    bool is_news = false;
+    for (const crash_notice& notice : notices) {
+        for (const end_report& end : notice.ends) {
+            const time_point ended_at = time_from_age(end.ended_age_ms, now);
+            is_news = (weighs_joint_ends_ && ended_.on_ended(end.process, ended_at, now)) || is_news;
+        }
+    }
     for (const crash_notice& notice : notices) {
         if (is_known_kind(notice.kind) && has_use(notice)) {
             merge(notice, now);
         }
     }
+    if (is_news) {
+        weigh_all(now);
+    }
 }
 
 void crash_quarantine::merge(const crash_notice& notice, time_point now) {
@@ -229,6 +288,7 @@
     if (!has_changed) {
         return;
     }
+    weigh(known->record, now);
     // The count was combined here from notices of several hosts, none of which knows the total, so it is
     // passed on.
     const int counted = known->record.counted_ends();
@@ -237,6 +297,12 @@
 }
 
 void crash_quarantine::forget_old(time_point now) {
+    for (const joint_ends& each : ended_.take_joint(now)) {
+        log_info("endpoint_ends_joint", {{"service", each.pool},
+                                         {"count", each.count},
+                                         {"window_ms", std::llround(to_ms(each.last - each.first))}});
+    }
+    ended_.forget_old(now);
     for (entry_map& entries : entries_) {
         for (auto item = entries.begin(); item != entries.end();) {
             item = item->second.record.is_expired(now) ? entries.erase(item) : std::next(item);
--- a/src/recovery/crash_quarantine.h
+++ b/src/recovery/crash_quarantine.h
@@ -20,12 +20,19 @@
  * clears all parts of its prompt: the parts that a crashing request shares with others are cleared by these,
  * the part that ends endpoints never is. \see crash_record
  *
+ * Where many endpoints end in one moment, hosts learn of it at different times, and no request is the cause.
+ * Ends that come together count against a cause only if it was in flight at half of them or more, and then
+ * only in a row; an attempt that was sent to a process known to have ended counts against nothing. Both are
+ * judged anew with each end that becomes known, which lifts a quarantine made too early.
+ * \see ended_processes
+ *
  * A quarantine may be wrong, so the cause is tried again, by one host and with one attempt, after a delay
  * that grows with each end. All other hosts go on refusing it until it is cleared.
  */
 #pragma once
 
 #include "recovery/crash_record.h"
+#include "recovery/ended_processes.h"
 
 #include "membership/host_list.h"
 
@@ -33,6 +40,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace laurelhoist {
@@ -72,13 +80,21 @@
 /** What was in flight when endpoints ended, as one host knows it. No I/O; the time is an argument. */
 class crash_quarantine {
 public:
-    /** \param host name of this host */
-    explicit crash_quarantine(std::string host) : host_{std::move(host)} {}
+    /** \param host name of this host
+     * \param weighs_joint_ends \ref mechanisms::weighs_joint_ends */
+    explicit crash_quarantine(std::string host, bool weighs_joint_ends = true)
+        : host_{std::move(host)}, weighs_joint_ends_{weighs_joint_ends} {}
 
     /** Sets the live hosts, one of which tries a quarantined cause again.
      * \param has_full_view whether this host has run long enough to have heard of every live host */
     void set_hosts(std::vector<std::string> hosts, bool has_full_view);
 
+    /** Takes the endpoints as the store lists them, among which ends that come together are recognized. */
+    void set_endpoints(const std::vector<endpoint_record>& endpoints, time_point now);
+    /** Records that \p endpoint refused a connection of this host or another one at \p refused_at, so that its
+     * process had ended. */
+    void on_refused(const std::string& endpoint, time_point refused_at, time_point now);
+
     /** \return whether nothing has a record, so that callers need not compute digests. */
     bool is_empty() const;
     /** \return whether this host may send a request with \p causes now. */
@@ -97,7 +113,7 @@
     void clear(const crash_cause& cause, time_point now);
     /** Takes notices of other hosts, which may arrive in any order and repeatedly. */
     void merge(const std::vector<crash_notice>& notices, time_point now);
-    /** Drops expired records; to be called a few times a second. */
+    /** Drops expired records, and logs ends that came together; to be called a few times a second. */
     void forget_old(time_point now);
 
     /** \return the number of ends that count against \p cause */
@@ -117,6 +133,9 @@
     /** \return the changes since the last call */
     pending_notices take_pending(time_point now);
     std::vector<quarantined_cause> quarantined(time_point now) const;
+    /** \return how many ends under causes were found not to count because of what ended with them, since the
+     * last call */
+    std::uint64_t take_ends_not_counted() { return std::exchange(ends_not_counted_, 0); }
 
 private:
     enum class audience { none, trackers, all };
@@ -143,6 +162,11 @@
      * another cause. */
     bool has_use(const crash_notice& notice) const;
     void merge(const crash_notice& notice, time_point now);
+    end_weight weight_of(const endpoint_end& end, const crash_record& record) const;
+    /** Weighs the ends of \p record. \return whether that changes what counts */
+    bool weigh(crash_record& record, time_point now);
+    /** Weighs all ends again, as more ends are known. */
+    void weigh_all(time_point now);
     /** Logs what changed since \p before and raises \p tells of the entry to \p audience. */
     void on_changed(const crash_cause& cause, entry& changed, const crash_record& before, audience tells,
                     time_point now);
@@ -150,6 +174,9 @@
     static quarantined_cause to_listed(const crash_cause& cause, const entry& described, time_point now);
 
     std::string host_;
+    bool weighs_joint_ends_;
+    ended_processes ended_;
+    std::uint64_t ends_not_counted_ = 0;
     std::vector<std::string> hosts_;
     bool has_full_view_ = false;
     std::array<entry_map, cause_kinds> entries_; ///< by \ref cause_kind
--- a/src/recovery/crash_record.cpp
+++ b/src/recovery/crash_record.cpp
@@ -8,7 +8,6 @@
 
 namespace {
 
-constexpr std::size_t max_ends = 16;
 /// How long ends without a quarantine count. Callers repeat a request within their time limit of about 20 s,
 /// and a cause that ends an endpoint once in several minutes does little harm.
 constexpr duration unquarantined_ttl = seconds(120);
@@ -53,7 +52,7 @@
 
 /** How ends count against one kind of cause. */
 struct counting_rule {
-    std::vector<endpoint_end> (*counted)(const std::vector<endpoint_end>& ends);
+    std::vector<endpoint_end> (*counted)(const std::vector<weighed_end>& ends);
     int min_requests; ///< under so many requests the ends must have happened
     trial_delays trial_delay;
     duration clearing_tolerance; ///< a clearing that is later by at most this is the known one
@@ -70,9 +69,12 @@
 
 } // namespace
 
-std::vector<endpoint_end> consecutive_ends(const std::vector<endpoint_end>& ends) {
+std::vector<endpoint_end> consecutive_ends(const std::vector<weighed_end>& ends) {
     std::vector<endpoint_end> sequence;
-    for (const endpoint_end& end : ends) {
+    for (const auto& [end, weight] : ends) {
+        if (weight == end_weight::none) {
+            continue;
+        }
         if (sequence.empty() || end.sent_at >= sequence.back().ended_at) {
             sequence.push_back(end);
         }
@@ -80,11 +82,15 @@
     return sequence;
 }
 
-std::vector<endpoint_end> separate_ends(const std::vector<endpoint_end>& ends) {
+std::vector<endpoint_end> separate_ends(const std::vector<weighed_end>& ends) {
     std::vector<endpoint_end> sequence;
-    for (const endpoint_end& end : ends) {
-        if (sequence.empty() || end.sent_at >= sequence.back().ended_at ||
-            end.ended_at >= sequence.back().ended_at + min_separation) {
+    for (const auto& [end, weight] : ends) {
+        if (weight == end_weight::none) {
+            continue;
+        }
+        const bool is_apart = weight == end_weight::full && !sequence.empty() &&
+                              end.ended_at >= sequence.back().ended_at + min_separation;
+        if (sequence.empty() || end.sent_at >= sequence.back().ended_at || is_apart) {
             sequence.push_back(end);
         }
     }
@@ -95,21 +101,21 @@
     if (cleared_at_ && end.ended_at <= *cleared_at_) {
         return false;
     }
-    const auto known = std::find_if(ends_.begin(), ends_.end(), [&](const endpoint_end& each) {
-        return each.process == end.process &&
-               std::chrono::abs(each.ended_at - end.ended_at) < same_end_window;
+    const auto known = std::find_if(ends_.begin(), ends_.end(), [&](const weighed_end& each) {
+        return each.end.process == end.process &&
+               std::chrono::abs(each.end.ended_at - end.ended_at) < same_end_window;
     });
     if (known != ends_.end()) {
         // Transit only makes ages too small, so the earliest of several reports of an end is the truest.
-        if (end.ended_at >= known->ended_at) {
+        if (end.ended_at >= known->end.ended_at) {
             return false;
         }
         ends_.erase(known);
     }
     const auto later = std::upper_bound(
-        ends_.begin(), ends_.end(), end,
-        [](const endpoint_end& left, const endpoint_end& right) { return left.ended_at < right.ended_at; });
-    ends_.insert(later, end);
+        ends_.begin(), ends_.end(), end.ended_at,
+        [](time_point ended_at, const weighed_end& each) { return ended_at < each.end.ended_at; });
+    ends_.insert(later, {end, end_weight::full});
     if (ends_.size() > max_ends) {
         ends_.erase(ends_.begin());
     }
@@ -123,7 +129,7 @@
     }
     cleared_at_ = cleared_at;
     const auto kept = std::find_if(ends_.begin(), ends_.end(),
-                                   [&](const endpoint_end& end) { return end.ended_at > cleared_at; });
+                                   [&](const weighed_end& each) { return each.end.ended_at > cleared_at; });
     if (kept == ends_.begin()) {
         return false;
     }
@@ -132,6 +138,35 @@
     return true;
 }
 
+bool crash_record::weigh(const std::function<end_weight(const endpoint_end&)>& weight_of, time_point now) {
+    bool has_changed = false;
+    for (weighed_end& each : ends_) {
+        const end_weight weight = weight_of(each.end);
+        has_changed = has_changed || weight != each.weight;
+        each.weight = weight;
+    }
+    if (has_changed) {
+        recount(now);
+    }
+    return has_changed;
+}
+
+int crash_record::processes_ended(time_point first, time_point last) const {
+    std::set<std::uint32_t> processes;
+    for (const weighed_end& each : ends_) {
+        if (each.end.ended_at >= first && each.end.ended_at <= last) {
+            processes.insert(each.end.process);
+        }
+    }
+    return static_cast<int>(processes.size());
+}
+
+int crash_record::ends_without_weight() const {
+    return static_cast<int>(std::count_if(ends_.begin(), ends_.end(), [](const weighed_end& each) {
+        return each.weight == end_weight::none;
+    }));
+}
+
 void crash_record::recount(time_point now) {
     counted_ends_ = static_cast<int>(counted().size());
     is_quarantined_ = counted_ends_ >= ends_to_quarantine && requests() >= rule_of(kind_).min_requests;
@@ -160,7 +195,10 @@
 }
 
 time_point crash_record::trial_due() const {
-    return ends_.back().ended_at + rule_of(kind_).trial_delay(counted_ends_, failed_trials());
+    const auto last = std::find_if(ends_.rbegin(), ends_.rend(), [](const weighed_end& each) {
+        return each.weight != end_weight::none;
+    });
+    return last->end.ended_at + rule_of(kind_).trial_delay(counted_ends_, failed_trials());
 }
 
 bool crash_record::is_being_tried(time_point now) const {
@@ -172,7 +210,7 @@
         return now > trial_due() + quarantine_ttl;
     }
     if (has_ends()) {
-        return now > ends_.back().ended_at + unquarantined_ttl;
+        return now > ends_.back().end.ended_at + unquarantined_ttl;
     }
     return !cleared_at_ || now > *cleared_at_ + clearing_ttl;
 }
--- a/src/recovery/recovery.h
+++ b/src/recovery/recovery.h
@@ -7,5 +7,6 @@
 #include "recovery/crash_cause.h"
 #include "recovery/crash_quarantine.h"
 #include "recovery/crash_record.h"
+#include "recovery/ended_processes.h"
 #include "recovery/repeat_bucket.h"
 #include "recovery/request_digest.h"
--- a/test/crash_parts_fleet.h
+++ b/test/crash_parts_fleet.h
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -29,6 +30,11 @@
     bool restarts_hosts = true;
     std::int64_t length_ms = 40'000;
     std::int64_t trouble_from_ms = 4000;
+    double joint_share = 0;               ///< share of the engines that end in one moment, at joint_at_ms
+    std::int64_t joint_at_ms = 12'000;    ///< meanwhile a third of the hosts is cut off from the others
+    std::int64_t joint_delay_ms = 0;      ///< longest time in which a third of the hosts learns of an end
+    std::int64_t max_first_event_ms = 5;  ///< longest time from the beginning to the first event
+    bool weighs_joint_ends = true;
 };
 
 /** What callers and endpoints saw on a simulated day. */
@@ -63,8 +69,9 @@
 public:
     explicit crash_parts_fleet(const parts_day& day)
         : day_{day}, random_{day.seed}, engines_(6 + day.hosts / 2), ends_at_(day.crashing_parts) {
-        for (engine& each : engines_) {
-            each.process = ++processes_;
+        for (std::size_t i = 0; i < engines_.size(); ++i) {
+            engines_[i].name = "e" + std::to_string(i);
+            start(engines_[i]);
         }
         report_.late_sends.assign(day.crashing_parts, 0);
         report_.ends.assign(day.crashing_parts, 0);
@@ -72,7 +79,7 @@
             names_.push_back("h" + std::to_string(i));
         }
         for (const std::string& name : names_) {
-            hosts_.emplace_back(name);
+            hosts_.emplace_back(name, day_.weighs_joint_ends);
             hosts_.back().set_hosts(names_, true);
             started_.push_back(-10'000);
         }
@@ -88,6 +95,12 @@
         if (day_.restarts_hosts) {
             schedule_.after(3000, [this] { restart_any(); });
         }
+        if (day_.joint_share > 0) {
+            schedule_.after(day_.joint_at_ms, [this] { end_jointly(); });
+            for (std::size_t host = 0; host < hosts_.size(); ++host) {
+                schedule_.after(0, [this, host] { read_list(host); });
+            }
+        }
         schedule_.run(day_.length_ms);
         return report_;
     }
@@ -108,6 +121,8 @@
     };
     using shared_attempt = std::shared_ptr<attempt>;
     struct engine {
+        std::string name;
+        std::int64_t started_at = 0;
         std::uint32_t process = 0;
         bool is_up = true;
         std::int64_t free_at = 0;
@@ -166,6 +181,7 @@
         }
         engine& chosen = engines_[below(engines_.size())];
         if (!chosen.is_up) {
+            tell_refusal(host, chosen);
             schedule_.after(3, [this, request, host, number] { send(request, host, number); });
             return;
         }
@@ -211,7 +227,8 @@
             });
             return;
         }
-        schedule_.after(5, [this, &at, process, sent] {
+        const std::int64_t first_event_ms = day_.max_first_event_ms > 5 ? between(5, day_.max_first_event_ms) : 5;
+        schedule_.after(first_event_ms, [this, &at, process, sent] {
             if (at.process == process && at.is_up && !sent->is_over) {
                 answer_begins(at, sent);
             }
@@ -239,8 +256,10 @@
                 continue;
             }
             sent->is_over = true;
-            const std::int64_t ended_at = schedule_.now();
-            schedule_.after(between(2, 8), [this, sent, process, ended_at] {
+            const bool is_slow = day_.joint_delay_ms > 0 && sent->host % 3 == 1;
+            const std::int64_t delay = is_slow ? between(2, day_.joint_delay_ms) : between(2, 8);
+            const std::int64_t ended_at = is_slow ? schedule_.now() + delay : schedule_.now();
+            schedule_.after(delay, [this, sent, process, ended_at] {
                 on_end(hosts_[sent->host], sent->request, {process, at_ms(sent->sent_at), at_ms(ended_at)});
                 announce(sent->host);
                 if (sent->number < day_.max_attempts) {
@@ -249,12 +268,65 @@
             });
         }
         schedule_.after(between(2500, 4000), [this, &at] {
-            at.process = ++processes_;
-            at.is_up = true;
+            start(at);
             at.free_at = schedule_.now();
         });
     }
 
+    void start(engine& at) {
+        at.started_at = ++processes_;
+        at.process = process_hash(at.name, at.started_at);
+        at.is_up = true;
+    }
+
+    void end_jointly() {
+        std::vector<engine*> up;
+        for (engine& each : engines_) {
+            if (each.is_up) {
+                up.push_back(&each);
+            }
+        }
+        std::shuffle(up.begin(), up.end(), random_);
+        const auto count = static_cast<std::size_t>(day_.joint_share * static_cast<double>(engines_.size()));
+        for (std::size_t i = 0; i < std::min(count, up.size()); ++i) {
+            end(*up[i]);
+        }
+    }
+
+    /** \return whether \p host is cut off from the others, which is so around the joint end. */
+    bool is_cut_off(std::size_t host) const {
+        return day_.joint_share > 0 && host % 3 == 0 && schedule_.now() > day_.joint_at_ms - 500 &&
+               schedule_.now() < day_.joint_at_ms + 4000;
+    }
+
+    void read_list(std::size_t host) {
+        schedule_.after(1000, [this, host] { read_list(host); });
+        std::vector<endpoint_record> listed;
+        for (const engine& each : engines_) {
+            listed.push_back({each.name, "", "", "pool"});
+            listed.back().started_at_ms = each.started_at;
+        }
+        hosts_[host].set_endpoints(listed, now());
+    }
+
+    void tell_refusal(std::size_t host, const engine& refusing) {
+        if (day_.joint_share <= 0 || hosts_told_.count({host, refusing.process}) > 0) {
+            return;
+        }
+        hosts_told_.insert({host, refusing.process});
+        const time_point at = now();
+        hosts_[host].on_refused(refusing.name, at, at);
+        for (std::size_t to = 0; to < hosts_.size(); ++to) {
+            if (to != host && !is_cut_off(host) && !is_cut_off(to) && below(day_.messages_per_loss) != 0) {
+                schedule_.after(30 + between(1, 20), [this, to, at, name = refusing.name,
+                                                      process = refusing.process] {
+                    hosts_told_.insert({to, process});
+                    hosts_[to].on_refused(name, at, now());
+                });
+            }
+        }
+    }
+
     void end_any() {
         schedule_.after(interval(day_.other_ends_per_s), [this] { end_any(); });
         engine& chosen = engines_[below(engines_.size())];
@@ -266,7 +338,7 @@
     void restart_any() {
         schedule_.after(7000, [this] { restart_any(); });
         const std::size_t host = below(hosts_.size());
-        hosts_[host] = crash_quarantine(names_[host]);
+        hosts_[host] = crash_quarantine(names_[host], day_.weighs_joint_ends);
         hosts_[host].set_hosts(names_, true);
         started_[host] = schedule_.now();
         deliver(host, hosts_[(host + 1) % hosts_.size()].known(8, now()));
@@ -274,13 +346,16 @@
 
     void gossip() {
         schedule_.after(400, [this] { gossip(); });
-        for (const crash_quarantine& host : hosts_) {
-            deliver(below(hosts_.size()), host.known(8, now()));
+        for (std::size_t from = 0; from < hosts_.size(); ++from) {
+            const std::size_t to = below(hosts_.size());
+            if (!is_cut_off(from)) {
+                deliver(to, hosts_[from].known(8, now()));
+            }
         }
     }
 
     void deliver(std::size_t to, const std::vector<crash_notice>& notices) {
-        if (notices.empty() || below(day_.messages_per_loss) == 0) {
+        if (notices.empty() || is_cut_off(to) || below(day_.messages_per_loss) == 0) {
             return;
         }
         report_.notices += static_cast<std::int64_t>(notices.size());
@@ -302,7 +377,7 @@
             }
         }
         for (std::size_t to = 0; to < hosts_.size(); ++to) {
-            if (to != from) {
+            if (to != from && !is_cut_off(from)) {
                 deliver(to, messages[to]);
             }
         }
@@ -353,6 +428,7 @@
     virtual_schedule schedule_;
     std::uint64_t digests_ = 0;
     std::uint32_t processes_ = 0;
+    std::set<std::pair<std::size_t, std::uint32_t>> hosts_told_; ///< of the refusals of a process
     parts_report report_;
 };
 
