--- a/src/host/entry_host_peers.cpp
+++ b/src/host/entry_host_peers.cpp
@@ -308,10 +308,9 @@
 }
 
 void entry_host::merge_refusals(const std::vector<refused_endpoint>& refused) {
-    const time_point now = monotonic_now();
     for (const refused_endpoint& each : refused) {
         const duration age = milliseconds(std::max<std::int64_t>(0, each.age_ms));
-        relay_.state().endpoints.allowance().cold().on_refused(each.endpoint, age, now);
+        relay_.merge_refusal(each.endpoint, age);
         unsent_refusals_.erase(each.endpoint); // All hosts have been notified already.
     }
 }
--- a/src/recovery/crash_quarantine.h
+++ b/src/recovery/crash_quarantine.h
@@ -91,8 +91,8 @@
 
     /** Takes the endpoints as the store lists them, among which ends that come together are recognized. */
     void set_endpoints(const std::vector<endpoint_record>& endpoints, time_point now);
-    /** Records that \p endpoint refused a connection of this host or another one at \p refused_at, so that its
-     * process had ended. */
+    /** Records that \p endpoint refused a connection of this host or another one at \p refused_at, so that
+     * its process had ended. */
     void on_refused(const std::string& endpoint, time_point refused_at, time_point now);
 
     /** \return whether nothing has a record, so that callers need not compute digests. */
--- a/src/recovery/crash_record.cpp
+++ b/src/recovery/crash_record.cpp
@@ -162,9 +162,8 @@
 }
 
 int crash_record::ends_without_weight() const {
-    return static_cast<int>(std::count_if(ends_.begin(), ends_.end(), [](const weighed_end& each) {
-        return each.weight == end_weight::none;
-    }));
+    return static_cast<int>(std::count_if(
+        ends_.begin(), ends_.end(), [](const weighed_end& each) { return each.weight == end_weight::none; }));
 }
 
 void crash_record::recount(time_point now) {
@@ -195,9 +194,8 @@
 }
 
 time_point crash_record::trial_due() const {
-    const auto last = std::find_if(ends_.rbegin(), ends_.rend(), [](const weighed_end& each) {
-        return each.weight != end_weight::none;
-    });
+    const auto last = std::find_if(ends_.rbegin(), ends_.rend(),
+                                   [](const weighed_end& each) { return each.weight != end_weight::none; });
     return last->end.ended_at + rule_of(kind_).trial_delay(counted_ends_, failed_trials());
 }
 
--- a/src/recovery/ended_processes.h
+++ b/src/recovery/ended_processes.h
@@ -22,9 +22,9 @@
 
 namespace laurelhoist {
 
-/// Ends that happen at most this far apart may have one cause. Reset connections show an end within about
-/// 100 ms, and other hosts are told 30 ms later.
-constexpr duration joint_window = milliseconds(500);
+/// Ends that happen at most this far apart may have one cause: reset connections show them within this time.
+/// In a longer one, the ends under several crashing requests would hide one another.
+constexpr duration joint_window = milliseconds(100);
 /// An end learned later than this is not attributed to earlier ends that came together.
 constexpr duration max_end_delay = seconds(3);
 
@@ -81,7 +81,8 @@
     const listed_process* find(std::uint32_t process) const;
     void rebuild_pools();
     /** \return the ends of \p pool within \ref joint_window of \p at, or nothing if they are few. */
-    static std::optional<joint_ends> joint_at(const std::string& name, const listed_pool& pool, time_point at);
+    static std::optional<joint_ends> joint_at(const std::string& name, const listed_pool& pool,
+                                              time_point at);
 
     bool has_list_ = false;
     std::map<std::uint32_t, listed_process> processes_; ///< those listed, and those that ended lately
--- a/src/relay/exchange.cpp
+++ b/src/relay/exchange.cpp
@@ -428,7 +428,7 @@
     }
     ++attempts_;
     if (!state_.quarantine.is_empty()) {
-        attempt_.is_trial = state_.quarantine.on_sent(causes(), now);
+        attempt_.is_trial = state_.quarantine.on_sent(causes_in_question(), now);
     }
     connection_->send(state_.dialect.write_request(request_, terms));
 }
@@ -496,7 +496,7 @@
         state_.endpoints.allowance().on_rejected(attempt_.chosen.endpoint.name, monotonic_now());
     }
     if (attempt_.is_trial && proves_not_run(end)) {
-        state_.quarantine.on_trial_not_run(causes());
+        state_.quarantine.on_trial_not_run(causes_in_question());
     }
     if (attempt_.is_forwarded()) {
         count_attempts_of_peer(end);
--- a/src/relay/exchange.h
+++ b/src/relay/exchange.h
@@ -176,6 +176,8 @@
     request_digest digest();
     /** \return what an endpoint's end during this request can be blamed on. */
     crash_causes causes();
+    /** \return what a quarantine can hold against the next attempt. */
+    crash_causes causes_in_question();
     /** \return the first of the prompt's parts but the last, for the log. */
     std::string shared_parts_text() const;
     std::string team_name() const { return team_ == nullptr ? std::string{} : team_->name; }
--- a/src/relay/exchange_quarantine.cpp
+++ b/src/relay/exchange_quarantine.cpp
@@ -26,6 +26,13 @@
     return {digest(), shared_parts_};
 }
 
+// A stream that has begun is evidence for the parts of its prompt, so it goes on even if one of them is
+// quarantined: it would otherwise be cut.
+crash_causes exchange::causes_in_question() {
+    const bool has_shown_parts = has_begun_answer_ && state_.settings.in_use.weighs_joint_ends;
+    return has_shown_parts ? crash_causes{digest()} : causes();
+}
+
 std::string exchange::shared_parts_text() const {
     constexpr std::size_t max_listed = 16;
     std::string listed;
@@ -40,14 +47,14 @@
 // with a new id. Checked wherever a request is sent to an endpoint: first and later attempts, steps up to a
 // larger model, resumed streams, and requests that have waited.
 bool exchange::is_quarantined(time_point now) {
-    return !state_.quarantine.is_empty() && !state_.quarantine.may_send(causes(), now);
+    return !state_.quarantine.is_empty() && !state_.quarantine.may_send(causes_in_question(), now);
 }
 
 void exchange::answer_quarantined() {
     state_.measured.count("requests_quarantined");
-    log_info(
-        "request_refused_as_quarantined",
-        {{"request", terms_.id}, {"causes", state_.quarantine.quarantined_among(causes(), monotonic_now())}});
+    log_info("request_refused_as_quarantined",
+             {{"request", terms_.id},
+              {"causes", state_.quarantine.quarantined_among(causes_in_question(), monotonic_now())}});
     answer_failure(may_have_run_ ? status_bad_gateway : status_unavailable, "ends_endpoints",
                    "do not send this request again unchanged: each endpoint that started to run it, or "
                    "requests with the "
@@ -58,7 +65,7 @@
 void exchange::on_quarantine_changed() {
     const bool is_unsent = is_in_state("waiting") || is_in_state("connecting");
     const bool may_stop = is_unsent || (is_in_state("asked") && route_->may_repeat() && !attempt_.is_trial);
-    if (!has_started_ || !may_stop || !state_.quarantine.has_quarantined(causes())) {
+    if (!has_started_ || !may_stop || !state_.quarantine.has_quarantined(causes_in_question())) {
         return;
     }
     auto self = shared_from_this();
@@ -88,7 +95,7 @@
     const endpoint_record& endpoint = attempt_.chosen.endpoint;
     const std::uint32_t process = process_hash(endpoint.name, endpoint.started_at_ms);
     const endpoint_end end{process, attempt_.sent_at, monotonic_now()};
-    return {causes(), end, endpoint.name, terms_.id, team_name()};
+    return {causes_in_question(), end, endpoint.name, terms_.id, team_name()};
 }
 
 void exchange::clear_parts() {
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -145,6 +145,7 @@
     }
     state_.pool.expire(now);
     state_.quarantine.forget_old(now);
+    count_ends_not_counted();
     end_confirmation_.expire(now);
     probes_.expire(slow_connect, now);
     check_links(now);
@@ -173,8 +174,10 @@
 }
 
 void relay::report_connection_refused(const std::string& endpoint) {
+    const time_point now = monotonic_now();
+    state_.quarantine.on_refused(endpoint, now, now);
     const bool should_announce =
-        state_.endpoints.allowance().cold().on_refused(endpoint, duration::zero(), monotonic_now());
+        state_.endpoints.allowance().cold().on_refused(endpoint, duration::zero(), now);
     if (should_announce && state_.on_connection_refused) {
         state_.on_connection_refused(endpoint);
     }
@@ -251,6 +254,18 @@
     on_quarantine_changed();
 }
 
+void relay::merge_refusal(const std::string& endpoint, duration age) {
+    const time_point now = monotonic_now();
+    state_.endpoints.allowance().cold().on_refused(endpoint, age, now);
+    state_.quarantine.on_refused(endpoint, now - age, now);
+}
+
+void relay::count_ends_not_counted() {
+    if (const std::uint64_t count = state_.quarantine.take_ends_not_counted()) {
+        state_.measured.count("ends_not_counted_joint", count);
+    }
+}
+
 void relay::merge_crash_notices(const std::vector<crash_notice>& notices) {
     if (notices.empty()) {
         return;
@@ -291,6 +306,7 @@
 void relay::set_endpoints(const std::vector<endpoint_record>& endpoints) {
     const std::vector<endpoint_record> restarted = state_.endpoints.restarted_among(endpoints);
     state_.endpoints.update(endpoints, monotonic_now());
+    state_.quarantine.set_endpoints(endpoints, monotonic_now());
     state_.are_endpoints_known = true;
     for (const endpoint_record& endpoint : restarted) {
         on_restarted(endpoint);
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -55,7 +55,7 @@
           pool{event_loop_in.context()},
           peers{relay_settings_in.host, relay_settings_in.failure_domain,
                 placement_hash(relay_settings_in.host)},
-          quarantine{relay_settings_in.host},
+          quarantine{relay_settings_in.host, relay_settings_in.in_use.weighs_joint_ends},
           freshness{relay_settings_in.revoke_bound, freshness_margin},
           first_events{relay_settings_in.in_use.learns_reading_time} {}
 
@@ -127,6 +127,8 @@
     void set_endpoints(const std::vector<endpoint_record>& endpoints);
     /** Merges another host's notices about what endpoints ended under. */
     void merge_crash_notices(const std::vector<crash_notice>& notices);
+    /** Records that \p endpoint refused a connection of another host \p age ago. */
+    void merge_refusal(const std::string& endpoint, duration age);
     /** Merges another host's notices about the rate limits of endpoints. */
     void merge_limit_notices(const std::vector<limit_notice>& notices);
     /** Clears a request or a part of prompts, by order of an operator. */
@@ -183,6 +185,8 @@
     void clear_suspicion(request_digest digest);
     void clear_parts(const std::vector<part_digest>& parts);
     void on_quarantine_changed();
+    /** Counts the ends that the quarantine found not to count because of what ended with them. */
+    void count_ends_not_counted();
     void on_restarted(const endpoint_record& endpoint);
 
     relay_state state_;
--- a/test/crash_parts_fleet.h
+++ b/test/crash_parts_fleet.h
@@ -30,10 +30,10 @@
     bool restarts_hosts = true;
     std::int64_t length_ms = 40'000;
     std::int64_t trouble_from_ms = 4000;
-    double joint_share = 0;               ///< share of the engines that end in one moment, at joint_at_ms
-    std::int64_t joint_at_ms = 12'000;    ///< meanwhile a third of the hosts is cut off from the others
-    std::int64_t joint_delay_ms = 0;      ///< longest time in which a third of the hosts learns of an end
-    std::int64_t max_first_event_ms = 5;  ///< longest time from the beginning to the first event
+    double joint_share = 0;              ///< share of the engines that end in one moment, at joint_at_ms
+    std::int64_t joint_at_ms = 12'000;   ///< meanwhile a third of the hosts is cut off from the others
+    std::int64_t joint_delay_ms = 0;     ///< longest time in which a third of the hosts learns of an end
+    std::int64_t max_first_event_ms = 5; ///< longest time from the beginning to the first event
     bool weighs_joint_ends = true;
 };
 
@@ -227,7 +227,8 @@
             });
             return;
         }
-        const std::int64_t first_event_ms = day_.max_first_event_ms > 5 ? between(5, day_.max_first_event_ms) : 5;
+        const std::int64_t first_event_ms =
+            day_.max_first_event_ms > 5 ? between(5, day_.max_first_event_ms) : 5;
         schedule_.after(first_event_ms, [this, &at, process, sent] {
             if (at.process == process && at.is_up && !sent->is_over) {
                 answer_begins(at, sent);
@@ -318,11 +319,11 @@
         hosts_[host].on_refused(refusing.name, at, at);
         for (std::size_t to = 0; to < hosts_.size(); ++to) {
             if (to != host && !is_cut_off(host) && !is_cut_off(to) && below(day_.messages_per_loss) != 0) {
-                schedule_.after(30 + between(1, 20), [this, to, at, name = refusing.name,
-                                                      process = refusing.process] {
-                    hosts_told_.insert({to, process});
-                    hosts_[to].on_refused(name, at, now());
-                });
+                schedule_.after(30 + between(1, 20),
+                                [this, to, at, name = refusing.name, process = refusing.process] {
+                                    hosts_told_.insert({to, process});
+                                    hosts_[to].on_refused(name, at, now());
+                                });
             }
         }
     }
