Operators under load: GET /load and laurelctl load; request bodies are bounded and counted

Cause: refusals and waits by cause, team and route were only in the log lines of single requests; bodies that wait for room or for endpoints that read slowly, and what a caller sends ahead of its answer, had no bound. A caller's bytes beyond 64 KiB ahead of its answer stay in the network.

--- a/src/host/entry_host.h
+++ b/src/host/entry_host.h
@@ -59,6 +59,7 @@
     duration stop_grace = seconds(8);
     int capacity = 0; ///< \ref host_status::capacity
     std::size_t caller_buffer_bytes = relay_settings{}.caller_buffer_bytes;
+    std::size_t request_buffer_bytes = relay_settings{}.request_buffer_bytes;
     cascade_settings cascade;
     rollout_settings rollouts;
     mechanisms in_use;
@@ -92,6 +93,8 @@
     /** \return the addresses that a caller in \p domain may use. */
     std::vector<std::string> entries_for_caller(const std::string& domain) const;
     std::string metrics_text();
+    /** \return what operators see of the load, as of \ref load_summary::report. */
+    json report_load(const load_filter& filter) const { return relay_.report_load(filter); }
     /** \return the requests and parts of prompts that are quarantined because endpoints crashed under them.
      */
     std::vector<quarantined_cause> quarantined() const;
--- a/src/programs/laurelctl.cpp
+++ b/src/programs/laurelctl.cpp
@@ -4,6 +4,7 @@
  */
 #include "node/node.h"
 #include "programs/common.h"
+#include "programs/laurelctl_load.h"
 
 #include <gflags/gflags.h>
 
@@ -19,6 +20,8 @@
 DEFINE_string(reason, "", "reason, stored with a withdrawal");
 DEFINE_int64(revision, -1, "revision that the change is based on; -1: the current one");
 DEFINE_uint32(wait_ms, 6000, "how long to wait until a change is in force on every host, in ms");
+DEFINE_string(route, "", "route whose load to show; empty: all");
+DEFINE_string(team, "", "team whose load to show; empty: all");
 DEFINE_bool(json, false, "print JSON instead of tables");
 
 namespace laurelhoist {
@@ -44,7 +47,9 @@
     "  laurelctl bundle status                 state of every bundle\n"
     "  laurelctl version withdraw MODEL@VERSION [...]\n"
     "  laurelctl status                        hosts, revision, stopped versions, changes\n"
-    "  laurelctl ledger                        bills by team\n\n"
+    "  laurelctl ledger                        bills by team\n"
+    "  laurelctl load HOST:PORT                load of the host with this metrics address, by route and "
+    "team\n\n"
     "Exit codes: 0 done, 1 failed, 2 usage error, 3 conflict with another change or command not possible\n"
     "now, 4 no steward answers, 5 accepted but not yet in force everywhere.";
 
@@ -112,29 +117,6 @@
     return json::parse(answer.body);
 }
 
-// ---- tables ----
-
-void print_row(const std::vector<std::string>& cells, const std::vector<std::size_t>& widths) {
-    for (std::size_t i = 0; i < cells.size(); ++i) {
-        std::cout << cells[i]
-                  << std::string(widths[i] > cells[i].size() ? widths[i] - cells[i].size() + 2 : 2, ' ');
-    }
-    std::cout << '\n';
-}
-
-void print_table(const std::vector<std::vector<std::string>>& rows) {
-    std::vector<std::size_t> widths;
-    for (const auto& row : rows) {
-        widths.resize(std::max(widths.size(), row.size()));
-        for (std::size_t i = 0; i < row.size(); ++i) {
-            widths[i] = std::max(widths[i], row[i].size());
-        }
-    }
-    for (const auto& row : rows) {
-        print_row(row, widths);
-    }
-}
-
 std::string percent(double share) {
     std::ostringstream text;
     text << share * 100 << '%';
@@ -386,6 +368,32 @@
     return exit_done;
 }
 
+int show_load(const std::vector<std::string>& arguments) {
+    const outcome<socket_address> address = parse_address(arguments[1]);
+    if (value_of(address) == nullptr) {
+        return fail(exit_usage, arguments[1] + " is no address; write an IP number and a port, as in " +
+                                    "10.0.0.1:9100: the host's --metrics");
+    }
+    const http_answer answer = ask_for_load(*value_of(address), FLAGS_route, FLAGS_team);
+    if (answer.what != http_answer::result::answered) {
+        return fail(exit_failed, "no host answers at " + arguments[1] + "; give its --metrics address");
+    }
+    const json report = json::parse(answer.body, nullptr, false);
+    if (answer.status != 200 || !report.is_object() || report.count("rows") == 0) {
+        return fail(exit_failed,
+                    arguments[1] + " serves no load; give the --metrics address of an entry host");
+    }
+    if (FLAGS_json) {
+        std::cout << report.dump(2) << '\n';
+    } else {
+        std::cout << "last " << report["window_s"] << " s:\n";
+        print_table(load_table(report, "last"));
+        std::cout << "\nsince the start:\n";
+        print_table(load_table(report, "since_start"));
+    }
+    return exit_done;
+}
+
 struct command_entry {
     std::vector<std::string> words;
     std::size_t operands;
@@ -406,6 +414,7 @@
         {{"version", "withdraw"}, 1, true, withdraw_versions},
         {{"status"}, 0, false, show_status},
         {{"ledger"}, 0, false, show_ledger},
+        {{"load"}, 1, false, show_load},
     };
     return table;
 }
--- a/src/relay/caller_connection.cpp
+++ b/src/relay/caller_connection.cpp
@@ -24,6 +24,9 @@
 /// Added to the idle limit, so that a caller that respects the limit never sends on a connection that is
 /// being closed.
 constexpr duration idle_slack = seconds(1);
+/// Bytes that a caller may send ahead of the answer to its present request before they are left in the
+/// network.
+constexpr std::size_t max_bytes_ahead = 64 << 10;
 /// A caller that accepts nothing for this long is disconnected. Endpoints drop an answer that stays unread
 /// for some seconds, so a longer wait would not save it.
 constexpr duration unread_timeout = seconds(4);
@@ -35,12 +38,13 @@
 } // namespace
 
 caller_connection::caller_connection(tcp::socket socket, const caller_limits& limits, const handlers& events,
-                                     request_source source)
+                                     byte_account request_bytes, request_source source)
     : socket_{std::move(socket)},
       limits_{limits},
       events_{events},
       source_{source},
       reader_{limits.header_bytes, limits.body_bytes},
+      received_{std::move(request_bytes)},
       timeout_start_{monotonic_now()} {
     set_caller_liveness_options(socket_);
 }
@@ -68,13 +72,25 @@
     if (!is_serving_) {
         read_requests();
     }
-    if (!is_closed_) {
+    bound_received();
+    is_reading_paused_ = is_serving_ && reader_.received_bytes() > max_bytes_ahead;
+    if (!is_closed_ && !is_reading_paused_) {
         start_read();
     }
 }
 
+void caller_connection::bound_received() {
+    received_.set(reader_.received_bytes());
+    if (reader_.body_bytes() > 0 && !events_.has_room(received_.bytes())) {
+        reader_.drop_body();
+        received_.set(reader_.received_bytes());
+    }
+}
+
 void caller_connection::read_requests() {
-    switch (reader_.advance()) {
+    const request_reader::progress made = reader_.advance();
+    bound_received();
+    switch (made) {
     case request_reader::progress::needs_more:
         return;
     case request_reader::progress::needs_continue:
@@ -89,11 +105,21 @@
     case request_reader::progress::body_too_large:
         reject(status_body_too_large, "send a smaller body");
         return;
-    case request_reader::progress::complete:
+    case request_reader::progress::complete: {
         is_serving_ = true;
-        events_.on_request(shared_from_this(), reader_.take());
+        caller_request request = reader_.take();
+        received_.set(reader_.received_bytes());
+        events_.on_request(shared_from_this(), std::move(request));
         return;
     }
+    }
+}
+
+void caller_connection::resume_reading() {
+    if (is_reading_paused_ && !is_closed_) {
+        is_reading_paused_ = false;
+        start_read();
+    }
 }
 
 void caller_connection::reject(int status, const std::string& remedy) {
@@ -183,6 +209,7 @@
     asio::post(socket_.get_executor(), [self = shared_from_this()] {
         if (!self->is_closed_ && !self->is_serving_) {
             self->read_requests();
+            self->resume_reading();
         }
     });
 }
--- a/src/relay/caller_connection.h
+++ b/src/relay/caller_connection.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "relay/byte_account.h"
 #include "relay/http_codec.h"
 #include "traffic/traffic.h"
 #include "transport/event_loop.h"
@@ -31,12 +32,16 @@
         std::function<void(int status)> on_rejected;
         /// Called before the connection is reset because the caller does not read its answer.
         std::function<void(std::size_t unsent_bytes)> on_unread;
+        /// Asked while a body arrives of which \p own_bytes are held; if it returns false, the body is
+        /// dropped and the request is passed on without it (\ref caller_request::is_body_dropped).
+        std::function<bool(std::size_t own_bytes)> has_room;
         /// Called once, when the connection has closed.
         std::function<void(const std::shared_ptr<caller_connection>&)> on_closed;
     };
 
     caller_connection(boost::asio::ip::tcp::socket socket, const caller_limits& limits,
-                      const handlers& events, request_source source = request_source::caller);
+                      const handlers& events, byte_account request_bytes,
+                      request_source source = request_source::caller);
 
     void start();
     /** Sets the callback for a caller that disconnects before its answer is complete. */
@@ -69,6 +74,9 @@
     void start_read();
     void on_read(std::size_t bytes);
     void read_requests();
+    /** Updates the count of received bytes; drops the body of the present request if there is no room. */
+    void bound_received();
+    void resume_reading();
     void reject(int status, const std::string& remedy);
     void flush();
     void write_some();
@@ -83,6 +91,7 @@
     const handlers& events_;
     request_source source_;
     request_reader reader_;
+    byte_hold received_;                ///< bytes in \ref reader_
     std::array<char, 8192> incoming_{}; ///< read buffer; most requests arrive in two reads
     std::string outgoing_;              ///< bytes that wait for the next write
     std::string in_flight_;             ///< bytes of the write under way
@@ -92,6 +101,7 @@
     std::function<void()> on_sent_;
     time_point timeout_start_; ///< when the connection became idle or the present request began to arrive
     bool is_serving_ = false;
+    bool is_reading_paused_ = false; ///< the caller has sent much ahead of the answer to its present request
     bool is_flushing_ = false;
     bool is_flush_posted_ = false;
     bool is_closing_ = false;
--- a/src/relay/endpoint_connection.cpp
+++ b/src/relay/endpoint_connection.cpp
@@ -20,8 +20,9 @@
 
 } // namespace
 
-endpoint_connection::endpoint_connection(asio::io_context& context, std::string address)
-    : socket_{context}, address_{std::move(address)} {}
+endpoint_connection::endpoint_connection(asio::io_context& context, std::string address,
+                                         byte_account unsent_bytes)
+    : socket_{context}, address_{std::move(address)}, unsent_{std::move(unsent_bytes)} {}
 
 void endpoint_connection::connect(connection_observer& observer) {
     observer_ = &observer;
@@ -59,6 +60,7 @@
 }
 
 void endpoint_connection::send(std::string bytes) {
+    unsent_.set(unsent_.bytes() + bytes.size());
     outgoing_.push_back(std::move(bytes));
     if (outgoing_.size() == 1) {
         start_write();
@@ -71,6 +73,7 @@
                           if (failure || self->outgoing_.empty()) {
                               return; // The pending read reports the end of the connection.
                           }
+                          self->unsent_.set(self->unsent_.bytes() - self->outgoing_.front().size());
                           self->outgoing_.pop_front();
                           if (!self->outgoing_.empty()) {
                               self->start_write();
@@ -134,7 +137,7 @@
 }
 
 std::shared_ptr<endpoint_connection> connection_pool::make(const std::string& address) {
-    return std::make_shared<endpoint_connection>(context_, address);
+    return std::make_shared<endpoint_connection>(context_, address, unsent_bytes_);
 }
 
 void connection_pool::keep(std::shared_ptr<endpoint_connection> connection, time_point until) {
--- a/src/relay/endpoint_connection.h
+++ b/src/relay/endpoint_connection.h
@@ -3,6 +3,7 @@
  */
 #pragma once
 
+#include "relay/byte_account.h"
 #include "transport/event_loop.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -45,7 +46,8 @@
 /** A TCP connection to an endpoint. */
 class endpoint_connection : public std::enable_shared_from_this<endpoint_connection> {
 public:
-    endpoint_connection(boost::asio::io_context& context, std::string address);
+    /** \param unsent_bytes counts what has been given to \ref send and not been written yet */
+    endpoint_connection(boost::asio::io_context& context, std::string address, byte_account unsent_bytes);
 
     void connect(connection_observer& observer);
     /** Sets the observer. Null means that the connection is idle: it then closes on any received byte and on
@@ -76,6 +78,7 @@
     connection_observer* observer_ = nullptr;
     std::array<char, 8192> incoming_{}; ///< fits about a hundred events; a larger buffer gains nothing
     std::deque<std::string> outgoing_;
+    byte_hold unsent_; ///< bytes in \ref outgoing_
     bool is_connected_ = false;
     bool is_reading_ = false; ///< a read is in progress
     bool is_reading_paused_ = false;
@@ -97,8 +100,12 @@
     /** Closes connections that have been idle too long; to be called a few times a second. */
     void expire(time_point now);
 
+    /** \return the bytes of requests that wait for endpoints to read. */
+    std::size_t unsent_bytes() const { return unsent_bytes_.held(); }
+
 private:
     boost::asio::io_context& context_;
+    byte_account unsent_bytes_;
     std::unordered_map<std::string, std::deque<std::shared_ptr<endpoint_connection>>> idle_;
 };
 
--- a/src/relay/exchange.cpp
+++ b/src/relay/exchange.cpp
@@ -95,7 +95,10 @@
       state_{owner.state()},
       caller_{std::move(caller)},
       request_{std::move(request)},
-      exchange_state_{state_.request_chart.initial()} {}
+      held_body_{state_.request_bytes},
+      exchange_state_{state_.request_chart.initial()} {
+    held_body_.set(request_.body.size());
+}
 
 void exchange::apply_event(const char* event) {
     const outcome<std::string> next = state_.request_chart.next(exchange_state_, event);
@@ -164,7 +167,7 @@
         answer_failure(status_not_found, "no_route", "use a host and path that match a route", {});
         return false;
     }
-    if (!admit_team()) {
+    if (!admit_team() || !admit_body()) {
         return false;
     }
     if (would_outlast_stop()) {
@@ -678,6 +681,7 @@
     const duration took = monotonic_now() - arrived_at_;
     state_.measured.count(std::string("requests_") + outcome);
     state_.measured.time("request_ms", took);
+    record_load(outcome, status, took);
     log_info("request_ended",
              {{"request", terms_.id},
               {"outcome", outcome},
--- a/src/relay/exchange.h
+++ b/src/relay/exchange.h
@@ -32,6 +32,8 @@
     void on_endpoint_restarted(const endpoint_record& endpoint);
     /** Logs what this request waits for, because the process ends before it. */
     void log_cut_by_stop() const;
+    /** \return for whom and how long this request has waited for an endpoint; nothing if it does not wait. */
+    std::optional<waiting_request> waiting(time_point now) const;
 
     /** Checks whether this request is now quarantined; if so, refuses it unless its answer has begun, it is
      * the trial attempt, or it has been sent and may not be repeated. */
@@ -87,6 +89,13 @@
     void dispatch();
     /** \return whether a request that has just arrived may be placed; otherwise it has been refused. */
     bool admit_load();
+    /** \return whether there was room for the request's body; otherwise the request has been refused. */
+    bool admit_body();
+    load_key key_of_load() const;
+    /** \return whether a served request missed an objective of its route. */
+    bool is_late(duration took) const;
+    /** Counts the end of the request for operators. */
+    void record_load(const std::string& outcome, int status, duration took);
     /** \return the priority of the team, or of the route if the team has none; 0 is the most urgent. */
     int priority() const;
     /** \return the urgency that engines order their queues by, 0 is the most urgent. */
@@ -206,6 +215,7 @@
     relay_state& state_;
     std::shared_ptr<caller_connection> caller_;
     caller_request request_;
+    byte_hold held_body_;
     request_terms terms_;
     prompt_shape prompt_;
     routing_snapshot routing_;
--- /dev/null
+++ b/src/relay/exchange_load.cpp
@@ -0,0 +1,59 @@
+// The part of an exchange that reports the load and keeps the memory for request bodies bounded.
+#include "relay/exchange.h"
+
+namespace laurelhoist {
+
+namespace {
+
+constexpr duration retry_after_no_memory = milliseconds(500);
+
+} // namespace
+
+load_key exchange::key_of_load() const {
+    return {service_, route_ == nullptr ? std::string{} : route_->name, team_name()};
+}
+
+std::optional<waiting_request> exchange::waiting(time_point now) const {
+    if (!is_in_state("waiting")) {
+        return std::nullopt;
+    }
+    return waiting_request{key_of_load(), now - arrived_at_};
+}
+
+bool exchange::is_late(duration took) const {
+    const duration first = first_event_ms_ >= 0 ? milliseconds(first_event_ms_) : took;
+    // A caller that reads slowly makes pauses, too.
+    const bool has_long_gap = !attempt_.has_paused && route_->gap_objective > duration::zero() &&
+                              milliseconds(longest_gap_ms_) > route_->gap_objective;
+    return first > route_->latency_objective || has_long_gap;
+}
+
+void exchange::record_load(const std::string& outcome, int status, duration took) {
+    ended_request ended;
+    ended.key = key_of_load();
+    ended.outcome = outcome;
+    ended.status = status;
+    const bool is_served = outcome == "served";
+    ended.is_late = is_served && is_late(took);
+    if (first_event_ms_ >= 0) {
+        ended.first_event = milliseconds(first_event_ms_);
+    } else if (is_served) {
+        ended.first_event = took;
+    }
+    state_.load.on_ended(ended, arrived_at_ + took);
+}
+
+// Guards against a host that runs out of memory because endpoints read slowly, or many requests wait.
+bool exchange::admit_body() {
+    if (!request_.is_body_dropped) {
+        return true;
+    }
+    log_info("request_refused_for_memory", {{"request", terms_.id},
+                                            {"held_bytes", state_.held_for_requests()},
+                                            {"limit_bytes", state_.settings.request_buffer_bytes}});
+    answer_failure(status_unavailable, "no_memory", "retry later: this host holds too many request bodies",
+                   retry_after_no_memory);
+    return false;
+}
+
+} // namespace laurelhoist
--- a/src/relay/http_codec.cpp
+++ b/src/relay/http_codec.cpp
@@ -133,6 +133,7 @@
     }
     http::request_parser<http::string_body> parser;
     bool has_asked_to_continue = false;
+    bool is_body_dropped = false;
 };
 
 request_reader::request_reader(std::size_t header_bytes, std::size_t body_bytes)
@@ -149,6 +150,9 @@
         boost::beast::error_code failure;
         const std::size_t used = parser.put(asio::buffer(pending_), failure);
         pending_.erase(0, used);
+        if (state_->is_body_dropped) {
+            parser.get().body().clear();
+        }
         if (failure == http::error::need_more) {
             break;
         }
@@ -181,6 +185,7 @@
     request.headers = to_header_list(message);
     request.keeps_alive = message.keep_alive();
     request.body = std::move(message.body());
+    request.is_body_dropped = state_->is_body_dropped;
     state_ = std::make_unique<state>(header_bytes_, body_bytes_);
     return request;
 }
@@ -189,6 +194,19 @@
     return !pending_.empty() || state_->parser.got_some();
 }
 
+std::size_t request_reader::body_bytes() const {
+    return state_->parser.get().body().size();
+}
+
+std::size_t request_reader::received_bytes() const {
+    return pending_.size() + body_bytes();
+}
+
+void request_reader::drop_body() {
+    state_->is_body_dropped = true;
+    std::string().swap(state_->parser.get().body());
+}
+
 struct answer_reader::state {
     explicit state(bool is_for_head) {
         parser.header_limit(max_answer_header_bytes);
--- a/src/relay/http_codec.h
+++ b/src/relay/http_codec.h
@@ -50,6 +50,7 @@
     header_list headers;
     std::string body;
     bool keeps_alive = true;
+    bool is_body_dropped = false; ///< the body has arrived and there was no room for it
 
     std::string path() const { return target.substr(0, target.find('?')); }
 };
@@ -79,6 +80,12 @@
     caller_request take();
     /** \return whether bytes of a request that has not been taken have arrived. */
     bool has_partial_request() const;
+    /** \return the bytes held, of the present request and of what follows it. */
+    std::size_t received_bytes() const;
+    /** \return the bytes of the present request's body that are held. */
+    std::size_t body_bytes() const;
+    /** Forgets the present request's body, and what is still to come of it. */
+    void drop_body();
 
 private:
     struct state;
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -54,6 +54,9 @@
         log_warning("caller_not_reading",
                     {{"unsent_bytes", unsent_bytes}, {"remedy", "read answers without pauses of seconds"}});
     };
+    caller_events_.has_room = [this](std::size_t own_bytes) {
+        return state_.held_for_requests() - own_bytes <= state_.settings.request_buffer_bytes;
+    };
     caller_events_.on_closed = [this](const auto& caller) { callers_.erase(caller); };
     loop.every(sweep_interval, [this] { sweep(); });
 }
@@ -97,8 +100,8 @@
         if (!failure) {
             caller_limits limits = state_.routing ? state_.routing->config().limits : caller_limits{};
             limits.header_bytes += source == request_source::peer ? peer_header_bytes : 0;
-            auto caller =
-                std::make_shared<caller_connection>(std::move(socket), limits, caller_events_, source);
+            auto caller = std::make_shared<caller_connection>(std::move(socket), limits, caller_events_,
+                                                              state_.request_bytes, source);
             callers_.insert(caller);
             caller->start();
         } else {
@@ -311,6 +314,17 @@
                            [](std::size_t sum, const auto& caller) { return sum + caller->unsent_bytes(); });
 }
 
+json relay::report_load(const load_filter& filter) const {
+    const time_point now = monotonic_now();
+    std::vector<waiting_request> waiting;
+    for (const auto& each : active_) {
+        if (std::optional<waiting_request> found = each->waiting(now)) {
+            waiting.push_back(std::move(*found));
+        }
+    }
+    return state_.load.report(waiting, filter, now);
+}
+
 std::size_t relay::max_unsent_bytes_per_caller() const {
     const std::size_t share = state_.settings.caller_buffer_bytes / std::max<std::size_t>(1, callers_.size());
     return std::clamp(share, min_caller_share_bytes, max_caller_share_bytes);
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -9,6 +9,7 @@
 #include "relay/end_confirmation.h"
 #include "relay/endpoint_connection.h"
 #include "relay/endpoint_probes.h"
+#include "relay/load_report.h"
 #include "relay/model_choice.h"
 #include "relay/peer_forwarding.h"
 #include "relay/repeat_allowance.h"
@@ -35,6 +36,9 @@
     repeat_bound repeats;
     /// Bytes of answers that the host holds at most for callers that read slowly.
     std::size_t caller_buffer_bytes = std::size_t{16} << 20;
+    /// Bytes of requests that the host holds before it refuses requests with bodies; see \ref
+    /// relay_state::held_for_requests.
+    std::size_t request_buffer_bytes = std::size_t{32} << 20;
     std::string cold_sharing = "sponsors"; ///< \see cold_sharing_names
 };
 
@@ -76,6 +80,11 @@
     first_event_estimate first_events;
     std::map<std::string, repeat_allowance> repeats; ///< by service
     std::size_t hosts = 1;                           ///< live hosts, this one included
+    load_summary load;
+    byte_account request_bytes; ///< bodies of requests that are being received or in progress
+
+    /** \return the bytes of requests that this host holds: bodies, and what endpoints have not read yet. */
+    std::size_t held_for_requests() const { return request_bytes.held() + pool.unsent_bytes(); }
 
     repeat_allowance& repeats_of(const std::string& service) {
         repeat_allowance& found =
@@ -143,6 +152,8 @@
     void log_cut_requests();
     /** \return the bytes of answers that wait for their callers to read. */
     std::size_t unsent_bytes() const;
+    /** \return what operators see of the load, as of \ref load_summary::report. */
+    json report_load(const load_filter& filter) const;
     /** \return the unsent bytes of one caller from which on no more of its answer is read: an even share of
      * the host's buffer. */
     std::size_t max_unsent_bytes_per_caller() const;
--- a/test/relay_fixture.h
+++ b/test/relay_fixture.h
@@ -360,12 +360,14 @@
         relay_settings settings;
         settings.host = "h1";
         settings.failure_domain = "d1";
+        settings.request_buffer_bytes = request_buffer_bytes_;
         relay_ = std::make_unique<relay>(loop_, dialect_, releases_,
                                          load_chart_or_exit(LAUREL_SOURCE_DIR "/charts", "endpoint"),
                                          load_chart_or_exit(LAUREL_SOURCE_DIR "/charts", "relay"), settings);
         traffic_config config;
         config.routes = {route};
         config.teams = std::move(teams);
+        config.limits.body_bytes = body_limit_bytes_;
         traffic_service service;
         service.name = "claims";
         if (has_cold_starts_) {
@@ -467,7 +469,10 @@
     }
 
     bool has_cold_starts_ = false; ///< endpoints are cold after their start; set before \ref start_relay
-    duration configured_after_{};  ///< delay of the relay's configuration; set before \ref start_relay
+    std::size_t request_buffer_bytes_ =
+        relay_settings{}.request_buffer_bytes;                  ///< set before \ref start_relay
+    std::size_t body_limit_bytes_ = caller_limits{}.body_bytes; ///< set before \ref start_relay
+    duration configured_after_{}; ///< delay of the relay's configuration; set before \ref start_relay
     event_loop loop_;
     test_dialect dialect_;
     rollout_tracker releases_;
--- a/test/soak/platform_soak.py
+++ b/test/soak/platform_soak.py
@@ -32,6 +32,11 @@
 MAX_BACK_OFF_REQUESTS = 2   # requests tolerated from a host during a back-off
 UNDISTURBED_S = 4.0         # time bounds are checked only for hosts undisturbed for longer than this
 GRACE_S = 8.0               # time from SIGTERM to SIGKILL
+PRESSED_ENGINES = 8         # engines, of few slots, of the runs under load
+HOT_CALLERS = 8             # callers of each hot team
+HOT_PAUSE_S = (0.0, 0.001)
+BURST_CALLERS = 48
+FIRST_HOT_CALLER, FIRST_BURST_CALLER = 1000, 2000  # numbers that tell these callers from the others
 NOT_RUN = (408, 421, 429, 503)
 
 
@@ -100,9 +105,14 @@
     """One run of a seed: a fleet, its callers, the injected faults and the checks."""
 
     def __init__(self, seed, seconds, program, directory, entries, injects_faults, checks_time_bounds=True,
-                 crashes_on="", names_limits=False, asks_for_back_off=False, slow_callers=0):
+                 crashes_on="", names_limits=False, asks_for_back_off=False, slow_callers=0, hot_teams=0,
+                 has_burst=False, ends_together=False):
         self.checks_time_bounds, self.crashes_on = checks_time_bounds, crashes_on
         self.slow_callers = slow_callers
+        self.hot_keys = [f"key-hot-{number}" for number in range(hot_teams)]
+        self.has_burst, self.ends_together = has_burst, ends_together
+        # The checks under load hold where nothing but the load and the common end is injected.
+        self.is_pressed = bool(hot_teams or has_burst or ends_together) and not injects_faults
         self.names_limits, self.asks_for_back_off = names_limits, asks_for_back_off
         self.random = random.Random(seed)
         self.seed, self.seconds, self.directory, self.injects_faults = seed, seconds, directory, injects_faults
@@ -117,13 +127,19 @@
         self.store = await Store().listen()
         self.store_proxy = await Proxy(self.store.port).listen()
         self.endpoints, self.proxies = {}, {}
-        for number in range(7):
+        for number in range(3 + (PRESSED_ENGINES if self.is_pressed else 4)):
             await self.add_endpoint(f"i-{number}", "claims" if number < 3 else "pool")
         self.write_config()
         await self.start_entries()
         await asyncio.sleep(1.5)
         deadline = time.monotonic() + self.seconds
         tasks = [asyncio.create_task(self.call(number, deadline)) for number in range(16)]
+        tasks += [asyncio.create_task(self.call(FIRST_HOT_CALLER + number, deadline, key, HOT_PAUSE_S))
+                  for key in self.hot_keys for number in range(HOT_CALLERS)]
+        if self.has_burst:
+            tasks.append(asyncio.create_task(self.burst(deadline)))
+        if self.ends_together:
+            tasks.append(asyncio.create_task(self.end_together()))
         if self.crashes_on:
             tasks.append(asyncio.create_task(self.send_crash_requests(deadline)))
         if self.names_limits:
@@ -182,14 +198,15 @@
              "target_latency_ms": 1000, "target_gap_ms": 300, "resume_streams": True, "service": "pool"}]
         services = [{"name": "claims", "health_path": "/h", "max_connections": 200},
                     {"name": "pool", "health_path": "/h", "max_connections": 200,
-                     "engine": {"slots": 16, "kv_capacity_tokens": 100000}}]
+                     "engine": {"slots": 3 if self.is_pressed else 16, "kv_capacity_tokens": 100000}}]
         live = [key for key, withdrawn in self.keys.items() if withdrawn is None]
         self.store.put("config", "main", {"version": self.version, "routes": routes, "services": services,
-                                          "limits": {}, "tenants": [{"name": "team", "api_keys": live}]})
+                                          "limits": {}, "tenants": [{"name": "team", "api_keys": live}] + [
+                                              {"name": f"team-of-{key}", "api_keys": [key]} for key in self.hot_keys]})
 
     # The callers.
 
-    async def call(self, number, deadline):
+    async def call(self, number, deadline, key=None, pause_s=(0.005, 0.04)):
         connection = None
         while time.monotonic() < deadline:
             try:
@@ -198,20 +215,41 @@
                     reader, writer = await asyncio.wait_for(
                         asyncio.open_connection(entry.address, entry.ports["callers"]), 1)
                     connection = (entry, reader, writer)
-                keeps_open = await asyncio.wait_for(self.ask(number, connection), 8)
-            except (ConnectionError, OSError, asyncio.IncompleteReadError, asyncio.TimeoutError):
+                keeps_open = await asyncio.wait_for(self.ask(number, connection, key), 8)
+            except (ConnectionError, OSError, asyncio.IncompleteReadError, asyncio.TimeoutError) as problem:
                 self.counts["unanswered"] += 1
+                if self.is_pressed:
+                    self.fail("under load every request is answered, and no stream that could resume is cut",
+                              f"caller {number}: {problem!r}")
                 keeps_open = False
             if not keeps_open and connection is not None:
                 connection[2].close()
                 connection = None
-            await asyncio.sleep(self.random.uniform(0.005, 0.04))
+            await asyncio.sleep(self.random.uniform(*pause_s))
+
+    async def burst(self, deadline):
+        """Many more callers of the same team come for a quarter of the run."""
+        await asyncio.sleep(self.seconds / 3)
+        end = min(deadline, time.monotonic() + self.seconds / 4)
+        await asyncio.gather(*[self.call(FIRST_BURST_CALLER + number, end, "key-a") for number in range(BURST_CALLERS)])
+
+    async def end_together(self):
+        """A quarter of the engines ends in one moment and is replaced."""
+        await asyncio.sleep(self.seconds / 2)
+        engines = [item for item in self.endpoints.values() if item.streams]
+        ended = self.random.sample(engines, len(engines) // 4)
+        for endpoint in ended:
+            del self.endpoints[endpoint.name]
+            endpoint.crash()
+            self.proxies.pop(endpoint.name).crash()
+        self.counts["ended_together"] += len(ended)
+        await asyncio.gather(*[self.replace_endpoint(endpoint) for endpoint in ended])
 
-    async def ask(self, number, connection):
+    async def ask(self, number, connection, key=None):
         entry, reader, writer = connection
-        kind = self.random.choice(["claims", "status", "drafts"])
+        kind = "drafts" if key else self.random.choice(["claims", "status", "drafts"])
         request_id = f"{self.seed}-{number}-{len(self.sent_at)}"
-        key = self.random.choice(list(self.keys))
+        key = key or self.random.choice(list(self.keys))
         self.sent_at[request_id] = (time.monotonic(), key, kind, entry)
         body = b"x" * self.random.choice([0, 10, 9000])
         method = "GET" if kind == "status" else "POST"
@@ -229,6 +267,7 @@
         else:
             text = await reader.readexactly(int(headers.get("content-length", "0")))
             self.check_answer(request_id, status, headers, text)
+            self.check_refusal(request_id, status, headers, text)
         self.counts[status] += 1
         if status == 200:
             self.served.add(request_id)
@@ -356,6 +395,16 @@
                 or request_id not in text.decode():
             self.fail("a caller gets the complete answer to its own request", f"{request_id}: {text[:60]!r}")
 
+    def check_refusal(self, request_id, status, headers, text):
+        if not self.is_pressed or status == 200:
+            return
+        error = json.loads(text).get("error") if text else None
+        self.counts[error] += 1
+        if error == "ends_endpoints":
+            self.fail("no request is blamed for engines that end together", request_id)
+        elif status in NOT_RUN and float(headers.get("retry-after", "0")) <= 0:
+            self.fail("a refusal under load says when to return", f"{request_id}: {status} {error}")
+
     def check_stream(self, request_id, text):
         events = [event.rstrip("x").rstrip() for event in text.decode().split("\n\n") if event]
         count = int(events[-1].rsplit("/", 1)[1]) if events else -1
@@ -375,14 +424,16 @@
                 self.fail("a caller that reads slowly causes no second attempt", f"{request_id} ran {times} times")
             if kind == "claims" and times > 1:
                 self.fail("a non-idempotent request runs at most once", f"{request_id} ran {times} times")
-            if kind == "claims" and request_id in self.refused:
+            if (kind == "claims" or self.is_pressed) and request_id in self.refused:
                 self.fail("a request reported as not run has not run", f"{request_id} got {self.refused[request_id]}")
-            withdrawn = self.keys[key]
+            withdrawn = self.keys.get(key)
             if withdrawn is not None and sent > withdrawn + REVOKE_S:
                 self.fail("a request with a withdrawn key does not run", f"{request_id} {sent - withdrawn:.2f} s later")
         for run in self.runs:
             headers = run["headers"]
-            if headers.get("x-tenant") != "team" or "authorization" in headers:
+            key = self.sent_at.get(run["id"], (0, ""))[1]
+            team = f"team-of-{key}" if key in self.hot_keys else "team"
+            if headers.get("x-tenant") != team or "authorization" in headers:
                 self.fail("the entry sets the team and removes the key", run["id"])
             self.check_leaving(run)
 
@@ -610,6 +661,9 @@
     parser.add_argument("--rests", action="store_true", help="endpoints refuse every request and ask for a back-off")
     parser.add_argument("--slow-callers", type=int, default=0, metavar="N",
                         help="N callers pause in the middle of long streams, while hosts stop and engines break streams")
+    parser.add_argument("--hot-teams", type=int, default=0, metavar="N", help="N teams send without a pause")
+    parser.add_argument("--burst", action="store_true", help="many more callers come for a quarter of the run")
+    parser.add_argument("--end-together", action="store_true", help="a quarter of the engines ends in one moment")
     parser.add_argument("--without-time-bounds", action="store_true",
                         help="leave out the checks of time bounds, which a busy machine could fail")
     parser.add_argument("--logs", default="", help="directory in which the logs of the processes are kept")
@@ -621,7 +675,7 @@
             os.makedirs(directory, exist_ok=True)
             run = Run(seed, options.seconds, options.program, directory, options.entries, not options.calm,
                       not options.without_time_bounds, options.deadly, options.limits, options.rests,
-                      options.slow_callers)
+                      options.slow_callers, options.hot_teams, options.burst, options.end_together)
             violations = asyncio.run(run.execute())
         counts = " ".join(f"{name}={count}" for name, count in sorted(run.counts.items(), key=str))
         print(f"seed {seed}: {len(run.sent_at)} requests, {len(violations)} violations; {counts}", flush=True)
