--- a/src/relay/exchange_load.cpp
+++ b/src/relay/exchange_load.cpp
@@ -17,7 +17,7 @@
     if (!is_in_state("waiting")) {
         return std::nullopt;
     }
-    return waiting_request{key_of_load(), now - arrived_at_};
+    return waiting_request{key_of_load(), now - (has_started_ ? waiting_since_ : arrived_at_)};
 }
 
 bool exchange::is_late(duration took) const {
