Waiting requests are placed in order: priority, fair among teams, by objective

Cause: each request that no endpoint takes asked again at every 50 ms tick by itself, in no order, so a team that sends many times its usual was served in proportion to what it sends, and a freed endpoint idled until the next tick. Change: waiting_room (src/routing) orders them and replaces fair_queue in entry_core; the relay places the head as soon as an attempt ends, a first byte arrives, or endpoints, limits or links change, and once a tick. A request waits beyond half of its objective while its place lets it be answered within its time limit. Switched by orders_waiting. The two tests of fair_queue stay with equal assertions on waiting_room; the ids of one are now distinct, as the room holds each id once.

--- a/src/node/entry_core.cpp
+++ b/src/node/entry_core.cpp
@@ -176,11 +176,12 @@
     request.is_queued = true;
     request.queued_since = now_;
     ++team_queued_[request.team.name];
-    fair_queue& queue = queues_[request.queue_name()];
+    waiting_room& queue = queues_[request.queue_name()];
+    const waiting_request waiting{request.id, request.team.name, 0, request.deadline, request.deadline};
     if (first) {
-        queue.push_front(request.team.name, request.id, now_);
+        queue.push_front(waiting, now_);
     } else {
-        queue.push(request.team.name, request.id, now_);
+        queue.push(waiting, now_);
     }
 }
 
@@ -191,7 +192,7 @@
     request.is_queued = false;
     --team_queued_[request.team.name];
     for (auto& [name, queue] : queues_) {
-        queue.remove(request.team.name, request.id);
+        queue.remove(request.id);
     }
 }
 
@@ -239,12 +240,13 @@
     if (!endpoints_.choose(any, now_, allowed_within(duration::zero()))) {
         return false;
     }
-    const std::optional<std::string> id =
-        queues_[queue_name].pop([this](const std::string& t) { return weight_of(t); }, may_take);
-    if (!id) {
+    const std::optional<waiting_request> taken =
+        queues_[queue_name].pop(now_, [this](const std::string& t) { return weight_of(t); }, {may_take, {}});
+    if (!taken) {
         return false;
     }
-    context& request = requests_.at(*id);
+    const std::string& id = taken->id;
+    context& request = requests_.at(id);
     request.is_queued = false;
     --team_queued_[request.team.name];
     const bool is_allowed = request.is_service() || is_usable(request.team.name, request.version());
@@ -256,7 +258,7 @@
     const auto typical = std::chrono::duration_cast<duration>(
         std::chrono::duration<double, std::milli>(endpoints_.average_latency_ms(request.pool)));
     if (now_ + typical > request.deadline) {
-        fire(*id, "expired");
+        fire(id, "expired");
         return true;
     }
     endpoint_criteria criteria = criteria_for(request);
@@ -266,7 +268,7 @@
         endpoint = endpoints_.choose(any, now_, allowed_within(duration::zero()));
     }
     request.endpoint = *endpoint;
-    fire(*id, "slot");
+    fire(id, "slot");
     return true;
 }
 
--- a/src/node/entry_core.h
+++ b/src/node/entry_core.h
@@ -246,7 +246,7 @@
 
     endpoint_table endpoints_;
     send_allowance allowance_;
-    std::map<std::string, fair_queue> queues_;
+    std::map<std::string, waiting_room> queues_;
     std::map<std::string, int> team_in_flight_;
     std::map<std::string, int> team_queued_;
     retry_budget retries_;
--- a/src/programs/laurel_bench.cpp
+++ b/src/programs/laurel_bench.cpp
@@ -3,6 +3,7 @@
  * the production decision code in virtual time and write CSV tables and SVG plots.
  */
 #include "plot/plot.h"
+#include "programs/bench_waiting_room.h"
 #include "simulation/simulation.h"
 
 #include <gflags/gflags.h>
@@ -12,7 +13,7 @@
 #include <iostream>
 
 DEFINE_string(experiment, "all",
-              "tier, endpoint, exposure, brake, withdrawal, overload, control, outage or all");
+              "tier, endpoint, exposure, brake, withdrawal, overload, control, outage, waiting or all");
 DEFINE_string(out, "docs/data", "existing directory for CSV files and plots");
 DEFINE_uint64(seeds, 3, "runs of each configuration, with seeds counted up from 1");
 
@@ -529,10 +530,15 @@
     void (*run)();
 };
 
-constexpr experiment_entry experiments[] = {
-    {"tier", experiment_tier},       {"endpoint", experiment_endpoint},     {"exposure", experiment_exposure},
-    {"brake", experiment_brake},     {"withdrawal", experiment_withdrawal}, {"overload", experiment_overload},
-    {"control", experiment_control}, {"outage", experiment_outage}};
+constexpr experiment_entry experiments[] = {{"tier", experiment_tier},
+                                            {"endpoint", experiment_endpoint},
+                                            {"exposure", experiment_exposure},
+                                            {"brake", experiment_brake},
+                                            {"withdrawal", experiment_withdrawal},
+                                            {"overload", experiment_overload},
+                                            {"control", experiment_control},
+                                            {"outage", experiment_outage},
+                                            {"waiting", print_waiting_room_costs}};
 
 int run() {
     bool is_known = false;
--- a/src/relay/exchange.cpp
+++ b/src/relay/exchange.cpp
@@ -299,6 +299,10 @@
                        "retry later: only the release on trial has endpoints", retry_after_unavailable);
         return;
     }
+    if (is_behind_others()) {
+        wait_for_room(now);
+        return;
+    }
     if (!choose(now)) {
         if (!tried_.empty()) {
             tried_.clear(); // A failed endpoint is better than none.
@@ -336,6 +340,7 @@
 }
 
 void exchange::open_connection() {
+    end_wait(wait_end::placed);
     apply_event("placed");
     answer_.reset();
     const time_point now = monotonic_now();
@@ -445,6 +450,7 @@
         record_first_byte();
     }
     state_.endpoints.on_ended(attempt_.chosen, attempt_.has_first_byte, result, took, now);
+    owner_.wake_waiting(service_);
     const attempt_progress progress = result == call_result::answered ? attempt_progress::whole
                                       : attempt_.has_first_byte       ? attempt_progress::begun
                                                                       : attempt_progress::unanswered;
@@ -674,6 +680,7 @@
     if (is_in_state("finished")) {
         return;
     }
+    end_wait(is_caller_gone_ ? wait_end::left : wait_end::refused);
     apply_event("ended");
     const duration took = monotonic_now() - arrived_at_;
     state_.measured.count(std::string("requests_") + outcome);
@@ -699,6 +706,7 @@
               {"first_event_ms", first_event_ms_},
               {"longest_gap_ms", longest_gap_ms_},
               {"slowness", attempt_.slowness},
+              {"waited_ms", static_cast<int>(to_ms(waited_))},
               {"took_ms", static_cast<int>(to_ms(took))}});
     owner_.active_.erase(shared_from_this());
 }
--- a/src/relay/exchange.h
+++ b/src/relay/exchange.h
@@ -26,12 +26,15 @@
 
     /** Reads the request, decides whether it may run, and sends it to an endpoint. */
     void start();
-    /** Checks time limits and retries placement of a waiting request; called every 50 ms. */
+    /** Checks time limits; called every 50 ms. */
     void on_tick(time_point now);
     /** Ends the present attempt if it was sent to an earlier process of \p endpoint. */
     void on_endpoint_restarted(const endpoint_record& endpoint);
     /** Logs what this request waits for, because the process ends before it. */
     void log_cut_by_stop() const;
+    /** Places this waiting request if an endpoint takes it, or answers it if it cannot be served any more.
+     * \return whether it has left its place in the waiting room */
+    bool leave_room_if_served();
 
     /** Checks whether this request is now quarantined; if so, refuses it unless its answer has begun, it is
      * the trial attempt, or it has been sent and may not be repeated. */
@@ -93,10 +96,22 @@
     int urgency() const;
     /** \return the Retry-After for a service whose endpoints are all full. */
     duration time_to_room(time_point now) const;
+    /** How a wait for an endpoint ended. */
+    enum class wait_end { placed, refused, left };
+    static const char* name_of(wait_end end);
     /** Keeps the request until an endpoint has room for it. */
     void wait_for_room(time_point now);
-    /** Places a waiting request if there is room, or refuses it once it has waited for too long. */
+    /** Refuses a waiting request once it has waited for too long. */
     void check_waiting(time_point now);
+    /** \return whether the request has to enter the waiting room behind others. */
+    bool is_behind_others() const;
+    /** Leaves the waiting room, if the request is there, and records the time that it has waited. */
+    void end_wait(wait_end end);
+    void log_wait(wait_end end, duration waited, std::size_t still_waiting) const;
+    /** \return whether a request that has waited for half of its objective may go on waiting. */
+    bool may_wait_on(time_point now);
+    /** \return the time that the answer takes, by the route's objectives. */
+    duration time_to_answer() const;
     /** The models that could answer and, at the same index, the placement of each. */
     struct model_placements {
         std::vector<model_option> options;
@@ -215,6 +230,11 @@
     time_point arrived_at_;
     time_point expires_at_;
     time_point waiting_since_;
+    std::string waiting_id_;         ///< in the waiting room of \ref service_; empty: not there
+    std::size_t ahead_at_entry_ = 0; ///< requests that were ahead of it when it entered the room
+    time_point judged_at_;           ///< when it is decided whether it waits any longer
+    duration waited_{};              ///< in all waits for an endpoint
+    bool is_being_served_ = false;   ///< it is its turn
 
     std::string exchange_state_; ///< state name in charts/relay.scxml
     attempt attempt_;
--- a/src/relay/exchange_answers.cpp
+++ b/src/relay/exchange_answers.cpp
@@ -146,6 +146,7 @@
         attempt_.slowness = "first_event";
     }
     state_.endpoints.on_first_byte(attempt_.chosen);
+    owner_.wake_waiting(service_);
     notify_load_changed();
     if (!attempt_.model.empty()) {
         const auto unread = static_cast<double>(attempt_.chosen.unread_tokens);
--- a/src/relay/exchange_forwarding.cpp
+++ b/src/relay/exchange_forwarding.cpp
@@ -45,6 +45,7 @@
     if (++forwards_ == 1) {
         state_.repeats_of(service_).on_handed_over(now);
     }
+    end_wait(wait_end::left);
     apply_event("placed");
     answer_.reset();
     attempt_ = attempt{};
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -132,6 +132,7 @@
     const time_point now = monotonic_now();
     was_paused_ = now - tick_due_ > max_tick_delay;
     for_each_active([now](exchange& each) { each.on_tick(now); });
+    wake_all_waiting(); // Some exclusions of endpoints end by time.
     if (!active_.empty()) {
         start_ticking();
     }
@@ -155,6 +156,7 @@
     set_hosts(hosts);
     set_slots(hosts);
     set_cold_services();
+    wake_all_waiting();
 }
 
 void relay::set_slots(std::size_t hosts) {
@@ -212,6 +214,7 @@
         if (state_.on_limits_changed) {
             state_.on_limits_changed();
         }
+        wake_waiting(endpoint.pool);
     }
 }
 
@@ -222,6 +225,7 @@
                  {{"endpoint", endpoint},
                   {"requests_per_s", limits.limit_of(endpoint).value_or(logged_no_limit)}});
     }
+    wake_all_waiting();
 }
 
 json relay::ends_by_part(const std::vector<part_digest>& parts) const {
@@ -295,6 +299,7 @@
     for (const endpoint_record& endpoint : restarted) {
         on_restarted(endpoint);
     }
+    wake_all_waiting();
 }
 
 // Guards against an endpoint that crashed and restarted behind a network partition: its connections were
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -75,7 +75,10 @@
     config_freshness freshness;
     first_event_estimate first_events;
     std::map<std::string, repeat_allowance> repeats; ///< by service
-    std::size_t hosts = 1;                           ///< live hosts, this one included
+    std::map<std::string, waiting_room> waiting;     ///< by service: requests that no endpoint takes
+    /// The weight of a team among those that wait; unset: all weigh the same.
+    waiting_room::weight_function team_weight;
+    std::size_t hosts = 1; ///< live hosts, this one included
 
     repeat_allowance& repeats_of(const std::string& service) {
         repeat_allowance& found =
@@ -129,6 +132,11 @@
     void merge_crash_notices(const std::vector<crash_notice>& notices);
     /** Merges another host's notices about the rate limits of endpoints. */
     void merge_limit_notices(const std::vector<limit_notice>& notices);
+    /** Places waiting requests of \p service once the present work of the loop is done, because an endpoint
+     * may have room now. */
+    void wake_waiting(const std::string& service);
+    /** The same for all services. */
+    void wake_all_waiting();
     /** Clears a request or a part of prompts, by order of an operator. */
     void lift_quarantine(const crash_cause& cause);
     relay_state& state() { return state_; }
@@ -184,6 +192,11 @@
     void clear_parts(const std::vector<part_digest>& parts);
     void on_quarantine_changed();
     void on_restarted(const endpoint_record& endpoint);
+    /** Places the waiting requests of \p service in order until one finds no endpoint. */
+    void serve_waiting(const std::string& service);
+    void serve_woken();
+    /** \return whether an endpoint of \p service takes a request of any kind now. */
+    bool has_room(const std::string& service);
 
     relay_state state_;
     end_confirmation end_confirmation_;
@@ -193,9 +206,12 @@
     std::unique_ptr<tcp_acceptor> peer_acceptor_;
     std::unordered_set<std::shared_ptr<caller_connection>> callers_;
     std::set<std::shared_ptr<exchange>> active_;
-    bool is_ticking_ = false; ///< the next tick is scheduled
-    time_point tick_due_;     ///< when the next tick is scheduled
-    bool was_paused_ = false; ///< the present tick is late
+    std::unordered_map<std::string, std::weak_ptr<exchange>> waiting_; ///< by their id in the waiting rooms
+    std::set<std::string> woken_;       ///< services that are served in the next turn of the loop
+    std::uint64_t last_waiting_id_ = 0; ///< ids that callers give may repeat
+    bool is_ticking_ = false;           ///< the next tick is scheduled
+    time_point tick_due_;               ///< when the next tick is scheduled
+    bool was_paused_ = false;           ///< the present tick is late
 };
 
 // Iterates over a copy, because \p visit may end this exchange or another one.
--- a/src/relay/relay_links.cpp
+++ b/src/relay/relay_links.cpp
@@ -45,6 +45,7 @@
     } else {
         state_.endpoints.end_ejections(service, monotonic_now());
     }
+    wake_waiting(service);
     if (state_.on_links_changed) {
         state_.on_links_changed();
     }
--- a/src/routing/routing.h
+++ b/src/routing/routing.h
@@ -5,8 +5,8 @@
 #pragma once
 
 #include "routing/endpoint_table.h"
-#include "routing/fair_queue.h"
 #include "routing/quality_estimator.h"
 #include "routing/retry_budget.h"
 #include "routing/session_token.h"
 #include "routing/tier_choice.h"
+#include "routing/waiting_room.h"
--- a/test/relay_fixture.h
+++ b/test/relay_fixture.h
@@ -360,6 +360,7 @@
         relay_settings settings;
         settings.host = "h1";
         settings.failure_domain = "d1";
+        settings.in_use = in_use_;
         relay_ = std::make_unique<relay>(loop_, dialect_, releases_,
                                          load_chart_or_exit(LAUREL_SOURCE_DIR "/charts", "endpoint"),
                                          load_chart_or_exit(LAUREL_SOURCE_DIR "/charts", "relay"), settings);
@@ -467,6 +468,7 @@
     }
 
     bool has_cold_starts_ = false; ///< endpoints are cold after their start; set before \ref start_relay
+    mechanisms in_use_;            ///< set before \ref start_relay
     duration configured_after_{};  ///< delay of the relay's configuration; set before \ref start_relay
     event_loop loop_;
     test_dialect dialect_;
--- a/test/routing_test.cpp
+++ b/test/routing_test.cpp
@@ -125,31 +125,33 @@
 }
 
 // One team fills the queue. Another team's request must not wait behind that backlog.
-TEST(fair_queue, the_backlog_of_one_team_does_not_delay_another) {
-    fair_queue queue;
+TEST(waiting_room, the_backlog_of_one_team_does_not_delay_another) {
+    waiting_room queue;
     for (int i = 0; i < 1000; ++i) {
-        queue.push("flood", "f" + std::to_string(i), begin);
+        queue.push({"f" + std::to_string(i), "flood"}, begin);
     }
-    queue.push("small", "s", begin);
+    queue.push({"s", "small"}, begin);
     const auto weight = [](const std::string&) { return 1; };
-    const auto always = [](const std::string&) { return true; };
-    EXPECT_EQ(queue.pop(weight, always), "f0");
-    EXPECT_EQ(queue.pop(weight, always), "s");
+    const waiting_room::selection always{[](const std::string&) { return true; }, {}};
+    EXPECT_EQ(queue.pop(begin, weight, always)->id, "f0");
+    EXPECT_EQ(queue.pop(begin, weight, always)->id, "s");
 }
 
 // While two teams have requests waiting, the slots must be divided by their weights.
-RC_GTEST_PROP(fair_queue, shares_follow_weights, ()) {
+RC_GTEST_PROP(waiting_room, shares_follow_weights, ()) {
     const int weight_a = *rc::gen::inRange(1, 6);
-    fair_queue queue;
+    waiting_room queue;
     for (int i = 0; i < 600; ++i) {
-        queue.push("a", "a", begin);
-        queue.push("b", "b", begin);
+        queue.push({"a" + std::to_string(i), "a"}, begin);
+        queue.push({"b" + std::to_string(i), "b"}, begin);
     }
     int taken_a = 0;
     constexpr int taken = 300;
     for (int i = 0; i < taken; ++i) {
-        taken_a += *queue.pop([&](const std::string& team) { return team == "a" ? weight_a : 1; },
-                              [](const std::string&) { return true; }) == "a";
+        taken_a += queue
+                       .pop(begin, [&](const std::string& team) { return team == "a" ? weight_a : 1; },
+                            {[](const std::string&) { return true; }, {}})
+                       ->team == "a";
     }
     RC_ASSERT(std::abs(taken_a - taken * weight_a / (weight_a + 1)) <= 6);
 }
