--- a/src/relay/exchange_load.cpp
+++ b/src/relay/exchange_load.cpp
@@ -13,11 +13,11 @@
     return {service_, route_ == nullptr ? std::string{} : route_->name, team_name()};
 }
 
-std::optional<waiting_request> exchange::waiting(time_point now) const {
+std::optional<waiting_time> exchange::waiting(time_point now) const {
     if (!is_in_state("waiting")) {
         return std::nullopt;
     }
-    return waiting_request{key_of_load(), now - (has_started_ ? waiting_since_ : arrived_at_)};
+    return waiting_time{key_of_load(), now - (has_started_ ? waiting_since_ : arrived_at_)};
 }
 
 bool exchange::is_late(duration took) const {
--- a/src/relay/load_report.cpp
+++ b/src/relay/load_report.cpp
@@ -152,12 +152,12 @@
             {"longest_wait_ms", longest == waits.end() ? 0 : std::lround(to_ms(*longest))}};
 }
 
-json load_summary::report(const std::vector<waiting_request>& waiting, const load_filter& filter,
+json load_summary::report(const std::vector<waiting_time>& waiting, const load_filter& filter,
                           time_point now) const {
     const std::int64_t second = second_of(now);
     std::map<load_key, std::vector<duration>> waits;
     std::vector<duration> other_waits;
-    for (const waiting_request& each : waiting) {
+    for (const waiting_time& each : waiting) {
         const bool has_room = rows_.size() + waits.size() < max_rows || waits.count(each.key) > 0;
         (has_room || rows_.count(each.key) > 0 ? waits[each.key] : other_waits).push_back(each.wait);
     }
--- a/src/relay/load_report.h
+++ b/src/relay/load_report.h
@@ -56,7 +56,7 @@
 };
 
 /** A request that waits for an endpoint with room. */
-struct waiting_request {
+struct waiting_time {
     load_key key;
     duration wait{};
 };
@@ -95,7 +95,7 @@
     /** \param waiting the requests that wait now; of those without a row, the sum is reported under "other"
      * \return a JSON object with `window_s`, `rows` (each with its key, `last`, `since_start`, `waiting` and
      * `longest_wait_ms`) and `other`, which no filter applies to */
-    json report(const std::vector<waiting_request>& waiting, const load_filter& filter, time_point now) const;
+    json report(const std::vector<waiting_time>& waiting, const load_filter& filter, time_point now) const;
 
 private:
     /// The counts of one second.
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -135,6 +135,7 @@
     const time_point now = monotonic_now();
     was_paused_ = now - tick_due_ > max_tick_delay;
     for_each_active([now](exchange& each) { each.on_tick(now); });
+    wake_all_waiting(); // Some exclusions of endpoints end by time.
     if (!active_.empty()) {
         start_ticking();
     }
@@ -159,6 +160,7 @@
     set_hosts(hosts);
     set_slots(hosts);
     set_cold_services();
+    wake_all_waiting();
 }
 
 void relay::set_slots(std::size_t hosts) {
@@ -218,6 +220,7 @@
         if (state_.on_limits_changed) {
             state_.on_limits_changed();
         }
+        wake_waiting(endpoint.pool);
     }
 }
 
@@ -228,6 +231,7 @@
                  {{"endpoint", endpoint},
                   {"requests_per_s", limits.limit_of(endpoint).value_or(logged_no_limit)}});
     }
+    wake_all_waiting();
 }
 
 json relay::ends_by_part(const std::vector<part_digest>& parts) const {
@@ -314,6 +318,7 @@
     for (const endpoint_record& endpoint : restarted) {
         on_restarted(endpoint);
     }
+    wake_all_waiting();
 }
 
 // Guards against an endpoint that crashed and restarted behind a network partition: its connections were
@@ -332,9 +337,9 @@
 
 json relay::report_load(const load_filter& filter) const {
     const time_point now = monotonic_now();
-    std::vector<waiting_request> waiting;
+    std::vector<waiting_time> waiting;
     for (const auto& each : active_) {
-        if (std::optional<waiting_request> found = each->waiting(now)) {
+        if (std::optional<waiting_time> found = each->waiting(now)) {
             waiting.push_back(std::move(*found));
         }
     }
--- a/test/load_report_test.cpp
+++ b/test/load_report_test.cpp
@@ -26,8 +26,8 @@
         load.on_ended(ended("calm", "served", 200, i < 8 ? 100 : 2000), start + seconds(1));
     }
     load.on_ended(ended("calm", "expired", 504), start + seconds(1));
-    const std::vector<waiting_request> waiting = {{{"pool", "chat", "hot"}, milliseconds(300)},
-                                                  {{"pool", "chat", "new"}, milliseconds(70)}};
+    const std::vector<waiting_time> waiting = {{{"pool", "chat", "hot"}, milliseconds(300)},
+                                               {{"pool", "chat", "new"}, milliseconds(70)}};
     const json all = load.report(waiting, {}, start + seconds(2));
     ASSERT_EQ(all["rows"].size(), 3U);
     const json& calm = all["rows"][0];
