--- a/src/host/entry_host.h
+++ b/src/host/entry_host.h
@@ -130,7 +130,6 @@
     void send_introduction(const std::string& newcomer, time_point now);
     void send_missing_statuses(const std::string& recipient_address, const std::string& recipient,
                                const std::vector<host_heartbeat>& beats, time_point now);
-    std::vector<load_entry> own_load() const;
     std::vector<load_entry> take_load_changes(std::size_t recipients);
     void on_load_changed();
     void on_refused(const std::string& endpoint);
@@ -253,7 +252,7 @@
     bool is_limit_update_scheduled_ = false;
     bool has_delayed_refusals_ = false;
     std::set<std::string> unsent_refusals_;            ///< endpoints whose refusal is not sent yet
-    std::map<std::string, load_entry> last_sent_load_; ///< content of the last load update, by endpoint
+    load_announcer load_announcer_;
     std::optional<time_point>
         store_lost_since_; ///< since when calls of the configuration's watch have failed
     std::map<std::string, encoded_copy> encoded_copies_; ///< by kind of object
--- a/src/host/entry_host_peers.cpp
+++ b/src/host/entry_host_peers.cpp
@@ -42,7 +42,6 @@
 constexpr duration question_timeout = seconds(2);
 constexpr std::size_t peers_asked = 3;
 constexpr std::size_t own_domain_peers_asked = 2; ///< of them, in the own failure domain (large fleet)
-constexpr std::size_t max_load_entries = 16;      ///< per message, 20 bytes each
 
 std::vector<std::string> names_of(const std::vector<host_status>& hosts) {
     std::vector<std::string> names;
@@ -61,6 +60,15 @@
     return loads;
 }
 
+std::vector<load_entry> to_entries(const load_by_endpoint& loads) {
+    std::vector<load_entry> entries;
+    entries.reserve(loads.size());
+    for (const auto& [endpoint, load] : loads) {
+        entries.push_back({endpoint, std::llround(load.reading_ms), load.running});
+    }
+    return entries;
+}
+
 /** Calls \p send with consecutive parts of \p items of at most \p max_count, one for each message. */
 template <class Item, class Send>
 void for_each_part(const std::vector<Item>& items, std::size_t max_count, const Send& send) {
@@ -101,7 +109,12 @@
     } else if (message.is_round) {
         send_missing_statuses(from, sender, beats, now);
     }
-    relay_.state().endpoints.set_peer_load(sender, to_loads(message.load), now);
+    // Other messages than rounds name some of the sender's load, or none.
+    if (message.is_round) {
+        relay_.state().endpoints.set_round_load(sender, to_loads(message.load), now);
+    } else if (!message.load.empty()) {
+        relay_.state().endpoints.update_peer_load(sender, to_loads(message.load), now);
+    }
     const std::string reporter = sender + "/" + std::to_string(message.statuses.front().incarnation);
     rollouts_.merge(reporter, message.counts, message.rollouts, now);
     merge_refusals(message.refused);
@@ -153,39 +166,18 @@
     relay_.state().endpoints.update_peer_load(message.sender, to_loads(message.load), monotonic_now());
 }
 
-std::vector<load_entry> entry_host::own_load() const {
-    std::vector<load_entry> entries;
-    for (const auto& [endpoint, load] : relay_.state().endpoints.own_load()) {
-        if (entries.size() < max_load_entries) {
-            entries.push_back({endpoint, std::llround(load.reading_ms), load.running});
-        }
-    }
-    return entries;
-}
-
 // Returns only the changes: with every endpoint in every message, load updates made up a fifth of the bytes
-// between failure domains. The next gossip round, which carries the full load, repairs the loss of a message.
+// between failure domains. The next gossip rounds repair the loss of a message.
 std::vector<load_entry> entry_host::take_load_changes(std::size_t recipients) {
     const double min_backlog_ms = min_announced_backlog_ms(recipients);
-    std::vector<load_entry> changes;
-    std::map<std::string, load_entry> sent;
-    for (const load_entry& entry : own_load()) {
-        const auto before = last_sent_load_.find(entry.endpoint);
-        if (relay_.state().endpoints.backlog_ms(entry.endpoint) < min_backlog_ms) {
-            continue; // What was announced of it before is withdrawn below.
-        }
-        if (before == last_sent_load_.end() || before->second != entry) {
-            changes.push_back(entry);
-        }
-        sent[entry.endpoint] = entry;
-    }
-    for (const auto& [endpoint, entry] : last_sent_load_) {
-        if (sent.count(endpoint) == 0) {
-            changes.push_back({endpoint, 0, 0});
+    const endpoint_directory& endpoints = relay_.state().endpoints;
+    load_by_endpoint announced;
+    for (const auto& [endpoint, load] : endpoints.own_load()) {
+        if (endpoints.backlog_ms(endpoint) >= min_backlog_ms) {
+            announced[endpoint] = load;
         }
     }
-    last_sent_load_ = std::move(sent);
-    return changes;
+    return to_entries(load_announcer_.take_changes(announced));
 }
 
 // Load pattern: several hosts receive a long prompt within the same tenth of a second. If they learn of each
@@ -448,7 +440,7 @@
     message.is_round = true;
     message.statuses = gossip_.statuses_to_send(now, scope);
     message.beats = encode_heartbeats(gossip_.heartbeats_to_send(now, scope));
-    message.load = own_load();
+    message.load = to_entries(load_announcer_.next_round(relay_.state().endpoints.own_load()));
     if (!is_large_fleet(now)) {
         message.counts = rollouts_.own_counts();
     }
--- a/src/placement/endpoint_directory.cpp
+++ b/src/placement/endpoint_directory.cpp
@@ -9,14 +9,15 @@
 /// Hosts exchange their loads every 0.4 s, so an older load is that of a host that is gone or partitioned
 /// off.
 constexpr duration peer_load_ttl = seconds(2);
+/// A load that a peer's full rounds do not name stays for this long. Hosts of a failure domain of 20 hear a
+/// round of each other every 4 s.
+constexpr duration unnamed_load_ttl = seconds(6);
 /// How long a part counts as cached after this host sent it. At the planned loads an engine's cache holds
 /// parts for longer; after this time the part may have been evicted.
 constexpr duration sent_part_ttl = seconds(30);
 constexpr std::size_t max_parts_per_engine = 512; ///< 16 KB for each endpoint
 /// A request may wait for an endpoint whose exclusion ends within this time.
 constexpr duration max_endpoint_wait = milliseconds(500);
-/// Cost of a running stream in ms: each one lengthens every step of its engine, by 0.02 to 0.07 ms per token.
-constexpr double running_stream_ms = 2.0;
 /// Penalty in ms for an endpoint in another failure domain. Crossing takes under 4 ms, but each caller's
 /// prompt and answer cross as well, and a smaller predicted advantage is due to chance about half of the
 /// time. The penalty is worth 0.008 and 0.005 at two sites of 7 and 6 hosts. At 75 ms the streams of a third
@@ -146,19 +147,44 @@
 void endpoint_directory::set_peer_load(const std::string& host, load_by_endpoint load, time_point now) {
     peer_state& peer = peers_[host];
     add_peer_load(peer.load, -1);
-    peer = {std::move(load), now};
+    peer = {std::move(load), {}, now};
+    for (const auto& [endpoint, each] : peer.load) {
+        peer.named_at[endpoint] = now;
+    }
     add_peer_load(peer.load, 1);
 }
 
+void endpoint_directory::set_round_load(const std::string& host, const load_by_endpoint& named,
+                                        time_point now) {
+    if (!may_leave_out_loads(named.size())) {
+        set_peer_load(host, named, now);
+        return;
+    }
+    update_peer_load(host, named, now);
+    load_by_endpoint old;
+    peer_state& peer = peers_[host];
+    for (auto item = peer.named_at.begin(); item != peer.named_at.end();) {
+        if (now - item->second < unnamed_load_ttl) {
+            ++item;
+            continue;
+        }
+        old.insert(peer.load.extract(item->first));
+        item = peer.named_at.erase(item);
+    }
+    add_peer_load(old, -1);
+}
+
 void endpoint_directory::update_peer_load(const std::string& host, const load_by_endpoint& changes,
                                           time_point now) {
     peer_state& peer = peers_[host];
     add_peer_load(peer.load, -1);
     if (now - peer.at >= peer_load_ttl) {
         peer.load.clear(); // Loads that are not in the changes are as old as the last message.
+        peer.named_at.clear();
     }
     for (const auto& [endpoint, load] : changes) {
         peer.load[endpoint] = load;
+        peer.named_at[endpoint] = now;
     }
     peer.at = now;
     add_peer_load(peer.load, 1);
--- a/src/placement/endpoint_directory.h
+++ b/src/placement/endpoint_directory.h
@@ -17,6 +17,7 @@
 
 #include "membership/membership.h"
 #include "placement/first_event_estimate.h"
+#include "placement/load_announcer.h"
 #include "placement/send_allowance.h"
 #include "routing/routing.h"
 
@@ -38,17 +39,6 @@
     first_event_costs costs;
 };
 
-/** Work in flight at one endpoint. */
-struct endpoint_load {
-    /// Time to read the prompts that have no first token yet, each with its own model. If it were counted in
-    /// tokens, prompts for a large model would look ten times smaller to a request for a small one.
-    double reading_ms = 0;
-    int running = 0; ///< requests whose answer has begun; for a plain service, requests in flight
-};
-
-/** Load by endpoint name, as hosts exchange it. */
-using load_by_endpoint = std::map<std::string, endpoint_load>;
-
 /** A chosen endpoint and the estimates behind the choice. */
 struct placement {
     endpoint_record endpoint;
@@ -87,6 +77,9 @@
     void prefer_own_domain(bool is_preferred) { prefers_own_domain_ = is_preferred; }
     /** Sets the load that \p host has in flight. It counts until nothing is heard of it for 2 s. */
     void set_peer_load(const std::string& host, load_by_endpoint load, time_point now);
+    /** Takes what a gossip round of \p host names. A full round may have left out endpoints: the load at
+     * those stays for as long as it has been heard of lately. */
+    void set_round_load(const std::string& host, const load_by_endpoint& named, time_point now);
     /** Sets the load of \p host at the endpoints in \p changes; its load at other endpoints stays. */
     void update_peer_load(const std::string& host, const load_by_endpoint& changes, time_point now);
     const load_by_endpoint& own_load() const { return own_load_; }
@@ -123,6 +116,7 @@
 private:
     struct peer_state {
         load_by_endpoint load;
+        std::map<std::string, time_point> named_at; ///< when the peer last named each of \ref load
         time_point at;
     };
     struct engine_cache {
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -9,6 +9,7 @@
 #include "placement/endpoint_directory.h"
 #include "placement/first_event_estimate.h"
 #include "placement/leaving_endpoints.h"
+#include "placement/load_announcer.h"
 #include "placement/rate_limits.h"
 #include "placement/send_allowance.h"
 #include "placement/sponsors.h"
