--- a/src/host/entry_host_peers.cpp
+++ b/src/host/entry_host_peers.cpp
@@ -34,6 +34,7 @@
 constexpr duration limit_batch_delay = milliseconds(10);
 constexpr std::size_t max_limits_per_round = 8;    ///< about 30 bytes each; each round sends other ones
 constexpr std::size_t max_limits_per_message = 32; ///< in a message sent outside the gossip rounds
+constexpr std::size_t max_paces_per_round = 12;    ///< about 20 bytes each; each round sends other ones
 /// For this long after its start a host may know too few others to determine the sponsors of an endpoint.
 /// Gossip rounds name all hosts within 2 s.
 constexpr duration host_discovery_time = seconds(3);
@@ -120,6 +121,7 @@
     merge_refusals(message.refused);
     relay_.merge_crash_notices(message.crashes);
     relay_.merge_limit_notices(message.limits);
+    relay_.merge_pace_notices(message.paces);
     for (const copy_notice& notice : message.copies) {
         handle(from, notice);
     }
@@ -150,6 +152,7 @@
         message.beats.clear();
         message.crashes.clear();
         message.limits.clear();
+        message.paces.clear();
     }
 }
 
@@ -448,6 +451,9 @@
     message.refused = known_refusals(now);
     message.crashes = relay_.state().quarantine.known(max_crashes_per_round, now);
     message.limits = relay_.state().endpoints.allowance().limits().next_to_gossip(max_limits_per_round, now);
+    if (settings_.in_use.knows_pace) {
+        message.paces = relay_.state().endpoints.pace().next_to_gossip(max_paces_per_round, now);
+    }
     if (gossip_.is_in_large_domain(now)) {
         message.copies = {own_copies()};
     }
--- a/src/placement/endpoint_directory.cpp
+++ b/src/placement/endpoint_directory.cpp
@@ -71,6 +71,7 @@
 void endpoint_directory::update(const std::vector<endpoint_record>& endpoints, time_point now) {
     table_.update(endpoints, now);
     allowance_.update(endpoints, now);
+    pace_.update(endpoints);
     for (const endpoint_record& endpoint : restarted_among(endpoints)) {
         engine_caches_.erase(endpoint.name); // A new process has an empty cache.
     }
@@ -266,6 +267,14 @@
     return prefers_own_domain_ && endpoint.name != home ? unknown_domain_load_ms : cross_domain_ms;
 }
 
+double endpoint_directory::pause_cost(const prompt_shape& prompt, const endpoint_load& load,
+                                      double reading_ms, double pace) const {
+    if (!in_use_.knows_pace || prompt.is_empty()) {
+        return 0.0;
+    }
+    return pause_cost_ms({load.reading_ms * pace + reading_ms, load.running, prompt.gap_objective_ms});
+}
+
 std::optional<placement> endpoint_directory::choose(const endpoint_criteria& criteria,
                                                     const prompt_shape& prompt, const target_model& model,
                                                     time_point now) {
@@ -289,11 +298,13 @@
         const endpoint_load load = load_of(endpoint.name);
         const double reading = static_cast<double>(unread.tokens) * model.costs.read_ms_per_token;
         const double waiting = load.reading_ms * model.costs.backlog_share + load.running * running_stream_ms;
-        const double predicted = reading + waiting + domain_penalty_ms(endpoint, home);
+        const double pace = pace_of(endpoint.name, now);
+        const double predicted = (reading + waiting) * pace + domain_penalty_ms(endpoint, home);
+        const double pausing = pause_cost(prompt, load, reading * pace, pace);
         const double rereading = in_use_.prices_rereading ? reread_ms_per_token : 0.0;
-        const double cost = predicted + static_cast<double>(unread.shared_tokens) * rereading;
+        const double cost = predicted + pausing + static_cast<double>(unread.shared_tokens) * rereading;
         if (!best || cost < lowest_cost) {
-            best = placement{endpoint, model.name, unread.tokens, reading, load.reading_ms, predicted};
+            best = placement{endpoint, model.name, unread.tokens, reading, load.reading_ms, predicted, pace};
             lowest_cost = cost;
         }
     }
--- a/src/placement/endpoint_directory.h
+++ b/src/placement/endpoint_directory.h
@@ -16,8 +16,10 @@
 #pragma once
 
 #include "membership/membership.h"
+#include "placement/endpoint_pace.h"
 #include "placement/first_event_estimate.h"
 #include "placement/load_announcer.h"
+#include "placement/pause_cost.h"
 #include "placement/send_allowance.h"
 #include "routing/routing.h"
 
@@ -30,6 +32,8 @@
     std::int64_t input_tokens = 0;
     std::vector<std::uint64_t> parts; ///< hashes of the prompt's parts, in order
     std::vector<std::int64_t> tokens; ///< number of tokens of each part
+    /// Aim of the route for the longest pause between two events of a stream; 0: none.
+    double gap_objective_ms = 0;
     bool is_empty() const { return input_tokens == 0; }
 };
 
@@ -47,6 +51,7 @@
     double reading_ms = 0;          ///< time that it takes to read them
     double backlog_ms = 0;          ///< time that the prompts of other requests there still take to read
     double predicted_ms = 0;        ///< time to the first token; for a plain service, only a measure of load
+    double pace = 1;                ///< \ref endpoint_pace::factor; the two times above are without it
 };
 
 /** \return the backlog of an endpoint in ms from which on a change of this host's load there is announced to
@@ -87,6 +92,7 @@
     double backlog_ms(const std::string& endpoint) const;
     send_allowance& allowance() { return allowance_; }
     const send_allowance& allowance() const { return allowance_; }
+    endpoint_pace& pace() { return pace_; }
 
     /** \return the endpoint to send to, or nothing if no endpoint takes the request now */
     std::optional<placement> choose(const endpoint_criteria& criteria, const prompt_shape& prompt,
@@ -123,6 +129,9 @@
         std::unordered_map<std::uint64_t, time_point> parts; ///< time last sent, by \ref cache_key
     };
 
+    double pace_of(const std::string& endpoint, time_point now) const {
+        return in_use_.knows_pace ? pace_.factor(endpoint, now) : 1.0;
+    }
     endpoint_load load_of(const std::string& endpoint) const;
     void add_peer_load(const load_by_endpoint& load, int sign);
     void drop_silent_peers(time_point now);
@@ -139,11 +148,16 @@
      * \param home home endpoint of the prompt's shared part, or empty. The penalty for an unknown load does
      * not apply to it, because homes are evenly distributed. */
     double domain_penalty_ms(const endpoint_record& endpoint, const std::string& home) const;
+    /** \see pause_cost_ms
+     * \param reading_ms time that the endpoint takes to read the prompt */
+    double pause_cost(const prompt_shape& prompt, const endpoint_load& load, double reading_ms,
+                      double pace) const;
     void forget_old_parts(engine_cache& cache, time_point now);
 
     endpoint_table table_;
     random_source random_;
     send_allowance allowance_;
+    endpoint_pace pace_;
     std::string domain_;
     mechanisms in_use_;
     bool prefers_own_domain_ = false;
--- a/src/relay/exchange.cpp
+++ b/src/relay/exchange.cpp
@@ -164,6 +164,7 @@
         answer_failure(status_not_found, "no_route", "use a host and path that match a route", {});
         return false;
     }
+    prompt_.gap_objective_ms = route_->kind == route_kind::stream ? to_ms(route_->gap_objective) : 0.0;
     if (!admit_team()) {
         return false;
     }
--- a/src/relay/exchange.h
+++ b/src/relay/exchange.h
@@ -141,6 +141,8 @@
     /** Compares how fast the attempt's events came with the established release, once in each attempt.
      * \param min_intervals fewer intervals between events are not compared yet */
     void record_pace(std::int64_t min_intervals);
+    /** Records how fast the attempt's endpoint makes events. */
+    void record_endpoint_pace(duration elapsed, std::int64_t intervals);
     void notify_load_changed();
     void record_endpoint_statement();
     /** Decides whether the answer is good enough to be forwarded, once its first event has arrived.
--- a/src/relay/exchange_answers.cpp
+++ b/src/relay/exchange_answers.cpp
@@ -9,6 +9,9 @@
 constexpr std::int64_t long_prompt_tokens = 1500;
 /// The constant part of the time to the first event: a network round trip and the engine's first step (5 ms).
 constexpr double fixed_latency_ms = 8;
+/// A stream with fewer intervals does not show the pace of its endpoint: one prompt read meanwhile outweighs
+/// them.
+constexpr int min_intervals_for_pace = 4;
 
 } // namespace
 
@@ -149,8 +152,9 @@
     notify_load_changed();
     if (!attempt_.model.empty()) {
         const auto unread = static_cast<double>(attempt_.chosen.unread_tokens);
-        state_.first_events.observe(attempt_.model, attempt_.model_rank,
-                                    {unread, attempt_.chosen.backlog_ms, to_ms(took) - fixed_latency_ms});
+        state_.first_events.observe(
+            attempt_.model, attempt_.model_rank,
+            {unread, attempt_.chosen.backlog_ms, (to_ms(took) - fixed_latency_ms) / attempt_.chosen.pace});
         state_.measured.time("first_event_ms", took);
     }
 }
@@ -247,16 +251,27 @@
         return;
     }
     attempt_.is_paced = true;
+    const duration elapsed = last_event_at_ - attempt_.first_event_at;
+    record_endpoint_pace(elapsed, intervals);
     if (attempt_.has_paused || attempt_.is_slow()) {
         return; // A caller that reads slowly delays the events, too.
     }
-    const duration elapsed = last_event_at_ - attempt_.first_event_at;
     if (state_.releases.on_stream_paced(release_key(), {attempt_.model, elapsed, static_cast<int>(intervals),
                                                         warm_endpoint(last_event_at_)})) {
         attempt_.slowness = "pace";
     }
 }
 
+void exchange::record_endpoint_pace(duration elapsed, std::int64_t intervals) {
+    if (!state_.settings.in_use.knows_pace || attempt_.has_paused || intervals < min_intervals_for_pace ||
+        warm_endpoint(last_event_at_).empty()) {
+        return;
+    }
+    owner_.report_paces(state_.endpoints.pace().observe(attempt_.chosen.endpoint, attempt_.model,
+                                                        to_ms(elapsed) / static_cast<double>(intervals),
+                                                        last_event_at_));
+}
+
 // A stream that crawls shows it before it has made many events. Counted only then, the few streams of a trial
 // that were sound had ended long before the others, and spoke for their release alone.
 void exchange::record_overdue_pace(time_point now) {
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -224,6 +224,22 @@
     }
 }
 
+void relay::merge_pace_notices(const std::vector<pace_notice>& notices) {
+    if (state_.settings.in_use.knows_pace) {
+        report_paces(state_.endpoints.pace().merge(notices, monotonic_now()));
+    }
+}
+
+void relay::report_paces(const std::vector<pace_change>& changes) {
+    for (const pace_change& change : changes) {
+        state_.measured.count(change.factor >= endpoint_pace::high_factor ? "endpoints_slow_begun"
+                                                                          : "endpoints_slow_ended");
+        log_info("endpoint_pace", {{"endpoint", change.endpoint},
+                                   {"factor", change.factor},
+                                   {"streams", static_cast<int>(change.streams)}});
+    }
+}
+
 json relay::ends_by_part(const std::vector<part_digest>& parts) const {
     constexpr std::size_t max_listed = 16;
     json ends = json::object();
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -129,6 +129,8 @@
     void merge_crash_notices(const std::vector<crash_notice>& notices);
     /** Merges another host's notices about the rate limits of endpoints. */
     void merge_limit_notices(const std::vector<limit_notice>& notices);
+    /** Merges what another host has measured of the pace of endpoints. */
+    void merge_pace_notices(const std::vector<pace_notice>& notices);
     /** Clears a request or a part of prompts, by order of an operator. */
     void lift_quarantine(const crash_cause& cause);
     relay_state& state() { return state_; }
@@ -174,6 +176,8 @@
     void begin_probes(time_point now);
     /** \return whether this process was paused just now, so that elapsed time shows nothing about others. */
     bool was_paused() const { return was_paused_; }
+    /** Logs endpoints that have become slow or are no longer. */
+    void report_paces(const std::vector<pace_change>& changes);
     /** Records what \p endpoint stated about itself in its answer to \p request. */
     void record_statement(const endpoint_record& endpoint, const endpoint_statement& statement,
                           time_point sent_at, const std::string& request);
--- a/test/host_test.cpp
+++ b/test/host_test.cpp
@@ -21,6 +21,7 @@
     gossip.beats = encode_heartbeats({{4'000'000'001U, 65'535, 129}});
     gossip.refused = {{"e2", 300}};
     gossip.crashes = {{77, {{5, 400, 300}}, -1}};
+    gossip.paces = {{4'000'000'001U, 240, 6}};
     const peer_message messages[] = {gossip,
                                      freshness_question{77},
                                      freshness_answer{77, 40, 1500},
