--- a/src/relay/exchange.cpp
+++ b/src/relay/exchange.cpp
@@ -144,6 +144,7 @@
     expires_at_ = arrived_at_ + longest;
     waiting_since_ = arrived_at_;
     prompt_ = to_shape(terms_);
+    prompt_.gap_objective_ms = route_->kind == route_kind::stream ? to_ms(route_->gap_objective) : 0.0;
     shared_parts_ = digests_of_shared_parts(terms_);
     events_ = event_joiner(terms_.last_event_id);
     if (caller_->is_from_peer()) {
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -148,6 +148,8 @@
     void wake_waiting(const std::string& service);
     /** The same for all services. */
     void wake_all_waiting();
+    /** Merges what another host has measured of the pace of endpoints. */
+    void merge_pace_notices(const std::vector<pace_notice>& notices);
     /** Clears a request or a part of prompts, by order of an operator. */
     void lift_quarantine(const crash_cause& cause);
     relay_state& state() { return state_; }
@@ -195,6 +197,8 @@
     void begin_probes(time_point now);
     /** \return whether this process was paused just now, so that elapsed time shows nothing about others. */
     bool was_paused() const { return was_paused_; }
+    /** Logs endpoints that have become slow or are no longer. */
+    void report_paces(const std::vector<pace_change>& changes);
     /** Records what \p endpoint stated about itself in its answer to \p request. */
     void record_statement(const endpoint_record& endpoint, const endpoint_statement& statement,
                           time_point sent_at, const std::string& request);
