--- a/test/relay_test.cpp
+++ b/test/relay_test.cpp
@@ -378,6 +378,26 @@
     EXPECT_EQ(endpoints.crash_count(), before);
 }
 
+// Guards against a stream that is cut because a part of its prompt was quarantined after it had begun.
+TEST_F(relay_fixture, a_begun_stream_resumes_although_a_part_of_its_prompt_is_quarantined) {
+    scripted_endpoint endpoint({{stream_head("7") + chunk_of(event(1)), false, false},
+                                {stream_head("7") + chunk_of(event(2)) + "0\r\n\r\n", false, false}});
+    start_relay(route(route_kind::stream, 3), {endpoint.address()});
+    asio::steady_timer restart(loop_.context(), milliseconds(150));
+    restart.async_wait([&](const boost::system::error_code&) {
+        const time_point now = monotonic_now();
+        for (std::uint32_t i = 1; i <= 3; ++i) {
+            const time_point ended_at = now - milliseconds(30) * (4 - i);
+            relay_->state().quarantine.on_end({i, {digest_of_part("first")}}, {i, ended_at, ended_at}, now);
+        }
+        records_.front().started_at_ms = 9000;
+        relay_->set_endpoints(records_);
+        EXPECT_FALSE(relay_->state().quarantine.may_send({9, {digest_of_part("first")}}, now));
+    });
+    const std::string answer = send_request("7", "Prompt: first own\r\n");
+    EXPECT_TRUE(contains(answer, chunk_of(event(1)) + chunk_of(event(2)) + "0\r\n\r\n")) << answer;
+}
+
 // Guards against forwarding a success that the endpoint has not confirmed with a receipt.
 TEST_F(relay_fixture, a_success_without_a_receipt_is_answered_with_502) {
     scripted_endpoint endpoint({{"HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 2\r\n\r\nok", false, false}});
