--- a/src/placement/endpoint_directory.cpp
+++ b/src/placement/endpoint_directory.cpp
@@ -16,6 +16,10 @@
 /// parts for longer; after this time the part may have been evicted.
 constexpr duration sent_part_ttl = seconds(30);
 constexpr std::size_t max_parts_per_engine = 512; ///< 16 KB for each endpoint
+/// An endpoint is saturated if the prompts that wait there take longer to read than this, in ms, or if
+/// streams use more than this share of its slots.
+constexpr double max_carried_reading_ms = 500;
+constexpr double max_running_share = 0.9;
 /// A request may wait for an endpoint whose exclusion ends within this time.
 constexpr duration max_endpoint_wait = milliseconds(500);
 /// Penalty in ms for an endpoint in another failure domain. Crossing takes under 4 ms, but each caller's
@@ -121,6 +125,26 @@
 
 void endpoint_directory::set_slots(const std::string& service, int slots, std::size_t sharers) {
     table_.set_slots(service, slots, sharers);
+    slots_[service] = slots;
+}
+
+double endpoint_directory::saturated_share(const std::string& service, time_point now) const {
+    const auto known = slots_.find(service);
+    const double max_running = known == slots_.end() ? 0.0 : known->second * max_running_share;
+    int usable = 0;
+    int saturated = 0;
+    (void)table_.could_serve(service, "", now, [&](const endpoint_record& endpoint) {
+        if (allowance_.exclusion_of(endpoint, max_endpoint_wait, now) == exclusion::none) {
+            const endpoint_load load = load_of(endpoint.name);
+            ++usable;
+            saturated += load.reading_ms * pace_of(endpoint.name, now) > max_carried_reading_ms ||
+                                 (max_running > 0 && load.running > max_running)
+                             ? 1
+                             : 0;
+        }
+        return false; // Continues with the next endpoint.
+    });
+    return usable == 0 ? 0.0 : static_cast<double>(saturated) / usable;
 }
 
 void endpoint_directory::add_peer_load(const load_by_endpoint& load, int sign) {
--- a/src/placement/endpoint_directory.h
+++ b/src/placement/endpoint_directory.h
@@ -102,6 +102,9 @@
     /** \return how many endpoints of \p service that take work get no request of this host now or within
      * 0.5 s, by reason */
     std::map<exclusion, int> count_exclusions(const std::string& service, time_point now) const;
+    /** \return the share of the endpoints of \p service which this host may use that have more prompts to
+     * read or streams to run than they carry, 0 to 1. */
+    double saturated_share(const std::string& service, time_point now) const;
     std::size_t size() const { return table_.size(); }
     /** \see endpoint_table::end_ejections */
     void end_ejections(const std::string& service, time_point now) { table_.end_ejections(service, now); }
@@ -161,6 +164,7 @@
     std::string domain_;
     mechanisms in_use_;
     bool prefers_own_domain_ = false;
+    std::map<std::string, int> slots_; ///< by service
     load_by_endpoint own_load_;
     std::map<std::string, peer_state> peers_;
     /// The sum of the loads in \ref peers_, kept up to date because summing for each choice takes a lookup by
--- a/src/relay/exchange_answers.cpp
+++ b/src/relay/exchange_answers.cpp
@@ -32,6 +32,9 @@
         return true;
     }
     const time_point now = monotonic_now();
+    if (yields_larger_model(now)) {
+        return true;
+    }
     const model_placements larger =
         placements_from(attempt_.model_rank + 1, no_size_limit, make_placement_criteria(), now);
     return !largest_model_in_time(larger.options, route_->priority, step_up_budget_ms(now)) ||
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -10,6 +10,7 @@
 #include "relay/endpoint_connection.h"
 #include "relay/endpoint_probes.h"
 #include "relay/model_choice.h"
+#include "relay/model_load.h"
 #include "relay/peer_forwarding.h"
 #include "relay/repeat_allowance.h"
 #include "relay/wire_dialect.h"
@@ -75,6 +76,7 @@
     config_freshness freshness;
     first_event_estimate first_events;
     std::map<std::string, repeat_allowance> repeats; ///< by service
+    std::map<std::string, model_load> model_loads;   ///< by service
     std::size_t hosts = 1;                           ///< live hosts, this one included
 
     repeat_allowance& repeats_of(const std::string& service) {
--- a/test/endpoint_pace_test.cpp
+++ b/test/endpoint_pace_test.cpp
@@ -154,5 +154,24 @@
     EXPECT_EQ(pause_cost_ms({20'000, 40, 800}), 800.0) << "a request waits no longer than a stream may pause";
 }
 
+// Guards against engines counting as saturated by the load of a calm day, and against a backlog, or streams
+// in nearly all slots, that does not count.
+TEST(endpoint_directory, an_engine_is_saturated_by_prompts_or_by_streams) {
+    uneven_directory host;
+    EXPECT_EQ(host.directory.saturated_share("pool", host.fleet.now), 0.0);
+    load_by_endpoint load;
+    for (const endpoint_record& engine : host.fleet.records) {
+        load[engine.name] = {100, 15};
+    }
+    host.directory.set_peer_load("other", load, host.fleet.now);
+    EXPECT_EQ(host.directory.saturated_share("pool", host.fleet.now), 0.0);
+    load["e1"] = {1'500, 15};
+    load["e2"] = {0, 46};
+    load["e3"] = {1'500, 46};
+    host.directory.set_peer_load("other", load, host.fleet.now);
+    EXPECT_EQ(host.directory.saturated_share("pool", host.fleet.now), 0.25);
+    EXPECT_EQ(host.directory.saturated_share("none", host.fleet.now), 0.0);
+}
+
 } // namespace
 } // namespace laurelhoist
