--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -11,6 +11,7 @@
 #include "relay/endpoint_probes.h"
 #include "relay/load_report.h"
 #include "relay/model_choice.h"
+#include "relay/model_load.h"
 #include "relay/peer_forwarding.h"
 #include "relay/repeat_allowance.h"
 #include "relay/wire_dialect.h"
@@ -88,6 +89,7 @@
 
     /** \return the bytes of requests that this host holds: bodies, and what endpoints have not read yet. */
     std::size_t held_for_requests() const { return request_bytes.held() + pool.unsent_bytes(); }
+    std::map<std::string, model_load> model_loads;   ///< by service
 
     repeat_allowance& repeats_of(const std::string& service) {
         repeat_allowance& found =
