Admission: refuse what cannot be answered in time, demote load beyond a team's usual

Under load, requests reached their time limit in the queues of engines, Retry-After was a constant, and teams that sent many times their usual load made all others late.

Adds the library admission (usage of teams, pressure of services, the decision and the time to return) and connects it to the relay and to gossip.

--- a/src/host/entry_host_peers.cpp
+++ b/src/host/entry_host_peers.cpp
@@ -107,6 +107,9 @@
     merge_refusals(message.refused);
     relay_.merge_crash_notices(message.crashes);
     relay_.merge_limit_notices(message.limits);
+    if (message.is_round) {
+        relay_.state().admission.teams.merge(sender, message.usage, now);
+    }
     for (const copy_notice& notice : message.copies) {
         handle(from, notice);
     }
@@ -137,6 +140,7 @@
         message.beats.clear();
         message.crashes.clear();
         message.limits.clear();
+        message.usage.clear();
     }
 }
 
@@ -456,6 +460,9 @@
     message.refused = known_refusals(now);
     message.crashes = relay_.state().quarantine.known(max_crashes_per_round, now);
     message.limits = relay_.state().endpoints.allowance().limits().next_to_gossip(max_limits_per_round, now);
+    if (settings_.in_use.protects_shares) {
+        message.usage = relay_.state().admission.teams.samples_to_gossip(now);
+    }
     if (gossip_.is_in_large_domain(now)) {
         message.copies = {own_copies()};
     }
--- a/src/host/peer_messages.cpp
+++ b/src/host/peer_messages.cpp
@@ -74,7 +74,10 @@
                                       {"answers", "Y"},
                                       {"tallies", "aa"},
                                       {"is_stopped", "ab"},
-                                      {"evidence_share", "ac"}};
+                                      {"evidence_share", "ac"},
+                                      {"usage", "ad"},
+                                      {"team", "ae"},
+                                      {"tenths", "af"}};
 
 using field_map = std::map<std::string, std::string>;
 
--- a/src/host/peer_messages.h
+++ b/src/host/peer_messages.h
@@ -5,6 +5,7 @@
  */
 #pragma once
 
+#include "admission/admission.h"
 #include "membership/membership.h"
 #include "placement/placement.h"
 #include "recovery/recovery.h"
@@ -52,9 +53,10 @@
     std::vector<crash_notice> crashes{}; ///< from \ref crash_quarantine::known
     std::vector<limit_notice> limits{};  ///< from \ref rate_limits::next_to_gossip
     std::vector<copy_notice> copies{}; ///< in a large domain: the sender's, in place of a message of its own
+    std::vector<team_sample> usage{};  ///< from \ref team_usage::samples_to_gossip
 };
 LAUREL_VALUE_TYPE(gossip_message, statuses, load, counts, rollouts, beats, is_round, refused, crashes, limits,
-                  copies)
+                  copies, usage)
 
 /** Asks a peer how recently its configuration was confirmed to be the newest. */
 struct freshness_question {
--- a/src/relay/exchange.cpp
+++ b/src/relay/exchange.cpp
@@ -494,6 +494,7 @@
     log_attempt(end);
     if (end == attempt_end::refused && !attempt_.is_forwarded()) {
         state_.endpoints.allowance().on_rejected(attempt_.chosen.endpoint.name, monotonic_now());
+        state_.admission.service(service_).on_rejected(monotonic_now());
     }
     if (attempt_.is_trial && proves_not_run(end)) {
         state_.quarantine.on_trial_not_run(causes());
@@ -675,6 +676,8 @@
         return;
     }
     apply_event("ended");
+    const bool is_served = std::string_view(outcome) == "served";
+    observe_end(monotonic_now(), is_served, status == status_gateway_timeout);
     const duration took = monotonic_now() - arrived_at_;
     state_.measured.count(std::string("requests_") + outcome);
     state_.measured.time("request_ms", took);
--- a/src/relay/exchange.h
+++ b/src/relay/exchange.h
@@ -91,6 +91,17 @@
     int priority() const;
     /** \return the urgency that engines order their queues by, 0 is the most urgent. */
     int urgency() const;
+    /** Records what this request shows about the usage of teams and the pressure of the service. */
+    void observe_arrival(time_point now);
+    admission_inputs make_admission_inputs(time_point now) const;
+    void refuse_for_load(const rejected& refusal, const admission_inputs& inputs);
+    /** Records that the answer to this request has begun. */
+    void observe_first_event(time_point now);
+    /** Records that this request has ended, at its time limit or otherwise. */
+    void observe_end(time_point now, bool is_served, bool is_out_of_time);
+    bool observes_load() const;
+    /** \return the route and the urgency, between which times to the first event differ under load. */
+    std::string load_kind() const;
     /** \return the Retry-After for a service whose endpoints are all full. */
     duration time_to_room(time_point now) const;
     /** Keeps the request until an endpoint has room for it. */
@@ -232,6 +243,8 @@
     int first_event_ms_ = -1;  ///< from the request's arrival to the first forwarded event; -1 if none
     int longest_gap_ms_ = -1;  ///< longest pause between forwarded events; -1 if fewer than two
     time_point last_event_at_; ///< when an event was last forwarded
+    int demotion_ = 0;         ///< steps by which the request is less urgent than its priority says
+    bool is_ahead_ = false;    ///< counts in \ref service_pressure::ahead
     int attempts_ = 0;
     int unreachable_endpoints_ = 0; ///< attempts that could not connect or reached another instance
     bool has_started_ = false;      ///< \ref begin has been called
--- a/src/relay/exchange_answers.cpp
+++ b/src/relay/exchange_answers.cpp
@@ -133,10 +133,11 @@
         return;
     }
     attempt_.has_first_byte = true;
+    const time_point now = monotonic_now();
+    observe_first_event(now);
     if (attempt_.is_forwarded()) {
         return;
     }
-    const time_point now = monotonic_now();
     const duration took = now - attempt_.sent_at;
     // Compared with the reading time of the request's own prompt and not with the predicted time: a slow
     // release lengthens the predicted backlog of its endpoints, so that even 1.9 s instead of 0.1 s did not
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "admission/admission.h"
 #include "recovery/recovery.h"
 #include "relay/caller_connection.h"
 #include "relay/end_confirmation.h"
@@ -74,6 +75,7 @@
     crash_quarantine quarantine;
     config_freshness freshness;
     first_event_estimate first_events;
+    admission_state admission;
     std::map<std::string, repeat_allowance> repeats; ///< by service
     std::size_t hosts = 1;                           ///< live hosts, this one included
 
