--- a/test/relay_test.cpp
+++ b/test/relay_test.cpp
@@ -243,6 +243,33 @@
     EXPECT_LE(retry_after_ms, 5000.0 / 3); // A third of the caller's time.
 }
 
+// The time to return is a constant if the host does not decide about load.
+TEST_F(relay_fixture, the_time_to_return_is_constant_without_refusals_for_load) {
+    scripted_endpoint full({{"HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", false, false}});
+    start_relay(route(route_kind::non_idempotent, 1), {full.address()});
+    run_on_relay_thread([this] { relay_->state().settings.in_use.refuses_hopeless = false; });
+    EXPECT_TRUE(contains(send_request("7"), "Retry-After: 700"));
+}
+
+// Guards against a request that takes room at an endpoint although its time limit will pass before its
+// answer.
+TEST_F(relay_fixture, a_request_that_cannot_be_answered_in_time_is_refused_each_time_and_never_sent) {
+    scripted_endpoint endpoint({{answer_of("7", "late"), false, false}});
+    start_relay(route(route_kind::idempotent, 2), {endpoint.address()});
+    run_on_relay_thread([this] {
+        service_pressure& pressure = relay_->state().admission.service("claims");
+        for (int i = 0; i < 200; ++i) {
+            pressure.on_first_event("r/3", seconds(9), 0, seconds(2), monotonic_now());
+        }
+    });
+    const std::string first = send_request("7");
+    EXPECT_TRUE(contains(first, "HTTP/1.1 503"));
+    EXPECT_TRUE(contains(first, "not_in_time"));
+    EXPECT_TRUE(contains(first, "Retry-After: "));
+    EXPECT_TRUE(contains(send_request("7"), "not_in_time"));
+    EXPECT_TRUE(endpoint.requests().empty());
+}
+
 // Guards against refusing requests while healthy endpoints are idle: when thirty engines restart as new
 // instances at their old addresses before the store drops the old ones, a request may meet three of them.
 TEST_F(relay_fixture, a_misdirected_answer_does_not_count_as_an_attempt) {
