--- a/src/host/entry_host.h
+++ b/src/host/entry_host.h
@@ -254,7 +254,7 @@
     bool is_crash_update_scheduled_ = false;
     bool is_limit_update_scheduled_ = false;
     bool has_delayed_refusals_ = false;
-    std::set<std::string> unsent_refusals_;            ///< endpoints whose refusal is not sent yet
+    std::set<std::string> unsent_refusals_; ///< endpoints whose refusal is not sent yet
     load_announcer load_announcer_;
     std::optional<time_point>
         store_lost_since_; ///< since when calls of the configuration's watch have failed
--- a/src/host/entry_host_peers.cpp
+++ b/src/host/entry_host_peers.cpp
@@ -122,6 +122,9 @@
     relay_.merge_crash_notices(message.crashes);
     relay_.merge_limit_notices(message.limits);
     relay_.merge_pace_notices(message.paces);
+    if (message.is_round) {
+        relay_.state().admission.teams.merge(sender, message.usage, now);
+    }
     for (const copy_notice& notice : message.copies) {
         handle(from, notice);
     }
@@ -153,6 +156,7 @@
         message.crashes.clear();
         message.limits.clear();
         message.paces.clear();
+        message.usage.clear();
     }
 }
 
@@ -453,6 +457,9 @@
     if (settings_.in_use.knows_pace) {
         message.paces = relay_.state().endpoints.pace().next_to_gossip(max_paces_per_round, now);
     }
+    if (settings_.in_use.protects_shares) {
+        message.usage = relay_.state().admission.teams.samples_to_gossip(now);
+    }
     if (gossip_.is_in_large_domain(now)) {
         message.copies = {own_copies()};
     }
--- a/src/host/peer_messages.cpp
+++ b/src/host/peer_messages.cpp
@@ -77,7 +77,10 @@
                                       {"evidence_share", "ac"},
                                       {"paces", "pa"},
                                       {"percent", "pb"},
-                                      {"streams", "pc"}};
+                                      {"streams", "pc"},
+                                      {"usage", "ad"},
+                                      {"team", "ae"},
+                                      {"tenths", "af"}};
 
 using field_map = std::map<std::string, std::string>;
 
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "admission/admission.h"
 #include "recovery/recovery.h"
 #include "relay/caller_connection.h"
 #include "relay/end_confirmation.h"
@@ -79,7 +80,9 @@
     crash_quarantine quarantine;
     config_freshness freshness;
     first_event_estimate first_events;
+    admission_state admission;
     std::map<std::string, repeat_allowance> repeats; ///< by service
+    std::map<std::string, model_load> model_loads;   ///< by service
     std::map<std::string, waiting_room> waiting;     ///< by service: requests that no endpoint takes
     /// The weight of a team among those that wait; unset: all weigh the same.
     waiting_room::weight_function team_weight;
@@ -89,7 +92,6 @@
 
     /** \return the bytes of requests that this host holds: bodies, and what endpoints have not read yet. */
     std::size_t held_for_requests() const { return request_bytes.held() + pool.unsent_bytes(); }
-    std::map<std::string, model_load> model_loads;   ///< by service
 
     repeat_allowance& repeats_of(const std::string& service) {
         repeat_allowance& found =
