Waiting room: try all that wait, keep begun streams, weigh teams by their usual share

Cause: 16 waiting requests that no endpoint with room suits blocked all behind them. A request was held on at the rate of others that other endpoints served. A stream that had begun was cut as no_room after half of its objective. The time to be placed included the time before the configuration was known.

Change: a turn tries the first 16 and 16 more from where the last turn stopped, until all were tried or there is no room. A request that was passed over while there was room is not held beyond half of its objective. A begun stream waits for the longest of two seconds, 4 objectives and 8 gap objectives, within its time limit. An id without an exchange is removed from the room. waited_ms starts when the configuration is known. The weights of teams that wait are the learned usual shares if protects_shares is on.

Checked: the 8 tests of waiting_fixture pass, three of them new; not run against the code before the change.

--- a/src/relay/exchange.cpp
+++ b/src/relay/exchange.cpp
@@ -133,6 +133,7 @@
 
 void exchange::begin() {
     has_started_ = true;
+    started_at_ = monotonic_now();
     routing_ = state_.routing;
     if (!admit()) {
         return;
--- a/src/relay/exchange.h
+++ b/src/relay/exchange.h
@@ -37,6 +37,8 @@
     /** Places this waiting request if an endpoint takes it, or answers it if it cannot be served any more.
      * \return whether it has left its place in the waiting room */
     bool leave_room_if_served();
+    /** Records that the endpoints with room do not suit this waiting request. */
+    void on_passed_over() { is_passed_over_ = true; }
 
     /** Checks whether this request is now quarantined; if so, refuses it unless its answer has begun, it is
      * the trial attempt, or it has been sent and may not be repeated. */
@@ -256,9 +258,11 @@
     std::string service_;
     time_point arrived_at_;
     time_point expires_at_;
+    time_point started_at_; ///< when the configuration was known, at \ref arrived_at_ or later
     time_point waiting_since_;
     std::string waiting_id_;         ///< in the waiting room of \ref service_; empty: not there
     std::size_t ahead_at_entry_ = 0; ///< requests that were ahead of it when it entered the room
+    bool is_passed_over_ = false;    ///< in the present wait, while there was room for others
     time_point judged_at_;           ///< when it is decided whether it waits any longer
     duration waited_{};              ///< in all waits for an endpoint
     bool is_being_served_ = false;   ///< it is its turn
--- a/src/relay/exchange_waiting.cpp
+++ b/src/relay/exchange_waiting.cpp
@@ -15,11 +15,19 @@
 constexpr duration max_judged_after = milliseconds(1000);
 /// A stream takes up to this part of its time limit from its first event on.
 constexpr int time_limits_of_stream = 2;
+/// Callers abandon a stream after a pause of the longest of these.
+constexpr duration min_abandoned_gap = seconds(2);
+constexpr int latency_objectives_to_abandon = 4;
+constexpr int gap_objectives_to_abandon = 8;
 
 } // namespace
 
 duration exchange::max_queue_time() const {
     constexpr int share_of_objective = 2;
+    if (has_begun_answer_ && state_.settings.in_use.orders_waiting) {
+        return std::max({min_abandoned_gap, route_->latency_objective * latency_objectives_to_abandon,
+                         route_->gap_objective * gap_objectives_to_abandon});
+    }
     return route_->latency_objective / share_of_objective;
 }
 
@@ -53,6 +61,7 @@
         room.push_front(waiting, now);
     }
     ahead_at_entry_ = room.ahead_of(waiting_id_, state_.team_weight);
+    is_passed_over_ = false;
     judged_at_ = waiting_since_ + max_queue_time();
     state_.measured.count("requests_waited");
     // Another one may be next, or the endpoints with room may suit only this one.
@@ -87,7 +96,7 @@
         return;
     }
     const time_point now = monotonic_now();
-    const duration waited = now - waiting_since_;
+    const duration waited = now - std::max(waiting_since_, started_at_);
     waited_ += waited;
     if (waiting_id_.empty()) {
         return;
@@ -122,6 +131,10 @@
     if (!state_.settings.in_use.orders_waiting || waiting_id_.empty()) {
         return false;
     }
+    // The rate at which others are taken tells nothing about a request that does not suit their endpoints.
+    if (has_begun_answer_ || is_passed_over_) {
+        return false;
+    }
     const waiting_room& room = state_.waiting.at(service_);
     if (!room.can_be_answered(waiting_id_, time_to_answer(), now, state_.team_weight)) {
         return false;
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -42,6 +42,11 @@
       probes_{state_.pool, [this](const std::string& endpoint, bool is_reachable) {
                   record_link(endpoint, is_reachable);
               }} {
+    if (settings.in_use.protects_shares) {
+        state_.team_weight = [this](const std::string& team) {
+            return state_.admission.teams.weight(team, monotonic_now());
+        };
+    }
     caller_events_.on_request = [this](const auto& caller, caller_request&& request) {
         on_request(caller, std::move(request));
     };
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -215,8 +215,13 @@
     /** Counts the ends that the quarantine found not to count because of what ended with them. */
     void count_ends_not_counted();
     void on_restarted(const endpoint_record& endpoint);
-    /** Places the waiting requests of \p service in order until one finds no endpoint. */
+    /** Places the waiting requests of \p service in order until none has an endpoint, over several turns of
+     * the loop if many do not suit the endpoints with room. */
     void serve_waiting(const std::string& service);
+    /** Places waiting requests in order, except \p passed_over, to which it adds those that no endpoint with
+     * room suits.
+     * \return whether there is room and there may be requests that were not tried */
+    bool place_waiting(const std::string& service, std::set<std::string>& passed_over);
     void serve_woken();
     /** \return whether an endpoint of \p service takes a request of any kind now. */
     bool has_room(const std::string& service);
@@ -230,7 +235,9 @@
     std::unordered_set<std::shared_ptr<caller_connection>> callers_;
     std::set<std::shared_ptr<exchange>> active_;
     std::unordered_map<std::string, std::weak_ptr<exchange>> waiting_; ///< by their id in the waiting rooms
-    std::set<std::string> woken_;       ///< services that are served in the next turn of the loop
+    std::set<std::string> woken_; ///< services that are served in the next turn of the loop
+    /// By service: waiting requests that were tried since the room was last tried from its beginning.
+    std::map<std::string, std::set<std::string>> passed_over_;
     std::uint64_t last_waiting_id_ = 0; ///< ids that callers give may repeat
     bool is_ticking_ = false;           ///< the next tick is scheduled
     time_point tick_due_;               ///< when the next tick is scheduled
--- a/src/relay/relay_waiting.cpp
+++ b/src/relay/relay_waiting.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-/// Requests that one turn passes over because the endpoints with room do not suit them, such as those of a
+/// Requests that one step passes over because the endpoints with room do not suit them, such as those of a
 /// session that stays with one release.
 constexpr std::size_t max_passed_over = 16;
 
@@ -46,25 +46,50 @@
     return state_.endpoints.choose(any, {}, {}, monotonic_now()).has_value();
 }
 
-void relay::serve_waiting(const std::string& service) {
+bool relay::place_waiting(const std::string& service, std::set<std::string>& passed_over) {
     waiting_room& room = state_.waiting.at(service);
-    std::set<std::string> passed_over;
     waiting_room::selection allowed;
     allowed.may_place = [&passed_over](const std::string& id) { return passed_over.count(id) == 0; };
-    while (passed_over.size() < max_passed_over) {
+    for (std::size_t passed = 0; passed < max_passed_over;) {
         const waiting_request* next = room.next(monotonic_now(), allowed);
         if (next == nullptr) {
-            return;
+            return false;
         }
         const std::string id = next->id;
-        const std::shared_ptr<exchange> head = waiting_.at(id).lock();
+        const auto found = waiting_.find(id);
+        const std::shared_ptr<exchange> head = found == waiting_.end() ? nullptr : found->second.lock();
+        if (head == nullptr) {
+            room.remove(id);
+            waiting_.erase(id);
+            continue;
+        }
         if (head->leave_room_if_served()) {
             continue;
         }
         if (!has_room(service)) {
-            return;
+            return false;
         }
+        head->on_passed_over();
         passed_over.insert(id);
+        ++passed;
+    }
+    return true;
+}
+
+// The first are tried in each turn, as a change may have made room for them. The others are tried some at a
+// time, so that a turn of the loop stays short however many wait.
+void relay::serve_waiting(const std::string& service) {
+    std::set<std::string> first;
+    bool has_more = place_waiting(service, first);
+    if (has_more) {
+        std::set<std::string>& passed_over = passed_over_[service];
+        passed_over.merge(first);
+        has_more = place_waiting(service, passed_over);
+    }
+    if (has_more) {
+        wake_waiting(service);
+    } else {
+        passed_over_.erase(service);
     }
 }
 
--- a/test/waiting_test.cpp
+++ b/test/waiting_test.cpp
@@ -42,6 +42,36 @@
             wait_until([this, i] { return waiting() == i; });
         }
     }
+    /** Adds an endpoint of a second release on trial, so that each request is bound to a release by its id.
+     */
+    void add_release_on_trial(const scripted_endpoint& endpoint) {
+        run_on_relay_thread([&] {
+            rollout_order order;
+            order.service = "claims";
+            order.release = "v2";
+            order.time_limit = seconds(24);
+            records_.push_back({"trial", endpoint.address(), "d1", "claims", "live", "v2", 1000});
+            relay_->set_endpoints(records_);
+            releases_.set_endpoint_counts("claims", {{"v1", 1}, {"v2", 1}});
+            constexpr duration age = seconds(2); // By then the hosts have exchanged their sessions.
+            releases_.set_orders({order}, monotonic_now() - age);
+            releases_.advance(monotonic_now());
+        });
+    }
+    /** \return ids of \p count requests that are bound to the release on trial, or to the other one */
+    std::vector<std::string> ids_bound(bool to_trial, std::size_t count) {
+        std::vector<std::string> ids;
+        run_on_relay_thread([&] {
+            for (int i = 100; ids.size() < count && i < 10'000; ++i) {
+                const release_choice release =
+                    releases_.choose("claims", {"", std::to_string(i), false}, monotonic_now());
+                if ((release.required == "v2") == to_trial) {
+                    ids.push_back(std::to_string(i));
+                }
+            }
+        });
+        return ids;
+    }
     void free_endpoint() { freed_.set_value(); }
     std::size_t waiting() {
         std::size_t size = 0;
@@ -126,6 +156,88 @@
     EXPECT_EQ(count_served(), 2);
 }
 
+// Guards against requests bound to a full release that keep an idle endpoint from the others behind them.
+TEST_F(waiting_fixture, requests_bound_to_a_full_release_do_not_hold_up_the_others) {
+    constexpr std::size_t count = 20;
+    traffic_route slow = route(route_kind::idempotent, 2);
+    slow.latency_objective = seconds(8); // None is refused meanwhile.
+    start(slow, count, duration::zero());
+    const scripted_answer served{
+        "", false, false, [](const std::string& request) { return answer_of(id_in(request), "served"); }};
+    scripted_endpoint on_trial({served});
+    add_release_on_trial(on_trial);
+    const std::vector<std::string> bound = ids_bound(false, count);
+    const std::vector<std::string> other = ids_bound(true, 1);
+    ASSERT_EQ(bound.size() + other.size(), count + 1);
+    for (std::size_t i = 0; i < count; ++i) {
+        send(bound[i]);
+        wait_until([this, i] { return waiting() == i + 1; });
+    }
+    send(other.front());
+    wait_until([&] { return on_trial.requests().size() == 1; });
+    EXPECT_EQ(waiting(), count);
+    free_endpoint();
+    EXPECT_EQ(count_served(), static_cast<int>(count) + 2);
+}
+
+// Guards against a request that is held because others are served, by endpoints that do not suit it.
+TEST_F(waiting_fixture, a_request_that_was_passed_over_is_refused_after_half_of_its_objective) {
+    traffic_route fast = route(route_kind::idempotent, 2);
+    fast.latency_objective = milliseconds(800);
+    start(fast, 1, duration::zero());
+    const scripted_answer served{
+        "", false, false, [](const std::string& request) { return answer_of(id_in(request), "served"); }};
+    scripted_endpoint on_trial({served, served, served, served});
+    add_release_on_trial(on_trial);
+    const std::vector<std::string> bound = ids_bound(false, 1);
+    const std::vector<std::string> others = ids_bound(true, 4);
+    ASSERT_EQ(bound.size() + others.size(), 5U);
+    const time_point sent_at = monotonic_now();
+    send(bound.front());
+    wait_until([this] { return waiting() == 1; });
+    for (const std::string& id : others) {
+        EXPECT_TRUE(contains(send_request(id), "served"));
+    }
+    EXPECT_TRUE(contains(answers_.back().get(), "no_room"));
+    EXPECT_LT(monotonic_now() - sent_at, fast.latency_objective);
+    answers_.pop_back();
+    free_endpoint();
+}
+
+// Guards against a stream that is cut off because no endpoint has room at once when its own has ended.
+TEST_F(waiting_fixture, a_stream_that_has_begun_waits_beyond_half_of_its_objective) {
+    traffic_route stream = route(route_kind::stream, 3);
+    stream.latency_objective = milliseconds(300);
+    stream.gap_objective = milliseconds(200);
+    endpoint_ = std::make_unique<scripted_endpoint>(
+        std::vector<scripted_answer>{{"", false, false,
+                                      [this](const std::string&) {
+                                          freed_.get_future().wait_for(seconds(5));
+                                          return stream_head("0") + chunk_of(event(1)) + "0\r\n\r\n";
+                                      }},
+                                     {stream_head("7") + chunk_of(event(2)) + "0\r\n\r\n", false, false}});
+    auto ending = std::make_unique<scripted_endpoint>(
+        std::vector<scripted_answer>{{stream_head("7") + chunk_of(event(1)), false, false}});
+    start_relay(stream, {endpoint_->address()});
+    run_on_relay_thread([this] { relay_->state().endpoints.set_slots("claims", 1, 1); });
+    send("0");
+    wait_until([this] { return endpoint_->requests().size() == 1; });
+    const std::vector<endpoint_record> others = records_;
+    records_.push_back({"ending", ending->address(), "d1", "claims", "live", "v1", 1000});
+    run_on_relay_thread([this] { relay_->set_endpoints(records_); });
+    send("7");
+    wait_until([&] { return ending->requests().size() == 1; });
+    run_on_relay_thread([&] { relay_->set_endpoints(others); });
+    ending.reset();
+    wait_until([this] { return waiting() == 1; });
+    std::this_thread::sleep_for(2 * stream.latency_objective);
+    EXPECT_EQ(waiting(), 1U);
+    free_endpoint();
+    const std::string answer = answers_.back().get();
+    EXPECT_TRUE(contains(answer, event(1)) && contains(answer, event(2))) << answer;
+    answers_.pop_back();
+}
+
 // Guards against a switch that does not restore what was before: requests wait outside the room.
 TEST_F(waiting_fixture, without_the_mechanism_the_room_stays_empty) {
     in_use_.orders_waiting = false;
