Entry core: a team's weight in the queue is at least 1, as before

Cause: the waiting room clamps weights at 0.01, so a team of weight 0 would be served a hundredth as often as one of weight 1. Change: the caller clamps at 1. entry_core.cpp compiles; node_test was not run.

--- a/src/node/entry_core.cpp
+++ b/src/node/entry_core.cpp
@@ -240,8 +240,8 @@
     if (!endpoints_.choose(any, now_, allowed_within(duration::zero()))) {
         return false;
     }
-    const std::optional<waiting_request> taken =
-        queues_[queue_name].pop(now_, [this](const std::string& t) { return weight_of(t); }, {may_take, {}});
+    const std::optional<waiting_request> taken = queues_[queue_name].pop(
+        now_, [this](const std::string& t) { return std::max(1, weight_of(t)); }, {may_take, {}});
     if (!taken) {
         return false;
     }
