Pace and loads of other hosts: replaced and not added, ended when they end

Cause: a measurement that was heard again counted again, so one slow stream told five times gave a factor; endpoints whose load had ended were never named again by full rounds; the median held times of any age; old factors stayed; load that was not named stayed for a time that another rule cut to 2 s. Change: what is heard of an endpoint's pace is kept by sender, at most 8 of 16 streams each; rounds name ended load twice; one time of 2 s for all load of other hosts; the median takes recent streams only, and an unknown one is remembered for 100 ms; old factors are erased and reported. Load updates hold 16 entries and rounds 4 paces. The test of bounded messages sends as many messages as that bound requires.

--- a/src/host/entry_host_peers.cpp
+++ b/src/host/entry_host_peers.cpp
@@ -34,7 +34,7 @@
 constexpr duration limit_batch_delay = milliseconds(10);
 constexpr std::size_t max_limits_per_round = 8;    ///< about 30 bytes each; each round sends other ones
 constexpr std::size_t max_limits_per_message = 32; ///< in a message sent outside the gossip rounds
-constexpr std::size_t max_paces_per_round = 12;    ///< about 20 bytes each; each round sends other ones
+constexpr std::size_t max_paces_per_round = 4;     ///< about 20 bytes each; each round sends other ones
 /// For this long after its start a host may know too few others to determine the sponsors of an endpoint.
 /// Gossip rounds name all hosts within 2 s.
 constexpr duration host_discovery_time = seconds(3);
@@ -121,7 +121,7 @@
     merge_refusals(message.refused);
     relay_.merge_crash_notices(message.crashes);
     relay_.merge_limit_notices(message.limits);
-    relay_.merge_pace_notices(message.paces);
+    relay_.merge_pace_notices(sender, message.paces);
     if (message.is_round) {
         relay_.state().admission.teams.merge(sender, message.usage, now);
     }
@@ -455,6 +455,7 @@
     message.crashes = relay_.state().quarantine.known(max_crashes_per_round, now);
     message.limits = relay_.state().endpoints.allowance().limits().next_to_gossip(max_limits_per_round, now);
     if (settings_.in_use.knows_pace) {
+        relay_.end_old_paces();
         message.paces = relay_.state().endpoints.pace().next_to_gossip(max_paces_per_round, now);
     }
     if (settings_.in_use.protects_shares) {
--- a/src/placement/endpoint_directory.cpp
+++ b/src/placement/endpoint_directory.cpp
@@ -7,11 +7,8 @@
 namespace {
 
 /// Hosts exchange their loads every 0.4 s, so an older load is that of a host that is gone or partitioned
-/// off.
+/// off, or one that its full rounds no longer name.
 constexpr duration peer_load_ttl = seconds(2);
-/// A load that a peer's full rounds do not name stays for this long. Hosts of a failure domain of 20 hear a
-/// round of each other every 4 s.
-constexpr duration unnamed_load_ttl = seconds(6);
 /// How long a part counts as cached after this host sent it. At the planned loads an engine's cache holds
 /// parts for longer; after this time the part may have been evicted.
 constexpr duration sent_part_ttl = seconds(30);
@@ -189,7 +186,7 @@
     load_by_endpoint old;
     peer_state& peer = peers_[host];
     for (auto item = peer.named_at.begin(); item != peer.named_at.end();) {
-        if (now - item->second < unnamed_load_ttl) {
+        if (now - item->second < peer_load_ttl) {
             ++item;
             continue;
         }
--- a/src/placement/endpoint_pace.cpp
+++ b/src/placement/endpoint_pace.cpp
@@ -11,9 +11,14 @@
 constexpr duration factor_ttl = seconds(20); ///< without any further evidence
 constexpr duration median_ttl =
     milliseconds(500); ///< a median of all endpoints is not computed for each stream
+/// An unknown median is soon looked for again, because streams count only once it is known.
+constexpr duration unknown_median_ttl = milliseconds(100);
 constexpr std::size_t min_endpoints_for_median = 3;
-constexpr double min_streams = 5;      ///< fewer do not show a pace
-constexpr double min_own_weight = 0.5; ///< less is not worth telling others
+constexpr double min_recent_weight = 0.5; ///< streams; an endpoint with less has no part in the median
+constexpr std::size_t max_senders = 8;    ///< whose measurements of one endpoint are kept
+constexpr double max_streams_heard = 16;  ///< of one sender
+constexpr double min_streams = 5;         ///< fewer do not show a pace
+constexpr double min_own_weight = 0.5;    ///< less is not worth telling others
 constexpr double min_factor = 0.5;
 constexpr double max_factor = 4;
 /// A smaller difference is due to chance and to the load of the moment, and counts as none.
@@ -40,7 +45,7 @@
 void endpoint_pace::update(const std::vector<endpoint_record>& endpoints) {
     listed_.clear();
     for (const endpoint_record& endpoint : endpoints) {
-        listed_[process_hash(endpoint.name, endpoint.started_at_ms)] = endpoint;
+        listed_[process_hash(endpoint.name, endpoint.started_at_ms)] = {endpoint.name, endpoint.pool};
     }
     for (auto item = measured_.begin(); item != measured_.end();) {
         if (listed_.count(item->second.process) > 0) {
@@ -48,11 +53,15 @@
             continue;
         }
         factors_.erase(item->first);
+        if (item->second.is_reported) {
+            ended_.push_back({item->first, 1.0, 0.0});
+        }
         item = measured_.erase(item);
     }
 }
 
-double endpoint_pace::median_of(const std::string& pool, const std::string& model, time_point now) {
+std::optional<double> endpoint_pace::median_of(const std::string& pool, const std::string& model,
+                                               time_point now) {
     median_time& known = medians_[{pool, model}];
     if (now < known.until) {
         return known.ms;
@@ -60,12 +69,14 @@
     std::vector<double> times;
     for (const auto& [name, endpoint] : measured_) {
         const auto found = endpoint.ms_per_event.find(model);
-        if (endpoint.pool == pool && found != endpoint.ms_per_event.end()) {
+        if (endpoint.pool == pool && found != endpoint.ms_per_event.end() &&
+            found->second.weight_at(now) >= min_recent_weight) {
             times.push_back(found->second.mean());
         }
     }
     if (times.size() < min_endpoints_for_median) {
-        return 0;
+        known = {std::nullopt, now + unknown_median_ttl};
+        return known.ms;
     }
     const auto middle = times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
     std::nth_element(times.begin(), middle, times.end());
@@ -75,10 +86,14 @@
 
 void endpoint_pace::renew_factor(const std::string& name, measured_endpoint& endpoint, time_point now,
                                  std::vector<pace_change>& changes) {
-    const double own = endpoint.own.weight_at(now);
-    const double heard = endpoint.heard.weight_at(now);
-    const double streams = own + heard;
-    const double ratio = (own * endpoint.own.mean() + heard * endpoint.heard.mean()) / streams;
+    double streams = endpoint.own.weight_at(now);
+    double sum = streams * endpoint.own.mean();
+    for (const auto& [sender, heard] : endpoint.heard) {
+        const double weight = heard.weight_at(now);
+        streams += weight;
+        sum += weight * heard.mean();
+    }
+    const double ratio = sum / streams;
     const bool is_known = streams >= min_streams && !is_about_one(ratio);
     const double factor = is_known ? std::clamp(ratio, min_factor, max_factor) : 1.0;
     if (is_known) {
@@ -103,15 +118,33 @@
     measured.pool = endpoint.pool;
     measured.ms_per_event[model].add(ms_per_event, 1, now);
     std::vector<pace_change> changes;
-    const double median = median_of(endpoint.pool, model, now);
-    if (median > 0) {
-        measured.own.add(std::clamp(ms_per_event / median, 1 / max_factor, max_factor), 1, now);
+    if (const std::optional<double> median = median_of(endpoint.pool, model, now)) {
+        measured.own.add(std::clamp(ms_per_event / *median, 1 / max_factor, max_factor), 1, now);
         renew_factor(endpoint.name, measured, now, changes);
     }
     return changes;
 }
 
-std::vector<pace_change> endpoint_pace::merge(const std::vector<pace_notice>& notices, time_point now) {
+void endpoint_pace::hear(measured_endpoint& endpoint, const std::string& sender, const pace_notice& notice,
+                         time_point now) {
+    const double streams = std::min<double>(notice.streams, max_streams_heard);
+    if (endpoint.heard.size() >= max_senders && endpoint.heard.count(sender) == 0) {
+        const auto least = std::min_element(
+            endpoint.heard.begin(), endpoint.heard.end(), [now](const auto& left, const auto& right) {
+                return left.second.weight_at(now) < right.second.weight_at(now);
+            });
+        if (least->second.weight_at(now) >= streams) {
+            return;
+        }
+        endpoint.heard.erase(least);
+    }
+    decaying_mean said;
+    said.add(std::clamp(notice.percent / percent, 1 / max_factor, max_factor), streams, now);
+    endpoint.heard[sender] = said;
+}
+
+std::vector<pace_change> endpoint_pace::merge(const std::string& sender,
+                                              const std::vector<pace_notice>& notices, time_point now) {
     std::vector<pace_change> changes;
     for (const pace_notice& notice : notices) {
         const auto listed = listed_.find(notice.process);
@@ -122,13 +155,30 @@
         measured_endpoint& measured = measured_[name];
         measured.process = notice.process;
         measured.pool = listed->second.pool;
-        const double ratio = std::clamp(notice.percent / percent, 1 / max_factor, max_factor);
-        measured.heard.add(ratio, std::min<double>(notice.streams, min_streams), now);
+        hear(measured, sender, notice, now);
         renew_factor(name, measured, now, changes);
     }
     return changes;
 }
 
+std::vector<pace_change> endpoint_pace::end_old_factors(time_point now) {
+    std::vector<pace_change> changes = std::move(ended_);
+    ended_.clear();
+    for (auto item = factors_.begin(); item != factors_.end();) {
+        if (now < item->second.until) {
+            ++item;
+            continue;
+        }
+        measured_endpoint& endpoint = measured_[item->first];
+        if (endpoint.is_reported) {
+            endpoint.is_reported = false;
+            changes.push_back({item->first, 1.0, 0.0});
+        }
+        item = factors_.erase(item);
+    }
+    return changes;
+}
+
 bool endpoint_pace::appear_alike(time_point now) const {
     constexpr double min_hint = 2; // Streams; enough to ask others, not enough to believe.
     return factors_.empty() && std::none_of(measured_.begin(), measured_.end(), [&](const auto& item) {
--- a/src/placement/endpoint_pace.h
+++ b/src/placement/endpoint_pace.h
@@ -10,6 +10,7 @@
 #include "membership/membership.h"
 
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -45,8 +46,14 @@
      * \return the reported changes */
     std::vector<pace_change> observe(const endpoint_record& endpoint, const std::string& model,
                                      double ms_per_event, time_point now);
-    /** Takes what another host has measured. \return the reported changes */
-    std::vector<pace_change> merge(const std::vector<pace_notice>& notices, time_point now);
+    /** Takes what another host has measured, in place of what it said before.
+     * \param sender name of that host
+     * \return the reported changes */
+    std::vector<pace_change> merge(const std::string& sender, const std::vector<pace_notice>& notices,
+                                   time_point now);
+    /** Erases the factors without recent evidence. \return the reported changes, with those of processes that
+     * are no longer listed */
+    std::vector<pace_change> end_old_factors(time_point now);
     /** \return at most \p max_count of this host's measurements, the next ones with each call; none while
      * all endpoints appear to be alike. */
     std::vector<pace_notice> next_to_gossip(std::size_t max_count, time_point now);
@@ -69,28 +76,37 @@
         std::string pool;
         std::map<std::string, decaying_mean> ms_per_event; ///< by model
         decaying_mean own;                                 ///< ratios to the median, of this host
-        decaying_mean heard;                               ///< ratios to the median, of others
+        std::map<std::string, decaying_mean> heard;        ///< ratios to the median, by sender
         bool is_reported = false;
     };
+    struct listed_endpoint {
+        std::string name;
+        std::string pool;
+    };
     struct known_factor {
         double factor = 1;
         time_point until;
     };
     struct median_time {
-        double ms = 0;
+        std::optional<double> ms; ///< nothing if too few endpoints have recent streams
         time_point until;
     };
-    /** \return the median time for an event over the endpoints of \p pool, or 0 if there are too few. */
-    double median_of(const std::string& pool, const std::string& model, time_point now);
+    /** \return the median time for an event over the endpoints of \p pool with recent streams, or nothing if
+     * there are too few. */
+    std::optional<double> median_of(const std::string& pool, const std::string& model, time_point now);
+    /** Replaces what \p sender said of an endpoint. */
+    static void hear(measured_endpoint& endpoint, const std::string& sender, const pace_notice& notice,
+                     time_point now);
     /** Sets the factor of an endpoint by its evidence; appends to \p changes if that is reported. */
     void renew_factor(const std::string& name, measured_endpoint& endpoint, time_point now,
                       std::vector<pace_change>& changes);
     bool appear_alike(time_point now) const;
 
-    std::unordered_map<std::uint32_t, endpoint_record> listed_;          ///< by process
+    std::unordered_map<std::uint32_t, listed_endpoint> listed_;          ///< by process
     std::map<std::string, measured_endpoint> measured_;                  ///< by endpoint name
     std::map<std::pair<std::string, std::string>, median_time> medians_; ///< by pool and model
     std::unordered_map<std::string, known_factor> factors_;              ///< those that are not 1
+    std::vector<pace_change> ended_; ///< of processes that are no longer listed, not reported yet
     std::string last_gossiped_;
 };
 
--- a/src/placement/load_announcer.cpp
+++ b/src/placement/load_announcer.cpp
@@ -11,6 +11,10 @@
 constexpr std::size_t named_by_load =
     max_loads_per_round * 2 / 3; ///< the others of a round are named in turn
 
+constexpr std::size_t ended_per_round = (max_loads_per_round - named_by_load) / 2;
+constexpr int rounds_for_ended = 2;   ///< one of them may be lost
+constexpr std::size_t max_ended = 64; ///< further ones expire at the other hosts
+
 using named_load = std::pair<std::string, endpoint_load>;
 
 endpoint_load rounded(const endpoint_load& load) {
@@ -39,11 +43,38 @@
 
 } // namespace
 
+void load_announcer::note_ended(const load_by_endpoint& own) {
+    for (auto item = ended_.begin(); item != ended_.end();) {
+        item = own.count(item->first) > 0 ? ended_.erase(item) : std::next(item);
+    }
+    for (auto item = named_.begin(); item != named_.end();) {
+        if (own.count(*item) > 0) {
+            ++item;
+            continue;
+        }
+        if (ended_.size() < max_ended) {
+            ended_[*item] = rounds_for_ended;
+        }
+        item = named_.erase(item);
+    }
+}
+
+void load_announcer::name_ended(load_by_endpoint& named) {
+    std::size_t count = 0;
+    for (auto item = ended_.begin(); item != ended_.end() && count < ended_per_round; ++count) {
+        named[item->first] = {};
+        item = --item->second == 0 ? ended_.erase(item) : std::next(item);
+    }
+}
+
 load_by_endpoint load_announcer::next_round(const load_by_endpoint& own) {
     load_by_endpoint named;
-    if (own.size() <= max_loads_per_round) {
+    note_ended(own);
+    if (own.size() < max_loads_per_round) {
+        ended_.clear(); // A round that is not full says that there is no load elsewhere.
         for (const auto& [endpoint, load] : own) {
             named[endpoint] = rounded(load);
+            named_.insert(endpoint);
         }
         return named;
     }
@@ -52,6 +83,7 @@
     for (const auto& [endpoint, load] : heaviest) {
         named[endpoint] = rounded(load);
     }
+    name_ended(named);
     auto next = own.upper_bound(last_in_turn_);
     while (named.size() < max_loads_per_round) {
         next = next == own.end() ? own.begin() : next;
@@ -60,6 +92,11 @@
         }
         ++next;
     }
+    for (const auto& [endpoint, load] : named) {
+        if (load != endpoint_load{}) {
+            named_.insert(endpoint);
+        }
+    }
     return named;
 }
 
--- a/src/placement/load_announcer.h
+++ b/src/placement/load_announcer.h
@@ -4,13 +4,14 @@
  * A message is bounded, and a host may have requests at more endpoints than one holds. The most loaded ones
  * matter most, because the others are chosen whether their load is known or not. A round therefore names the
  * most loaded endpoints each time and the remaining ones in turn. A round that holds as many loads as it may
- * does not say that the host has no load elsewhere.
+ * does not say that the host has no load elsewhere; it therefore also names endpoints whose load has ended.
  */
 #pragma once
 
 #include "base/base.h"
 
 #include <map>
+#include <set>
 #include <string>
 
 namespace laurelhoist {
@@ -37,7 +38,7 @@
 
 /// Loads in one gossip round. At 22 bytes each and 7.5 messages a second they take 4 KB/s.
 constexpr std::size_t max_loads_per_round = 24;
-constexpr std::size_t max_loads_per_update = 48; ///< in a message sent outside the gossip rounds
+constexpr std::size_t max_loads_per_update = 16; ///< in a message sent outside the gossip rounds
 
 /** \return whether a round that names \p count loads may have left out others. */
 constexpr bool may_leave_out_loads(std::size_t count) {
@@ -55,8 +56,15 @@
     load_by_endpoint take_changes(const load_by_endpoint& announced);
 
 private:
-    std::string last_in_turn_;   ///< last endpoint that a round named in its turn
-    load_by_endpoint announced_; ///< as the last changes left it
+    /** Moves those of \ref named_ that are not in \p own to \ref ended_. */
+    void note_ended(const load_by_endpoint& own);
+    /** Adds endpoints whose load has ended to those that a round names. */
+    void name_ended(load_by_endpoint& named);
+
+    std::set<std::string> named_;      ///< endpoints that rounds named with a load
+    std::map<std::string, int> ended_; ///< those whose load has ended, with the rounds still to name them
+    std::string last_in_turn_;         ///< last endpoint that a round named in its turn
+    load_by_endpoint announced_;       ///< as the last changes left it
 };
 
 } // namespace laurelhoist
--- a/src/programs/laurel_choose.cpp
+++ b/src/programs/laurel_choose.cpp
@@ -38,7 +38,7 @@
         constexpr double ms_for_event[] = {100, 100, 240};
         constexpr int streams = 8;
         for (int k = 0; k < streams && i % 3 == 2; ++k) {
-            directory.pace().merge({{process_hash(records[i].name, 0), 240, 5}}, begin);
+            directory.pace().merge("other", {{process_hash(records[i].name, 0), 240, 5}}, begin);
             directory.pace().observe(records[i], "large", ms_for_event[i % 3], begin);
         }
     }
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -234,12 +234,16 @@
     wake_all_waiting();
 }
 
-void relay::merge_pace_notices(const std::vector<pace_notice>& notices) {
+void relay::merge_pace_notices(const std::string& sender, const std::vector<pace_notice>& notices) {
     if (state_.settings.in_use.knows_pace) {
-        report_paces(state_.endpoints.pace().merge(notices, monotonic_now()));
+        report_paces(state_.endpoints.pace().merge(sender, notices, monotonic_now()));
     }
 }
 
+void relay::end_old_paces() {
+    report_paces(state_.endpoints.pace().end_old_factors(monotonic_now()));
+}
+
 void relay::report_paces(const std::vector<pace_change>& changes) {
     for (const pace_change& change : changes) {
         state_.measured.count(change.factor >= endpoint_pace::high_factor ? "endpoints_slow_begun"
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -153,7 +153,9 @@
     /** The same for all services. */
     void wake_all_waiting();
     /** Merges what another host has measured of the pace of endpoints. */
-    void merge_pace_notices(const std::vector<pace_notice>& notices);
+    void merge_pace_notices(const std::string& sender, const std::vector<pace_notice>& notices);
+    /** Erases the pace of endpoints without recent evidence; to be called in each gossip round. */
+    void end_old_paces();
     /** Clears a request or a part of prompts, by order of an operator. */
     void lift_quarantine(const crash_cause& cause);
     relay_state& state() { return state_; }
--- a/test/endpoint_pace_test.cpp
+++ b/test/endpoint_pace_test.cpp
@@ -73,7 +73,7 @@
     fleet.observe_all(fleet.pace, 4, work_time);
     std::size_t changes = 0;
     for (int round = 0; round < 3; ++round) {
-        changes += other.merge(fleet.pace.next_to_gossip(6, fleet.now), fleet.now).size();
+        changes += other.merge("far", fleet.pace.next_to_gossip(6, fleet.now), fleet.now).size();
     }
     EXPECT_NEAR(other.factor("e2", fleet.now), 2.4, 0.5);
     EXPECT_EQ(changes, 4U) << "each slow engine is reported once";
@@ -84,15 +84,49 @@
     observed_engines fleet;
     fleet.observe_all(fleet.pace, 4, work_time);
     EXPECT_EQ(fleet.pace.factor("e2", fleet.now + seconds(60)), 1.0);
+    endpoint_pace old = fleet.pace;
+    EXPECT_TRUE(old.end_old_factors(fleet.now).empty());
+    EXPECT_EQ(old.end_old_factors(fleet.now + seconds(60)).size(), 4U) << "the end of each is reported";
+    EXPECT_TRUE(old.end_old_factors(fleet.now + seconds(60)).empty());
     fleet.pace.update(engines(12, 2));
     EXPECT_EQ(fleet.pace.factor("e2", fleet.now), 1.0);
+    EXPECT_EQ(fleet.pace.end_old_factors(fleet.now).size(), 4U);
+}
+
+// Guards against one chance-slow stream that is told again and again and counts as many.
+TEST(endpoint_pace, a_measurement_that_is_heard_again_counts_once) {
+    observed_engines fleet;
+    const std::uint32_t process = process_hash("e1", 1);
+    for (int round = 0; round < 5; ++round) {
+        fleet.pace.merge("far", {{process, 300, 1}}, fleet.now);
+    }
+    EXPECT_EQ(fleet.pace.factor("e1", fleet.now), 1.0);
+    for (int sender = 0; sender < 5; ++sender) {
+        fleet.pace.merge("h" + std::to_string(sender), {{process, 300, 1}}, fleet.now);
+    }
+    EXPECT_EQ(fleet.pace.factor("e1", fleet.now), 3.0) << "streams of several hosts do count";
+}
+
+// Guards against a median of times that were measured under an earlier load.
+TEST(endpoint_pace, the_median_is_that_of_recent_streams) {
+    observed_engines fleet;
+    fleet.observe_all(fleet.pace, 4, [](int) { return 1.0; });
+    fleet.now += seconds(60);
+    for (int stream = 0; stream < 8; ++stream) {
+        for (std::size_t i = 0; i < 3; ++i) {
+            fleet.now += milliseconds(100);
+            fleet.pace.observe(fleet.records[i], "m" + std::to_string(1.0), 3 * usual_ms, fleet.now);
+        }
+    }
+    EXPECT_EQ(fleet.pace.factor("e0", fleet.now), 1.0);
 }
 
 // Guards against wrong notices of a peer: whatever they say, the factor is bounded.
 RC_GTEST_PROP(endpoint_pace, factors_are_bounded, (const std::vector<std::pair<int, int>>& said)) {
     observed_engines fleet;
     for (const auto& [percent, streams] : said) {
-        fleet.pace.merge({{process_hash("e1", 1), percent, streams}, {77, percent, streams}}, fleet.now);
+        fleet.pace.merge(std::to_string(streams),
+                         {{process_hash("e1", 1), percent, streams}, {77, percent, streams}}, fleet.now);
         const double factor = fleet.pace.factor("e1", fleet.now);
         RC_ASSERT(factor >= 0.5 && factor <= 4.0);
     }
--- a/test/load_announcer_test.cpp
+++ b/test/load_announcer_test.cpp
@@ -80,6 +80,34 @@
     EXPECT_TRUE(announcer.take_changes({}).empty());
 }
 
+// Guards against ended load that full rounds never name again: it ends with the next round, and load that is
+// named neither as ended nor in turn within 2 s.
+TEST(load_announcer, ended_load_ends_with_the_next_full_round) {
+    reporting_host near{1};
+    load_by_endpoint far;
+    for (int i = 0; i < endpoint_count; ++i) {
+        far[name_of(i)] = {100.0 + i, 1};
+    }
+    load_announcer announcer;
+    const std::string last = name_of(endpoint_count - 1);
+    near.directory.set_round_load("far", announcer.next_round(far), near.now);
+    ASSERT_GT(near.directory.backlog_ms(last), 0.0);
+    far.erase(last);
+    near.now += milliseconds(400);
+    const load_by_endpoint round = announcer.next_round(far);
+    EXPECT_EQ(round.size(), max_loads_per_round);
+    near.directory.set_round_load("far", round, near.now);
+    EXPECT_EQ(near.directory.backlog_ms(last), 0.0);
+    near.directory.update_peer_load("far", {{last, {500, 1}}}, near.now);
+    for (int i = 0; i < 5; ++i) {
+        near.now += milliseconds(400);
+        near.directory.set_round_load("far", announcer.next_round(far), near.now);
+    }
+    (void)announcer.next_round(far);
+    EXPECT_EQ(announcer.next_round(far).count(last), 0U) << "it is named as ended twice only";
+    EXPECT_EQ(near.directory.backlog_ms(last), 0.0);
+}
+
 // Guards against messages that grow with the number of endpoints, and against changes that a full message
 // leaves out for good.
 TEST(load_announcer, messages_are_bounded_and_changes_are_sent_in_the_end) {
@@ -90,7 +118,8 @@
     load_announcer announcer;
     EXPECT_EQ(announcer.next_round(own).size(), max_loads_per_round);
     load_by_endpoint sent;
-    for (int message = 0; message < 3; ++message) {
+    const std::size_t messages_for_all = (own.size() + max_loads_per_update - 1) / max_loads_per_update;
+    for (std::size_t message = 0; message < messages_for_all; ++message) {
         const load_by_endpoint changes = announcer.take_changes(own);
         EXPECT_LE(changes.size(), max_loads_per_update);
         sent.insert(changes.begin(), changes.end());
