The most urgent route keeps a larger model within half of its budget

Cause: at level 3 no route asked a larger model, so requests too hard for a small one got no answer of use. Change: at that level the most urgent priority asks a larger model that is predicted within half of its budget; counter steps_up_limited.

--- a/src/relay/exchange.h
+++ b/src/relay/exchange.h
@@ -146,8 +146,9 @@
     bool choose(time_point now);
     /** \return the time left of the latency objective for the first event of a larger model. */
     double step_up_budget_ms(time_point now) const;
-    /** \return whether the route does without larger models, because the engines are saturated. */
-    bool yields_larger_model(time_point now);
+    /** \return the part of its budget within which the route asks a larger model while engines are saturated.
+     */
+    double larger_model_share(time_point now);
     bool is_good_enough(const answer_terms& given);
     /** \return the Retry-After for a service of which no endpoint accepts work, with jitter. */
     duration time_to_capacity(time_point now) const;
--- a/src/relay/exchange_answers.cpp
+++ b/src/relay/exchange_answers.cpp
@@ -32,12 +32,13 @@
         return true;
     }
     const time_point now = monotonic_now();
-    if (yields_larger_model(now)) {
+    const double budget_share = larger_model_share(now);
+    if (budget_share <= 0) {
         return true;
     }
     const model_placements larger =
         placements_from(attempt_.model_rank + 1, no_size_limit, make_placement_criteria(), now);
-    return !largest_model_in_time(larger.options, route_->priority, step_up_budget_ms(now)) ||
+    return !largest_model_in_time(larger.options, route_->priority, step_up_budget_ms(now) * budget_share) ||
            !state_.repeats_of(service_).try_step_up(now);
 }
 
--- a/src/relay/exchange_models.cpp
+++ b/src/relay/exchange_models.cpp
@@ -3,9 +3,9 @@
 
 namespace laurelhoist {
 
-bool exchange::yields_larger_model(time_point now) {
+double exchange::larger_model_share(time_point now) {
     if (!state_.settings.in_use.yields_models) {
-        return false;
+        return 1.0;
     }
     model_load& load = state_.model_loads[service_];
     if (load.is_due(now) && load.observe(state_.endpoints.saturated_share(service_, now), now)) {
@@ -14,11 +14,11 @@
             "models_yield",
             {{"service", service_}, {"level", load.level()}, {"saturated_share", load.saturated_share()}});
     }
-    if (load.may_step_up(route_->priority)) {
-        return false;
+    const double share = load.step_up_share(route_->priority);
+    if (share < 1) {
+        state_.measured.count(share > 0 ? "steps_up_limited" : "steps_up_yielded");
     }
-    state_.measured.count("steps_up_yielded");
-    return true;
+    return share;
 }
 
 } // namespace laurelhoist
--- a/src/relay/model_load.cpp
+++ b/src/relay/model_load.cpp
@@ -18,6 +18,8 @@
 constexpr duration max_hold = seconds(16);
 /// A level that is taken again this soon after it was left was left too early.
 constexpr duration too_early = seconds(8);
+/// Part of its budget within which the most urgent route asks a larger model at the highest level.
+constexpr double urgent_share = 0.5;
 
 } // namespace
 
@@ -59,4 +61,11 @@
     return std::clamp(priority, 0, highest_level - 1) < highest_level - level_;
 }
 
+double model_load::step_up_share(int priority) const {
+    if (may_step_up(priority)) {
+        return 1.0;
+    }
+    return priority <= 0 ? urgent_share : 0.0;
+}
+
 } // namespace laurelhoist
--- a/test/model_load_test.cpp
+++ b/test/model_load_test.cpp
@@ -58,6 +58,19 @@
     }
     EXPECT_FALSE(day.models.may_step_up(1));
     EXPECT_TRUE(day.models.may_step_up(0));
+    EXPECT_EQ(day.models.step_up_share(0), 1.0);
+}
+
+// Guards against the most urgent requests that are too hard for a small model never getting a larger one.
+TEST(model_load, the_most_urgent_route_keeps_half_of_its_budget) {
+    model_load models;
+    for (auto now = time_point{} + seconds(100); models.level() < model_load::highest_level;) {
+        now += milliseconds(250);
+        models.observe(1.0, now);
+    }
+    EXPECT_EQ(models.step_up_share(0), 0.5);
+    EXPECT_EQ(models.step_up_share(1), 0.0);
+    EXPECT_EQ(models.step_up_share(7), 0.0);
 }
 
 // Guards against alternation at a load that is too high with larger models and low without: each return to
