--- a/src/placement/load_announcer.h
+++ b/src/placement/load_announcer.h
@@ -36,8 +36,8 @@
 /// Cost of a running stream in ms: each one lengthens every step of its engine, by 0.02 to 0.07 ms per token.
 constexpr double running_stream_ms = 2.0;
 
-/// Loads in one gossip round. At 22 bytes each and 7.5 messages a second they take 4 KB/s.
-constexpr std::size_t max_loads_per_round = 24;
+/// Loads in one gossip round. At 22 bytes each and 7.5 messages a second they take 2.6 KB/s.
+constexpr std::size_t max_loads_per_round = 16;
 constexpr std::size_t max_loads_per_update = 16; ///< in a message sent outside the gossip rounds
 
 /** \return whether a round that names \p count loads may have left out others. */
--- a/test/host_test.cpp
+++ b/test/host_test.cpp
@@ -93,6 +93,26 @@
     EXPECT_LT(encode_peer_message(message).size(), one_entry);
 }
 
+// Guards against rounds whose loads, paces and rates of teams take a host more than 6 KB/s.
+TEST(peer_messages, a_full_round_of_loads_paces_and_usage_is_bounded) {
+    constexpr double rounds_per_second = 7.5;
+    constexpr std::size_t paces = 4;
+    gossip_message message;
+    const std::size_t empty = encode_peer_message(message).size();
+    for (std::size_t i = 0; i < max_loads_per_round; ++i) {
+        message.load.push_back({"i-7f3a91c2d" + std::to_string(i), 320, 5});
+    }
+    for (std::size_t i = 0; i < paces; ++i) {
+        message.paces.push_back({0xf000'0000U, 240, 12});
+    }
+    for (std::size_t i = 0; i < team_usage::max_samples; ++i) {
+        message.usage.push_back({"team-" + std::to_string(100 + i), 300});
+    }
+    const std::size_t added = encode_peer_message(message).size() - empty;
+    EXPECT_LT(static_cast<double>(added) * rounds_per_second, 6'000.0);
+    RecordProperty("bytes", static_cast<int>(added));
+}
+
 // A host of a later release may send fields that this one does not know; the known ones must still be
 // decoded.
 TEST(peer_messages, a_field_without_a_code_is_sent_under_its_name) {
