Weights of ends of endpoints stay when what ended beside them is forgotten

Cause: records keep ends for 120 s, the ends known beside them are kept for 10 s; after that joint ends weighed fully at the next news. Change: the weight of an end whose attempt was sent 9 s ago or earlier does not rise, and an earlier report of a known end keeps its weight. Joint ends, 11 s of silence and one single end: 4 counted ends and a quarantine before, 1 and none now.

--- a/src/recovery/crash_record.cpp
+++ b/src/recovery/crash_record.cpp
@@ -97,6 +97,10 @@
     return sequence;
 }
 
+bool is_settled(const endpoint_end& end, time_point now) {
+    return now - end.sent_at > weighing_time;
+}
+
 bool crash_record::add_end(const endpoint_end& end, time_point now) {
     if (cleared_at_ && end.ended_at <= *cleared_at_) {
         return false;
@@ -105,17 +109,19 @@
         return each.end.process == end.process &&
                std::chrono::abs(each.end.ended_at - end.ended_at) < same_end_window;
     });
+    end_weight weight = end_weight::full;
     if (known != ends_.end()) {
         // Transit only makes ages too small, so the earliest of several reports of an end is the truest.
         if (end.ended_at >= known->end.ended_at) {
             return false;
         }
+        weight = known->weight;
         ends_.erase(known);
     }
     const auto later = std::upper_bound(
         ends_.begin(), ends_.end(), end.ended_at,
         [](time_point ended_at, const weighed_end& each) { return ended_at < each.end.ended_at; });
-    ends_.insert(later, {end, end_weight::full});
+    ends_.insert(later, {end, weight});
     if (ends_.size() > max_ends) {
         ends_.erase(ends_.begin());
     }
@@ -142,6 +148,9 @@
     bool has_changed = false;
     for (weighed_end& each : ends_) {
         const end_weight weight = weight_of(each.end);
+        if (weight < each.weight && is_settled(each.end, now)) {
+            continue;
+        }
         has_changed = has_changed || weight != each.weight;
         each.weight = weight;
     }
--- a/src/recovery/crash_record.h
+++ b/src/recovery/crash_record.h
@@ -33,6 +33,13 @@
     std::uint32_t request = 0; ///< the low bits of the attempt's request digest
 };
 
+/// How long after an attempt was sent it is known what else ended meanwhile.
+constexpr duration weighing_time = seconds(9);
+
+/** \return whether ends that happened while the attempt of \p end was in flight may be forgotten, so that
+ * they cannot raise its weight. */
+bool is_settled(const endpoint_end& end, time_point now);
+
 /** How an end counts against a cause, by the other ends that came with it. */
 enum class end_weight {
     full,   ///< it came alone
@@ -61,8 +68,8 @@
 
     /** Adds an end that this host or another one has detected. \return whether it changes the record */
     bool add_end(const endpoint_end& end, time_point now);
-    /** Weighs all ends again, because more is known of what else ended. \return whether that changes what
-     * counts */
+    /** Weighs all ends again, because more is known of what else ended; the weight of one that \ref
+     * is_settled does not rise. \return whether that changes what counts */
     bool weigh(const std::function<end_weight(const endpoint_end&)>& weight_of, time_point now);
     /** \return at how many processes the cause was in flight that ended from \p first to \p last. */
     int processes_ended(time_point first, time_point last) const;
--- a/test/joint_ends_test.cpp
+++ b/test/joint_ends_test.cpp
@@ -71,15 +71,20 @@
     }
 }
 
-// Guards against a quarantine that was made before its ends were known to be joint, and that stays.
-TEST(joint_ends, a_quarantine_made_too_early_is_lifted) {
-    quiet_log();
-    const time_point start{seconds(1000)};
+std::vector<endpoint_record> list_of(int count) {
     std::vector<endpoint_record> listed;
-    for (int i = 0; i < 24; ++i) {
+    for (int i = 0; i < count; ++i) {
         listed.push_back({"e" + std::to_string(i), "", "", "pool"});
         listed.back().started_at_ms = 1;
     }
+    return listed;
+}
+
+// Guards against a quarantine that was made before its ends were known to be joint, and that stays.
+TEST(joint_ends, a_quarantine_made_too_early_is_lifted) {
+    quiet_log();
+    const time_point start{seconds(1000)};
+    const std::vector<endpoint_record> listed = list_of(24);
     crash_quarantine quarantine("h1");
     quarantine.set_endpoints(listed, start);
     for (std::uint32_t i = 0; i < 3; ++i) {
@@ -94,5 +99,30 @@
     EXPECT_EQ(quarantine.take_ends_not_counted(), 6U) << "three under the part, one under each request";
 }
 
+// Guards against ends that came together and weigh fully again once what ended with them is forgotten.
+TEST(joint_ends, weights_stay_when_the_ends_beside_them_are_forgotten) {
+    quiet_log();
+    const time_point start{seconds(1000)};
+    const std::vector<endpoint_record> listed = list_of(24);
+    crash_quarantine quarantine("h1");
+    quarantine.set_endpoints(listed, start);
+    for (std::uint32_t i = 0; i < 10; ++i) {
+        const time_point ended_at = start + milliseconds(100 + static_cast<int>(i));
+        if (i < 3) {
+            quarantine.on_end({i, {0xaa}},
+                              {process_hash(listed[i].name, 1), start, ended_at + 300 * i * milliseconds(1)},
+                              start + seconds(1));
+        } else {
+            quarantine.on_refused(listed[i].name, ended_at, start + seconds(1));
+        }
+    }
+    const time_point later = start + seconds(12);
+    quarantine.forget_old(later);
+    quarantine.on_end({20, {0xaa}}, {process_hash(listed[20].name, 1), later - milliseconds(50), later},
+                      later);
+    EXPECT_EQ(quarantine.ends_of({cause_kind::prompt_part, 0xaa}), 1);
+    EXPECT_TRUE(quarantine.may_send({9, {0xaa}}, later));
+}
+
 } // namespace
 } // namespace laurelhoist
