Ends are weighed at most every 50 ms; a clearing answer does not stop its own request

Cause: each end that became known weighed all ends of all records, which takes time that grows with the square of the ends of a joint end; an answer that clears its parts could finish the request whose event had just arrived.

--- a/src/recovery/crash_quarantine.cpp
+++ b/src/recovery/crash_quarantine.cpp
@@ -10,6 +10,7 @@
 /// Bound on the records of each kind, of about 300 bytes each, so that a caller who keeps sending new bodies
 /// or parts cannot exhaust the memory.
 constexpr std::size_t max_records = 512;
+constexpr duration min_weighing_interval = milliseconds(50);
 constexpr std::size_t trackers_per_cause = 3; ///< two may be lost or unreachable
 /// A request with several quarantined parts is tried this much later for each further one. Most of them are
 /// innocent, and a request without the others shows that at less risk.
@@ -164,13 +165,13 @@
 
 void crash_quarantine::set_endpoints(const std::vector<endpoint_record>& endpoints, time_point now) {
     if (weighs_joint_ends_ && ended_.update(endpoints, now)) {
-        weigh_all(now);
+        weigh_when_due(now);
     }
 }
 
 void crash_quarantine::on_refused(const std::string& endpoint, time_point refused_at, time_point now) {
     if (weighs_joint_ends_ && ended_.on_refused(endpoint, refused_at, now)) {
-        weigh_all(now);
+        weigh_when_due(now);
     }
 }
 
@@ -195,11 +196,31 @@
     return has_changed;
 }
 
+// The ends of a failure domain become known one by one within a few tenths of a second, and weighing takes
+// longer the more of them there are.
+void crash_quarantine::weigh_when_due(time_point now) {
+    if (now - weighed_at_ >= min_weighing_interval) {
+        weigh_all(now);
+        return;
+    }
+    is_weighing_due_ = true;
+    weigh_if(now, [](const crash_record& record) { return record.is_quarantined(); });
+}
+
 void crash_quarantine::weigh_all(time_point now) {
+    is_weighing_due_ = false;
+    weighed_at_ = now;
+    weigh_if(now, [](const crash_record& record) { return record.has_ends(); });
+}
+
+void crash_quarantine::weigh_if(time_point now, bool (*is_weighed)(const crash_record&)) {
     for (const cause_kind kind : all_cause_kinds) {
         for (auto& [digest, each] : entries_of(kind)) {
+            if (!is_weighed(each.record)) {
+                continue;
+            }
             const crash_record before = each.record;
-            if (each.record.has_ends() && weigh(each.record, now)) {
+            if (weigh(each.record, now)) {
                 on_changed({kind, digest}, each, before, audience::none, now);
             }
         }
@@ -226,7 +247,7 @@
         }
     }
     if (is_news) {
-        weigh_all(now);
+        weigh_when_due(now);
     }
 }
 
@@ -267,7 +288,7 @@
         }
     }
     if (is_news) {
-        weigh_all(now);
+        weigh_when_due(now);
     }
 }
 
@@ -302,6 +323,9 @@
                                          {"count", each.count},
                                          {"window_ms", std::llround(to_ms(each.last - each.first))}});
     }
+    if (is_weighing_due_) {
+        weigh_all(now);
+    }
     ended_.forget_old(now);
     for (entry_map& entries : entries_) {
         for (auto item = entries.begin(); item != entries.end();) {
--- a/src/recovery/crash_quarantine.h
+++ b/src/recovery/crash_quarantine.h
@@ -166,6 +166,10 @@
     /** Weighs the ends of \p record. \return whether that changes what counts */
     bool weigh(crash_record& record, time_point now);
     /** Weighs all ends again, as more ends are known. */
+    /** Weighs all ends anew at once or, if that was done just now, those of what is quarantined at once and
+     * the others with the next call of \ref forget_old. */
+    void weigh_when_due(time_point now);
+    void weigh_if(time_point now, bool (*is_weighed)(const crash_record&));
     void weigh_all(time_point now);
     /** Logs what changed since \p before and raises \p tells of the entry to \p audience. */
     void on_changed(const crash_cause& cause, entry& changed, const crash_record& before, audience tells,
@@ -176,6 +180,8 @@
     std::string host_;
     bool weighs_joint_ends_;
     ended_processes ended_;
+    time_point weighed_at_;        ///< when all ends were last weighed
+    bool is_weighing_due_ = false; ///< something has become known since
     std::uint64_t ends_not_counted_ = 0;
     std::vector<std::string> hosts_;
     bool has_full_view_ = false;
--- a/src/relay/exchange.h
+++ b/src/relay/exchange.h
@@ -295,6 +295,7 @@
     int forwards_ = 0;              ///< times that the request was forwarded to another host
     bool may_have_run_ = false;
     bool has_begun_answer_ = false;
+    bool is_clearing_ = false; ///< an answer of this request is clearing what it was suspected of
     bool is_caller_gone_ = false;
     bool has_excess_bytes_ = false; ///< bytes arrived that are not part of this request's answer
 };
--- a/src/relay/exchange_quarantine.cpp
+++ b/src/relay/exchange_quarantine.cpp
@@ -65,7 +65,8 @@
 void exchange::on_quarantine_changed() {
     const bool is_unsent = is_in_state("waiting") || is_in_state("connecting");
     const bool may_stop = is_unsent || (is_in_state("asked") && route_->may_repeat() && !attempt_.is_trial);
-    if (!has_started_ || !may_stop || !state_.quarantine.has_quarantined(causes_in_question())) {
+    if (!has_started_ || !may_stop || is_clearing_ ||
+        !state_.quarantine.has_quarantined(causes_in_question())) {
         return;
     }
     auto self = shared_from_this();
@@ -100,14 +101,18 @@
 
 void exchange::clear_parts() {
     if (!state_.quarantine.is_empty()) {
+        is_clearing_ = true;
         owner_.clear_parts(shared_parts_);
+        is_clearing_ = false;
     }
 }
 
 void exchange::clear_suspicion() {
     if (!state_.quarantine.is_empty()) {
+        is_clearing_ = true;
         owner_.clear_parts(shared_parts_);
         owner_.clear_suspicion(digest());
+        is_clearing_ = false;
     }
 }
 
