Ended processes: a query that nothing calls is gone

Cause: had_ended was written for a rule that was_sent_to_ended answers. Change: it is removed; behaviour unchanged.

--- a/src/recovery/ended_processes.cpp
+++ b/src/recovery/ended_processes.cpp
@@ -112,11 +112,6 @@
     }
 }
 
-bool ended_processes::had_ended(std::uint32_t process, time_point at) const {
-    const listed_process* known = find(process);
-    return known != nullptr && known->ended_at && *known->ended_at < at;
-}
-
 bool ended_processes::was_sent_to_ended(const endpoint_end& end) const {
     const listed_process* known = find(end.process);
     return known != nullptr && known->ended_at && end.sent_at > *known->ended_at &&
--- a/src/recovery/ended_processes.h
+++ b/src/recovery/ended_processes.h
@@ -58,8 +58,6 @@
     /** \return whether the attempt was sent to a process known to have ended, and too soon after that end
      * for a restarted one. */
     bool was_sent_to_ended(const endpoint_end& end) const;
-    /** \return whether \p process was known to have ended at \p at. */
-    bool had_ended(std::uint32_t process, time_point at) const;
     /** \return the most numerous ends that came together in the pool of the process of \p end while the
      * attempt was in flight there, or nothing */
     std::optional<joint_ends> joint_with(const endpoint_end& end) const;
