--- a/review/5/case.py
+++ b/review/5/case.py
@@ -9,12 +9,12 @@
 sys.path.insert(0, str(FOLDER.parent / "lib"))
 from standins import TROUBLE, CannotRun, Client, Worker, engine_service, message, route, run_case  # noqa: E402
 
-HOSTS, WORKERS, SLOTS = 6, 8, 32
+HOSTS, WORKERS, SLOTS = 10, 8, 32
 STREAMS = 100             # clients; half of them at the first host
 EVENTS, GAP_S = 60, 0.05
 GREY_X = 0.45             # srv_grey: one of eight workers (share 0.125) fails this part of its requests
-RESET_X = 0.5             # reset_conns: one of six hosts (share 0.1, rounded up) has this part of its channels reset
-ROUNDS, GREY_FOR_S = 4, 6.5  # srv_grey lasts for 6.5 s; each round has another grey worker
+RESET_X = 0.5             # reset_conns: one of ten hosts (share 0.1) has this part of its channels reset
+ROUNDS, GREY_FOR_S = 6, 6.5  # srv_grey lasts for 6.5 s; each round has another grey worker
 RESETS_AT_S = (1.0, 4.0)     # in each round
 
 
@@ -34,6 +34,7 @@
 class StreamClient(Client):
     """Notes what stands where the size of a chunk belongs."""
     spoiled = None
+    is_kept = False
 
     async def read_body(self, reader, headers):
         if headers.get("transfer-encoding", "").lower() != "chunked":
@@ -45,6 +46,10 @@
                 size = int(line, 16)
             except ValueError:
                 self.spoiled = line + await reader.read(200)
+                try:
+                    self.is_kept = await asyncio.wait_for(reader.read(1), 1) != b""
+                except asyncio.TimeoutError:
+                    self.is_kept = True  # neither more bytes nor an end within a second
                 raise ConnectionResetError("no chunk") from None
             text += await reader.readexactly(size)
             await reader.readexactly(2)
@@ -75,7 +80,7 @@
             if client.spoiled is not None:
                 spoiled.append(answer.id)
                 record(f"client {client.name} to {client.host.name}: in the stream of {answer.id}, where a chunk is due: "
-                       f"{client.spoiled!r}")
+                       f"{client.spoiled!r}; the channel is {'kept' if client.is_kept else 'closed'}")
             client.close()
             await asyncio.sleep(random.uniform(0, 0.5))
 
