Logs: what a request cut by a planned stop was doing, and since when

Cause: request_cut_by_stop said neither the state of a request nor when it had been sent, so that the log could not tell requests that waited for an endpoint from those that were sent too late, or sent before the stop.

Change: it names the state, the time since the request was sent, and the other host if one forwards it.

--- a/src/relay/exchange.cpp
+++ b/src/relay/exchange.cpp
@@ -673,7 +673,12 @@
 void exchange::log_cut_by_stop() const {
     const time_point now = monotonic_now();
     const time_point heard_at = std::max(attempt_.heard_at, arrived_at_);
+    const bool is_sent = is_in_state("asked") || is_in_state("answering");
     log_warning("request_cut_by_stop", {{"request", terms_.id},
+                                        {"state", exchange_state_},
+                                        {"sent_ms_ago", is_sent ? to_ms(now - attempt_.sent_at) : -1.0},
+                                        {"peer", attempt_.peer},
+                                        {"is_from_peer", caller_->is_from_peer()},
                                         {"endpoint", attempt_.chosen.endpoint.name},
                                         {"attempts", attempts_},
                                         {"events_to", events_.last_id()},
