A planned stop sends only what can still be answered, and refuses the rest at once

Cause: can_finish_before_stop was asked once, on arrival, with the time of arrival and a constant time of an answer. A request that waits knows nothing of the stop, and one that leaves the waiting room, is repeated, resumed or stepped up is sent without asking.

Change: it is asked whenever a request is sent, once more when its connection is made, and each tick while it waits, with the time that 19 of 20 recent answers of the route took and the expected wait. New requests are refused where others wait. A broken attempt that cannot be repeated in time takes no retry; an answer of a small model is kept if a larger one would come too late. This works because what decides is the moment of sending and the time that answers take now, with the endpoints' queues.

--- a/src/relay/attempt_rules.cpp
+++ b/src/relay/attempt_rules.cpp
@@ -21,10 +21,6 @@
     return context.is_expired ? follow_up_step::expire : follow_up_step::fail;
 }
 
-/// Time from the start of a planned stop during which streams are accepted. Streams last up to 5 s at the
-/// usual load, so a stream that starts within this time ends before a stop of 7.5 s does.
-constexpr duration stream_start_window = milliseconds(2500);
-
 } // namespace
 
 const char* to_string(attempt_end end) {
@@ -62,11 +58,4 @@
     return final_step(context, end);
 }
 
-bool can_finish_before_stop(const traffic_route& route, duration since, duration stop_time) {
-    if (route.kind == route_kind::stream) {
-        return since < stream_start_window;
-    }
-    return since + route.timeout < stop_time;
-}
-
 } // namespace laurelhoist
--- a/src/relay/attempt_rules.h
+++ b/src/relay/attempt_rules.h
@@ -52,11 +52,4 @@
 /** \return what to do after an attempt that ended with \p end, which \p context already reflects. */
 follow_up_step next_step_after(const retry_context& context, attempt_end end);
 
-/** \param since time from the start of the planned stop to the arrival of the request
- * \param stop_time time from the start of the planned stop to the end of the process
- * \return whether a request on \p route that arrives now finishes before the process ends. The route's
- * timeout guarantees this for requests other than streams. The timeout of a stream may exceed the stop time,
- * so for a stream the usual duration decides. */
-bool can_finish_before_stop(const traffic_route& route, duration since, duration stop_time);
-
 } // namespace laurelhoist
--- a/src/relay/exchange.cpp
+++ b/src/relay/exchange.cpp
@@ -27,7 +27,6 @@
 /// How long a request waits that arrives before the host has read a configuration and endpoints. Both arrive
 /// within 50 ms when the store answers, whereas a refused caller waits for 500 ms.
 constexpr duration max_configuration_wait = milliseconds(300);
-constexpr duration retry_after_stopping = milliseconds(100);
 constexpr duration retry_after_no_configuration = milliseconds(500);
 /// Operators have to order another release.
 constexpr duration retry_after_release_stopped = seconds(5);
@@ -153,6 +152,9 @@
         attempts_ = terms_.earlier_attempts;
     }
     pick_service();
+    if (!admit_to_stopping_host()) {
+        return;
+    }
     state_.repeats_of(service_).on_request(arrived_at_);
     if (admit_load()) {
         dispatch();
@@ -170,15 +172,7 @@
         answer_failure(status_not_found, "no_route", "use a host and path that match a route", {});
         return false;
     }
-    if (!admit_team() || !admit_body()) {
-        return false;
-    }
-    if (would_outlast_stop()) {
-        answer_failure(status_unavailable, "stopping", "connect to another entry: this one is stopping",
-                       retry_after_stopping);
-        return false;
-    }
-    return true;
+    return admit_team() && admit_body();
 }
 
 bool exchange::admit_team() {
@@ -202,14 +196,6 @@
     return true;
 }
 
-bool exchange::would_outlast_stop() const {
-    if (!state_.is_stopping) {
-        return false;
-    }
-    const duration since = arrived_at_ - state_.stopping_since;
-    return !can_finish_before_stop(*route_, since, state_.settings.stop_time);
-}
-
 void exchange::pick_service() {
     int total = 0;
     for (const weighted_service& destination : route_->services) {
@@ -292,6 +278,9 @@
         answer_quarantined();
         return;
     }
+    if (stop_if_hopeless(now)) {
+        return;
+    }
     if (state_.releases.is_stopped(service_)) {
         answer_failure(may_have_run_ ? status_bad_gateway : status_unavailable, "release_stopped",
                        "retry later: the only release of the service fails", retry_after_release_stopped);
@@ -396,6 +385,13 @@
         cancel_and_redispatch();
         return;
     }
+    // Connecting may have taken up to a second.
+    if (would_outlast_stop(monotonic_now())) {
+        settle_attempt(call_result::cancelled, release_evidence::none);
+        release_connection(false);
+        refuse_for_stop(make_stop_prospect(duration::zero(), monotonic_now()));
+        return;
+    }
     apply_event("connected");
     send_request();
 }
@@ -537,7 +533,8 @@
 
 void exchange::follow_up(attempt_end end) {
     retry_context context = make_retry_context();
-    context.has_budget = unreachable_endpoints_ < max_unreachable_endpoints;
+    const bool is_too_late = would_outlast_stop(monotonic_now());
+    context.has_budget = unreachable_endpoints_ < max_unreachable_endpoints && !is_too_late;
     follow_up_step step = next_step_after(context, end);
     const bool costs_retry =
         end != attempt_end::not_sent && end != attempt_end::declined && !attempt_.has_reached_no_endpoint;
@@ -563,6 +560,10 @@
             send_complete_answer("refused_by_peer"); // It knows better when to come back.
             return;
         }
+        if (is_too_late) {
+            refuse_for_stop(make_stop_prospect(duration::zero(), monotonic_now()));
+            return;
+        }
         answer_failure(status_unavailable, "refused", "retry later: the endpoints accept no more work",
                        state_.endpoints.could_serve(service_, monotonic_now())
                            ? time_to_room(monotonic_now())
@@ -670,24 +671,6 @@
                                {"after_ms", static_cast<int>(to_ms(monotonic_now() - attempt_.sent_at))}});
 }
 
-void exchange::log_cut_by_stop() const {
-    const time_point now = monotonic_now();
-    const time_point heard_at = std::max(attempt_.heard_at, arrived_at_);
-    const bool is_sent = is_in_state("asked") || is_in_state("answering");
-    log_warning("request_cut_by_stop", {{"request", terms_.id},
-                                        {"state", exchange_state_},
-                                        {"sent_ms_ago", is_sent ? to_ms(now - attempt_.sent_at) : -1.0},
-                                        {"peer", attempt_.peer},
-                                        {"is_from_peer", caller_->is_from_peer()},
-                                        {"endpoint", attempt_.chosen.endpoint.name},
-                                        {"attempts", attempts_},
-                                        {"events_to", events_.last_id()},
-                                        {"is_waiting_for_caller", is_waiting_for_caller()},
-                                        {"unsent_bytes", caller_->unsent_bytes()},
-                                        {"took_ms", to_ms(now - arrived_at_)},
-                                        {"heard_ms_ago", to_ms(now - heard_at)}});
-}
-
 void exchange::finish(const char* outcome, int status) {
     if (is_in_state("finished")) {
         return;
--- a/src/relay/exchange.h
+++ b/src/relay/exchange.h
@@ -30,6 +30,9 @@
     void on_tick(time_point now);
     /** Ends the present attempt if it was sent to an earlier process of \p endpoint. */
     void on_endpoint_restarted(const endpoint_record& endpoint);
+    /** Refuses this request if it waits for an endpoint and cannot be answered before the host stops.
+     * \return whether it has ended */
+    bool stop_if_hopeless(time_point now);
     /** Logs what this request waits for, because the process ends before it. */
     void log_cut_by_stop() const;
     /** \return for whom and how long this request has waited for an endpoint; nothing if it does not wait. */
@@ -239,7 +242,20 @@
     duration silence_limit() const;
     bool has_stalled(time_point now) const;
     duration max_queue_time() const;
-    bool would_outlast_stop() const;
+    /** \return whether the host stops before a request that is sent to an endpoint now is answered. */
+    bool would_outlast_stop(time_point now) const;
+    /** \return whether a request that has just arrived may go on; otherwise it has been refused, because the
+     * host stops. */
+    bool admit_to_stopping_host();
+    void refuse_for_stop(const stop_prospect& prospect);
+    /** \param wait expected wait for an endpoint */
+    stop_prospect make_stop_prospect(duration wait, time_point now) const;
+    /** \return the time until this waiting request is placed; 0 if it does not wait or too little is known.
+     */
+    duration expected_wait(time_point now) const;
+    /** \return the time that an endpoint takes for the answer, or for what is left of it. */
+    duration expected_answer_time(time_point now) const;
+    void record_answer_time(time_point now);
     bool is_quarantined(time_point now);
     void answer_quarantined();
     /// A request whose stream has forwarded events was running, so it is not suspected of ending the endpoint
--- a/src/relay/exchange_answers.cpp
+++ b/src/relay/exchange_answers.cpp
@@ -35,7 +35,7 @@
     }
     const time_point now = monotonic_now();
     const double budget_share = larger_model_share(now);
-    if (budget_share <= 0) {
+    if (budget_share <= 0 || would_outlast_stop(now)) {
         return true;
     }
     const model_placements larger =
@@ -359,6 +359,7 @@
     begin_stream_answer();
     caller_->write(last_chunk);
     record_pace(pace_baseline::min_intervals);
+    record_answer_time(monotonic_now());
     settle_attempt(call_result::answered, release_evidence::good);
     clear_suspicion();
     release_connection(true);
@@ -386,6 +387,7 @@
     } else if (is_event_stream()) {
         complete_stream();
     } else {
+        record_answer_time(monotonic_now());
         settle_attempt(call_result::answered, release_evidence::good);
         clear_suspicion();
         release_connection(true);
--- a/src/relay/exchange_waiting.cpp
+++ b/src/relay/exchange_waiting.cpp
@@ -64,6 +64,9 @@
     is_passed_over_ = false;
     judged_at_ = waiting_since_ + max_queue_time();
     state_.measured.count("requests_waited");
+    if (stop_if_hopeless(now)) {
+        return;
+    }
     // Another one may be next, or the endpoints with room may suit only this one.
     owner_.wake_waiting(service_);
 }
@@ -146,6 +149,9 @@
 
 // on_tick calls check_waiting every 50 ms.
 void exchange::check_waiting(time_point now) {
+    if (stop_if_hopeless(now)) {
+        return;
+    }
     const bool is_ordered = !waiting_id_.empty();
     const bool has_waited_enough = is_ordered ? now > judged_at_ : now - waiting_since_ > max_queue_time();
     if (now >= expires_at_ || (has_waited_enough && !may_wait_on(now))) {
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -155,11 +155,18 @@
     state_.pool.expire(now);
     state_.quarantine.forget_old(now);
     count_ends_not_counted();
+    forget_old_answer_times(now);
     end_confirmation_.expire(now);
     probes_.expire(slow_connect, now);
     check_links(now);
 }
 
+void relay::forget_old_answer_times(time_point now) {
+    for (auto item = state_.answer_times.begin(); item != state_.answer_times.end();) {
+        item = item->second.is_old(now) ? state_.answer_times.erase(item) : std::next(item);
+    }
+}
+
 void relay::set_routing(routing_snapshot routing, std::size_t hosts) {
     state_.routing = std::move(routing);
     set_hosts(hosts);
@@ -379,6 +386,7 @@
 void relay::begin_stop() {
     state_.is_stopping = true;
     state_.stopping_since = monotonic_now();
+    for_each_active([now = state_.stopping_since](exchange& each) { each.stop_if_hopeless(now); });
 }
 
 void relay::log_cut_requests() {
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -14,6 +14,7 @@
 #include "relay/model_choice.h"
 #include "relay/model_load.h"
 #include "relay/peer_forwarding.h"
+#include "relay/planned_stop.h"
 #include "relay/repeat_allowance.h"
 #include "relay/wire_dialect.h"
 #include "rollout/release_rollout.h"
@@ -88,6 +89,7 @@
     std::map<std::string, repeat_allowance> repeats; ///< by service
     std::map<std::string, model_load> model_loads;   ///< by service
     std::map<std::string, waiting_room> waiting;     ///< by service: requests that no endpoint takes
+    std::map<std::string, laurelhoist::answer_times> answer_times; ///< by route, those with recent answers
     /// The weight of a team among those that wait; unset: all weigh the same.
     waiting_room::weight_function team_weight;
     std::size_t hosts = 1; ///< live hosts, this one included
@@ -119,6 +121,8 @@
     bool is_stopping = false;
     time_point stopping_since;
 
+    /** \return how long the process still serves, while \ref is_stopping. */
+    duration time_until_stop(time_point now) const { return stopping_since + settings.stop_time - now; }
     /** \return whether the configuration and the endpoints are known, so that requests can be placed. */
     bool can_route() const { return routing != nullptr && are_endpoints_known; }
 };
@@ -166,7 +170,8 @@
     relay_state& state() { return state_; }
     const relay_state& state() const { return state_; }
 
-    /** Begins the planned stop: answers announce that the connection closes; open requests continue. */
+    /** Begins the planned stop: answers announce that the connection closes; requests continue that can be
+     * answered in time, and the others that wait are refused. */
     void begin_stop();
     /** Closes idle callers' connections. \return whether no request and no connection is left */
     bool close_idle();
@@ -193,6 +198,7 @@
     void start_ticking();
     void on_tick();
     void sweep();
+    void forget_old_answer_times(time_point now);
     void set_slots(std::size_t hosts);
     void set_cold_services();
     void report_connection_refused(const std::string& endpoint);
--- a/test/relay_fixture.h
+++ b/test/relay_fixture.h
@@ -133,6 +133,11 @@
         const std::lock_guard<std::mutex> lock(mutex_);
         return requests_;
     }
+    /** \return when the last request arrived. */
+    time_point last_request_at() const {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        return last_request_at_;
+    }
 
 private:
     void serve() {
@@ -169,6 +174,7 @@
             {
                 const std::lock_guard<std::mutex> lock(mutex_);
                 requests_.push_back(buffer.substr(0, length));
+                last_request_at_ = monotonic_now();
                 buffer.clear();
                 answer = next_ < script_.size() ? script_[next_++] : scripted_answer{"", false, true};
             }
@@ -191,6 +197,7 @@
     std::vector<scripted_answer> script_;
     mutable std::mutex mutex_;
     std::vector<std::string> requests_;
+    time_point last_request_at_;
     std::size_t next_ = 0;
     std::atomic<bool> stops_{false};
     std::thread thread_;
@@ -364,6 +371,7 @@
         settings.request_buffer_bytes = request_buffer_bytes_;
         settings.max_answer_bytes = max_answer_bytes_;
         settings.in_use = in_use_;
+        settings.stop_time = stop_time_;
         relay_ = std::make_unique<relay>(loop_, dialect_, releases_,
                                          load_chart_or_exit(LAUREL_SOURCE_DIR "/charts", "endpoint"),
                                          load_chart_or_exit(LAUREL_SOURCE_DIR "/charts", "relay"), settings);
@@ -473,6 +481,7 @@
 
     bool has_cold_starts_ = false; ///< endpoints are cold after their start; set before \ref start_relay
     mechanisms in_use_;            ///< set before \ref start_relay
+    duration stop_time_ = relay_settings{}.stop_time;                  ///< set before \ref start_relay
     std::size_t max_answer_bytes_ = relay_settings{}.max_answer_bytes; ///< set before \ref start_relay
     std::size_t request_buffer_bytes_ =
         relay_settings{}.request_buffer_bytes;                  ///< set before \ref start_relay
