A resumed stream is never continued with a whole answer

Cause: on_answer_complete took every complete answer below 500 that is no event stream for the request's only one, without asking whether the caller has the head and events of an earlier run. Evidence: the twin for answers of other hosts asks, and next_step_after and answer_failure, through which all other ends of an attempt go, ask too; request_ended said served with 400.

Change: such an answer ends its attempt as unsuitable. The request goes on elsewhere within its attempts and the retry budget; otherwise the connection is reset. A 204 that is declared an event stream, and an answer to HEAD, count as no event stream: the former ended a resumed stream as complete. The function that writes an endpoint's whole answer checks that no head has gone out.

--- a/src/relay/attempt_rules.cpp
+++ b/src/relay/attempt_rules.cpp
@@ -41,6 +41,8 @@
         return "out_of_order";
     case attempt_end::declined:
         return "declined";
+    case attempt_end::unsuitable:
+        return "unsuitable";
     }
     return "unknown";
 }
--- a/src/relay/attempt_rules.h
+++ b/src/relay/attempt_rules.h
@@ -19,6 +19,7 @@
     silent,       ///< timed out, or the caller read too slowly; the request may have run
     out_of_order, ///< the event ids of the stream are not consecutive
     declined,     ///< a valid answer whose confidence is too low; none of it was forwarded
+    unsuitable,   ///< a complete answer that cannot continue the stream of which the caller has a part
 };
 
 const char* to_string(attempt_end end);
--- a/src/relay/exchange.cpp
+++ b/src/relay/exchange.cpp
@@ -498,7 +498,7 @@
                                                           : to_call_result(end),
                    evidence_of(end));
     release_connection(end == attempt_end::refused || end == attempt_end::failed ||
-                       end == attempt_end::misdirected);
+                       end == attempt_end::misdirected || end == attempt_end::unsuitable);
     log_attempt(end);
     if (end == attempt_end::refused && !attempt_.is_forwarded()) {
         state_.endpoints.allowance().on_rejected(attempt_.chosen.endpoint.name, monotonic_now());
--- a/src/relay/exchange_answers.cpp
+++ b/src/relay/exchange_answers.cpp
@@ -69,7 +69,9 @@
 
 bool exchange::is_event_stream() const {
     constexpr std::string_view type = "text/event-stream";
-    return route_->kind == route_kind::stream && reader_->status() / status_class == 2 &&
+    constexpr int status_no_content = 204;
+    const bool has_body = request_.method != "HEAD" && reader_->status() != status_no_content;
+    return route_->kind == route_kind::stream && has_body && reader_->status() / status_class == 2 &&
            reader_->headers().value_or_empty("Content-Type").compare(0, type.size(), type) == 0;
 }
 
@@ -386,6 +388,8 @@
         end_attempt(attempt_end::broken);
     } else if (is_event_stream()) {
         complete_stream();
+    } else if (has_begun_answer_) {
+        end_attempt(attempt_end::unsuitable);
     } else {
         record_answer_time(monotonic_now());
         settle_attempt(call_result::answered, release_evidence::good);
@@ -432,7 +436,16 @@
     return request_.keeps_alive && !state_.is_stopping;
 }
 
+// Guards against an answer that is written into the middle of another one. The callers of this function have
+// to handle an answer that has begun; if one does not, the caller's connection is reset.
 void exchange::send_complete_answer(const char* outcome) {
+    if (!invariant("one_head_for_each_answer", !has_begun_answer_, [&] {
+            return json{{"request", terms_.id}, {"outcome", outcome}};
+        })) {
+        caller_->abort();
+        finish("cut", 0);
+        return;
+    }
     const bool keeps = keeps_caller_connection();
     if (!is_caller_gone_) {
         caller_->write(answer_head(reader_->status(), reader_->headers(), false, body_.size()));
--- a/src/relay/exchange_forwarding.cpp
+++ b/src/relay/exchange_forwarding.cpp
@@ -73,7 +73,7 @@
     if (!answer().has_receipt && promises_not_run(status)) {
         end_attempt(attempt_end::refused);
     } else if (has_begun_answer_ && !is_event_stream()) {
-        end_attempt(attempt_end::failed); // Another answer must not follow the part that the caller has.
+        end_attempt(attempt_end::unsuitable);
     } else if (is_broken_off() || (is_success && !answer().has_receipt)) {
         end_attempt(attempt_end::broken);
     } else if (is_event_stream()) {
--- a/test/forwarding_test.cpp
+++ b/test/forwarding_test.cpp
@@ -120,6 +120,23 @@
     });
 }
 
+// Guards against the whole answer of another host that is written into the stream which that host resumes.
+TEST_F(forwarding_fixture, a_peer_cannot_continue_a_stream_with_another_answer) {
+    scripted_endpoint breaking({{"", false, false, [this](const std::string&) {
+                                     lose_service();
+                                     return stream_head("7") + chunk_of(event(1)) + chunk_of("id: 2") +
+                                            "0\r\n\r\n";
+                                 }}});
+    scripted_endpoint peer({{"HTTP/1.1 404 Not Found\r\nId: 7\r\nReceipt: r\r\nContent-Length: 0\r\n\r\n"}});
+    start_relay(route(route_kind::stream, 3), {breaking.address()});
+    set_peers(port_of(peer));
+    const std::string answer = send_request("7");
+    EXPECT_TRUE(contains(answer, chunk_of(event(1)))) << answer;
+    EXPECT_FALSE(contains(answer, "404")) << answer;
+    EXPECT_TRUE(was_reset_);
+    EXPECT_EQ(peer.requests().size(), 1U);
+}
+
 // Guards against answers about a release that no host counts, or two: the host that sends to the endpoint
 // counts.
 TEST_F(forwarding_fixture, a_forwarded_attempt_is_counted_once) {
--- a/test/relay_test.cpp
+++ b/test/relay_test.cpp
@@ -9,9 +9,9 @@
 namespace {
 
 attempt_end attempt_end_from(int number) {
-    constexpr attempt_end all[] = {attempt_end::not_sent,     attempt_end::refused, attempt_end::misdirected,
-                                   attempt_end::failed,       attempt_end::broken,  attempt_end::silent,
-                                   attempt_end::out_of_order, attempt_end::declined};
+    constexpr attempt_end all[] = {attempt_end::not_sent,     attempt_end::refused,  attempt_end::misdirected,
+                                   attempt_end::failed,       attempt_end::broken,   attempt_end::silent,
+                                   attempt_end::out_of_order, attempt_end::declined, attempt_end::unsuitable};
     return all[static_cast<std::size_t>(number) % std::size(all)];
 }
 
