At the end of a planned stop, requests without an answer get one

What callers saw: what is still in progress 7.0 s after SIGTERM ends with its connection. A caller of a non-idempotent request cannot tell whether it ran, though the host knows whether it was sent.

Cause: the event loop stops with the requests in it.

Change: the relay ends the requests whose answers have not begun, 503 where they were sent nowhere, 502 where they may have run, and the process goes on for up to 0.3 s of the second that is kept free, so that the answers go out. Begun answers go on meanwhile.

--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -22,6 +22,8 @@
 constexpr duration serving_after_stop = milliseconds(3000);
 constexpr duration stop_margin =
     milliseconds(1000); ///< kept free at the end of the grace period, for slow hosts
+/// Of that time, what the network may take to accept the last answers.
+constexpr duration last_answers_time = milliseconds(300);
 /// Callers accept up to 64 addresses. With 16, three hosts in a domain of 19 got no callers.
 constexpr std::size_t max_entries_in_answer = 64;
 
@@ -412,9 +414,13 @@
     if (since < serving_after_stop) {
         return;
     }
+    const duration stop_time = settings_.stop_grace - stop_margin;
+    if (since > stop_time && !has_ended_requests_) {
+        has_ended_requests_ = true;
+        relay_.end_requests();
+    }
     const bool is_done = relay_.close_idle();
-    if (is_done || since > settings_.stop_grace - stop_margin) {
-        relay_.log_cut_requests();
+    if (is_done || since > stop_time + last_answers_time) {
         log_info("stopped", {{"active", relay_.active()},
                              {"unsent_bytes", relay_.unsent_bytes()},
                              {"after_ms", to_ms(since)}});
--- a/src/host/entry_host.h
+++ b/src/host/entry_host.h
@@ -252,6 +252,7 @@
     std::size_t introductions_ = 0;             ///< newcomers that have asked for an introduction in it
     std::uint64_t rounds_ = 0;                  ///< gossip rounds so far
     std::optional<time_point> history_gone_at_; ///< when the store last reported that its history is gone
+    bool has_ended_requests_ = false;           ///< at the end of the planned stop
     bool is_load_update_scheduled_ = false;
     bool is_crash_update_scheduled_ = false;
     bool is_limit_update_scheduled_ = false;
--- a/src/relay/exchange.h
+++ b/src/relay/exchange.h
@@ -33,8 +33,9 @@
     /** Refuses this request if it waits for an endpoint and cannot be answered before the host stops.
      * \return whether it has ended */
     bool stop_if_hopeless(time_point now);
-    /** Logs what this request waits for, because the process ends before it. */
-    void log_cut_by_stop() const;
+    /** Ends the request because the process ends before it, and logs what it was doing. A caller without a
+     * part of an answer gets a failure; a begun answer is cut off when the process ends. */
+    void end_with_process();
     /** \return for whom and how long this request has waited for an endpoint; nothing if it does not wait. */
     std::optional<waiting_time> waiting(time_point now) const;
     /** Places this waiting request if an endpoint takes it, or answers it if it cannot be served any more.
@@ -256,6 +257,7 @@
     /** \return the time that an endpoint takes for the answer, or for what is left of it. */
     duration expected_answer_time(time_point now) const;
     void record_answer_time(time_point now);
+    void log_cut_by_stop() const;
     bool is_quarantined(time_point now);
     void answer_quarantined();
     /// A request whose stream has forwarded events was running, so it is not suspected of ending the endpoint
--- a/src/relay/exchange_stop.cpp
+++ b/src/relay/exchange_stop.cpp
@@ -109,6 +109,21 @@
     }
 }
 
+// A connection that closes without an answer says neither whether the request ran nor that it did not.
+void exchange::end_with_process() {
+    auto self = shared_from_this();
+    log_cut_by_stop();
+    if (has_begun_answer_ || is_caller_gone_ || route_ == nullptr) {
+        return;
+    }
+    if (connection_) {
+        may_have_run_ = may_have_run_ || is_in_state("asked");
+        settle_attempt(call_result::cancelled, release_evidence::none);
+        release_connection(false);
+    }
+    refuse_for_stop(make_stop_prospect(duration::zero(), monotonic_now()));
+}
+
 void exchange::log_cut_by_stop() const {
     const time_point now = monotonic_now();
     const time_point heard_at = std::max(attempt_.heard_at, arrived_at_);
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -389,8 +389,8 @@
     for_each_active([now = state_.stopping_since](exchange& each) { each.stop_if_hopeless(now); });
 }
 
-void relay::log_cut_requests() {
-    for_each_active([](exchange& each) { each.log_cut_by_stop(); });
+void relay::end_requests() {
+    for_each_active([](exchange& each) { each.end_with_process(); });
 }
 
 bool relay::close_idle() {
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -176,8 +176,8 @@
     /** Closes idle callers' connections. \return whether no request and no connection is left */
     bool close_idle();
     std::size_t active() const { return active_.size(); }
-    /** Logs each request that is still in progress when the process ends. */
-    void log_cut_requests();
+    /** Answers the requests whose answers have not begun, because the process ends. */
+    void end_requests();
     /** \return the bytes of answers that wait for their callers to read. */
     std::size_t unsent_bytes() const;
     /** \return what operators see of the load, as of \ref load_summary::report. */
--- a/test/planned_stop_test.cpp
+++ b/test/planned_stop_test.cpp
@@ -269,6 +269,39 @@
     EXPECT_EQ(endpoint.requests().size(), 1U);
 }
 
+// Guards against a connection that ends without an answer when the process ends: its caller cannot tell
+// whether the request ran.
+TEST_F(stopping_fixture, a_request_without_an_answer_is_told_that_it_may_have_run_when_the_process_ends) {
+    start(route(route_kind::non_idempotent, 1), 1, duration::zero());
+    begin_stop();
+    run_on_relay_thread([this] { relay_->end_requests(); });
+    EXPECT_TRUE(contains(answers_.front().get(), "HTTP/1.1 502"));
+    EXPECT_FALSE(was_reset_);
+    answers_.clear();
+    free_endpoint();
+}
+
+// Guards against an answer that is broken off before the process ends, or that gets another head.
+TEST_F(stopping_fixture, a_begun_answer_goes_on_until_the_process_ends) {
+    scripted_endpoint endpoint(
+        {{"", false, false, [this](const std::string&) { return stream_head("7") + chunk_of(event(1)); }}});
+    traffic_route drafts = route(route_kind::stream, 1);
+    drafts.timeout = milliseconds(700);
+    start_relay(drafts, {endpoint.address()});
+    send("7");
+    wait_until([&] { return endpoint.requests().size() == 1; });
+    std::this_thread::sleep_for(tick);
+    begin_stop();
+    run_on_relay_thread([this] {
+        relay_->end_requests();
+        EXPECT_EQ(relay_->active(), 1U);
+    });
+    const std::string answer = answers_.front().get(); // Ends with the time limit of the route.
+    EXPECT_TRUE(contains(answer, chunk_of(event(1)))) << answer;
+    EXPECT_FALSE(contains(answer, "0\r\n\r\n") || contains(answer, "502")) << answer;
+    answers_.clear();
+}
+
 // Guards against a good answer that is dropped for a larger model's, which the stop then cuts off.
 TEST_F(stopping_fixture, no_larger_model_is_asked_if_its_answer_would_be_cut) {
     dialect_.route_tokens = 1000;
