A stopping host forwards no more time than it has left

What callers saw: nothing yet; found while looking for the cause of the cut requests on related paths. A host that has lost its links and is stopped forwards a request with its caller's time limit, 20 s for a stream; the other host may let it wait for most of that, and the connection ends with this process.

Cause and change: as with what waits here, nothing knows of the stop; the forwarded time limit is now at most what is left of it, by which the other host refuses at once, truly not run, what it cannot serve in time, and this one can try a third.

Test: 4,999 ms of a stop of 1,500 ms were forwarded without the change. Not tried with real processes. Left: requests forwarded before SIGTERM.

--- a/src/relay/exchange.cpp
+++ b/src/relay/exchange.cpp
@@ -430,6 +430,9 @@
     start_reader();
     if (attempt_.is_forwarded()) {
         terms.earlier_attempts = attempts_;
+        if (state_.is_stopping) { // The other host must not let it wait until this one has ended.
+            terms.time_left = std::min(terms.time_left, state_.time_until_stop(now));
+        }
         connection_->send(state_.dialect.write_forwarded_request(request_, terms));
         return;
     }
--- a/test/forwarding_test.cpp
+++ b/test/forwarding_test.cpp
@@ -120,6 +120,28 @@
     });
 }
 
+// Guards against a request that waits at another host until the host that its caller is connected to has
+// ended.
+TEST_F(forwarding_fixture, a_stopping_host_forwards_no_more_time_than_it_has) {
+    constexpr int stop_ms = 1500;
+    stop_time_ = milliseconds(stop_ms);
+    scripted_endpoint peer({{answer_of("7", "served")}});
+    start_relay(route(route_kind::stream, 3), {closed_address()});
+    set_peers(port_of(peer));
+    lose_service();
+    run_on_relay_thread([this] {
+        for (int i = 0; i < 10; ++i) {
+            relay_->state().answer_times["r"].observe(milliseconds(100), monotonic_now());
+        }
+        relay_->begin_stop();
+    });
+    EXPECT_TRUE(contains(send_request("7"), "served"));
+    const std::string request = peer.requests().front();
+    const std::string field = "Left-Ms: ";
+    ASSERT_TRUE(contains(request, field));
+    EXPECT_LE(std::stoi(request.substr(request.find(field) + field.size())), stop_ms);
+}
+
 // Guards against the whole answer of another host that is written into the stream which that host resumes.
 TEST_F(forwarding_fixture, a_peer_cannot_continue_a_stream_with_another_answer) {
     scripted_endpoint breaking({{"", false, false, [this](const std::string&) {
--- a/test/relay_fixture.h
+++ b/test/relay_fixture.h
@@ -61,6 +61,7 @@
         append_header(message, "Id", request.headers.value_or_empty("Id"));
         append_header(message, "Resume", std::to_string(terms.resume_after));
         append_header(message, "Attempts", std::to_string(terms.earlier_attempts));
+        append_header(message, "Left-Ms", std::to_string(static_cast<int>(to_ms(terms.time_left))));
         append_header(message, "Content-Length", std::to_string(request.body.size()));
         return message + "\r\n" + request.body;
     }
