The host's own failure answers HEAD without a body

A failure of the host's own (503 and others) to HEAD is followed by its body, which the caller takes for the beginning of its next answer on a connection that stays open.

Cause: answer_failure wrote the body whatever the method; send_complete_answer asks. Change: it asks too.

--- a/src/relay/exchange_answers.cpp
+++ b/src/relay/exchange_answers.cpp
@@ -469,7 +469,9 @@
         state_.dialect.add_attempts(headers, attempts_);
     }
     caller_->write(answer_head(status, headers, false, body.size()));
-    caller_->write(body);
+    if (request_.method != "HEAD") {
+        caller_->write(body);
+    }
     const bool keeps = keeps_caller_connection();
     finish(reason, status);
     caller_->finish(keeps);
--- a/test/relay_test.cpp
+++ b/test/relay_test.cpp
@@ -617,6 +617,21 @@
     EXPECT_TRUE(was_reset_);
 }
 
+// Guards against a failure's body after an answer to HEAD, which the caller would take for its next answer.
+TEST_F(relay_fixture, a_failure_answers_head_without_a_body) {
+    start_relay(route(route_kind::idempotent, 1), {});
+    asio::io_context context;
+    tcp::socket socket(context);
+    socket.connect({asio::ip::make_address("127.0.0.1"), port_});
+    asio::write(socket,
+                asio::buffer(std::string("HEAD /a/1 HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")));
+    std::string answer;
+    boost::system::error_code failure;
+    asio::read(socket, asio::dynamic_buffer(answer), failure);
+    EXPECT_TRUE(contains(answer, "HTTP/1.1 503")) << answer;
+    EXPECT_EQ(answer.find("\r\n\r\n") + 4, answer.size()) << answer;
+}
+
 // Guards against an empty stream: the small model's complete answer arrives in one packet and is declined,
 // and its end must not be taken for the end of the larger model's answer, which has not begun.
 TEST_F(relay_fixture, a_declined_answer_does_not_affect_the_next_one) {
