--- a/src/relay/exchange.h
+++ b/src/relay/exchange.h
@@ -248,6 +248,7 @@
     /** \return whether a request that has just arrived may go on; otherwise it has been refused, because the
      * host stops. */
     bool admit_to_stopping_host();
+    /** Answers that the host stops: 502 if the request may have run, otherwise 503. A begun answer is cut. */
     void refuse_for_stop(const stop_prospect& prospect);
     /** \param wait expected wait for an endpoint */
     stop_prospect make_stop_prospect(duration wait, time_point now) const;
@@ -256,6 +257,8 @@
     duration expected_wait(time_point now) const;
     /** \return the time that an endpoint takes for the answer, or for what is left of it. */
     duration expected_answer_time(time_point now) const;
+    /** Records how long the complete answer took, unless only a part of it was made or its caller was slow.
+     */
     void record_answer_time(time_point now);
     void log_cut_by_stop() const;
     bool is_quarantined(time_point now);
--- a/src/relay/exchange_stop.cpp
+++ b/src/relay/exchange_stop.cpp
@@ -26,9 +26,9 @@
 }
 
 duration exchange::expected_answer_time(time_point now) const {
-    const auto times = state_.answer_times.find(route_->name);
+    const auto times = state_.route_answer_times.find(route_->name);
     const std::optional<duration> high =
-        times == state_.answer_times.end() ? std::nullopt : times->second.high(now);
+        times == state_.route_answer_times.end() ? std::nullopt : times->second.high(now);
     const duration whole = high.value_or(usual_answer_time(*route_));
     if (!has_begun_answer_) {
         return whole;
@@ -105,7 +105,7 @@
 void exchange::record_answer_time(time_point now) {
     const bool is_whole_run = attempt_.events_before_attempt == 0;
     if (!attempt_.is_forwarded() && !attempt_.has_paused && is_whole_run) {
-        state_.answer_times[route_->name].observe(now - attempt_.sent_at, now);
+        state_.route_answer_times[route_->name].observe(now - attempt_.sent_at, now);
     }
 }
 
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -162,8 +162,8 @@
 }
 
 void relay::forget_old_answer_times(time_point now) {
-    for (auto item = state_.answer_times.begin(); item != state_.answer_times.end();) {
-        item = item->second.is_old(now) ? state_.answer_times.erase(item) : std::next(item);
+    for (auto item = state_.route_answer_times.begin(); item != state_.route_answer_times.end();) {
+        item = item->second.is_old(now) ? state_.route_answer_times.erase(item) : std::next(item);
     }
 }
 
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -86,10 +86,10 @@
     config_freshness freshness;
     first_event_estimate first_events;
     admission_state admission;
-    std::map<std::string, repeat_allowance> repeats; ///< by service
-    std::map<std::string, model_load> model_loads;   ///< by service
-    std::map<std::string, waiting_room> waiting;     ///< by service: requests that no endpoint takes
-    std::map<std::string, laurelhoist::answer_times> answer_times; ///< by route, those with recent answers
+    std::map<std::string, repeat_allowance> repeats;        ///< by service
+    std::map<std::string, model_load> model_loads;          ///< by service
+    std::map<std::string, waiting_room> waiting;            ///< by service: requests that no endpoint takes
+    std::map<std::string, answer_times> route_answer_times; ///< by route, those with recent answers
     /// The weight of a team among those that wait; unset: all weigh the same.
     waiting_room::weight_function team_weight;
     std::size_t hosts = 1; ///< live hosts, this one included
