A refused connection gets one answer

A malformed request of which more arrives while its 400 is being sent gets several of them, behind a head that has announced the end of the connection.

Cause: reject ends the connection once its answer is sent, but on_read went on to read requests until then.

Change: what arrives on a connection that is about to close is dropped. It is still read, so that the answer is not lost to a reset.

--- a/src/relay/caller_connection.cpp
+++ b/src/relay/caller_connection.cpp
@@ -65,6 +65,10 @@
 }
 
 void caller_connection::on_read(std::size_t bytes) {
+    if (is_closing_) { // What follows the last answer is no request any more.
+        start_read();
+        return;
+    }
     if (!reader_.has_partial_request()) {
         timeout_start_ = monotonic_now();
     }
--- a/test/relay_test.cpp
+++ b/test/relay_test.cpp
@@ -632,6 +632,20 @@
     EXPECT_EQ(answer.find("\r\n\r\n") + 4, answer.size()) << answer;
 }
 
+// Guards against a second answer on a connection whose end the first one has announced, when the rest of a
+// malformed request arrives in the meantime.
+TEST_F(relay_fixture, a_malformed_request_gets_one_answer) {
+    start_relay(route(route_kind::idempotent, 1), {});
+    asio::io_context context;
+    tcp::socket socket(context);
+    socket.connect({asio::ip::make_address("127.0.0.1"), port_});
+    boost::system::error_code failure;
+    asio::write(socket, asio::buffer("NONSENSE\r\n\r\n" + std::string(1 << 20, 'x')), failure);
+    std::string answer;
+    asio::read(socket, asio::dynamic_buffer(answer), failure);
+    EXPECT_EQ(answer.rfind("HTTP/1.1 400"), answer.find("HTTP/1.1 400")) << answer;
+}
+
 // Guards against an empty stream: the small model's complete answer arrives in one packet and is declined,
 // and its end must not be taken for the end of the larger model's answer, which has not begun.
 TEST_F(relay_fixture, a_declined_answer_does_not_affect_the_next_one) {
