A request id that is not UTF-8 gets its failure instead of ending the host

Cause: exchange::answer_failure puts the id into JSON with a call that throws on such bytes, and nothing catches it. Evidence: the new test on the code before aborts with "invalid UTF-8 byte" in that call.

Change: to_json_text decides for all of them how foreign bytes are put into JSON; logs and quotes of peers' messages, which replaced them already, use it too. It works because every failure of the host goes through answer_failure.

--- a/src/base/base.h
+++ b/src/base/base.h
@@ -8,6 +8,7 @@
 #include "base/digest.h"
 #include "base/error.h"
 #include "base/invariant.h"
+#include "base/json_text.h"
 #include "base/log.h"
 #include "base/mechanisms.h"
 #include "base/metrics.h"
--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -1,6 +1,7 @@
 #include "base/log.h"
 
 #include "base/clock.h"
+#include "base/json_text.h"
 
 #include <fcntl.h>
 #include <glog/logging.h>
@@ -89,7 +90,7 @@
         line["host"] = context().host;
     }
     line.update(fields);
-    return line.dump(-1, ' ', false, json::error_handler_t::replace);
+    return to_json_text(line);
 }
 
 } // namespace
--- a/src/node/messages.cpp
+++ b/src/node/messages.cpp
@@ -29,11 +29,6 @@
 
 constexpr auto decoders = make_decoders(std::make_index_sequence<std::variant_size_v<node_message>>{});
 
-// Input from an unauthenticated peer may not be valid UTF-8; quoting it in an error must not throw.
-std::string quoted(const json& part) {
-    return part.dump(-1, ' ', false, json::error_handler_t::replace);
-}
-
 error bad_message(const std::string& why) {
     return {error_kind::invalid_request, "message refused: " + why + "; run the same release on every host"};
 }
@@ -67,7 +62,7 @@
         return bad_message("not a message");
     }
     if (document[0] != protocol_version) {
-        return bad_message("protocol version " + quoted(document[0]));
+        return bad_message("protocol version " + to_json_text(document[0]));
     }
     for (std::size_t i = 0; i < type_names.size(); ++i) {
         if (document[1] != type_names[i]) {
@@ -79,7 +74,7 @@
             return bad_message(failure.what());
         }
     }
-    return bad_message("unknown type " + quoted(document[1]));
+    return bad_message("unknown type " + to_json_text(document[1]));
 }
 
 std::string compute_proof(const hello_message& hello, const std::string& fleet_key) {
--- a/src/programs/common.h
+++ b/src/programs/common.h
@@ -33,7 +33,7 @@
     if (failure.retry_after_ms > 0) {
         headers["Retry-After"] = std::to_string((failure.retry_after_ms + 999) / 1000);
     }
-    responder->reply(http_status(failure.kind), headers, to_error_body(failure, "").dump());
+    responder->reply(http_status(failure.kind), headers, to_json_text(to_error_body(failure, "")));
 }
 
 constexpr int max_json_depth = 32;
--- a/src/programs/laurel_entry.cpp
+++ b/src/programs/laurel_entry.cpp
@@ -316,7 +316,7 @@
                               incoming.path,
                               incoming.stream,
                               incoming.expected_tokens};
-        *trace_output_ << json(line).dump() << '\n';
+        *trace_output_ << to_json_text(line) << '\n';
     }
     core_.on_request(incoming, monotonic_now());
 }
@@ -354,12 +354,12 @@
     }
     const waiting_caller caller = found->second;
     callers_.erase(found);
-    caller.responder->reply(reply.status, reply_headers(reply), reply.body.dump());
+    caller.responder->reply(reply.status, reply_headers(reply), to_json_text(reply.body));
 }
 
 std::string to_event(const std::string& name, const json& data) {
     const std::string field = name.empty() ? "" : "event: " + name + "\n";
-    return field + "data: " + data.dump(-1, ' ', false, json::error_handler_t::replace) + "\n\n";
+    return field + "data: " + to_json_text(data) + "\n\n";
 }
 
 void entry_program::stream(const stream_part& part) {
--- a/src/relay/exchange_answers.cpp
+++ b/src/relay/exchange_answers.cpp
@@ -463,7 +463,7 @@
         finish("cut", 0);
         return;
     }
-    const std::string body = json{{"error", reason}, {"remedy", remedy}, {"request_id", terms_.id}}.dump();
+    const std::string body = to_json_text({{"error", reason}, {"remedy", remedy}, {"request_id", terms_.id}});
     header_list headers = state_.dialect.relay_answer_headers(terms_.id, retry_after);
     if (caller_->is_from_peer()) {
         state_.dialect.add_attempts(headers, attempts_);
--- a/test/base_test.cpp
+++ b/test/base_test.cpp
@@ -47,6 +47,11 @@
     EXPECT_EQ(http_status(error_kind::queue_full), 429);
 }
 
+// Guards against a byte of a caller that ends the process, because JSON text must be UTF-8.
+TEST(json_text, bytes_that_are_not_utf8_are_replaced) {
+    EXPECT_EQ(to_json_text({{"id", "caf\xe9-1"}}), "{\"id\":\"caf\xef\xbf\xbd-1\"}");
+}
+
 // Production continues after a violation, whereas tests stop at it.
 TEST(invariant, a_violation_is_counted_and_can_throw) {
     invariant_registry& registry = invariant_registry::instance();
--- a/test/relay_test.cpp
+++ b/test/relay_test.cpp
@@ -632,6 +632,12 @@
     EXPECT_EQ(answer.find("\r\n\r\n") + 4, answer.size()) << answer;
 }
 
+// Guards against a request id that ends the process, and with it the requests of all other callers.
+TEST_F(relay_fixture, a_request_id_that_is_not_utf8_gets_its_failure) {
+    start_relay(route(route_kind::idempotent, 1), {});
+    EXPECT_TRUE(contains(send_request("caf\xe9-1"), "HTTP/1.1 503"));
+}
+
 // Guards against a second answer on a connection whose end the first one has announced, when the rest of a
 // malformed request arrives in the meantime.
 TEST_F(relay_fixture, a_malformed_request_gets_one_answer) {
