An entry that the parser rejects costs only itself

Cause: the parser rejects what JSON's grammar allows, so that the whole list or watch is unreadable, again and again. Repaired were bytes that are not UTF-8 only.

--- a/test/base_test.cpp
+++ b/test/base_test.cpp
@@ -52,6 +52,41 @@
     EXPECT_EQ(to_json_text({{"id", "caf\xe9-1"}}), "{\"id\":\"caf\xef\xbf\xbd-1\"}");
 }
 
+// Guards against one value of another writer that makes a whole document unreadable.
+TEST(json_text, a_value_that_the_parser_rejects_affects_no_other) {
+    const std::string replacement = "\xef\xbf\xbd";
+    const auto parsed = [](const std::string& value) {
+        const json document =
+            parse_foreign_json(R"({"before":[1,"\\u"],"it":)" + value + R"(,"after":-2.5e3})");
+        EXPECT_EQ(document["before"], json::parse(R"([1,"\\u"])")) << value;
+        EXPECT_EQ(document["after"], -2500) << value;
+        return document["it"];
+    };
+    EXPECT_EQ(parsed(R"("a\udce9\"b")"), "a" + replacement + "\"b");
+    EXPECT_EQ(parsed(R"("\ud83d")"), replacement);
+    EXPECT_EQ(parsed(R"("\uD83D\ud83d\ude00 1e999")"), replacement + "\xf0\x9f\x98\x80 1e999");
+    EXPECT_EQ(parsed(R"("\ud83d\\udc00")"), replacement + "\\udc00");
+    EXPECT_EQ(parsed("-1e999"), json());
+    EXPECT_EQ(parsed("\"\xff\""), "?");
+}
+
+// Guards against a repair that takes text for a document which is none.
+TEST(json_text, what_is_no_json_is_an_error) {
+    for (const char* text : {"", "{", R"("\u12)", R"("\)", R"("\udce9)", R"({"a":1e999)", "[1,]"}) {
+        EXPECT_THROW(parse_foreign_json(text), json::exception) << text;
+    }
+}
+
+RC_GTEST_PROP(json_text, any_bytes_are_parsed_or_refused, (const std::string& bytes)) {
+    const json document = parse_foreign_json(to_json_text({{"text", bytes}}));
+    RC_ASSERT(document["text"].is_string());
+    try {
+        parse_foreign_json(bytes);
+    } catch (const json::exception&) {
+        RC_SUCCEED("refused");
+    }
+}
+
 // Production continues after a violation, whereas tests stop at it.
 TEST(invariant, a_violation_is_counted_and_can_throw) {
     invariant_registry& registry = invariant_registry::instance();
--- a/test/platform_test.cpp
+++ b/test/platform_test.cpp
@@ -8,6 +8,13 @@
 namespace laurelhoist::platform {
 namespace {
 
+std::string replace_all(std::string text, const std::string& from, const std::string& to) {
+    for (std::size_t at = text.find(from); at != std::string::npos; at = text.find(from, at + to.size())) {
+        text.replace(at, from.size(), to);
+    }
+    return text;
+}
+
 stored_object object_with(const json& spec, std::int64_t revision = 4) {
     return {"main", revision, spec, json()};
 }
@@ -154,10 +161,7 @@
     for (const json& entry : undecodable) {
         json body = {{"items", items}, {"at", 90}, {"has_more", false}};
         body["items"][30] = entry;
-        std::string text = body.dump();
-        for (std::size_t at = text.find(placeholder); at != std::string::npos; at = text.find(placeholder)) {
-            text.replace(at, placeholder.size(), "\xff\xc3");
-        }
+        const std::string text = replace_all(body.dump(), placeholder, "\xff\xc3");
         const object_page page = read_page(text);
         const auto valid = std::count_if(page.items.begin(), page.items.end(), [](const auto& object) {
             return value_of(decode_endpoint(object)) != nullptr;
@@ -175,6 +179,22 @@
     EXPECT_EQ(read_events(body.dump()).events.size(), 1U);
 }
 
+// Guards against an entry that is valid JSON, but that the parser rejects, hiding all others from every host,
+// in a list and in a watch.
+TEST(store_answers, an_entry_that_the_parser_rejects_does_not_affect_others) {
+    const json valid = {{"metadata", {{"name", "e1"}, {"revision", 5}}}, {"spec", valid_endpoint()}};
+    json foreign = valid;
+    foreign["spec"]["service"] = "@@";
+    for (const char* value : {R"("redattor\udce9")", R"("\ud83d")", "1e999"}) {
+        const json items = {{"items", json::array({foreign, valid})}, {"at", 6}};
+        const json events = {{"events", json::array({{{"object", foreign}}, {{"object", valid}}})},
+                             {"at", 6}};
+        EXPECT_EQ(read_page(replace_all(items.dump(), R"("@@")", value)).items.back().name, "e1") << value;
+        EXPECT_EQ(read_events(replace_all(events.dump(), R"("@@")", value)).events.back().object.name, "e1")
+            << value;
+    }
+}
+
 // The order of a new release may still carry the status of the previous one. Taken as its own, that status
 // would make a roll-out that has not begun count as completed.
 TEST(config_decoder, a_status_applies_only_to_the_release_it_names) {
