A stopping host accepts no new stream that needs the usual time of a stream

One in 20 takes longer, and a caller that has just arrived has nothing to lose elsewhere.

Change: a new stream needs 5 s at least, the usual time of a stream; what waits or is between attempts is judged as before.

--- a/src/relay/planned_stop.cpp
+++ b/src/relay/planned_stop.cpp
@@ -55,7 +55,10 @@
     if (prospect.is_arriving && prospect.kind != route_kind::stream) {
         return false;
     }
-    return prospect.wait + prospect.answer_time <= prospect.until_stop;
+    // One in 20 answers takes longer than expected, and a caller that has just arrived need not risk it.
+    const duration answer_time =
+        prospect.is_arriving ? std::max(prospect.answer_time, usual_stream_time) : prospect.answer_time;
+    return prospect.wait + answer_time <= prospect.until_stop;
 }
 
 } // namespace laurelhoist
--- a/src/relay/planned_stop.h
+++ b/src/relay/planned_stop.h
@@ -50,7 +50,8 @@
 
 /** \return whether the request ends before the process does. Its time limit guarantees this if it is earlier.
  * Otherwise the expected time decides, but not for a request other than a stream that has just arrived:
- * cut off, it would be unknown whether it ran. */
+ * cut off, it would be unknown whether it ran. A stream that has just arrived needs the usual time of a
+ * stream at least, even if recent ones took less. */
 bool can_finish_before_stop(const stop_prospect& prospect);
 
 } // namespace laurelhoist
--- a/test/planned_stop_test.cpp
+++ b/test/planned_stop_test.cpp
@@ -104,6 +104,19 @@
     RC_ASSERT(can_finish_before_stop(prospect) || !is_bounded);
 }
 
+// Guards against accepting a new stream late in a stop because recent ones were short: it takes longer and is
+// cut off, though its caller could have gone to another host at once.
+TEST(planned_stop, short_answers_do_not_let_new_streams_in_late) {
+    traffic_route drafts;
+    drafts.kind = route_kind::stream;
+    drafts.timeout = seconds(15);
+    stop_prospect late = arriving(drafts, milliseconds(3040));
+    late.answer_time = milliseconds(3500);
+    EXPECT_FALSE(can_finish_before_stop(late));
+    late.is_arriving = false;
+    EXPECT_TRUE(can_finish_before_stop(late));
+}
+
 // Guards against a stop that cuts off what waits, or that refuses all of it: 40 requests wait for endpoints
 // that free a place five times a second and answer in 3 s.
 TEST(planned_stop, serves_what_waits_as_far_as_it_ends_in_time_and_refuses_the_rest_at_once) {
