Test of forwarding in a stop: the request arrives before the stop

Change: the request arrives before the stop, its endpoint breaks, and it is forwarded as a repeat. The same bound on the forwarded time; it also asks that exactly one request was forwarded.

--- a/test/forwarding_test.cpp
+++ b/test/forwarding_test.cpp
@@ -125,17 +125,21 @@
 TEST_F(forwarding_fixture, a_stopping_host_forwards_no_more_time_than_it_has) {
     constexpr int stop_ms = 1500;
     stop_time_ = milliseconds(stop_ms);
+    scripted_endpoint breaking({{"", false, true, [this](const std::string&) {
+                                     lose_service();
+                                     run_on_relay_thread([this] { relay_->begin_stop(); });
+                                     return std::string{};
+                                 }}});
     scripted_endpoint peer({{answer_of("7", "served")}});
-    start_relay(route(route_kind::stream, 3), {closed_address()});
+    start_relay(route(route_kind::stream, 3), {breaking.address()});
     set_peers(port_of(peer));
-    lose_service();
     run_on_relay_thread([this] {
         for (int i = 0; i < 10; ++i) {
             relay_->state().route_answer_times["r"].observe(milliseconds(100), monotonic_now());
         }
-        relay_->begin_stop();
     });
     EXPECT_TRUE(contains(send_request("7"), "served"));
+    ASSERT_EQ(peer.requests().size(), 1U);
     const std::string request = peer.requests().front();
     const std::string field = "Left-Ms: ";
     ASSERT_TRUE(contains(request, field));
