Logs: how a process ended, and what its memory held before

Nothing told apart the hypotheses of the incident: a process that a signal ended wrote nothing, an exception that reached main wrote a line without a time, and a killed process left no trace on any host.

--- a/src/base/base.h
+++ b/src/base/base.h
@@ -1,6 +1,6 @@
 /** \file
- * Public header of the base library: results, errors, time, identifiers, hashes, invariants, metrics, logs
- * and settings, which all other libraries use.
+ * Public header of the base library: results, errors, time, identifiers, hashes, invariants, metrics, logs,
+ * settings and the end of the process, which all other libraries use.
  */
 #pragma once
 
@@ -12,6 +12,7 @@
 #include "base/log.h"
 #include "base/mechanisms.h"
 #include "base/metrics.h"
+#include "base/process_end.h"
 #include "base/random.h"
 #include "base/settings.h"
 #include "base/value_type.h"
--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -1,5 +1,7 @@
 #include "base/settings.h"
 
+#include "base/clock.h"
+
 #include <arpa/inet.h>
 #include <gflags/gflags.h>
 
@@ -142,11 +144,13 @@
 }
 
 void refuse_setting(const std::string& flag, const std::string& value, const std::string& remedy) {
-    std::cerr << json{{"level", "error"},
+    std::cerr << json{{"at_ms", wall_clock_ms()},
+                      {"level", "error"},
                       {"event", "invalid_setting"},
                       {"setting", flag},
                       {"value", value},
-                      {"remedy", remedy}}
+                      {"remedy", remedy},
+                      {"exit_code", exit_bad_setting}}
                      .dump()
               << '\n';
     std::exit(exit_bad_setting);
--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -15,6 +15,7 @@
 constexpr watch_timing evacuation_timing{evacuation_wait, duration::zero(), secondary_watch_max_backoff};
 constexpr duration gossip_interval = milliseconds(400);
 constexpr duration maintenance_interval = milliseconds(250);
+constexpr duration memory_check_interval = milliseconds(1000);
 constexpr duration stop_interval = milliseconds(100);
 constexpr std::size_t max_logged_invalid_endpoints =
     1000; ///< endpoints whose last logged revision is remembered
@@ -125,7 +126,8 @@
       watches_{&config_watch_, &endpoint_watch_, &rollout_watch_},
       datagrams_{loop, settings.peers,
                  [this](const std::string& from, const std::string& bytes) { on_datagram(from, bytes); }},
-      peer_client_{loop} {
+      peer_client_{loop},
+      memory_{settings.memory_bytes} {
     if (settings.evacuations_enabled) {
         watches_.push_back(&evacuation_watch_);
     }
@@ -163,6 +165,7 @@
         update_reading_mode();
         update_deciding_role(monotonic_now());
         check_freshness();
+        check_memory(monotonic_now());
         send_counts_while_settling(monotonic_now());
         advance_rollouts();
     });
@@ -208,6 +211,26 @@
     return measured.to_text();
 }
 
+void entry_host::check_memory(time_point now) {
+    if (now - memory_checked_at_ < memory_check_interval) {
+        return;
+    }
+    memory_checked_at_ = now;
+    const std::uint64_t resident_bytes = process_resident_bytes();
+    if (const std::optional<int> percent = memory_.note(resident_bytes)) {
+        relay_.state().measured.count("memory_levels_passed");
+        log_warning("memory_high",
+                    {{"percent", *percent},
+                     {"resident_bytes", resident_bytes},
+                     {"limit_bytes", memory_.limit_bytes()},
+                     {"requests_active", relay_.active()},
+                     {"caller_unsent_bytes", relay_.unsent_bytes()},
+                     {"answer_bytes", relay_.state().answer_bytes.held()},
+                     {"request_body_bytes", relay_.state().request_bytes.held()},
+                     {"endpoint_unsent_bytes", relay_.state().pool.unsent_bytes()}});
+    }
+}
+
 std::vector<quarantined_cause> entry_host::quarantined() const {
     return relay_.state().quarantine.quarantined(monotonic_now());
 }
--- a/src/host/entry_host.h
+++ b/src/host/entry_host.h
@@ -5,6 +5,7 @@
  */
 #pragma once
 
+#include "host/memory_watch.h"
 #include "host/peer_messages.h"
 #include "relay/relay.h"
 #include "store/store.h"
@@ -58,6 +59,7 @@
     duration revoke_bound = seconds(5);
     duration stop_grace = seconds(8);
     int capacity = 0; ///< \ref host_status::capacity
+    std::uint64_t memory_bytes = 0; ///< memory that the platform allows this process; 0: unknown
     std::size_t caller_buffer_bytes = relay_settings{}.caller_buffer_bytes;
     std::size_t request_buffer_bytes = relay_settings{}.request_buffer_bytes;
     std::size_t answer_buffer_bytes = relay_settings{}.answer_buffer_bytes;
@@ -169,6 +171,7 @@
     void handle(const std::string& from, const forwarded_message& message);
     void handle(const std::string& from, const copy_notice& notice);
     void check_freshness();
+    void check_memory(time_point now);
     void note_view_growth(time_point now);
     void update_reading_mode();
     /** \param is_first_reader whether this host is one of the first readers in the reader order */
@@ -242,6 +245,8 @@
     datagram_socket datagrams_;
     std::unique_ptr<http_server> peer_server_;
     http_client peer_client_;
+    memory_watch memory_;
+    time_point memory_checked_at_;
     std::int64_t config_revision_ = 0; ///< revision of the configuration in force
     time_point config_since_;          ///< when the configuration in force took effect here
     bool is_config_readable_ = false;  ///< whether the newest configuration could be decoded
--- a/src/host/host.h
+++ b/src/host/host.h
@@ -5,4 +5,5 @@
 #pragma once
 
 #include "host/entry_host.h"
+#include "host/memory_watch.h"
 #include "host/peer_messages.h"
--- a/src/membership/host_gossip.cpp
+++ b/src/membership/host_gossip.cpp
@@ -268,6 +268,11 @@
         peer.times_sent = 0;
         is_live_current_ = false;
     }
+    if (!is_new && peer.status.incarnation != status.incarnation) {
+        log_warning("host_restarted", {{"peer", status.name},
+                                       {"announced_stop", peer.status.state == "leaving"},
+                                       {"heard_ms_ago", to_ms(now - peer.heard_at)}});
+    }
     peer.status = status;
     mark_heard(peer, now);
 }
@@ -283,6 +288,9 @@
             ++item;
             continue;
         }
+        log_warning("host_ended", {{"peer", item->first},
+                                   {"announced_stop", item->second.status.state == "leaving"},
+                                   {"heard_ms_ago", to_ms(now - item->second.heard_at)}});
         by_name_hash_.erase(item->second.name_hash);
         item = others_.erase(item);
     }
--- a/test/host_test.cpp
+++ b/test/host_test.cpp
@@ -6,6 +6,20 @@
 namespace laurelhoist {
 namespace {
 
+// Guards against a kill for too much memory of which no log shows that the memory had grown.
+TEST(memory_watch, each_level_is_reported_once_until_the_memory_has_fallen) {
+    memory_watch watch(1000);
+    EXPECT_EQ(watch.note(590), std::nullopt);
+    EXPECT_EQ(watch.note(610), 60);
+    EXPECT_EQ(watch.note(740), std::nullopt);
+    EXPECT_EQ(watch.note(950), 90);
+    EXPECT_EQ(watch.note(850), std::nullopt);
+    EXPECT_EQ(watch.note(910), std::nullopt);
+    EXPECT_EQ(watch.note(400), std::nullopt);
+    EXPECT_EQ(watch.note(760), 75);
+    EXPECT_EQ(memory_watch(0).note(1 << 30), std::nullopt);
+}
+
 // A field that is missing from the encoding, or shares its code with another field, would be lost in transit.
 TEST(peer_messages, every_kind_of_message_is_decoded_as_it_was_encoded) {
     gossip_message gossip;
