--- a/src/base/base.h
+++ b/src/base/base.h
@@ -15,4 +15,5 @@
 #include "base/process_end.h"
 #include "base/random.h"
 #include "base/settings.h"
+#include "base/start_signals.h"
 #include "base/value_type.h"
--- /dev/null
+++ b/src/base/start_signals.h
@@ -0,0 +1,15 @@
+/** \file
+ * Keeps signals that come during the start of the process from ending it.
+ */
+#pragma once
+
+namespace laurelhoist {
+
+/** Ignores SIGHUP and SIGPIPE, and holds back SIGTERM and SIGINT until \ref accept_stop_signals. Uses system
+ * calls only, so that it may run before any library is initialized. */
+void hold_signals_of_start();
+
+/** Lets SIGTERM and SIGINT through, also those that were held back. Their handlers must have been set. */
+void accept_stop_signals();
+
+} // namespace laurelhoist
