An exception that leaves a handler ends that handler's work, not the process

Cause: nothing between a handler and main caught an exception; a periodic handler that threw would also not have been scheduled again.

Change: the event loop logs handler_failed and goes on, and a periodic handler keeps its interval; an exception in an endpoint's answer counts as a broken connection, so the attempt ends as any broken answer does; one in a request, or in its share of a round over all requests, ends that request with a reset (request_handler_failed), as it is unknown whether it has run.

Tests: event_loop.an_exception_ends_only_the_handler_that_throws and relay_fixture.an_exception_in_the_handling_of_{an_answer,a_request}_ends_only_* pass. Without the change they end in 'terminate called after throwing' by construction (nothing catches); that run was not made.

--- a/src/relay/exchange.cpp
+++ b/src/relay/exchange.cpp
@@ -607,6 +607,17 @@
     finish("caller_gone", 0);
 }
 
+void exchange::end_after_exception(const std::string& what) {
+    auto self = shared_from_this();
+    log_error("request_handler_failed", {{"request", terms_.id}, {"what", what}});
+    if (connection_) {
+        settle_attempt(call_result::cancelled, release_evidence::none);
+        release_connection(false);
+    }
+    caller_->abort();
+    finish("handler_failed", 0);
+}
+
 duration exchange::silence_limit() const {
     if (route_->kind == route_kind::non_idempotent) {
         return duration::max();
--- a/src/relay/exchange.h
+++ b/src/relay/exchange.h
@@ -36,6 +36,9 @@
     /** Ends the request because the process ends before it, and logs what it was doing. A caller without a
      * part of an answer gets a failure; a begun answer is cut off when the process ends. */
     void end_with_process();
+    /** Ends the request after an exception in its handling. The caller's connection is reset, as it is
+     * unknown whether the request has run. \param what the text of the exception */
+    void end_after_exception(const std::string& what);
     /** \return for whom and how long this request has waited for an endpoint; nothing if it does not wait. */
     std::optional<waiting_time> waiting(time_point now) const;
     /** Places this waiting request if an endpoint takes it, or answers it if it cannot be served any more.
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -121,7 +121,12 @@
     auto created = std::make_shared<exchange>(*this, caller, std::move(request));
     active_.insert(created);
     start_ticking();
-    created->start();
+    run_guarded(*created, [&] { created->start(); });
+}
+
+void relay::end_after_exception(exchange& of, const std::string& what) {
+    state_.measured.count("request_handlers_failed");
+    of.end_after_exception(what);
 }
 
 void relay::start_ticking() {
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -192,6 +192,10 @@
     std::unique_ptr<tcp_acceptor> open_acceptor(const char* setting, const socket_address& address);
     void accept_next(tcp_acceptor& acceptor, request_source source);
     void on_request(const std::shared_ptr<caller_connection>& caller, caller_request request);
+    void end_after_exception(exchange& of, const std::string& what);
+    /** Calls \p work, which belongs to \p of; an exception ends that request only. */
+    template <class Work>
+    void run_guarded(exchange& of, const Work& work);
     /** Calls \p visit with each exchange that is still in progress when its turn comes. */
     template <class Visit>
     void for_each_active(const Visit& visit);
@@ -257,13 +261,22 @@
     bool was_paused_ = false;           ///< the present tick is late
 };
 
+template <class Work>
+void relay::run_guarded(exchange& of, const Work& work) {
+    try {
+        work();
+    } catch (const std::exception& failure) {
+        end_after_exception(of, failure.what());
+    }
+}
+
 // Iterates over a copy, because \p visit may end this exchange or another one.
 template <class Visit>
 void relay::for_each_active(const Visit& visit) {
     const std::vector<std::shared_ptr<exchange>> active(active_.begin(), active_.end());
     for (const auto& each : active) {
         if (active_.count(each) > 0) {
-            visit(*each);
+            run_guarded(*each, [&] { visit(*each); });
         }
     }
 }
--- a/src/transport/event_loop.cpp
+++ b/src/transport/event_loop.cpp
@@ -3,15 +3,54 @@
 #include <boost/asio.hpp>
 
 #include <csignal>
+#include <exception>
 #include <vector>
 
 namespace laurelhoist {
 
 namespace asio = boost::asio;
 
+namespace {
+
+/// Exceptions logged within a second; one that a periodic handler throws would otherwise fill the log.
+constexpr int max_failures_logged_per_second = 5;
+
+/** Logs exceptions that no handler has caught. */
+class failure_log {
+public:
+    void note(const char* what) {
+        const auto second = std::chrono::duration_cast<seconds>(monotonic_now().time_since_epoch()).count();
+        logged_ = second == second_ ? logged_ + 1 : 1;
+        second_ = second;
+        if (logged_ <= max_failures_logged_per_second) {
+            log_error("handler_failed", {{"what", what}});
+        }
+    }
+
+private:
+    std::int64_t second_ = 0;
+    int logged_ = 0;
+};
+
+} // namespace
+
 struct event_loop::state {
+    /** Runs \p work. An exception ends this piece of work only: it must not end the process, which serves
+     * many other callers. */
+    template <class Work>
+    void run_guarded(const Work& work) {
+        try {
+            work();
+        } catch (const std::exception& failure) {
+            failures.note(failure.what());
+        } catch (...) {
+            failures.note("not a std::exception");
+        }
+    }
+
     asio::io_context context{1};
     std::unique_ptr<asio::signal_set> signals;
+    failure_log failures;
 };
 
 event_loop::event_loop() : state_{std::make_unique<state>()} {}
@@ -20,7 +59,13 @@
 void event_loop::run() {
     state_->context.restart();
     const auto guard = asio::make_work_guard(state_->context);
-    state_->context.run();
+    // An exception that leaves a handler of a socket ends run().
+    for (bool has_ended = false; !has_ended;) {
+        state_->run_guarded([&] {
+            state_->context.run();
+            has_ended = true;
+        });
+    }
 }
 
 void event_loop::stop() {
@@ -42,7 +87,7 @@
 
 void event_loop::every(duration interval, std::function<void()> work) {
     after(interval, [this, interval, work = std::move(work)]() mutable {
-        work();
+        state_->run_guarded(work);
         every(interval, std::move(work));
     });
 }
--- a/src/transport/event_loop.h
+++ b/src/transport/event_loop.h
@@ -21,7 +21,8 @@
     event_loop(const event_loop&) = delete;
     event_loop& operator=(const event_loop&) = delete;
 
-    /** Runs until \ref stop; may be called again. */
+    /** Runs until \ref stop; may be called again. An exception that leaves a handler is logged as
+     * `handler_failed` and ends that handler only. */
     void run();
     void stop();
     /** Queues \p work, which never runs before this function returns. */
--- a/test/relay_fixture.h
+++ b/test/relay_fixture.h
@@ -32,6 +32,7 @@
 class test_dialect : public wire_dialect {
 public:
     request_terms read_request(const caller_request& request) const override {
+        throw_if_asked(request.headers);
         request_terms terms;
         terms.id = request.headers.value_or_empty("Id");
         terms.host = request.headers.value_or_empty("Host");
@@ -66,6 +67,7 @@
         return message + "\r\n" + request.body;
     }
     answer_terms read_answer(int, const header_list& headers) const override {
+        throw_if_asked(headers);
         answer_terms terms;
         terms.is_misdirected = headers.find("Misdirected") != nullptr;
         terms.is_not_run = headers.find("Not-Run") != nullptr || terms.is_misdirected;
@@ -101,6 +103,14 @@
     }
 
     std::int64_t route_tokens = 0; ///< prompt length of all requests
+
+private:
+    /** Stands for an exception that nobody expects in the handling of a message. */
+    static void throw_if_asked(const header_list& headers) {
+        if (headers.find("Throws") != nullptr) {
+            throw std::runtime_error("the message cannot be handled");
+        }
+    }
 };
 
 /** The response of a scripted endpoint to one request. */
--- a/test/relay_test.cpp
+++ b/test/relay_test.cpp
@@ -257,6 +257,24 @@
     EXPECT_TRUE(contains(send_request("7"), "whole"));
 }
 
+// Guards against one answer whose handling throws ending the process, and the requests of all other callers.
+TEST_F(relay_fixture, an_exception_in_the_handling_of_an_answer_ends_only_its_request) {
+    scripted_endpoint endpoint(
+        {{answer_of("7", "body", "Throws: 1\r\n"), false, false}, {answer_of("8", "whole"), false, false}});
+    start_relay(route(route_kind::non_idempotent, 3), {endpoint.address()});
+    EXPECT_TRUE(contains(send_request("7"), "HTTP/1.1 502"));
+    EXPECT_TRUE(contains(send_request("8"), "whole"));
+    EXPECT_EQ(endpoint.requests().size(), 2U);
+}
+
+// Guards against one request whose handling throws ending the process.
+TEST_F(relay_fixture, an_exception_in_the_handling_of_a_request_ends_only_that_request) {
+    scripted_endpoint endpoint({{answer_of("8", "whole"), false, false}});
+    start_relay(route(route_kind::idempotent, 3), {endpoint.address()});
+    EXPECT_EQ(send_request("7", "Throws: 1\r\n"), "");
+    EXPECT_TRUE(contains(send_request("8"), "whole"));
+}
+
 // Guards against a refused request being reported as one that may have run, so that its caller does not dare
 // to repeat it.
 TEST_F(relay_fixture, a_refusal_by_the_endpoint_is_answered_as_not_run) {
--- a/test/transport_test.cpp
+++ b/test/transport_test.cpp
@@ -51,6 +51,21 @@
 
 } // namespace
 
+// Guards against an exception of one handler ending the process, or the timer that has thrown it.
+TEST(event_loop, an_exception_ends_only_the_handler_that_throws) {
+    event_loop loop;
+    int calls = 0;
+    loop.every(milliseconds(1), [&] {
+        if (++calls == 3) {
+            loop.stop();
+        }
+        throw std::runtime_error("a handler that fails");
+    });
+    loop.post([] { throw std::runtime_error("a posted handler that fails"); });
+    loop.run();
+    EXPECT_EQ(calls, 3);
+}
+
 TEST_F(http_pair, transfers_a_request_and_its_response) {
     serve({}, [](const http_request& request, const std::shared_ptr<http_responder>& responder) {
         responder->reply(200, {{"X-Path", request.path}},
