Start: a port in use no longer ends a host; it listens as soon as it can

What was seen: with any of its ports in use at the start, the metrics port included, a host ended at once with exit code 2. After a kill and a quick restart, or with a foreign process on a port outside the promised range, that is no service for a state that passes.

Cause: each listener took the first failure of bind for a wrong setting.

Mend: address_opener makes the first attempt at once and others every 250 ms; listen_attempts, free of I/O, decides. A port in use, descriptors or buffers that are short are retried without end. A host is not ready, and tells its peers that it is starting, until it listens at all addresses but that of the metrics. port() is 0 while a server does not listen.

The listener of links between stewards and entries (websocketpp) is unchanged; this host has none.

--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -124,7 +124,8 @@
                         {[this](const objects_by_name& objects) { on_evacuations(objects); },
                          [](time_point) {}, [](bool) {}, [this] { on_history_gone(); }}},
       watches_{&config_watch_, &endpoint_watch_, &rollout_watch_},
-      datagrams_{loop, settings.peers,
+      datagrams_{loop,
+                 {"--peers (datagrams)", settings.peers},
                  [this](const std::string& from, const std::string& bytes) { on_datagram(from, bytes); }},
       peer_client_{loop},
       memory_{settings.memory_bytes} {
@@ -147,8 +148,8 @@
     relay_.state().peers.set_port(settings_.forwarding.port);
     started_at_ = monotonic_now();
     reading_since_ = started_at_;
-    peer_server_ = listen_or_exit(
-        loop_, "peers", settings_.peers, http_limits{},
+    peer_server_ = std::make_unique<http_server>(
+        loop_, listen_target{"--peers", settings_.peers}, http_limits{},
         [this](const http_request& request, const auto& responder) { serve_copy(request, responder); });
     for (object_watch* watch : watches()) {
         watch->pause(); // Takes effect after the first listing, until it is known which hosts read the store.
@@ -182,9 +183,14 @@
     return endpoint_watch_.is_listed() && (!settings_.evacuations_enabled || evacuation_watch_.is_listed());
 }
 
+bool entry_host::is_listening() const {
+    return relay_.is_listening() && datagrams_.is_bound() && peer_server_ != nullptr &&
+           peer_server_->is_listening();
+}
+
 bool entry_host::is_ready() const {
     const relay_state& state = relay_.state();
-    return state.routing != nullptr && knows_endpoints() && !state.is_stopping;
+    return is_listening() && state.routing != nullptr && knows_endpoints() && !state.is_stopping;
 }
 
 std::vector<std::string> entry_host::entries_for_caller(const std::string& domain) const {
@@ -219,15 +225,14 @@
     const std::uint64_t resident_bytes = process_resident_bytes();
     if (const std::optional<int> percent = memory_.note(resident_bytes)) {
         relay_.state().measured.count("memory_levels_passed");
-        log_warning("memory_high",
-                    {{"percent", *percent},
-                     {"resident_bytes", resident_bytes},
-                     {"limit_bytes", memory_.limit_bytes()},
-                     {"requests_active", relay_.active()},
-                     {"caller_unsent_bytes", relay_.unsent_bytes()},
-                     {"answer_bytes", relay_.state().answer_bytes.held()},
-                     {"request_body_bytes", relay_.state().request_bytes.held()},
-                     {"endpoint_unsent_bytes", relay_.state().pool.unsent_bytes()}});
+        log_warning("memory_high", {{"percent", *percent},
+                                    {"resident_bytes", resident_bytes},
+                                    {"limit_bytes", memory_.limit_bytes()},
+                                    {"requests_active", relay_.active()},
+                                    {"caller_unsent_bytes", relay_.unsent_bytes()},
+                                    {"answer_bytes", relay_.state().answer_bytes.held()},
+                                    {"request_body_bytes", relay_.state().request_bytes.held()},
+                                    {"endpoint_unsent_bytes", relay_.state().pool.unsent_bytes()}});
     }
 }
 
--- a/src/host/entry_host.h
+++ b/src/host/entry_host.h
@@ -58,7 +58,7 @@
     std::vector<std::string> seeds; ///< addresses of some peers to contact first
     duration revoke_bound = seconds(5);
     duration stop_grace = seconds(8);
-    int capacity = 0; ///< \ref host_status::capacity
+    int capacity = 0;               ///< \ref host_status::capacity
     std::uint64_t memory_bytes = 0; ///< memory that the platform allows this process; 0: unknown
     std::size_t caller_buffer_bytes = relay_settings{}.caller_buffer_bytes;
     std::size_t request_buffer_bytes = relay_settings{}.request_buffer_bytes;
@@ -107,6 +107,8 @@
     metrics& measured() { return relay_.state().measured; }
 
 private:
+    /** \return whether callers and other hosts can reach this one at all of its addresses. */
+    bool is_listening() const;
     /// An endpoint as it was last decoded, so that a change of one endpoint does not decode the whole list.
     struct decoded_endpoint {
         std::int64_t revision = 0;
--- a/src/programs/laurel_entry.cpp
+++ b/src/programs/laurel_entry.cpp
@@ -172,11 +172,11 @@
               [this](link_id link) { on_link_close(link); }}} {
     http_limits limits;
     limits.body_bytes = FLAGS_max_body_bytes;
-    server_ =
-        listen_or_exit(loop_, "listen", require_address("listen", FLAGS_listen), limits,
-                       [this](const http_request& request, const std::shared_ptr<http_responder>& responder) {
-                           on_http(request, responder);
-                       });
+    server_ = std::make_unique<http_server>(
+        loop_, listen_target{"--listen", require_address("listen", FLAGS_listen)}, limits,
+        [this](const http_request& request, const std::shared_ptr<http_responder>& responder) {
+            on_http(request, responder);
+        });
 }
 
 void entry_program::run() {
--- a/src/programs/laurel_standin.cpp
+++ b/src/programs/laurel_standin.cpp
@@ -58,11 +58,11 @@
         start_pool(pool);
     }
     publish_hosts();
-    control_ =
-        listen_or_exit(loop_, "config", require_address("config", plan_.control), {},
-                       [this](const http_request& request, const std::shared_ptr<http_responder>& responder) {
-                           on_control(request, responder);
-                       });
+    control_ = std::make_unique<http_server>(
+        loop_, listen_target{"--config", require_address("config", plan_.control)}, http_limits{},
+        [this](const http_request& request, const std::shared_ptr<http_responder>& responder) {
+            on_control(request, responder);
+        });
 }
 
 void standin_program::start_pool(const pool_plan& pool) {
--- a/src/programs/laurel_steward.cpp
+++ b/src/programs/laurel_steward.cpp
@@ -111,11 +111,11 @@
       incoming_{loop_, require_address("listen", FLAGS_listen), handlers(false)},
       outgoing_{loop_, handlers(true)} {
     http_limits limits;
-    control_ =
-        listen_or_exit(loop_, "control", require_address("control", FLAGS_control), limits,
-                       [this](const http_request& request, const std::shared_ptr<http_responder>& responder) {
-                           on_http(request, responder);
-                       });
+    control_ = std::make_unique<http_server>(
+        loop_, listen_target{"--control", require_address("control", FLAGS_control)}, limits,
+        [this](const http_request& request, const std::shared_ptr<http_responder>& responder) {
+            on_http(request, responder);
+        });
 }
 
 void steward_program::run() {
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -68,53 +68,41 @@
 
 relay::~relay() = default;
 
-std::unique_ptr<tcp::acceptor> relay::open_acceptor(const char* setting, const socket_address& address) {
-    const tcp::endpoint endpoint(asio::ip::make_address(address.host), address.port);
-    try {
-        return std::make_unique<tcp::acceptor>(state_.loop.context(), endpoint);
-    } catch (const std::exception& failure) {
-        refuse_setting(setting, address.host + ":" + std::to_string(address.port),
-                       std::string("cannot listen there (") + failure.what() +
-                           "); give an address of this host that is free");
-    }
+std::unique_ptr<tcp_listener> relay::accept_at(const listen_target& target, request_source source) {
+    return std::make_unique<tcp_listener>(
+        state_.loop, target,
+        tcp_listener::events{[this, source](tcp::socket socket) { on_accepted(std::move(socket), source); },
+                             [this] { state_.measured.count("accept_failures"); }});
 }
 
 void relay::listen(const socket_address& address) {
-    acceptor_ = open_acceptor("--callers", address);
-    accept_next(*acceptor_, request_source::caller);
+    listener_ = accept_at({"--callers", address}, request_source::caller);
 }
 
 void relay::listen_for_peers(const socket_address& address) {
-    peer_acceptor_ = open_acceptor("--forwarding", address);
-    accept_next(*peer_acceptor_, request_source::peer);
+    peer_listener_ = accept_at({"--forwarding", address}, request_source::peer);
+}
+
+bool relay::is_listening() const {
+    return listener_ != nullptr && listener_->is_listening() && peer_listener_ != nullptr &&
+           peer_listener_->is_listening();
 }
 
 std::uint16_t relay::listening_port() const {
-    return acceptor_->local_endpoint().port();
+    return listener_->port();
 }
 
 std::uint16_t relay::peer_port() const {
-    return peer_acceptor_->local_endpoint().port();
+    return peer_listener_->port();
 }
 
-void relay::accept_next(tcp_acceptor& acceptor, request_source source) {
-    acceptor.async_accept([this, &acceptor, source](boost::system::error_code failure, tcp::socket socket) {
-        if (failure == asio::error::operation_aborted) {
-            return;
-        }
-        if (!failure) {
-            caller_limits limits = state_.routing ? state_.routing->config().limits : caller_limits{};
-            limits.header_bytes += source == request_source::peer ? peer_header_bytes : 0;
-            auto caller = std::make_shared<caller_connection>(std::move(socket), limits, caller_events_,
-                                                              state_.request_bytes, source);
-            callers_.insert(caller);
-            caller->start();
-        } else {
-            state_.measured.count("accept_failures");
-            log_warning("accept_failed", {{"reason", failure.message()}});
-        }
-        accept_next(acceptor, source);
-    });
+void relay::on_accepted(tcp::socket socket, request_source source) {
+    caller_limits limits = state_.routing ? state_.routing->config().limits : caller_limits{};
+    limits.header_bytes += source == request_source::peer ? peer_header_bytes : 0;
+    auto caller = std::make_shared<caller_connection>(std::move(socket), limits, caller_events_,
+                                                      state_.request_bytes, source);
+    callers_.insert(caller);
+    caller->start();
 }
 
 void relay::on_request(const std::shared_ptr<caller_connection>& caller, caller_request request) {
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -18,6 +18,7 @@
 #include "relay/repeat_allowance.h"
 #include "relay/wire_dialect.h"
 #include "rollout/release_rollout.h"
+#include "transport/tcp_listener.h"
 
 #include <functional>
 #include <list>
@@ -136,14 +137,17 @@
     relay(const relay&) = delete;
     relay& operator=(const relay&) = delete;
 
-    /** Starts to accept callers at \p address; ends the process if it cannot listen there. Port 0 stands for
-     * any free port. */
+    /** Starts to accept callers at \p address, as soon as it can listen there (\ref address_opener). Port 0
+     * stands for any free port. */
     void listen(const socket_address& address);
-    /** Starts to accept requests that other hosts forward at \p address; ends the process if it cannot. */
+    /** Starts to accept requests that other hosts forward at \p address, as soon as it can listen there. */
     void listen_for_peers(const socket_address& address);
-    /** \return the port at which callers are accepted, after \ref listen. */
+    /** \return whether callers and requests of other hosts are accepted. */
+    bool is_listening() const;
+    /** \return the port at which callers are accepted, after \ref listen; 0 while it cannot listen. */
     std::uint16_t listening_port() const;
-    /** \return the port at which forwarded requests are accepted, after \ref listen_for_peers. */
+    /** \return the port at which forwarded requests are accepted, after \ref listen_for_peers; 0 while it
+     * cannot listen. */
     std::uint16_t peer_port() const;
     /** Puts a configuration in force for all requests that arrive from now on. */
     void set_routing(routing_snapshot routing, std::size_t hosts);
@@ -188,9 +192,8 @@
 
 private:
     friend class exchange;
-    using tcp_acceptor = boost::asio::ip::tcp::acceptor;
-    std::unique_ptr<tcp_acceptor> open_acceptor(const char* setting, const socket_address& address);
-    void accept_next(tcp_acceptor& acceptor, request_source source);
+    std::unique_ptr<tcp_listener> accept_at(const listen_target& target, request_source source);
+    void on_accepted(boost::asio::ip::tcp::socket socket, request_source source);
     void on_request(const std::shared_ptr<caller_connection>& caller, caller_request request);
     /** Calls \p visit with each exchange that is still in progress when its turn comes. */
     template <class Visit>
@@ -243,8 +246,8 @@
     end_confirmation end_confirmation_;
     endpoint_probes probes_;
     caller_connection::handlers caller_events_;
-    std::unique_ptr<tcp_acceptor> acceptor_;
-    std::unique_ptr<tcp_acceptor> peer_acceptor_;
+    std::unique_ptr<tcp_listener> listener_;
+    std::unique_ptr<tcp_listener> peer_listener_;
     std::unordered_set<std::shared_ptr<caller_connection>> callers_;
     std::set<std::shared_ptr<exchange>> active_;
     std::unordered_map<std::string, std::weak_ptr<exchange>> waiting_; ///< by their id in the waiting rooms
--- a/src/standin/engine.cpp
+++ b/src/standin/engine.cpp
@@ -44,11 +44,11 @@
       settings_{std::move(settings)},
       weights_{weights},
       loaded_{settings_.loaded.begin(), settings_.loaded.end()} {
-    server_ =
-        listen_or_exit(loop, "config", address, {},
-                       [this](const http_request& request, const std::shared_ptr<http_responder>& responder) {
-                           on_request(request, responder);
-                       });
+    server_ = std::make_unique<http_server>(
+        loop, listen_target{"--config", address}, http_limits{},
+        [this](const http_request& request, const std::shared_ptr<http_responder>& responder) {
+            on_request(request, responder);
+        });
 }
 
 void stand_in_engine::on_request(const http_request& request,
--- a/src/standin/object_store.cpp
+++ b/src/standin/object_store.cpp
@@ -17,16 +17,16 @@
 object_store::object_store(event_loop& loop, const socket_address& address) : loop_{loop} {
     http_limits limits;
     limits.body_bytes = max_value_bytes;
-    server_ =
-        listen_or_exit(loop, "config", address, limits,
-                       [this](const http_request& request, const std::shared_ptr<http_responder>& responder) {
-                           if (faults_.slow_ms == 0) {
-                               on_request(request, responder);
-                               return;
-                           }
-                           loop_.after(milliseconds(faults_.slow_ms),
-                                       [this, request, responder] { on_request(request, responder); });
-                       });
+    server_ = std::make_unique<http_server>(
+        loop, listen_target{"--config", address}, limits,
+        [this](const http_request& request, const std::shared_ptr<http_responder>& responder) {
+            if (faults_.slow_ms == 0) {
+                on_request(request, responder);
+                return;
+            }
+            loop_.after(milliseconds(faults_.slow_ms),
+                        [this, request, responder] { on_request(request, responder); });
+        });
 }
 
 void object_store::on_request(const http_request& request, const std::shared_ptr<http_responder>& responder) {
--- a/src/standin/plain_service.cpp
+++ b/src/standin/plain_service.cpp
@@ -9,11 +9,11 @@
 plain_service::plain_service(event_loop& loop, const socket_address& address, std::string name,
                              calls_by_reference& run_counts)
     : loop_{loop}, name_{std::move(name)}, run_counts_{run_counts} {
-    server_ =
-        listen_or_exit(loop, "config", address, {},
-                       [this](const http_request& request, const std::shared_ptr<http_responder>& responder) {
-                           on_request(request, responder);
-                       });
+    server_ = std::make_unique<http_server>(
+        loop, listen_target{"--config", address}, http_limits{},
+        [this](const http_request& request, const std::shared_ptr<http_responder>& responder) {
+            on_request(request, responder);
+        });
 }
 
 void plain_service::on_request(const http_request& request,
--- a/src/standin/rater.cpp
+++ b/src/standin/rater.cpp
@@ -9,19 +9,19 @@
 }
 
 stand_in_rater::stand_in_rater(event_loop& loop, const socket_address& address) : loop_{loop} {
-    server_ =
-        listen_or_exit(loop, "config", address, {},
-                       [this](const http_request& request, const std::shared_ptr<http_responder>& responder) {
-                           if (faults_.down) {
-                               responder->reply(503, {}, "{}");
-                               return;
-                           }
-                           const json body = json::parse(request.body, nullptr, false);
-                           const double score = parse_score(body.value("answer", ""));
-                           loop_.after(milliseconds(faults_.slow_ms), [responder, score] {
-                               responder->reply(200, {}, json{{"score", score}}.dump());
-                           });
-                       });
+    server_ = std::make_unique<http_server>(
+        loop, listen_target{"--config", address}, http_limits{},
+        [this](const http_request& request, const std::shared_ptr<http_responder>& responder) {
+            if (faults_.down) {
+                responder->reply(503, {}, "{}");
+                return;
+            }
+            const json body = json::parse(request.body, nullptr, false);
+            const double score = parse_score(body.value("answer", ""));
+            loop_.after(milliseconds(faults_.slow_ms), [responder, score] {
+                responder->reply(200, {}, json{{"score", score}}.dump());
+            });
+        });
 }
 
 } // namespace laurelhoist
--- a/src/transport/datagram.cpp
+++ b/src/transport/datagram.cpp
@@ -19,6 +19,26 @@
 struct datagram_socket::state : std::enable_shared_from_this<state> {
     state(asio::io_context& context, handler received) : socket{context}, on_received{std::move(received)} {}
 
+    std::error_code open(const socket_address& address) {
+        boost::system::error_code failure;
+        const udp::endpoint endpoint(asio::ip::make_address(address.host), address.port);
+        socket.open(endpoint.protocol(), failure);
+        if (!failure) {
+            socket.bind(endpoint, failure);
+        }
+        if (!failure) {
+            socket.non_blocking(true, failure);
+        }
+        if (failure) {
+            // A socket that is open and not bound would send from any free port.
+            boost::system::error_code ignored;
+            socket.close(ignored);
+            return failure;
+        }
+        receive();
+        return {};
+    }
+
     void receive() {
         socket.async_receive_from(
             asio::buffer(incoming), sender,
@@ -42,25 +62,20 @@
     std::uint64_t sent = 0;
 };
 
-datagram_socket::datagram_socket(event_loop& loop, const socket_address& address, handler on_received)
-    : state_{std::make_shared<state>(loop.context(), std::move(on_received))} {
-    try {
-        const udp::endpoint endpoint(asio::ip::make_address(address.host), address.port);
-        state_->socket.open(endpoint.protocol());
-        state_->socket.bind(endpoint);
-        state_->socket.non_blocking(true);
-    } catch (const std::exception& failure) {
-        refuse_setting("datagram address", address.host + ":" + std::to_string(address.port),
-                       std::string("cannot be bound (") + failure.what() + "); use a free port of this host");
-    }
-    state_->receive();
-}
+datagram_socket::datagram_socket(event_loop& loop, const listen_target& target, handler on_received)
+    : state_{std::make_shared<state>(loop.context(), std::move(on_received))},
+      opener_{std::make_unique<address_opener>(
+          loop, target, [bound = state_.get(), address = target.address] { return bound->open(address); })} {}
 
 datagram_socket::~datagram_socket() {
     boost::system::error_code ignored;
     state_->socket.close(ignored);
 }
 
+bool datagram_socket::is_bound() const {
+    return opener_->is_open();
+}
+
 void datagram_socket::send(const std::string& address, const std::string& bytes) {
     const outcome<socket_address> parsed = parse_address(address);
     const socket_address* target = value_of(parsed);
--- a/src/transport/datagram.h
+++ b/src/transport/datagram.h
@@ -3,7 +3,7 @@
  */
 #pragma once
 
-#include "transport/event_loop.h"
+#include "transport/address_opener.h"
 
 namespace laurelhoist {
 
@@ -11,13 +11,15 @@
 public:
     using handler = std::function<void(const std::string& from, const std::string& bytes)>;
 
-    /** Binds to \p address; ends the process with an error message if it cannot be bound.
+    /** Receives at \p target, as soon as it can be bound (\ref address_opener).
      * \param on_received gets the sender's `ip:port` and the bytes */
-    datagram_socket(event_loop& loop, const socket_address& address, handler on_received);
+    datagram_socket(event_loop& loop, const listen_target& target, handler on_received);
     ~datagram_socket();
     datagram_socket(const datagram_socket&) = delete;
     datagram_socket& operator=(const datagram_socket&) = delete;
 
+    /** \return whether datagrams can be received and sent. */
+    bool is_bound() const;
     /** Sends \p bytes to \p address (`ip:port`); drops them if they cannot be sent at once. */
     void send(const std::string& address, const std::string& bytes);
     std::uint64_t bytes_sent() const;
@@ -25,6 +27,7 @@
 private:
     struct state;
     std::shared_ptr<state> state_;
+    std::unique_ptr<address_opener> opener_;
 };
 
 } // namespace laurelhoist
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -1,5 +1,7 @@
 #include "transport/http_server.h"
 
+#include "transport/tcp_listener.h"
+
 #include <boost/asio.hpp>
 #include <boost/beast.hpp>
 
@@ -25,14 +27,9 @@
 }
 
 struct http_server::state {
-    state(asio::io_context& loop_context, http_limits server_limits, handler server_handler)
-        : context{loop_context},
-          acceptor{loop_context},
-          limits{server_limits},
-          on_request{std::move(server_handler)} {}
-
-    asio::io_context& context;
-    tcp::acceptor acceptor;
+    state(http_limits server_limits, handler server_handler)
+        : limits{server_limits}, on_request{std::move(server_handler)} {}
+
     http_limits limits;
     handler on_request;
     std::size_t connections = 0;
@@ -297,54 +294,34 @@
 };
 
 template <class State>
-void accept_next(const std::shared_ptr<State>& server) {
-    server->acceptor.async_accept([server](beast::error_code failure, tcp::socket socket) {
-        if (failure == asio::error::operation_aborted) {
-            return;
-        }
-        if (!failure && server->connections < server->limits.connections) {
-            std::make_shared<server_session<State>>(std::move(socket), server)->read_next();
-        }
-        accept_next(server);
-    });
+void serve(tcp::socket socket, const std::shared_ptr<State>& server) {
+    if (server->connections < server->limits.connections) {
+        std::make_shared<server_session<State>>(std::move(socket), server)->read_next();
+    }
 }
 
 } // namespace
 
-http_server::http_server(event_loop& loop, const socket_address& address, const http_limits& limits,
+http_server::http_server(event_loop& loop, const listen_target& target, const http_limits& limits,
                          handler on_request)
-    : state_{std::make_shared<state>(loop.context(), limits, std::move(on_request))} {
-    const tcp::endpoint endpoint(asio::ip::make_address(address.host), address.port);
-    state_->acceptor.open(endpoint.protocol());
-    state_->acceptor.set_option(asio::socket_base::reuse_address(true));
-    state_->acceptor.bind(endpoint);
-    state_->acceptor.listen(asio::socket_base::max_listen_connections);
-    accept_next(state_);
-}
+    : state_{std::make_shared<state>(limits, std::move(on_request))},
+      listener_{std::make_unique<tcp_listener>(
+          loop, target,
+          tcp_listener::events{[server = state_](tcp::socket socket) { serve(std::move(socket), server); },
+                               {}})} {}
+
+http_server::~http_server() = default;
 
-http_server::~http_server() {
-    beast::error_code ignored;
-    state_->acceptor.close(ignored);
+bool http_server::is_listening() const {
+    return listener_->is_listening();
 }
 
 std::uint16_t http_server::port() const {
-    return state_->acceptor.local_endpoint().port();
+    return listener_->port();
 }
 
 std::size_t http_server::open_connections() const {
     return state_->connections;
 }
 
-std::unique_ptr<http_server> listen_or_exit(event_loop& loop, const std::string& flag,
-                                            const socket_address& address, const http_limits& limits,
-                                            http_server::handler on_request) {
-    try {
-        return std::make_unique<http_server>(loop, address, limits, std::move(on_request));
-    } catch (const std::exception& failure) {
-        refuse_setting("--" + flag, address.host + ":" + std::to_string(address.port),
-                       std::string("cannot listen on this address (") + failure.what() +
-                           "); use a free address of this host");
-    }
-}
-
 } // namespace laurelhoist
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -6,11 +6,14 @@
 #pragma once
 
 #include "transport/event_loop.h"
+#include "transport/listen_attempts.h"
 
 #include <map>
 
 namespace laurelhoist {
 
+class tcp_listener;
+
 /** A request that has been received completely. */
 struct http_request {
     std::string method;
@@ -60,26 +63,22 @@
 public:
     using handler = std::function<void(const http_request&, const std::shared_ptr<http_responder>&)>;
 
-    /** Starts listening. \throws std::system_error if the address cannot be bound */
-    http_server(event_loop& loop, const socket_address& address, const http_limits& limits,
-                handler on_request);
+    /** Serves requests at \p target, as soon as it can listen there (\ref address_opener). */
+    http_server(event_loop& loop, const listen_target& target, const http_limits& limits, handler on_request);
     ~http_server();
     http_server(const http_server&) = delete;
     http_server& operator=(const http_server&) = delete;
 
-    /** \return the port listened on, chosen by the system if the address named port 0. */
+    bool is_listening() const;
+    /** \return the port listened on, chosen by the system if the address named port 0; 0 while the server
+     * does not listen. */
     std::uint16_t port() const;
     std::size_t open_connections() const;
 
 private:
     struct state;
     std::shared_ptr<state> state_;
+    std::unique_ptr<tcp_listener> listener_;
 };
 
-/** Starts a server; ends the process with an error message if it cannot listen on \p address.
- * \param flag the setting that holds \p address, named in the error message */
-std::unique_ptr<http_server> listen_or_exit(event_loop& loop, const std::string& flag,
-                                            const socket_address& address, const http_limits& limits,
-                                            http_server::handler on_request);
-
 } // namespace laurelhoist
--- /dev/null
+++ b/src/transport/tcp_listener.cpp
@@ -0,0 +1,83 @@
+#include "transport/tcp_listener.h"
+
+#include <boost/asio/io_context.hpp>
+
+namespace laurelhoist {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+struct tcp_listener::state : std::enable_shared_from_this<state> {
+    state(event_loop& its_loop, listen_target its_target, events its_events)
+        : acceptor{its_loop.context()}, target{std::move(its_target)}, what{std::move(its_events)} {}
+
+    std::error_code open() {
+        boost::system::error_code failure;
+        const tcp::endpoint endpoint(asio::ip::make_address(target.address.host), target.address.port);
+        acceptor.open(endpoint.protocol(), failure);
+        if (!failure) {
+            acceptor.set_option(asio::socket_base::reuse_address(true), failure);
+        }
+        if (!failure) {
+            acceptor.bind(endpoint, failure);
+        }
+        if (!failure) {
+            acceptor.listen(asio::socket_base::max_listen_connections, failure);
+        }
+        if (failure) {
+            boost::system::error_code ignored;
+            acceptor.close(ignored);
+            return failure;
+        }
+        accept_next();
+        return {};
+    }
+
+    void accept_next() {
+        acceptor.async_accept(
+            [self = shared_from_this()](boost::system::error_code failure, tcp::socket socket) {
+                if (failure == asio::error::operation_aborted || !self->acceptor.is_open()) {
+                    return;
+                }
+                if (!failure) {
+                    self->what.on_accepted(std::move(socket));
+                } else {
+                    self->on_failed(failure);
+                }
+                self->accept_next();
+            });
+    }
+
+    void on_failed(const boost::system::error_code& failure) {
+        log_warning("accept_failed", {{"setting", target.setting}, {"reason", failure.message()}});
+        if (what.on_failure) {
+            what.on_failure();
+        }
+    }
+
+    tcp::acceptor acceptor;
+    listen_target target;
+    events what;
+};
+
+tcp_listener::tcp_listener(event_loop& loop, const listen_target& target, events what)
+    : state_{std::make_shared<state>(loop, target, std::move(what))},
+      opener_{std::make_unique<address_opener>(loop, target,
+                                               [opened = state_.get()] { return opened->open(); })} {}
+
+tcp_listener::~tcp_listener() {
+    boost::system::error_code ignored;
+    state_->acceptor.close(ignored);
+}
+
+bool tcp_listener::is_listening() const {
+    return opener_->is_open();
+}
+
+std::uint16_t tcp_listener::port() const {
+    boost::system::error_code failure;
+    const tcp::endpoint endpoint = state_->acceptor.local_endpoint(failure);
+    return failure ? 0 : endpoint.port();
+}
+
+} // namespace laurelhoist
--- a/test/platform_test.cpp
+++ b/test/platform_test.cpp
@@ -409,7 +409,7 @@
 struct recording_store {
     recording_store(int status, const std::string& body)
         : server{loop,
-                 {"127.0.0.1", 0},
+                 {"--any", {"127.0.0.1", 0}},
                  http_limits{},
                  [this, status, body](const http_request& request, const auto& responder) {
                      requests.push_back(request);
--- a/test/soak/host_ends_start.py
+++ b/test/soak/host_ends_start.py
@@ -1,6 +1,8 @@
-"""Cases of host_ends.py: signals during the start of a host."""
+"""Cases of host_ends.py: what a host may meet at its start."""
 import asyncio
+import contextlib
 import signal
+import socket
 import time
 
 from host_ends import case, require
@@ -32,3 +34,73 @@
         if not host.is_alive():
             ended.append((delay, host.child.returncode))
     require(not ended, f"{len(ended)} of {len(SIGNAL_DELAYS_S)} starts were ended: {ended}")
+
+
+async def until(holds, text, limit_s):
+    """Waits until `holds()` is true."""
+    end = time.monotonic() + limit_s
+    while not holds():
+        require(time.monotonic() < end, text)
+        await asyncio.sleep(0.02)
+
+
+def hold_port(address, port, kind=socket.SOCK_STREAM):
+    """Returns a socket that keeps a port in use."""
+    holder = socket.socket(socket.AF_INET, kind)
+    holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, kind == socket.SOCK_STREAM)
+    holder.bind((address, port))
+    if kind == socket.SOCK_STREAM:
+        holder.listen()
+    return holder
+
+
+def held_port(bench, host, setting):
+    """Returns a socket that keeps the port of a setting in use."""
+    if setting == "datagrams":
+        return hold_port(host.address, bench.peers_port, socket.SOCK_DGRAM)
+    ports = {**host.ports, "peers": bench.peers_port, "forwarding": bench.peers_port + 1}
+    return hold_port(host.address, ports[setting])
+
+
+@case
+async def port_in_use_at_start(bench):
+    """A host ends because one of its ports is still in use when it starts."""
+    settings = ["metrics", "peers", "datagrams", "forwarding", "callers", "readiness", "directory"]
+    await bench.begin(hosts=len(settings), starts=False)
+    with contextlib.ExitStack() as held:
+        for host, setting in zip(bench.hosts, settings):
+            held.enter_context(held_port(bench, host, setting))
+            host.start()
+        await bench.hosts[0].until_ready()  # serves without its metrics
+        await asyncio.sleep(1)
+        ended = [(setting, host.child.returncode) for host, setting in zip(bench.hosts, settings)
+                 if not host.is_alive()]
+        require(not ended, f"ended as a port was in use: {ended}")
+        for host, setting in zip(bench.hosts[1:], settings[1:]):
+            status, _ = await host.get("readiness", "/readyz")
+            require(status == (0 if setting == "readiness" else 503), f"ready without {setting}: {status}")
+    freed_at = time.monotonic()
+    for host, setting in zip(bench.hosts, settings):
+        await host.until_ready()
+        await until(lambda: host.events("listen_succeeded"), f"{setting}: no line on the port that is free", 2)
+        failed, succeeded = host.events("listen_failed"), host.events("listen_succeeded")
+        require(len(failed) == 1 and len(succeeded) == 1, f"{setting}: {failed} {succeeded}")
+        require({"setting", "address", "reason", "remedy"} <= failed[0].keys(), f"{setting}: {failed[0]}")
+    require(time.monotonic() - freed_at < 2, "not ready 2 s after the ports were free")
+    require((await bench.hosts[0].get("metrics", "/metrics"))[0] == 200, "no metrics once their port was free")
+
+
+@case
+async def address_of_another_machine(bench):
+    """A host whose address cannot be right waits without end and does not say so."""
+    await bench.begin(starts=False)
+    host = bench.hosts[0]
+    host.flags["callers"] = "192.0.2.1:8080"
+    host.start()
+    host.expected_end = True
+    while host.is_alive():
+        require(time.monotonic() - host.started_at < 12, "still runs after 12 s")
+        await asyncio.sleep(0.05)
+    refused = host.events("invalid_setting")
+    require(host.child.returncode == 2 and len(refused) == 1, f"{host.child.returncode} {refused}")
+    require(refused[0]["setting"] == "--callers" and refused[0]["value"] == "192.0.2.1:8080", f"{refused}")
--- a/test/transport_test.cpp
+++ b/test/transport_test.cpp
@@ -19,7 +19,8 @@
 class http_pair : public ::testing::Test {
 protected:
     void serve(const http_limits& limits, http_server::handler handler) {
-        server = std::make_unique<http_server>(loop, any_port, limits, std::move(handler));
+        server =
+            std::make_unique<http_server>(loop, listen_target{"--any", any_port}, limits, std::move(handler));
         loop.after(seconds(30), [this] { loop.stop(); });
     }
     http_answer ask(http_call call) {
@@ -229,6 +230,53 @@
     }
 }
 
+std::error_code failure_of(std::errc code) {
+    return std::make_error_code(code);
+}
+
+// Guards against a process that ends because another one, or the one before it, still uses its port.
+TEST(listen_attempts, a_port_in_use_is_tried_again_without_end_and_logged_at_intervals) {
+    for (const listen_need need : {listen_need::service, listen_need::observation}) {
+        listen_attempts attempts(need);
+        const time_point start = monotonic_now();
+        int lines = 0;
+        constexpr int tries = 4 * 60 * 60; // an hour
+        for (int i = 0; i < tries; ++i) {
+            const listen_reaction reaction =
+                attempts.on_failed(failure_of(std::errc::address_in_use), start + i * listen_retry_interval);
+            ASSERT_NE(reaction, listen_reaction::give_up);
+            lines += reaction == listen_reaction::log_and_retry ? 1 : 0;
+        }
+        EXPECT_EQ(lines, tries * listen_retry_interval / listen_log_interval);
+        EXPECT_EQ(attempts.on_succeeded(start + seconds(3600)), seconds(3600));
+        EXPECT_EQ(attempts.on_succeeded(start + seconds(3601)), std::nullopt);
+    }
+}
+
+// Guards against a host without a service that waits for an address that can never be its own, and against
+// one that ends while its network interface still comes up.
+TEST(listen_attempts, an_address_of_no_interface_ends_the_process_after_a_while_if_it_is_needed) {
+    const std::error_code unfit = failure_of(std::errc::address_not_available);
+    const time_point start = monotonic_now();
+    listen_attempts needed(listen_need::service);
+    EXPECT_EQ(needed.on_failed(unfit, start), listen_reaction::log_and_retry);
+    EXPECT_NE(needed.on_failed(unfit, start + listen_patience - milliseconds(1)), listen_reaction::give_up);
+    EXPECT_EQ(needed.on_failed(unfit, start + listen_patience), listen_reaction::give_up);
+    listen_attempts observed(listen_need::observation);
+    EXPECT_EQ(observed.on_failed(unfit, start), listen_reaction::log_and_retry);
+    EXPECT_NE(observed.on_failed(unfit, start + 2 * listen_patience), listen_reaction::give_up);
+}
+
+// Guards against an interface that is up at last and whose port is then still in use for a moment.
+TEST(listen_attempts, a_reason_that_passes_ends_the_count_of_one_that_does_not) {
+    const std::error_code unfit = failure_of(std::errc::address_not_available);
+    const time_point start = monotonic_now();
+    listen_attempts attempts(listen_need::service);
+    attempts.on_failed(unfit, start);
+    attempts.on_failed(failure_of(std::errc::too_many_files_open), start + listen_patience);
+    EXPECT_NE(attempts.on_failed(unfit, start + listen_patience + seconds(1)), listen_reaction::give_up);
+}
+
 TEST(link, carries_messages_both_ways_and_reports_the_close) {
     event_loop loop;
     // link_server cannot report a port chosen by the system, so a port that was just free is used.
