Listeners: accept() that fails pauses, and logs a line every 5 s

What was seen: a host with all descriptors in use (EMFILE; ENFILE and ENOBUFS are alike) tried to accept the waiting connection without a pause.

Cause: the accept loop began again at once after every failure, and the connection that waits in the queue makes it fail again.

Mend: tcp_listener, which all servers use, pauses for 50 ms after a failure and writes one line every 5 s with the number of failures; the loop runs on in between, so that connections over their time limits are closed, which frees descriptors.

--- a/src/transport/tcp_listener.cpp
+++ b/src/transport/tcp_listener.cpp
@@ -7,9 +7,22 @@
 namespace asio = boost::asio;
 using tcp = asio::ip::tcp;
 
+namespace {
+
+/// Pause after the system could not hand over a connection. The connection waits in the queue, so that the
+/// next attempt would fail at once, until a descriptor or a buffer is free.
+constexpr duration accept_pause = milliseconds(50);
+/// Time between two lines about such failures.
+constexpr duration accept_log_interval = seconds(5);
+
+} // namespace
+
 struct tcp_listener::state : std::enable_shared_from_this<state> {
     state(event_loop& its_loop, listen_target its_target, events its_events)
-        : acceptor{its_loop.context()}, target{std::move(its_target)}, what{std::move(its_events)} {}
+        : loop{its_loop},
+          acceptor{its_loop.context()},
+          target{std::move(its_target)},
+          what{std::move(its_events)} {}
 
     std::error_code open() {
         boost::system::error_code failure;
@@ -39,25 +52,43 @@
                 if (failure == asio::error::operation_aborted || !self->acceptor.is_open()) {
                     return;
                 }
-                if (!failure) {
-                    self->what.on_accepted(std::move(socket));
-                } else {
+                if (failure) {
                     self->on_failed(failure);
+                    return;
                 }
+                self->what.on_accepted(std::move(socket));
                 self->accept_next();
             });
     }
 
     void on_failed(const boost::system::error_code& failure) {
-        log_warning("accept_failed", {{"setting", target.setting}, {"reason", failure.message()}});
+        ++failures;
+        const time_point now = monotonic_now();
+        if (!logged_at || now - *logged_at >= accept_log_interval) {
+            logged_at = now;
+            log_warning("accept_failed",
+                        {{"setting", target.setting},
+                         {"reason", failure.message()},
+                         {"failures", failures},
+                         {"remedy", "raise the limit of descriptors, or have callers close connections that "
+                                    "they do not use"}});
+        }
         if (what.on_failure) {
             what.on_failure();
         }
+        loop.after(accept_pause, [self = shared_from_this()] {
+            if (self->acceptor.is_open()) {
+                self->accept_next();
+            }
+        });
     }
 
+    event_loop& loop;
     tcp::acceptor acceptor;
     listen_target target;
     events what;
+    std::uint64_t failures = 0; ///< to accept, since the start
+    std::optional<time_point> logged_at;
 };
 
 tcp_listener::tcp_listener(event_loop& loop, const listen_target& target, events what)
--- a/test/soak/host_ends_start.py
+++ b/test/soak/host_ends_start.py
@@ -1,6 +1,9 @@
 """Cases of host_ends.py: what a host may meet at its start."""
 import asyncio
 import contextlib
+import os
+import pathlib
+import resource
 import signal
 import socket
 import time
@@ -104,3 +107,40 @@
     refused = host.events("invalid_setting")
     require(host.child.returncode == 2 and len(refused) == 1, f"{host.child.returncode} {refused}")
     require(refused[0]["setting"] == "--callers" and refused[0]["value"] == "192.0.2.1:8080", f"{refused}")
+
+
+def read_to_end(connection):
+    """Reads until the other side closes, and closes."""
+    while connection.recv(4096):
+        pass
+    connection.close()
+
+
+def processor_s(host):
+    """The processor time that a host has used, in s."""
+    fields = pathlib.Path(f"/proc/{host.child.pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+@case
+async def descriptors_run_out(bench):
+    """A host without a free descriptor spends its processor on accepting, and fills its log."""
+    await bench.begin(starts=False)
+    host = bench.hosts[0]
+    host.start(prepare=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (64, 64)))
+    await host.until_ready()
+    callers = [socket.create_connection((host.address, host.ports["callers"])) for _ in range(100)]
+    for caller in callers:
+        caller.sendall(b"GET /status/1 HTTP/1.1\r\n")  # half a head
+        caller.settimeout(10)
+    await asyncio.sleep(0.2)
+    used, since = processor_s(host), time.monotonic()
+    await asyncio.sleep(2)
+    share = (processor_s(host) - used) / (time.monotonic() - since)
+    lines = host.events("accept_failed")
+    print(f"share of a core {share:.2f}, lines {len(lines)}")
+    require(share < 0.2, f"{share:.2f} of a core while no descriptor was free")
+    require(1 <= len(lines) <= 3, f"{len(lines)} lines accept_failed in 2 s")
+    for caller in callers:  # those accepted late are closed by the time limit of heads as well
+        await asyncio.to_thread(read_to_end, caller)
+    require(await bench.ask(host, "after") == 200, "no answer once descriptors were free")
