Settings: a file that is late, cut or of another release ends no host

What was seen: a host whose settings file is absent, empty or cut at its start ends within milliseconds with exit code 2, though the file is whole a moment later. A field that this release does not know ends it too, though the platform says that new ones may come, and so does 5000.0 for 5000.

Cause: the file was read once, and its lines were taken for arguments typed by an operator.

A file without an end of its last line is taken once it has not changed for 0.1 s: a cut within the port of an address cannot be seen otherwise. After 3 s the host goes on with what it has and is refused as before. 3 s: a file is written in milliseconds, callers come 10 s after the start, and the end itself brings a restart. Flags of the file that are not known, or lack their value (gflags would take the next argument for it), are logged and ignored; on the command line they stay errors. Whole numbers may have a fraction of zeros, on the command line, in the environment and in the file; 5000.5 stays an error. The line of a refused setting is written even if its value is not UTF-8.

While it waits for its file, a host does not handle SIGTERM by a planned stop.

--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -1,6 +1,8 @@
 #include "base/settings.h"
 
 #include "base/clock.h"
+#include "base/json_text.h"
+#include "base/settings_file.h"
 
 #include <arpa/inet.h>
 #include <gflags/gflags.h>
@@ -20,12 +22,6 @@
     return inet_pton(AF_INET, host.c_str(), &buffer) == 1 || inet_pton(AF_INET6, host.c_str(), &buffer) == 1;
 }
 
-std::string environment_name(const std::string& flag) {
-    std::string name = "LAUREL_" + flag;
-    std::transform(name.begin(), name.end(), name.begin(), [](unsigned char c) { return std::toupper(c); });
-    return name;
-}
-
 bool is_own_flag(const gflags::CommandLineFlagInfo& flag) {
     return flag.filename.find("programs/") != std::string::npos ||
            flag.filename.find("platform/") != std::string::npos;
@@ -39,6 +35,15 @@
     return all;
 }
 
+bool is_whole_number(const gflags::CommandLineFlagInfo& flag) {
+    return flag.type == "int32" || flag.type == "int64" || flag.type == "uint32" || flag.type == "uint64";
+}
+
+// Files of settings may write a whole number as 5000.0, which gflags refuses.
+std::string normal_value(const gflags::CommandLineFlagInfo& flag, const std::string& value) {
+    return is_whole_number(flag) ? without_zero_fraction(value) : value;
+}
+
 // gflags reads a flag from the environment only if the command line asks for it; this reads all of them.
 void read_environment() {
     for (const gflags::CommandLineFlagInfo& flag : own_flags()) {
@@ -46,7 +51,7 @@
         if (value == nullptr) {
             continue;
         }
-        if (gflags::SetCommandLineOption(flag.name.c_str(), value).empty()) {
+        if (gflags::SetCommandLineOption(flag.name.c_str(), normal_value(flag, value).c_str()).empty()) {
             refuse_setting(environment_name(flag.name), value, "give a value of type " + flag.type);
         }
     }
@@ -76,7 +81,8 @@
 }
 
 // For an unknown flag or a value of the wrong type, gflags itself ends the process with code 1 and no remedy.
-// Checking each argument first reports every invalid setting in the same way.
+// Checking each argument first reports every invalid setting in the same way. Values are cut to the form that
+// gflags reads, in place, as it parses the same arguments afterwards.
 void check_arguments(int argc, char** argv) {
     for (int i = 1; i < argc; ++i) {
         const std::string argument = argv[i];
@@ -93,9 +99,11 @@
             continue;
         }
         const std::string value = argument.substr(equals + 1);
-        if (gflags::SetCommandLineOption(name.c_str(), value.c_str()).empty()) {
+        const std::string normal = normal_value(info, value);
+        if (gflags::SetCommandLineOption(name.c_str(), normal.c_str()).empty()) {
             refuse_setting("--" + name, value, "give a value of type " + info.type);
         }
+        argv[i][equals + 1 + normal.size()] = '\0';
     }
 }
 
@@ -144,14 +152,13 @@
 }
 
 void refuse_setting(const std::string& flag, const std::string& value, const std::string& remedy) {
-    std::cerr << json{{"at_ms", wall_clock_ms()},
-                      {"level", "error"},
-                      {"event", "invalid_setting"},
-                      {"setting", flag},
-                      {"value", value},
-                      {"remedy", remedy},
-                      {"exit_code", exit_bad_setting}}
-                     .dump()
+    std::cerr << to_json_text(json{{"at_ms", wall_clock_ms()},
+                                   {"level", "error"},
+                                   {"event", "invalid_setting"},
+                                   {"setting", flag},
+                                   {"value", value},
+                                   {"remedy", remedy},
+                                   {"exit_code", exit_bad_setting}})
               << '\n';
     std::exit(exit_bad_setting);
 }
--- a/test/base_test.cpp
+++ b/test/base_test.cpp
@@ -1,8 +1,13 @@
 #include "base/base.h"
+#include "base/settings_file.h"
 
+#include <gflags/gflags.h>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+DEFINE_uint32(test_count, 1, "a flag that this program has");
+DEFINE_bool(test_switch, false, "another");
+
 namespace laurelhoist {
 
 TEST(digest, sha256_matches_the_published_vector) {
@@ -38,6 +43,39 @@
     }
 }
 
+// Guards against a host that does not start because its settings file has a field of another release.
+TEST(settings_file, flags_of_another_release_and_flags_without_their_value_are_apart) {
+    const settings_lines lines = parse_settings_file(
+        "# a comment\n--test_count=2\n--to_come=1\n--test_switch\n\nthird = 3\n--test_count\n");
+    EXPECT_EQ(lines.known, (std::vector<std::string>{"--test_count=2", "--test_switch"}));
+    EXPECT_EQ(lines.unknown, (std::vector<std::string>{"--to_come", "--test_count"}));
+    EXPECT_TRUE(lines.is_ended);
+    EXPECT_FALSE(parse_settings_file("--test_count=2").is_ended);
+    EXPECT_FALSE(parse_settings_file("").is_ended);
+    EXPECT_TRUE(parse_settings_file("").known.empty());
+}
+
+// Guards against a host that takes a file that is cut for a complete one.
+TEST(settings_file, what_a_file_lacks_is_named) {
+    const required_settings required{{"host"}, {"peers", "store"}};
+    EXPECT_EQ(missing_settings({"--host=h", "--peers=127.0.0.1:1", "--store=127.0.0.1:2"}, required), "");
+    EXPECT_EQ(missing_settings({"--host=h", "--peers=127.0.0.1:1", "--store=127.0."}, required), "--store");
+    EXPECT_EQ(missing_settings({"--host=", "--peers", "--store=127.0.0.1:2"}, required), "--host --peers");
+    EXPECT_EQ(missing_settings({"--host=h", "--host=", "--peers=127.0.0.1:1", "--store=1.2.3.4:5"}, required),
+              "--host");
+}
+
+// Guards against a host that does not start because a whole number is written as 5000.0.
+TEST(settings_file, a_fraction_of_zeros_is_no_part_of_a_whole_number) {
+    const std::map<std::string, std::string> normal{
+        {"5000.0", "5000"},  {"5000.000", "5000"}, {"-3.0", "-3"}, {"5000", "5000"}, {"5000.5", "5000.5"},
+        {"5000.", "5000."},  {".0", ".0"},         {"-.0", "-.0"}, {"", ""},         {"1.0.0", "1.0.0"},
+        {"many.0", "many.0"}};
+    for (const auto& [written, read] : normal) {
+        EXPECT_EQ(without_zero_fraction(written), read) << written;
+    }
+}
+
 // Callers decide from this body whether and when to retry.
 TEST(error, body_contains_kind_delay_and_whether_the_request_ran) {
     const json body = to_error_body({error_kind::queue_full, "try again later", ran_state::no, 250}, "req-1");
--- a/test/soak/host_ends_start.py
+++ b/test/soak/host_ends_start.py
@@ -144,3 +144,96 @@
     for caller in callers:  # those accepted late are closed by the time limit of heads as well
         await asyncio.to_thread(read_to_end, caller)
     require(await bench.ask(host, "after") == 200, "no answer once descriptors were free")
+
+
+def settings_text(host):
+    """The settings file of a host, as it is when nothing is wrong with it."""
+    host.write_settings()
+    return host.path.read_text()
+
+
+@case
+async def settings_file_written_late(bench):
+    """A host ends because its settings file is not written yet, or not to its end, when it starts."""
+    await bench.begin(hosts=5, starts=False)
+    absent, empty, cut, cut_in_number, half = bench.hosts
+    texts = {host: settings_text(host) for host in bench.hosts}
+    absent.path.unlink()
+    empty.path.write_text("")
+    cut.path.write_text(texts[cut][:texts[cut].index("--peers=") + 4])
+    cut_in_number.path.write_text(texts[cut_in_number][:texts[cut_in_number].index("--callers=") + 14])
+    half.path.write_text("".join(texts[half].splitlines(keepends=True)[:3]))
+    for host in bench.hosts:
+        host.start(writes_settings=False)
+    await asyncio.sleep(1)
+    ended = [(host.name, host.child.returncode) for host in bench.hosts if not host.is_alive()]
+    require(not ended, f"ended before their settings were written: {ended}")
+    for host in bench.hosts:
+        host.path.write_text(texts[host])
+    for host in bench.hosts:
+        await host.until_ready(limit_s=3)
+        require(len(host.events("settings_incomplete")) == 1, f"{host.log_lines()[:3]}")
+
+
+@case
+async def settings_file_never_complete(bench):
+    """A host without its settings waits without end, or does not say what it lacks."""
+    await bench.begin(hosts=3, starts=False)
+    absent, lacking, fraction = bench.hosts
+    lacking.flags.pop("callers")
+    fraction.flags["revoke_bound_ms"] = "5000.5"
+    expected = {absent: ("LAURELHOIST_BOOT", "cannot be read"), lacking: ("--callers", "is not an address"),
+                fraction: ("--revoke_bound_ms", "give a value of type uint32")}
+    for host in bench.hosts:
+        host.write_settings()
+    absent.path.unlink()
+    for host in bench.hosts:
+        host.start(writes_settings=False)
+        host.expected_end = True
+    for host in bench.hosts:
+        await until(lambda: not host.is_alive(), f"{host.name} still runs after 6 s", 6)
+        refused = host.events("invalid_setting")
+        require(host.child.returncode == 2 and len(refused) == 1, f"{host.child.returncode} {refused}")
+        setting, remedy = expected[host]
+        require(refused[0]["setting"] == setting and remedy in refused[0]["remedy"], f"{refused}")
+
+
+@case
+async def settings_file_of_another_release(bench):
+    """A host ends because its settings file has a field that this release does not know, or 5000.0 for 5000."""
+    await bench.begin(hosts=3, starts=False)
+    fields, numbers, unended = bench.hosts
+    fields.path.write_text(settings_text(fields) + "--field_to_come=1\n--another\nthird = 3\n")
+    numbers.path.write_text(settings_text(numbers) + "--revoke_bound_ms=5000.0\n--stop_grace_ms=8000.00\n")
+    unended.path.write_text(settings_text(unended).rstrip("\n"))
+    for host in bench.hosts:
+        host.start(writes_settings=False)
+    for host in bench.hosts:
+        await host.until_ready()
+    unknown = [line["setting"] for line in fields.events("setting_unknown")]
+    require(unknown == ["--field_to_come", "--another"], f"{unknown}")
+
+
+@case
+async def settings_file_changes_while_running(bench):
+    """A host ends because its settings file is for a while empty, cut, removed or of another release."""
+    await bench.begin(hosts=4, starts=False)
+    texts = {host: settings_text(host) for host in bench.hosts}
+    for host in bench.hosts:
+        host.start()
+    for host in bench.hosts:
+        await host.until_ready()
+    empty, cut, removed, other = bench.hosts
+    empty.path.write_text("")
+    cut.path.write_text(texts[cut][:texts[cut].index("--seeds=") + 13])
+    removed.path.unlink()
+    other.path.write_text("--field_to_come=1\n--revoke_bound_ms=many\n" + texts[other])
+    await asyncio.sleep(2.5)
+    for host in bench.hosts:
+        host.require_alive()
+        host.path.write_text(texts[host])
+    await asyncio.sleep(2.5)
+    for host in bench.hosts:
+        host.require_alive()
+        require(await host.is_ready(), f"{host.name} is not ready any more")
+        require(len(host.events("settings_reloaded")) == 2, f"{host.events('settings_reloaded')}")
