--- a/test/soak/host_ends_start.py
+++ b/test/soak/host_ends_start.py
@@ -3,12 +3,13 @@
 import contextlib
 import os
 import pathlib
+import random
 import resource
 import signal
 import socket
 import time
 
-from host_ends import case, require
+from host_ends import READY_S, case, require
 
 SIGNAL_DELAYS_S = [step * 0.0005 for step in range(0, 40)]  # the program's own code begins within these
 
@@ -82,6 +83,11 @@
         for host, setting in zip(bench.hosts[1:], settings[1:]):
             status, _ = await host.get("readiness", "/readyz")
             require(status == (0 if setting == "readiness" else 503), f"ready without {setting}: {status}")
+        _, listed = await bench.hosts[0].get("directory", "/resolve?zone=hall")
+        for host, setting in zip(bench.hosts, settings):
+            if setting in ("peers", "datagrams", "forwarding", "callers"):
+                require(host.flags["callers"] not in listed.decode(), f"listed without {setting}: {listed}")
+        require(bench.hosts[0].flags["callers"] in listed.decode(), f"not listed without metrics: {listed}")
     freed_at = time.monotonic()
     for host, setting in zip(bench.hosts, settings):
         await host.until_ready()
@@ -89,10 +95,27 @@
         failed, succeeded = host.events("listen_failed"), host.events("listen_succeeded")
         require(len(failed) == 1 and len(succeeded) == 1, f"{setting}: {failed} {succeeded}")
         require({"setting", "address", "reason", "remedy"} <= failed[0].keys(), f"{setting}: {failed[0]}")
+        require("none is needed" in failed[0]["remedy"], f"{setting}: taken for one that does not pass: {failed[0]}")
     require(time.monotonic() - freed_at < 2, "not ready 2 s after the ports were free")
     require((await bench.hosts[0].get("metrics", "/metrics"))[0] == 200, "no metrics once their port was free")
 
 
+@case
+async def stop_while_a_port_is_in_use(bench):
+    """A host that waits for its ports does not end by a planned stop."""
+    await bench.begin(hosts=3, starts=False)
+    with contextlib.ExitStack() as held:
+        for host, setting in zip(bench.hosts, ("callers", "peers", "datagrams")):
+            held.enter_context(held_port(bench, host, setting))
+            host.start()
+        await asyncio.sleep(0.6)
+        for host in bench.hosts:
+            host.send_signal(signal.SIGTERM)
+        for host in bench.hosts:
+            code = await host.end(signal.SIGTERM)
+            require(code == 0, f"{host.name} ended with {code}: {host.log_lines()[-3:]}")
+
+
 @case
 async def address_of_another_machine(bench):
     """A host whose address cannot be right waits without end and does not say so."""
@@ -237,3 +260,84 @@
         host.require_alive()
         require(await host.is_ready(), f"{host.name} is not ready any more")
         require(len(host.events("settings_reloaded")) == 2, f"{host.events('settings_reloaded')}")
+
+
+@case
+async def hosts_long_before_the_store(bench):
+    """A host ends, or is not ready soon, because it starts before the store and in another order than its seeds."""
+    await bench.begin(hosts=4, starts=False)
+    bench.store.crash()
+    for host in random.Random(5).sample(bench.hosts, len(bench.hosts)):
+        host.start()
+        await asyncio.sleep(0.1)
+    await asyncio.sleep(5)
+    for host in bench.hosts:
+        host.require_alive()
+    bench.store.server = await asyncio.start_server(bench.store.serve_safely, "127.0.0.1", bench.store.port,
+                                                    limit=1 << 20)
+    since = time.monotonic()
+    for host in bench.hosts:
+        await host.until_ready(limit_s=12)
+    print(f"ready {time.monotonic() - since:.2f} s after the store")
+
+
+@case
+async def restarts_with_open_connections(bench):
+    """A restart on the same ports fails while callers still hold connections to the process before."""
+    await bench.begin(hosts=2)
+    host = bench.hosts[0]
+    times, kept = [], []
+    for number in [signal.SIGKILL, signal.SIGKILL, signal.SIGTERM] * 3 + [signal.SIGKILL]:
+        for name in ("callers", "readiness", "directory", "metrics"):
+            kept.append(await asyncio.open_connection(host.address, host.ports[name]))
+        for _ in range(5):
+            kept.append(await asyncio.open_connection(host.address, host.ports["callers"]))
+            kept[-1][1].write(b"GET /status/1 HTTP/1.1\r\nHost: h.example\r\nAuthorization: Token key-a\r\n\r\n")
+        code = await host.end(number)
+        require(code == (0 if number == signal.SIGTERM else -9), f"ended with {code} by signal {number}")
+        host.start()
+        times.append(await host.until_ready())
+        require(await bench.ask(host, f"r-{len(times)}") == 200, f"no answer after restart {len(times)}")
+    ended = host.events("process_ended") + host.events("invalid_setting")
+    require(not ended, f"{ended}")
+    print(f"ready after {max(times):.2f} s at most")
+
+
+@case
+async def start_on_a_slow_core(bench):
+    """A host that runs a quarter of the time is not ready in time, or ends."""
+    await bench.begin(starts=False)
+    host = bench.hosts[0]
+    host.start()
+    while not await is_ready_at_a_quarter(host):
+        host.require_alive()
+        require(time.monotonic() - host.started_at < READY_S, f"not ready after {READY_S} s")
+    print(f"ready after {time.monotonic() - host.started_at:.2f} s")
+
+
+async def is_ready_at_a_quarter(host):
+    """Asks whether a host is ready, while it runs for a quarter of the time."""
+    question = asyncio.ensure_future(host.is_ready())
+    while not question.done():
+        host.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(0.075)
+        host.send_signal(signal.SIGCONT)
+        await asyncio.sleep(0.025)
+    return question.result()
+
+
+@case
+async def hosts_of_one_address(bench):
+    """Hosts that share an IP address disturb each other's start."""
+    await bench.begin(hosts=3, starts=False)
+    address = bench.hosts[0].address
+    for host in bench.hosts:
+        host.address = address
+        host.ports = {name: bench.free_port(address) for name in host.ports}
+        host.flags.update({name: f"{address}:{port}" for name, port in host.ports.items()})
+        host.flags.update(peers=f"{address}:{bench.free_port(address)}",
+                          forwarding=f"{address}:{bench.free_port(address)}")
+        host.start()
+    for host in bench.hosts:
+        await host.until_ready()
+        require(await bench.ask(host, f"one-{host.name}") == 200, f"{host.name} does not answer")
