--- a/src/base/start_signals.cpp
+++ b/src/base/start_signals.cpp
@@ -23,6 +23,12 @@
     (void)sigprocmask(SIG_BLOCK, &signals, nullptr);
 }
 
+bool has_held_stop_signal() {
+    sigset_t pending{};
+    (void)sigpending(&pending);
+    return sigismember(&pending, SIGTERM) == 1 || sigismember(&pending, SIGINT) == 1;
+}
+
 void accept_stop_signals() {
     const sigset_t signals = stop_signals();
     (void)sigprocmask(SIG_UNBLOCK, &signals, nullptr);
--- a/src/base/start_signals.h
+++ b/src/base/start_signals.h
@@ -9,6 +9,9 @@
  * calls only, so that it may run before any library is initialized. */
 void hold_signals_of_start();
 
+/** \return whether SIGTERM or SIGINT has come and is held back. */
+bool has_held_stop_signal();
+
 /** Lets SIGTERM and SIGINT through, also those that were held back. Their handlers must have been set. */
 void accept_stop_signals();
 
