Answers: a head may arrive before its body

What callers saw: an endpoint that writes its head, and 5 ms later its body, was taken for broken (answer_invalid) if the answer had a Content-Length.

Cause: no limit of the body was given to the parser as boost::none. Boost 1.74 compares the length with it at the end of the head, and any number exceeds none, so the head is refused with body_limit. With the body's first bytes in the same read the parser goes on and overwrites the error. The largest number is given in place of none; the relay's own bounds hold as before.

--- a/src/relay/http_codec.cpp
+++ b/src/relay/http_codec.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <limits>
 
 namespace laurelhoist {
 
@@ -214,7 +215,8 @@
 struct answer_reader::state {
     explicit state(bool is_for_head) {
         parser.header_limit(max_answer_header_bytes);
-        parser.body_limit(boost::none);
+        // A length is compared with the limit, and in some versions of Beast any length exceeds none.
+        parser.body_limit(std::numeric_limits<std::uint64_t>::max());
         parser.eager(true);
         parser.skip(is_for_head);
     }
