Tests: what a caller gets of an answer that its endpoint tears

Each place at which an endpoint may stop (nothing, first byte and line, inside a length, before the head's last line feed, body, interim answers, chunk size, chunk, last chunk, trailer, last line feed, strays before it), each ending (orderly, reset) and each kind of request: a safe one is repeated, fails with 502 when no attempt is left, and on a kept connection is repeated as well; an unsafe one fails and runs once; a stream resumes from its last event or is reset; an answer through another host is never whole.

The body limit of callers is tested for each split of a request, as the limit of answers depended on it; it holds.

--- a/test/forwarding_test.cpp
+++ b/test/forwarding_test.cpp
@@ -3,6 +3,8 @@
 
 #include <rapidcheck/gtest.h>
 
+#include <tuple>
+
 namespace laurelhoist {
 namespace {
 
@@ -280,6 +282,48 @@
     EXPECT_EQ(breaking.requests().size(), 1U);
 }
 
+/** How many bytes arrive of a peer's answer, and whether it is reset then. */
+class torn_answer_of_peer : public forwarding_fixture,
+                            public ::testing::WithParamInterface<std::tuple<std::size_t, bool>> {
+protected:
+    /** \return the part of \p whole that arrives: a third, two thirds, all but a byte, all but 4 bytes. */
+    static scripted_answer torn(const std::string& whole) {
+        const auto [part, resets] = GetParam();
+        const std::size_t lengths[] = {whole.size() / 3, whole.size() * 2 / 3, whole.size() - 1,
+                                       whole.size() - 4};
+        return {whole.substr(0, lengths[part]), !resets, resets};
+    }
+};
+
+// Guards against a part of an answer that comes through another host, and against running its request twice.
+TEST_P(torn_answer_of_peer, to_an_unsafe_request_is_a_failure_and_not_repeated) {
+    scripted_endpoint peer({torn(answer_of("1", "whole body")), {answer_of("1", "again")}});
+    start(route(route_kind::non_idempotent, 3), {});
+    set_peers(port_of(peer));
+    EXPECT_TRUE(contains(send_request("1"), "HTTP/1.1 502"));
+    EXPECT_EQ(peer.requests().size(), 1U);
+}
+
+// Guards against a stream that looks complete although the host that resumes it broke off.
+TEST_P(torn_answer_of_peer, that_resumes_a_stream_resets_the_caller) {
+    scripted_endpoint breaking({{"", false, true, [this](const std::string&) {
+                                     lose_service();
+                                     return stream_head("1") + chunk_of(event(1));
+                                 }}});
+    scripted_endpoint peer({torn(stream_head("1") + chunk_of(event(2)) + std::string(last_chunk))});
+    start_relay(route(route_kind::stream, 2), {breaking.address()});
+    set_peers(port_of(peer));
+    earn_repeats();
+    const std::string answer = send_request("1");
+    EXPECT_TRUE(contains(answer, chunk_of(event(1)))) << answer;
+    EXPECT_FALSE(contains(answer, std::string(last_chunk))) << answer;
+    EXPECT_TRUE(was_reset_);
+    EXPECT_EQ(peer.requests().size(), 1U);
+}
+
+INSTANTIATE_TEST_SUITE_P(each, torn_answer_of_peer,
+                         ::testing::Combine(::testing::Range<std::size_t>(0, 4), ::testing::Bool()));
+
 // Guards against double repeats: the requests that a host hands over earn them at the other host only.
 RC_GTEST_PROP(repeat_bucket_property, requests_that_are_handed_over_earn_no_repeats, ()) {
     const int requests = *rc::gen::inRange(1, 60);
--- a/test/relay_test.cpp
+++ b/test/relay_test.cpp
@@ -213,6 +213,21 @@
     EXPECT_EQ(body_bound.advance(), request_reader::progress::body_too_large);
 }
 
+// Guards against a body beyond the limit that is accepted because its start arrives together with the head.
+TEST(request_reader, the_body_limit_holds_however_the_request_is_split) {
+    const std::string request = "POST /a/ HTTP/1.1\r\nContent-Length: 11\r\n\r\nwhole body!";
+    for (std::size_t cut = 1; cut <= request.size(); ++cut) {
+        request_reader reader(4096, 10);
+        reader.feed(request.substr(0, cut));
+        request_reader::progress result = reader.advance();
+        if (result == request_reader::progress::needs_more) {
+            reader.feed(request.substr(cut));
+            result = reader.advance();
+        }
+        EXPECT_EQ(result, request_reader::progress::body_too_large) << cut;
+    }
+}
+
 // Guards against a loss of bytes when the start of the next request arrives together with the present one.
 TEST(request_reader, reads_one_request_after_another) {
     request_reader reader(4096, 100);
--- a/test/torn_answers_test.cpp
+++ b/test/torn_answers_test.cpp
@@ -3,6 +3,8 @@
 
 #include <rapidcheck/gtest.h>
 
+#include <tuple>
+
 namespace laurelhoist {
 namespace {
 
@@ -150,4 +152,197 @@
     RC_ASSERT(!read_in_pieces(any_of(ambiguous_answers), any_pieces()).is_valid);
 }
 
+namespace {
+
+/** Where an endpoint stops: the bytes that it has written before. */
+struct torn_bytes {
+    const char* where;
+    std::string bytes;
+};
+
+std::string without_end(const std::string& text, std::size_t length) {
+    return text.substr(0, text.size() - length);
+}
+
+const std::string plain_head = framed("Content-Length: 10\r\n", "");
+const std::string chunked_head = framed("Transfer-Encoding: chunked\r\n", "");
+const std::string unframed_plain_head = "HTTP/1.0 200 OK\r\nId: 7\r\nReceipt: r\r\n\r\n";
+const std::string stray = answer_of("3", "stray");
+
+const std::vector<torn_bytes> torn_plain = {
+    {"nothing", ""},
+    {"first_byte", "H"},
+    {"first_line", "HTTP/1.1 200 OK\r\n"},
+    {"number_of_length", without_end(plain_head, 5)},
+    {"last_line_feed_of_head", without_end(plain_head, 1)},
+    {"whole_head", plain_head},
+    {"body", plain_head + "whole"},
+    {"after_interim", interim},
+    {"head_after_interim", interim + without_end(plain_head, 3)},
+    {"size_of_chunk", chunked_head + "1"},
+    {"chunk", chunked_head + "a\r\nwhole"},
+    {"last_chunk", chunked_head + "a\r\nwhole body\r\n0\r\n"},
+    {"trailer", chunked_head + "a\r\nwhole body\r\n0\r\nLate: 1\r\n"},
+    {"last_line_feed", chunked_head + "a\r\nwhole body\r\n0\r\n\r"},
+    {"head_without_length", without_end(unframed_plain_head, 2)},
+    {"bare_line_feeds", with_bare_line_feeds(plain_head + "whole body")},
+    {"after_stray", stray},
+    {"head_after_stray", stray + without_end(plain_head, 3)},
+    {"in_stray", without_end(stray, 3)},
+    {"in_head_of_stray", "HTTP/1.1 200 OK\r\nId: 3\r\nRec"},
+};
+
+const std::string unframed_stream_head =
+    "HTTP/1.0 200 OK\r\nId: 7\r\nReceipt: r\r\nContent-Type: text/event-stream\r\n\r\n";
+
+/// Of a run that resumes after event 1, or begins with it.
+const std::vector<torn_bytes> torn_streams = {
+    {"nothing", ""},
+    {"first_line", "HTTP/1.1 200 OK\r\n"},
+    {"last_line_feed_of_head", without_end(stream_head("7"), 1)},
+    {"whole_head", stream_head("7")},
+    {"head_after_interim", interim + without_end(stream_head("7"), 3)},
+    {"size_of_chunk", stream_head("7") + "1"},
+    {"event", stream_head("7") + without_end(chunk_of(event(2)), 6)},
+    {"last_chunk", stream_head("7") + chunk_of(event(2)) + "0\r\n"},
+    {"last_line_feed", stream_head("7") + chunk_of(event(2)) + "0\r\n\r"},
+    {"trailer", stream_head("7") + chunk_of(event(2)) + "0\r\nLate: 1\r\n"},
+    {"head_without_length", without_end(unframed_stream_head, 2)},
+    {"event_without_length", unframed_stream_head + without_end(event(2), 1)},
+    {"after_stray", stray},
+};
+
+enum class ending { orderly, reset };
+
+std::string name_of(const torn_bytes& torn, ending how) {
+    return std::string(torn.where) + (how == ending::orderly ? "_closed" : "_reset");
+}
+
+/** An endpoint that stops at one place, and the next time answers as a whole. */
+class torn_answer_fixture : public relay_fixture,
+                            public ::testing::WithParamInterface<std::tuple<std::size_t, ending>> {
+protected:
+    void start(const traffic_route& served, std::vector<scripted_answer> script) {
+        endpoint_ = std::make_unique<scripted_endpoint>(std::move(script));
+        start_relay(served, {endpoint_->address()});
+        earn_repeats();
+    }
+
+    scripted_answer torn(const std::vector<torn_bytes>& places) const {
+        const auto [place, how] = GetParam();
+        return {places[place].bytes, how == ending::orderly, how == ending::reset};
+    }
+
+    /** \return the rest of a stream of two events, as the request asks for it. */
+    static scripted_answer rest_of_stream() {
+        return {"", false, false, [](const std::string& request) {
+                    std::string answer = stream_head("7");
+                    for (int id = 1; id <= 2; ++id) {
+                        answer +=
+                            contains(request, "Resume: 2") || (id == 1 && contains(request, "Resume: 1"))
+                                ? ""
+                                : chunk_of(event(id));
+                    }
+                    return answer + std::string(last_chunk);
+                }};
+    }
+
+    std::unique_ptr<scripted_endpoint> endpoint_;
+};
+
+class torn_plain_answer : public torn_answer_fixture {};
+class torn_stream : public torn_answer_fixture {};
+
+const scripted_answer whole_plain{answer_of("7", "whole body"), false, false};
+const scripted_answer begun_stream{stream_head("7") + chunk_of(event(1)), false, true};
+const std::string all_of_stream = chunk_of(event(1)) + chunk_of(event(2)) + std::string(last_chunk);
+
+} // namespace
+
+// Guards against a success with less than the endpoint's whole body, and against failing a request that
+// another attempt serves.
+TEST_P(torn_plain_answer, to_a_safe_request_is_repeated) {
+    start(route(route_kind::idempotent, 3), {torn(torn_plain), whole_plain});
+    const std::string answer = send_request("7");
+    EXPECT_TRUE(contains(answer, " 200 ")) << answer;
+    EXPECT_TRUE(contains(answer, "\r\n\r\nwhole body")) << answer;
+    EXPECT_EQ(endpoint_->requests().size(), 2U);
+}
+
+// Guards against a success with less than the endpoint's whole body when no attempt is left.
+TEST_P(torn_plain_answer, to_the_last_attempt_is_a_failure) {
+    start(route(route_kind::idempotent, 2), {torn(torn_plain), torn(torn_plain)});
+    EXPECT_TRUE(contains(send_request("7"), "HTTP/1.1 502"));
+    EXPECT_EQ(endpoint_->requests().size(), 2U);
+}
+
+// Guards against an unsafe request that runs twice, or is answered as "not run", or with a part of its
+// answer.
+TEST_P(torn_plain_answer, to_an_unsafe_request_is_a_failure_and_not_repeated) {
+    start(route(route_kind::non_idempotent, 3), {torn(torn_plain), whole_plain});
+    EXPECT_TRUE(contains(send_request("7"), "HTTP/1.1 502"));
+    EXPECT_EQ(endpoint_->requests().size(), 1U);
+}
+
+// Guards against a part of an answer on a connection on which a whole one came before.
+TEST_P(torn_plain_answer, on_a_kept_connection_is_repeated) {
+    start(route(route_kind::idempotent, 3),
+          {{answer_of("6", "earlier"), false, false}, torn(torn_plain), whole_plain});
+    EXPECT_TRUE(contains(send_request("6"), "earlier"));
+    const std::string answer = send_request("7");
+    EXPECT_TRUE(contains(answer, "\r\n\r\nwhole body")) << answer;
+    EXPECT_EQ(endpoint_->requests().size(), 3U);
+}
+
+// Guards against a resumed stream that looks complete before its last event.
+TEST_P(torn_stream, that_resumes_is_resumed_again) {
+    start(route(route_kind::stream, 4), {begun_stream, torn(torn_streams), rest_of_stream()});
+    const std::string answer = send_request("7");
+    EXPECT_TRUE(contains(answer, all_of_stream)) << answer;
+    EXPECT_EQ(endpoint_->requests().size(), 3U);
+}
+
+// Guards against a resumed stream that looks complete when no attempt is left.
+TEST_P(torn_stream, that_resumes_last_is_reset) {
+    start(route(route_kind::stream, 2), {begun_stream, torn(torn_streams), rest_of_stream()});
+    const std::string answer = send_request("7");
+    EXPECT_TRUE(contains(answer, chunk_of(event(1)))) << answer;
+    EXPECT_FALSE(contains(answer, last_chunk.data())) << answer;
+    EXPECT_TRUE(was_reset_);
+    EXPECT_EQ(endpoint_->requests().size(), 2U);
+}
+
+// Guards against the same where the caller itself resumes its stream.
+TEST_P(torn_stream, of_a_caller_that_resumes_is_not_complete) {
+    start(route(route_kind::stream, 1), {torn(torn_streams), rest_of_stream()});
+    const std::string answer = send_request("7", "Last-Event: 1\r\n");
+    EXPECT_FALSE(contains(answer, last_chunk.data())) << answer;
+    EXPECT_TRUE(was_reset_ || contains(answer, "HTTP/1.1 502")) << answer;
+    EXPECT_EQ(endpoint_->requests().size(), 1U);
+}
+
+// Guards against a stream that may not be resumed and runs twice, or looks complete.
+TEST_P(torn_stream, that_may_not_be_resumed_is_not_repeated) {
+    traffic_route unsafe = route(route_kind::stream, 3);
+    unsafe.is_resumable = false;
+    start(unsafe, {torn(torn_streams), rest_of_stream()});
+    const std::string answer = send_request("7", "Last-Event: 1\r\n");
+    EXPECT_FALSE(contains(answer, last_chunk.data())) << answer;
+    EXPECT_TRUE(was_reset_ || contains(answer, "HTTP/1.1 502")) << answer;
+    EXPECT_EQ(endpoint_->requests().size(), 1U);
+}
+
+INSTANTIATE_TEST_SUITE_P(each, torn_plain_answer,
+                         ::testing::Combine(::testing::Range<std::size_t>(0, torn_plain.size()),
+                                            ::testing::Values(ending::orderly, ending::reset)),
+                         [](const auto& test) {
+                             return name_of(torn_plain[std::get<0>(test.param)], std::get<1>(test.param));
+                         });
+INSTANTIATE_TEST_SUITE_P(each, torn_stream,
+                         ::testing::Combine(::testing::Range<std::size_t>(0, torn_streams.size()),
+                                            ::testing::Values(ending::orderly, ending::reset)),
+                         [](const auto& test) {
+                             return name_of(torn_streams[std::get<0>(test.param)], std::get<1>(test.param));
+                         });
+
 } // namespace laurelhoist
