Answers: a success without a length and any byte of a body is broken

Cause: such an answer ends with its connection, and an endpoint that ends between head and body closes as one with nothing to say. Both ways of passing it on look whole to the caller. Other statuses and 204, 205, a length of 0 and empty chunks pass.

--- a/test/torn_answers_test.cpp
+++ b/test/torn_answers_test.cpp
@@ -185,6 +185,8 @@
     {"trailer", chunked_head + "a\r\nwhole body\r\n0\r\nLate: 1\r\n"},
     {"last_line_feed", chunked_head + "a\r\nwhole body\r\n0\r\n\r"},
     {"head_without_length", without_end(unframed_plain_head, 2)},
+    {"whole_head_without_length", unframed_plain_head},
+    {"whole_head_without_length_of_1_1", framed("", "")},
     {"bare_line_feeds", with_bare_line_feeds(plain_head + "whole body")},
     {"after_stray", stray},
     {"head_after_stray", stray + without_end(plain_head, 3)},
@@ -294,6 +296,32 @@
     EXPECT_EQ(endpoint_->requests().size(), 3U);
 }
 
+// Guards against refusing an answer that is whole without a body: one that says so, one that may have none,
+// and a failure.
+TEST_F(relay_fixture, empty_answers_are_whole) {
+    const std::string fields = "Id: 7\r\nReceipt: r\r\n";
+    const std::vector<std::pair<std::string, std::string>> answers = {
+        {" 200 ", "HTTP/1.1 200 OK\r\n" + fields + "Content-Length: 0\r\n\r\n"},
+        {" 200 ", "HTTP/1.1 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"},
+        {" 204 ", "HTTP/1.0 204 No Content\r\n" + fields + "\r\n"},
+        {" 205 ", "HTTP/1.0 205 Reset Content\r\n" + fields + "\r\n"},
+        {" 302 ", "HTTP/1.0 302 Found\r\n" + fields + "\r\n"},
+        {" 404 ", "HTTP/1.0 404 Not Found\r\n" + fields + "\r\n"},
+        {" 500 ", "HTTP/1.0 500 Internal Server Error\r\n" + fields + "\r\n"}};
+    std::vector<scripted_answer> script;
+    for (const auto& [status, bytes] : answers) {
+        script.push_back({bytes, true, false});
+    }
+    scripted_endpoint endpoint(script);
+    start_relay(route(route_kind::non_idempotent, 1), {endpoint.address()});
+    for (const auto& [status, bytes] : answers) {
+        const std::string answer = send_request("7");
+        EXPECT_TRUE(contains(answer, status)) << bytes << answer;
+        EXPECT_TRUE(contains(answer, "Receipt: r")) << answer;
+    }
+    EXPECT_EQ(endpoint.requests().size(), answers.size());
+}
+
 // Guards against a resumed stream that looks complete before its last event.
 TEST_P(torn_stream, that_resumes_is_resumed_again) {
     start(route(route_kind::stream, 4), {begun_stream, torn(torn_streams), rest_of_stream()});
