Streams: a resumed run without framing and new events is broken

What callers would see: a stream that was broken off after its first event ends as complete, with its last chunk, although it lacks the rest: the run that resumed it wrote a head of HTTP/1.0 without a length, or besides only events that the caller had, and closed in an orderly way. The same where the caller itself resumed the stream.

Cause: without a framing, only a first run without any event counted as broken; a run that resumed was believed whatever it brought. It must bring an event that the caller lacks now, or say by its length or chunks that nothing is left. Otherwise the stream goes on elsewhere within its attempts and the retry budget, or is reset.

--- a/src/relay/exchange_answers.cpp
+++ b/src/relay/exchange_answers.cpp
@@ -347,7 +347,8 @@
 }
 
 // An endpoint that breaks off may close its connection in an orderly way, or end the chunks of its answer.
-// Only an event that has not ended shows it, or, without a framing, that nothing of a body has arrived.
+// Only an event that has not ended shows it, or, without a framing, that there is nothing of the body: no
+// byte of a plain one, no event of a stream that the caller lacks.
 bool exchange::is_broken_off() {
     constexpr int status_reset_content = 205; // has no body
     const bool ends_with_connection = reader_->ends_with_connection();
@@ -357,8 +358,7 @@
                status != status_reset_content;
     }
     const bool is_inside_event = attempt_.is_accepted ? events_.has_partial_event() : !body_.empty();
-    const bool has_begun = attempt_.is_accepted || attempt_.events_before_attempt > 0;
-    return is_inside_event || (!has_begun && ends_with_connection);
+    return is_inside_event || (ends_with_connection && !attempt_.has_first_byte);
 }
 
 void exchange::complete_stream() {
--- a/test/torn_answers_test.cpp
+++ b/test/torn_answers_test.cpp
@@ -210,7 +210,9 @@
     {"last_line_feed", stream_head("7") + chunk_of(event(2)) + "0\r\n\r"},
     {"trailer", stream_head("7") + chunk_of(event(2)) + "0\r\nLate: 1\r\n"},
     {"head_without_length", without_end(unframed_stream_head, 2)},
+    {"whole_head_without_length", unframed_stream_head},
     {"event_without_length", unframed_stream_head + without_end(event(2), 1)},
+    {"known_event_without_length", unframed_stream_head + event(1)},
     {"after_stray", stray},
 };
 
