Answers: the fields of a trailer are not fields of the head

What callers would see: an answer in chunks whose trailer has fields gets them as fields of its head if all of it arrives at once, and not if it arrives in pieces. A trailer could so give an answer its receipt, or call it "not run", by how it is split.

Cause: the fields were taken from the parser after it had read all that had arrived, and it adds those of a trailer to the message. The parser stops at the end of the head now, once, and the fields are taken there.

--- a/src/relay/http_codec.cpp
+++ b/src/relay/http_codec.cpp
@@ -217,7 +217,7 @@
         parser.header_limit(max_answer_header_bytes);
         // A length is compared with the limit, and in some versions of Beast any length exceeds none.
         parser.body_limit(std::numeric_limits<std::uint64_t>::max());
-        parser.eager(true);
+        parser.eager(false); // Until the head is read: the fields of a trailer would be added to it.
         parser.skip(is_for_head);
     }
     http::response_parser<http::string_body> parser;
@@ -264,9 +264,10 @@
             const std::optional<std::size_t> used_of_rest = parse(rest, body);
             return used_of_rest ? std::optional(bytes.size() - (rest.size() - *used_of_rest)) : std::nullopt;
         }
-    }
-    if (has_head() && headers_.all().empty()) {
-        headers_ = to_header_list(state_->parser.get());
+        if (has_head() && !state_->parser.eager()) {
+            state_->parser.eager(true);
+            headers_ = to_header_list(state_->parser.get());
+        }
     }
     body.append(state_->parser.get().body());
     state_->parser.get().body().clear();
--- a/test/torn_answers_test.cpp
+++ b/test/torn_answers_test.cpp
@@ -113,6 +113,22 @@
     RC_ASSERT(!cut_off.is_complete_at_end);
 }
 
+// Guards against a status, a field or a body that depends on how the answer is split.
+RC_GTEST_PROP(torn_answer, is_read_alike_in_any_pieces, ()) {
+    const std::string whole = any_of(framed_answers);
+    const reading at_once = read_in_pieces(whole, {});
+    RC_ASSERT(at_once.is_complete);
+    RC_ASSERT(read_in_pieces(whole, any_pieces()) == at_once);
+    RC_ASSERT(read_in_pieces(whole, std::vector<std::size_t>(whole.size(), 1)) == at_once);
+}
+
+// Guards against fields of a trailer that change what the head has said.
+TEST(torn_answer, keeps_the_fields_of_its_trailer_apart) {
+    const reading whole = read_in_pieces(framed("Transfer-Encoding: chunked\r\n", chunks_with_trailer), {});
+    EXPECT_EQ(whole.fields, "Id: 7\nReceipt: r\nTransfer-Encoding: chunked\n");
+    EXPECT_EQ(whole.body, "whole body");
+}
+
 // Guards against a head that has not ended being taken for an answer that ends with its connection.
 TEST(torn_answer, without_framing_is_not_complete_before_its_head_is) {
     for (const std::string version : {"1.0", "1.1"}) {
