Answers: a head that was begun does not lend its status to the next

What callers would see: a 200 with the body and receipt of a 500. An endpoint begins an extra answer on a kept connection, stops in its first line, and writes the answer that is due behind it: "HTTP/1.1 200 OKHTTP/1.1 500 ..." is a valid first line, whose reason may have any text. A cut inside the value of a field has the same effect. No such endpoint was met; the form comes from a test of each cut.

A head is invalid now if another status line stands in its reason or in a field, except for a field that begins with the head's own status. What remains: a cut just before the value of a field, by an answer of the same status, leaves that field wrong.

--- a/src/relay/http_codec.cpp
+++ b/src/relay/http_codec.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <charconv>
 #include <limits>
+#include <utility>
 
 namespace laurelhoist {
 
@@ -57,6 +58,40 @@
     return false;
 }
 
+/** \return the status in the first status line within \p text and where that line begins, or nothing. */
+std::optional<std::pair<std::string_view, std::size_t>> find_status_line(std::string_view text) {
+    constexpr std::string_view protocol = "HTTP/1.";
+    constexpr std::size_t digits = 3;
+    const std::size_t status_offset = protocol.size() + 2; // behind the minor version and a space
+    const auto is_digit = [](char letter) { return letter >= '0' && letter <= '9'; };
+    for (std::size_t at = text.find(protocol); at != std::string_view::npos;
+         at = text.find(protocol, at + 1)) {
+        const std::string_view line = text.substr(at);
+        if (line.size() < status_offset + digits) {
+            return std::nullopt;
+        }
+        const std::string_view status = line.substr(status_offset, digits);
+        if (is_digit(line[protocol.size()]) && line[status_offset - 1] == ' ' &&
+            std::all_of(status.begin(), status.end(), is_digit)) {
+            return std::pair(status, at);
+        }
+    }
+    return std::nullopt;
+}
+
+// Guards against a failure that its caller gets as a success. An endpoint may begin an extra answer, stop in
+// its head, and write the next answer behind it: that one's status line is then a part of the reason, or of
+// a field, of the head that was begun. A field that repeats the status of its own answer is sound.
+bool has_status_line_within(std::string_view reason, const header_list& headers, int status) {
+    const auto is_foreign = [&](std::string_view value) {
+        const auto line = find_status_line(value);
+        return line && (line->second > 0 || line->first != std::to_string(status));
+    };
+    return find_status_line(reason) ||
+           std::any_of(headers.all().begin(), headers.all().end(),
+                       [&](const header_field& field) { return is_foreign(field.value); });
+}
+
 } // namespace
 
 bool is_same_name(std::string_view left, std::string_view right) {
@@ -267,6 +302,9 @@
         if (has_head() && !state_->parser.eager()) {
             state_->parser.eager(true);
             headers_ = to_header_list(state_->parser.get());
+            if (has_status_line_within(std::string(state_->parser.get().reason()), headers_, status())) {
+                return std::nullopt;
+            }
         }
     }
     body.append(state_->parser.get().body());
--- a/test/torn_answers_test.cpp
+++ b/test/torn_answers_test.cpp
@@ -168,6 +168,30 @@
     RC_ASSERT(!read_in_pieces(any_of(ambiguous_answers), any_pieces()).is_valid);
 }
 
+// Guards against a failure that its caller gets as a success, because the start of another head stands before
+// it on the same connection.
+TEST(torn_answer, does_not_lend_its_status_to_the_next_one) {
+    const std::string torn = "HTTP/1.1 200 OK\r\nReceipt: r\r\nId: 3\r\n\r\n";
+    for (const std::string version : {"1.0", "1.1"}) {
+        const std::string next = "HTTP/" + version +
+                                 " 500 Internal Server Error\r\nId: 7\r\nReceipt: s\r\n"
+                                 "Content-Length: 6\r\n\r\nfailed";
+        for (std::size_t cut = 1; cut < torn.size(); ++cut) {
+            EXPECT_FALSE(read_in_pieces(torn.substr(0, cut) + next, {}).is_valid) << torn.substr(0, cut);
+            EXPECT_FALSE(read_in_pieces(torn.substr(0, cut) + next, {cut}).is_valid) << torn.substr(0, cut);
+        }
+    }
+}
+
+// Guards against refusing a sound answer for the name of the protocol in a field.
+TEST(torn_answer, is_not_seen_in_a_field_that_names_the_protocol) {
+    const std::string answer =
+        framed("Via: HTTP/1.1 gate, 1.0 HTTP/1.x\r\nUpgrade: HTTP/2.0\r\nStatus: HTTP/1.1 200 OK\r\n"
+               "Content-Length: 10\r\n",
+               "whole body");
+    EXPECT_TRUE(read_in_pieces(answer, {}).is_complete);
+}
+
 namespace {
 
 /** Where an endpoint stops: the bytes that it has written before. */
@@ -208,6 +232,8 @@
     {"head_after_stray", stray + without_end(plain_head, 3)},
     {"in_stray", without_end(stray, 3)},
     {"in_head_of_stray", "HTTP/1.1 200 OK\r\nId: 3\r\nRec"},
+    {"failure_after_first_line",
+     "HTTP/1.1 200 OKHTTP/1.1 500 X\r\nId: 7\r\nReceipt: r\r\nContent-Length: 6\r\n\r\nfailed"},
 };
 
 const std::string unframed_stream_head =
