--- a/src/base/settings_file.cpp
+++ b/src/base/settings_file.cpp
@@ -2,6 +2,7 @@
 
 #include "base/json_text.h"
 #include "base/settings.h"
+#include "base/start_signals.h"
 
 #include <gflags/gflags.h>
 
--- a/src/base/settings_file.h
+++ b/src/base/settings_file.h
@@ -54,8 +54,8 @@
 
 /** Reads the settings file \p path, again for up to \ref settings_wait_limit while it cannot be read, lacks
  * what is required, or ends within a line and still changes. Logs what is missing once, and each flag that
- * this program does not have. \param arguments of the command line, which may hold what is required too
- * Ends the process with code 0 if a stop signal comes meanwhile.
+ * this program does not have. Ends the process with code 0 if a stop signal comes meanwhile.
+ * \param arguments of the command line, which may hold what is required too
  * \return the flags as command-line arguments, complete or not; nothing if the file cannot be read */
 std::optional<std::vector<std::string>> wait_for_settings_file(const std::string& path,
                                                                const std::vector<std::string>& arguments,
