Store: a value that is nested too deep costs only itself

What was seen: an entry among the endpoints whose value was nested 60,000 deep or more ended every host that read it within a second, by signal 11, and again after each restart while the entry stood. The same held for config/main.

Cause: copying, comparing and writing a json recurse once for each level. The parser itself does not.

Mend: parse_foreign_json builds the document from the parser's events and puts null in place of arrays and objects below 32 levels (max_foreign_depth; the formats need ten). It needs no second pass. The entry then lacks one value: if the value is not read, the entry stands; if it is, the entry is refused alone.

--- a/src/base/json_text.cpp
+++ b/src/base/json_text.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <cstdlib>
 #include <string_view>
+#include <vector>
 
 namespace laurelhoist {
 
@@ -109,15 +110,102 @@
     bool is_in_string_ = false;
 };
 
+/** Builds a document from the parser's events, without the values that are nested too deep. */
+class bounded_builder {
+public:
+    enum class on_error { stop, raise };
+
+    bounded_builder(on_error reaction, const omission_handler& on_omitted)
+        : reaction_{reaction}, on_omitted_{on_omitted} {}
+
+    json take() { return std::move(root_); }
+
+    bool null() { return add(json()); }
+    bool boolean(bool value) { return add(value); }
+    bool number_integer(json::number_integer_t value) { return add(value); }
+    bool number_unsigned(json::number_unsigned_t value) { return add(value); }
+    bool number_float(json::number_float_t value, const std::string& /*text*/) { return add(value); }
+    bool string(std::string& value) { return add(std::move(value)); }
+    bool binary(json::binary_t& value) { return add(std::move(value)); }
+    bool start_object(std::size_t /*size*/) { return open(json::object()); }
+    bool start_array(std::size_t /*size*/) { return open(json::array()); }
+    bool end_object() { return close(); }
+    bool end_array() { return close(); }
+
+    bool key(std::string& name) {
+        if (omitted_levels_ == 0) {
+            member_ = &(*open_.back())[name];
+        }
+        return true;
+    }
+
+    template <class Failure>
+    bool parse_error(std::size_t /*position*/, const std::string& /*token*/, const Failure& failure) {
+        if (reaction_ == on_error::raise) {
+            throw failure;
+        }
+        return false;
+    }
+
+private:
+    json& place(json value) {
+        if (open_.empty()) {
+            return root_ = std::move(value);
+        }
+        json& parent = *open_.back();
+        return parent.is_array() ? parent.emplace_back(std::move(value)) : *member_ = std::move(value);
+    }
+
+    bool add(json value) {
+        if (omitted_levels_ == 0) {
+            place(std::move(value));
+        }
+        return true;
+    }
+
+    bool open(json container) {
+        if (omitted_levels_ == 0 && open_.size() < max_foreign_depth) {
+            open_.push_back(&place(std::move(container)));
+        } else if (++omitted_levels_ == 1) {
+            place(json());
+            if (on_omitted_) {
+                on_omitted_(root_);
+            }
+        }
+        return true;
+    }
+
+    bool close() {
+        if (omitted_levels_ > 0) {
+            --omitted_levels_;
+        } else {
+            open_.pop_back();
+        }
+        return true;
+    }
+
+    on_error reaction_;
+    const omission_handler& on_omitted_;
+    json root_;
+    std::vector<json*> open_; ///< the containers around the next value, the outermost first
+    json* member_ = nullptr;  ///< of the innermost container, if it is an object: where its next value goes
+    std::size_t omitted_levels_ = 0;
+};
+
 } // namespace
 
 std::string to_json_text(const json& value) {
     return value.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
-json parse_foreign_json(const std::string& text) {
-    json parsed = json::parse(text, nullptr, false);
-    return parsed.is_discarded() ? json::parse(json_repair(replace_invalid_utf8(text)).run()) : parsed;
+json parse_foreign_json(const std::string& text, const omission_handler& on_omitted) {
+    bounded_builder as_sent(bounded_builder::on_error::stop, on_omitted);
+    if (json::sax_parse(text, &as_sent)) {
+        return as_sent.take();
+    }
+    bounded_builder repaired(bounded_builder::on_error::raise, on_omitted);
+    json::sax_parse(json_repair(replace_invalid_utf8(text)).run(), &repaired);
+    return repaired.take();
 }
 
 } // namespace laurelhoist
--- a/src/base/json_text.h
+++ b/src/base/json_text.h
@@ -6,6 +6,7 @@
 
 #include "base/value_type.h"
 
+#include <functional>
 #include <string>
 
 namespace laurelhoist {
@@ -14,11 +15,22 @@
  * `json::dump` throws on them. */
 std::string to_json_text(const json& value);
 
+/** Levels of arrays and objects that are read of a document of another writer. The formats need ten. Code
+ * that copies, compares or writes a \ref json recurses once for each level, so that deeper ones may exhaust
+ * the stack.
+ */
+constexpr std::size_t max_foreign_depth = 32;
+
+/** Called when a value is left out, with the document as far as it has been read. */
+using omission_handler = std::function<void(const json& read_so_far)>;
+
 /** Parses a document of which parts come from other writers. What JSON's grammar allows but the parser
  * rejects affects only the value it stands in: bytes that are not UTF-8 become question marks, unpaired
- * surrogates U+FFFD, and numbers beyond the range of a double null.
+ * surrogates U+FFFD, and numbers beyond the range of a double null. Arrays and objects deeper than
+ * \ref max_foreign_depth become null. Takes time and memory in proportion to the length of \p text.
+ * \param on_omitted called for each value that is left out for its depth; may be called twice for one
  * \return the document
  * \throws json::exception if \p text is not JSON otherwise either */
-json parse_foreign_json(const std::string& text);
+json parse_foreign_json(const std::string& text, const omission_handler& on_omitted = {});
 
 } // namespace laurelhoist
--- a/src/store/object_store.h
+++ b/src/store/object_store.h
@@ -22,6 +22,8 @@
     std::vector<stored_object> items;
     bool has_more = false;
     std::int64_t as_of_revision = 0;
+    std::vector<std::size_t>
+        shortened{}; ///< numbers of the items that lack a value, as it was nested too deep
 };
 
 struct object_event {
@@ -32,6 +34,7 @@
 struct object_events {
     std::vector<object_event> events;
     std::int64_t as_of_revision = 0;
+    std::vector<std::size_t> shortened{}; ///< as \ref object_page::shortened, of the events
 };
 
 /** Reasons for which a call to the store returns no result. */
--- a/test/base_test.cpp
+++ b/test/base_test.cpp
@@ -77,6 +77,33 @@
     }
 }
 
+std::string nested(std::size_t depth, const std::string& open, const std::string& close) {
+    std::string text;
+    for (std::size_t i = 0; i < depth; ++i) {
+        text += open;
+    }
+    text += "1";
+    for (std::size_t i = 0; i < depth; ++i) {
+        text += close;
+    }
+    return text;
+}
+
+// Guards against a value that exhausts the stack of code which copies, compares or writes it.
+TEST(json_text, a_value_nested_too_deep_affects_no_other) {
+    constexpr std::size_t depth = 400'000;
+    for (const std::string& value : {nested(depth, "[", "]"), nested(depth, R"({"a":)", "}"),
+                                     nested(depth, R"([1e999,{"\udce9":)", "}]")}) {
+        const json document = parse_foreign_json(R"({"before":[1],"it":)" + value + R"(,"after":[{"a":2}]})");
+        const json copy = document;
+        EXPECT_TRUE(copy == document);
+        EXPECT_LT(to_json_text(copy).size(), 1000U);
+        EXPECT_EQ(copy["before"], json::array({1}));
+        EXPECT_EQ(copy["after"][0]["a"], 2);
+    }
+    EXPECT_THROW(parse_foreign_json(std::string(depth, '[')), json::exception);
+}
+
 RC_GTEST_PROP(json_text, any_bytes_are_parsed_or_refused, (const std::string& bytes)) {
     const json document = parse_foreign_json(to_json_text({{"text", bytes}}));
     RC_ASSERT(document["text"].is_string());
--- a/test/platform_test.cpp
+++ b/test/platform_test.cpp
@@ -195,6 +195,52 @@
     }
 }
 
+std::string nested(std::size_t depth, const std::string& open, const std::string& close) {
+    std::string text;
+    for (std::size_t i = 0; i < depth; ++i) {
+        text += open;
+    }
+    for (std::size_t i = 0; i < depth; ++i) {
+        text += close;
+    }
+    return text;
+}
+
+// Guards against an entry that ends every host which reads it, and again after each restart, because its
+// value is nested so deep that a copy of it exhausts the stack.
+TEST(store_answers, a_value_nested_too_deep_does_not_affect_others) {
+    const json valid = {{"metadata", {{"name", "e1"}, {"revision", 5}}}, {"spec", valid_endpoint()}};
+    for (const char* field : {"slots", "service", "born", "state"}) {
+        json foreign = valid;
+        foreign["metadata"]["name"] = "deep";
+        foreign["spec"][field] = "@@";
+        const json items = {{"items", json::array({foreign, valid})}, {"at", 6}};
+        const json events = {{"events", json::array({{{"object", foreign}}, {{"object", valid}}})},
+                             {"at", 6}};
+        for (const std::string& value : {nested(400'000, "[", "]"), nested(400'000, R"({"a":[)", "]}")}) {
+            const object_page page = read_page(replace_all(items.dump(), R"("@@")", value), endpoint_kind);
+            const object_events heard =
+                read_events(replace_all(events.dump(), R"("@@")", value), rollout_kind);
+            EXPECT_EQ(page.items.size(), 2U);
+            EXPECT_NE(value_of(decode_endpoint(page.items.back())), nullptr);
+            EXPECT_EQ(value_of(decode_endpoint(page.items.front())) != nullptr,
+                      std::string(field) == "slots");
+            EXPECT_EQ(heard.events.back().object.spec, valid["spec"]);
+        }
+    }
+}
+
+TEST(store_answers, a_value_nested_too_deep_beside_the_routes_leaves_the_configuration_readable) {
+    json spec = sample_config();
+    spec["labels"] = "@@";
+    const json items = {
+        {"items", json::array({{{"metadata", {{"name", "main"}, {"revision", 5}}}, {"spec", spec}}})},
+        {"at", 6}};
+    const object_page page =
+        read_page(replace_all(items.dump(), R"("@@")", nested(400'000, "[", "]")), config_kind);
+    EXPECT_NE(value_of(decode_config(page.items.front())), nullptr);
+}
+
 // The order of a new release may still carry the status of the previous one. Taken as its own, that status
 // would make a roll-out that has not begun count as completed.
 TEST(config_decoder, a_status_applies_only_to_the_release_it_names) {
