Peers: bytes that are nested too deep are refused

What was seen: a datagram of 60,000 bytes whose CBOR was nested ended the host that read it, by signal 11.

Cause: the library's CBOR parser recurses once for each level, also for texts in parts inside texts in parts.

What a host has read of the store fits into its copies, which a test checks. Memory is not reserved for declared lengths; that held before and has a test now.

--- a/src/base/base.h
+++ b/src/base/base.h
@@ -7,6 +7,7 @@
 #include "base/clock.h"
 #include "base/digest.h"
 #include "base/error.h"
+#include "base/foreign_cbor.h"
 #include "base/invariant.h"
 #include "base/json_text.h"
 #include "base/log.h"
--- a/src/host/peer_messages.cpp
+++ b/src/host/peer_messages.cpp
@@ -157,7 +157,7 @@
 
 std::optional<peer_message> decode_peer_message(const std::string& bytes) {
     try {
-        const json message = json::from_cbor(bytes);
+        const json message = parse_foreign_cbor(bytes);
         return decode_kind(message.at(0).get<std::size_t>(), renamed(message.at(1), fields_by_code()));
     } catch (const std::exception& failure) {
         log_warning("peer_message_unreadable", {{"reason", failure.what()}, {"bytes", bytes.size()}});
@@ -173,7 +173,7 @@
 
 outcome<peer_copy> decode_peer_copy(const std::string& bytes) {
     try {
-        return json::from_cbor(bytes).get<peer_copy>();
+        return parse_foreign_cbor(bytes).get<peer_copy>();
     } catch (const std::exception& failure) {
         return error{error_kind::platform_unavailable, std::string("the copy cannot be decoded (") +
                                                            failure.what() +
--- a/test/host_test.cpp
+++ b/test/host_test.cpp
@@ -76,6 +76,62 @@
     EXPECT_NE(error_of(decode_peer_copy(bytes.substr(0, bytes.size() / 2))), nullptr);
 }
 
+std::string repeated(const std::string& bytes, std::size_t times) {
+    std::string all;
+    for (std::size_t i = 0; i < times; ++i) {
+        all += bytes;
+    }
+    return all;
+}
+
+/// Starts of arrays, objects, texts and byte strings, with a length, without one, or behind a tag.
+const std::vector<std::string>& nesting_bytes() {
+    static const std::vector<std::string> all = {"\x81",      "\x9f",      "\x7f",     "\x5f",        "\xc1",
+                                                 "\xa1\x61k", "\xbf\x61k", "\xbf\x7f", "\xd8\x18\x81"};
+    return all;
+}
+
+// Guards against a datagram or a copy of a peer that is nested so deep that reading it exhausts the stack.
+TEST(peer_messages, deep_bytes_are_rejected) {
+    for (const std::size_t depth : {33U, 65'000U, 2'000'000U}) {
+        for (const std::string& start : nesting_bytes()) {
+            const std::string bytes = repeated(start, depth);
+            EXPECT_FALSE(decode_peer_message(bytes));
+            EXPECT_FALSE(decode_peer_message("\x82" + std::string(1, '\0') + bytes));
+            EXPECT_NE(error_of(decode_peer_copy(bytes)), nullptr);
+        }
+    }
+    const std::string whole = "\x82" + std::string(1, '\0') + repeated("\x81", 65'000) + std::string(1, '\0');
+    EXPECT_FALSE(decode_peer_message(whole));
+}
+
+// Guards against memory that is reserved for a length which a peer declares and does not send.
+TEST(peer_messages, lengths_beyond_the_bytes_are_rejected) {
+    for (const char* start : {"\x9b", "\xbb", "\x7b", "\x5b"}) {
+        for (const char* length : {"\xff\xff\xff\xff\xff\xff\xff\xff", "\x7f\xff\xff\xff\xff\xff\xff\xff",
+                                   "\x01\x01\x01\x01\x01\x01\x01\x01"}) {
+            const std::string bytes = std::string(start) + length + "abc";
+            EXPECT_FALSE(decode_peer_message(bytes));
+            EXPECT_FALSE(decode_peer_message("\x82\x01" + bytes));
+            EXPECT_NE(error_of(decode_peer_copy(bytes)), nullptr);
+        }
+    }
+}
+
+// What a host reads of the store, as deep as it may be, must reach its peers.
+TEST(peer_messages, a_copy_holds_objects_as_deep_as_the_store_gives_them) {
+    json deep = 1;
+    for (std::size_t i = 0; i < max_foreign_depth; ++i) {
+        deep = json::array({deep});
+    }
+    peer_copy copy;
+    copy.names = {"e1"};
+    copy.objects = {{"e1", 7, {{"deep", deep}}, nullptr}};
+    const outcome<peer_copy> decoded = decode_peer_copy(encode_peer_copy(copy));
+    ASSERT_NE(value_of(decoded), nullptr);
+    EXPECT_EQ(*value_of(decoded), copy);
+}
+
 // A copy that is cut off or altered at any place must not end the process.
 RC_GTEST_PROP(peer_messages, arbitrary_copies_are_decoded_or_rejected, (const std::string& bytes)) {
     (void)decode_peer_copy(bytes);
