Host ends: deeply nested entries and datagrams, with real processes

deeply_nested_entry: entries, config/main and a roll-out with values nested 100,000 deep arrive at two running hosts and are read again by a restart. deep_datagram: nested CBOR arrives at the peers' port. The stand-in store can send raw JSON text in place of a string.

--- /dev/null
+++ b/test/soak/host_ends_entries.py
@@ -0,0 +1,59 @@
+"""Cases of host_ends.py: what other writers leave in the store, and what arrives at the peers' port."""
+import asyncio
+import socket
+
+from host_ends import case, require
+
+DEEP = 100_000
+SEEN_S = 6      # a change of the list is known to a host within this time
+FIELDS = ("slots", "service", "born")
+
+
+async def until_listed(host, count):
+    """Waits until the host has listed `count` valid endpoints."""
+    for _ in range(int(SEEN_S / 0.05)):
+        host.require_alive()
+        lines = host.events("endpoints_listed")
+        if lines and lines[-1]["count"] == count:
+            return
+        await asyncio.sleep(0.05)
+    require(False, f"{host.name} lists {lines[-1:]} and not {count} endpoints")
+
+
+@case
+async def deeply_nested_entry(bench):
+    """An entry that is nested so deep that copying it exhausts the stack ends every host, again after each restart."""
+    await bench.begin(hosts=2)
+    bench.store.raw_values["@deep list@"] = "[" * DEEP + "]" * DEEP
+    bench.store.raw_values["@deep object@"] = '{"a":' * DEEP + "1" + "}" * DEEP
+    for field in FIELDS:
+        for number, value in enumerate(bench.store.raw_values):
+            bench.put_entry(f"deep-{field}-{number}", **{field: value})
+    bench.put_config(labels="@deep list@")
+    bench.store.put("rollouts", "claims", {"service": "claims", "target": "v1", "duration_s": "@deep object@"})
+    bench.put_entry("later", port=2)
+    valid = 2 + 2 + 1  # at first, those whose deep field is not read, and the later one
+    for host in bench.hosts:
+        await until_listed(host, valid)
+    for host in bench.hosts:
+        await host.end()
+        host.start()
+        await host.until_ready()
+        await until_listed(host, valid)
+        lines = [line for line in host.events("store_value_too_deep") if line["name"] == "deep-service-0"]
+        require(len(lines) in (1, 2), f"{len(lines)} lines about one entry, 1 expected of each process: {lines[:3]}")
+
+
+@case
+async def deep_datagram(bench):
+    """A datagram that is nested so deep that reading it exhausts the stack ends a host."""
+    await bench.begin()
+    host = bench.hosts[0]
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+        for start in (b"\x81", b"\x9f", b"\x7f", b"\x5f", b"\xa1\x61k", b"\x82\x00\x81", b"\xc1"):
+            nested = start + start[-1:] * 60_000 if len(start) != 3 else start[:2] + start[2:] * 60_000
+            for datagram in (nested, start * (60_000 // len(start))):
+                sender.sendto(datagram, (host.address, bench.peers_port))
+                await asyncio.sleep(0.1)
+                host.require_alive()
+    require(host.events("peer_message_unreadable"), "no datagram was read")
--- a/test/soak/standins.py
+++ b/test/soak/standins.py
@@ -92,6 +92,7 @@
 
     def __init__(self):
         self.kinds, self.events, self.revision = {}, [], 0
+        self.raw_values = {}  # JSON text that is sent in place of a string, for values that json.dumps cannot write
         self.mode, self.changed = "", asyncio.Event()
         self.mode_changed_at = time.monotonic()
 
@@ -120,6 +121,12 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
+    def encode(self, value):
+        text = json.dumps(value)
+        for placeholder, raw in self.raw_values.items():
+            text = text.replace(json.dumps(placeholder), raw)
+        return text.encode()
+
     async def serve(self, reader, writer):
         while (request := await read_request(reader)) is not None:
             if self.mode == "silent":
@@ -145,7 +152,7 @@
             items = [self.kinds[path[0]][name] for name in sorted(self.kinds.get(path[0], {}))
                      if name > query.get("after", "")]
             page = {"items": items[:20], "has_more": len(items) > 20, "at": self.revision}
-            return answer(200, json.dumps(page).encode())
+            return answer(200, self.encode(page))
         if method == "PUT" and path[-1] == "status":
             sent = json.loads(body)
             current = self.kinds.get(path[0], {}).get(path[1])
@@ -153,8 +160,8 @@
                 return answer(404, b"{}")
             expected = sent["metadata"].get("revision")
             if expected is not None and expected != current["metadata"]["revision"]:
-                return answer(409, json.dumps(current).encode())
-            return answer(200, json.dumps(self.put(path[0], path[1], status=sent["status"])).encode())
+                return answer(409, self.encode(current))
+            return answer(200, self.encode(self.put(path[0], path[1], status=sent["status"])))
         return answer(404, b"{}")
 
     async def watch(self, kind, since, wait):
@@ -163,7 +170,7 @@
             events = [event for revision, of, event in self.events if of == kind and revision > since]
             left = end - time.monotonic()
             if events or left <= 0:
-                return answer(200, json.dumps({"events": events, "at": self.revision}).encode())
+                return answer(200, self.encode({"events": events, "at": self.revision}))
             try:
                 await asyncio.wait_for(self.changed.wait(), left)
             except asyncio.TimeoutError:
