Configuration and callers: numbers out of range are bounded

What was seen: a number such as 1e300 in timeout_ms was converted to an integer without a bound, which is undefined and differs between processors; X-Deadline-Ms of 10^14 and above overflowed in the conversion to microseconds for the largest numbers and was not bounded for the others.

Limits that are negative keep their default, as they would refuse everything.

--- a/test/platform_test.cpp
+++ b/test/platform_test.cpp
@@ -254,6 +254,67 @@
     EXPECT_EQ(value_of(same)->state, rollout_state::completed);
 }
 
+// Guards against a number of another writer whose conversion is undefined, so that hosts on other processors
+// read another one, or whose sum with a time overflows.
+TEST(config_decoder, numbers_out_of_range_are_bounded) {
+    constexpr duration longest = std::chrono::hours(24 * 365);
+    for (const char* number :
+         {"1e300", "9223372036854775807", "18446744073709551615", "1e19", "100000000000000"}) {
+        json config = sample_config();
+        const json huge = json::parse(number);
+        for (const char* field : {"timeout_ms", "target_latency_ms", "priority", "max_attempts"}) {
+            config["routes"][0][field] = huge;
+        }
+        config["routes"][1]["traffic_split"][0]["weight"] = huge;
+        config["services"][0]["cold_start_s"] = huge;
+        config["services"][0]["engine"]["slots"] = huge;
+        config["limits"] = {{"max_header_bytes", huge}, {"max_body_bytes", huge}};
+        const outcome<traffic_config> decoded = decode_config(object_with(config));
+        ASSERT_NE(value_of(decoded), nullptr) << number;
+        const traffic_route& route = value_of(decoded)->routes[0];
+        EXPECT_EQ(route.timeout, longest) << number;
+        EXPECT_EQ(route.latency_objective, longest) << number;
+        EXPECT_EQ(route.priority, 1'000'000) << number;
+        EXPECT_EQ(route.max_attempts, 1'000'000) << number;
+        EXPECT_EQ(value_of(decoded)->routes[1].services[0].weight, 1'000'000) << number;
+        EXPECT_EQ(value_of(decoded)->services[0].cold_time, longest) << number;
+        EXPECT_EQ(value_of(decoded)->services[0].engine->slots, 1'000'000) << number;
+        EXPECT_EQ(value_of(decoded)->limits.header_bytes, std::size_t{1} << 30) << number;
+        json spec = valid_endpoint();
+        spec["cold_remaining_ms"] = huge;
+        EXPECT_EQ(milliseconds(value_of(decode_endpoint(object_with(spec)))->cold_ms), longest) << number;
+        const stored_object rollout = object_with({{"target", "v3"}, {"duration_s", huge}});
+        EXPECT_EQ(value_of(decode_rollout(rollout))->time_limit, longest) << number;
+    }
+}
+
+TEST(config_decoder, negative_numbers_are_bounded) {
+    json config = sample_config();
+    config["routes"][0]["timeout_ms"] = -1e300;
+    config["routes"][0]["priority"] = -1e300;
+    config["routes"][1]["traffic_split"][0]["weight"] = -5;
+    config["services"][0]["cold_start_s"] = -1e300;
+    config["services"][0]["engine"]["slots"] = -3;
+    config["limits"] = {{"max_header_bytes", -1}, {"max_body_bytes", -1e300}};
+    const outcome<traffic_config> decoded = decode_config(object_with(config));
+    ASSERT_NE(value_of(decoded), nullptr);
+    EXPECT_EQ(value_of(decoded)->routes[0].timeout, duration::zero());
+    EXPECT_EQ(value_of(decoded)->routes[0].priority, -1'000'000);
+    EXPECT_EQ(value_of(decoded)->routes[1].services[0].weight, 0);
+    EXPECT_EQ(value_of(decoded)->services[0].cold_time, duration::zero());
+    EXPECT_EQ(value_of(decoded)->services[0].engine->slots, 0);
+    EXPECT_EQ(value_of(decoded)->limits.header_bytes, caller_limits().header_bytes);
+    EXPECT_EQ(value_of(decoded)->limits.body_bytes, caller_limits().body_bytes);
+}
+
+TEST(config_decoder, an_address_with_a_port_out_of_range_is_refused) {
+    for (const char* port : {"99999", "-1", "65536", "1234567890123456789012345678901234567890"}) {
+        json spec = valid_endpoint();
+        spec["address"] = std::string("10.0.0.1:") + port;
+        EXPECT_NE(error_of(decode_endpoint(object_with(spec))), nullptr) << port;
+    }
+}
+
 caller_request request_with(const std::vector<header_field>& fields) {
     caller_request request;
     request.method = "POST";
@@ -284,6 +345,15 @@
     EXPECT_EQ(terms.last_event_id, 12);
 }
 
+// Guards against a time left that overflows and counts as expired or as none.
+TEST(header_dialect, a_long_time_left_is_bounded) {
+    for (const char* ms : {"100000000000000", "9223372036854775807"}) {
+        EXPECT_EQ(header_dialect().read_request(request_with({{"X-Deadline-Ms", ms}})).time_left,
+                  std::chrono::hours(24 * 365))
+            << ms;
+    }
+}
+
 // Guards against a part that is taken for the last one, and so for the request's own, because the parts after
 // it are spelled in another way.
 TEST(header_dialect, parts_without_a_number_and_in_further_fields_count) {
