Endpoints: an entry with port 0 is refused

What was seen: an entry with the address 10.0.0.1:0 was taken for an endpoint, so that requests were sent to a port at which nothing can listen. parse_address allows it, as a listener may ask for any free port.

--- a/test/platform_test.cpp
+++ b/test/platform_test.cpp
@@ -308,7 +308,7 @@
 }
 
 TEST(config_decoder, an_address_with_a_port_out_of_range_is_refused) {
-    for (const char* port : {"99999", "-1", "65536", "1234567890123456789012345678901234567890"}) {
+    for (const char* port : {"99999", "0", "-1", "65536", "1234567890123456789012345678901234567890"}) {
         json spec = valid_endpoint();
         spec["address"] = std::string("10.0.0.1:") + port;
         EXPECT_NE(error_of(decode_endpoint(object_with(spec))), nullptr) << port;
