Peers: ages out of range are bounded

What may be seen: a peer's age that is negative or near the limits of 64 bits was turned into microseconds without a bound, which overflows, or gave a time in the future. A session with the age -10^12 ms was never forgotten.

Mend: ages of refusals, crashes, limits, sessions and roll-outs and the grace period of a copy are read by foreign_time; none gives a time in the future.

The other places have no test of their own.

--- a/src/host/entry_host_copies.cpp
+++ b/src/host/entry_host_copies.cpp
@@ -1,6 +1,7 @@
 // How entry hosts share copies of the store's objects. All hosts share one rate limit for calls of the store,
 // and each change completes the waiting call of every host. On a large fleet a few hosts read the store and
 // the others use their copies; a host whose copies are overdue or unconfirmed reads the store itself.
+#include "base/bounded.h"
 #include "host/entry_host.h"
 #include "relay/http_codec.h"
 
@@ -353,7 +354,7 @@
     // Endpoints that lapsed in an outage are kept here as long as on the peer. The longest propagation time
     // is subtracted: the grace period is sent as a duration, so it would otherwise begin anew at each host
     // that forwards it, and no endpoint would ever be dropped.
-    const duration grace = milliseconds(static_cast<std::int64_t>(copy.grace_ms)) - max_propagation_time;
+    const duration grace = foreign_time(copy.grace_ms) - max_propagation_time;
     roster_.keep_lapsed_until(monotonic_now() + grace);
     if (&watch == &endpoint_watch_ && copy.grace_ms == 0) {
         roster_.on_reading_ended(); // The store serves the peer, so what is missing in the copy has left.
--- a/src/host/entry_host_peers.cpp
+++ b/src/host/entry_host_peers.cpp
@@ -2,6 +2,8 @@
 // requests they have in flight, and what they have learned about endpoints.
 #include "host/entry_host.h"
 
+#include "base/bounded.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -316,7 +318,7 @@
 
 void entry_host::merge_refusals(const std::vector<refused_endpoint>& refused) {
     for (const refused_endpoint& each : refused) {
-        const duration age = milliseconds(std::max<std::int64_t>(0, each.age_ms));
+        const duration age = foreign_time(std::max<std::int64_t>(0, each.age_ms));
         relay_.merge_refusal(each.endpoint, age);
         unsent_refusals_.erase(each.endpoint); // All hosts have been notified already.
     }
--- a/src/placement/rate_limits.cpp
+++ b/src/placement/rate_limits.cpp
@@ -1,5 +1,7 @@
 #include "placement/rate_limits.h"
 
+#include "base/bounded.h"
+
 #include "base/base.h"
 
 #include <algorithm>
@@ -47,7 +49,7 @@
 
 limit_statement to_statement(const limit_notice& notice, time_point now) {
     const auto at = [now](std::int64_t age_ms) {
-        return now - milliseconds(std::max<std::int64_t>(0, age_ms));
+        return now - foreign_time(std::max<std::int64_t>(0, age_ms));
     };
     const bool is_limit = std::isfinite(notice.requests_per_s) && notice.requests_per_s >= 0;
     return {is_limit ? std::optional(notice.requests_per_s) : std::nullopt, at(notice.sent_age_ms),
--- a/src/recovery/crash_quarantine.cpp
+++ b/src/recovery/crash_quarantine.cpp
@@ -1,5 +1,7 @@
 #include "recovery/crash_quarantine.h"
 
+#include "base/bounded.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -23,7 +25,7 @@
 }
 
 time_point time_from_age(std::int64_t age, time_point now) {
-    return now - milliseconds(std::max<std::int64_t>(0, age));
+    return now - foreign_time(std::max<std::int64_t>(0, age));
 }
 
 std::uint64_t rank_of(std::uint64_t digest, const std::string& host) {
--- a/src/rollout/release_rollout.cpp
+++ b/src/rollout/release_rollout.cpp
@@ -1,5 +1,7 @@
 #include "rollout/rollout_counts.h"
 
+#include "base/bounded.h"
+
 #include <algorithm>
 #include <set>
 
@@ -419,7 +421,7 @@
         }
         // The largest age wins: a host that has just started adopts the age and the trial share of the
         // others, so that all hosts choose the same sessions.
-        const time_point since = now - milliseconds(item.age_ms);
+        const time_point since = now - foreign_time(std::max<std::int64_t>(0, item.age_ms));
         if (since < found->second.since) {
             found->second.since = since;
             found->second.trial_share = item.trial_share > 0 ? item.trial_share : found->second.trial_share;
--- a/src/rollout/session_memory.cpp
+++ b/src/rollout/session_memory.cpp
@@ -1,5 +1,7 @@
 #include "rollout/session_memory.h"
 
+#include "base/bounded.h"
+
 #include <algorithm>
 
 namespace laurelhoist {
@@ -34,7 +36,7 @@
 void session_memory::merge(const std::vector<session_use>& uses, time_point now) {
     for (const session_use& received : uses) {
         last_use& entry = uses_[{received.service, received.session}];
-        entry.at = std::max(entry.at, now - milliseconds(received.age_ms));
+        entry.at = std::max(entry.at, now - foreign_time(std::max<std::int64_t>(0, received.age_ms)));
     }
 }
 
--- a/test/rollout_test.cpp
+++ b/test/rollout_test.cpp
@@ -464,6 +464,18 @@
 
 // Guards against sessions that the other hosts never hear of: with over forty sessions in flight, each
 // message would carry the same first forty.
+// Guards against a session that is kept forever, because the age that a peer sent is negative or overflows.
+TEST(session_memory, an_age_out_of_range_does_not_keep_a_session) {
+    const time_point now{seconds(1000)};
+    for (const std::int64_t age : {INT64_MAX, INT64_MIN + 1, std::int64_t{-1'000'000'000'000}}) {
+        session_memory sessions(seconds(5));
+        sessions.merge({{"pool", 77, age}}, now);
+        EXPECT_FALSE(sessions.is_recent("pool", 77, now + seconds(10))) << age;
+        sessions.forget_old(now + seconds(10));
+        EXPECT_EQ(sessions.size(), 0U) << age;
+    }
+}
+
 TEST(session_memory, all_sessions_are_sent_in_turn) {
     session_memory sessions(seconds(5));
     constexpr std::uint64_t count = 100;
