Whole answers for slow callers count, and a host stays within its memory

What callers saw: some 21 callers that read answers of 4 MiB at 400 KB/s brought a host over 110 MB.

Cause: a whole answer was given to caller_connection at once and counted in no account from then on.

Mend: what callers have not read counts (byte_account of all connections). An answer that has been passed on in part is never repeated: if its endpoint breaks off, the caller's connection is reset.

Not bounded: answers without a length that wait for their callers.

--- a/src/relay/caller_connection.cpp
+++ b/src/relay/caller_connection.cpp
@@ -34,6 +34,17 @@
 constexpr int handover_bytes = 4 << 20;
 /// Checks are counted instead of the time, which also passes while the host is suspended.
 constexpr int max_unread_checks = unread_timeout / caller_connection::check_interval;
+/// Memory that an idle connection keeps for its next answer.
+constexpr std::size_t max_kept_bytes = 32 << 10;
+
+// A string keeps the memory of its longest content, and connections are kept for many requests.
+void clear_and_release(std::string& buffer) {
+    if (buffer.capacity() > max_kept_bytes) {
+        std::string().swap(buffer);
+    } else {
+        buffer.clear();
+    }
+}
 
 } // namespace
 
@@ -45,6 +56,7 @@
       source_{source},
       reader_{limits.header_bytes, limits.body_bytes},
       received_{std::move(request_bytes)},
+      held_{events.unsent_bytes},
       timeout_start_{monotonic_now()} {
     set_caller_liveness_options(socket_);
 }
@@ -142,6 +154,7 @@
         return;
     }
     outgoing_.append(bytes);
+    count_outgoing();
     if (!is_flushing_ && !is_flush_posted_) {
         is_flush_posted_ = true;
         asio::post(socket_.get_executor(), [self = shared_from_this()] {
@@ -179,8 +192,9 @@
         write_some();
     } else {
         is_flushing_ = false;
-        in_flight_.clear();
+        clear_and_release(in_flight_);
         accepted_ = 0;
+        count_outgoing();
         flush();
     }
     if (unsent_bytes() == 0 && is_closing_) {
@@ -285,6 +299,9 @@
     is_closed_ = true;
     asio_error ignored;
     socket_.close(ignored);
+    std::string().swap(
+        outgoing_); // An exchange may keep the connection; the write under way keeps its bytes.
+    count_outgoing();
     const std::function<void()> gone = std::move(on_gone_);
     end_answer();
     if (gone) {
--- a/src/relay/caller_connection.h
+++ b/src/relay/caller_connection.h
@@ -35,6 +35,8 @@
         /// Asked while a body arrives of which \p own_bytes are held; if it returns false, the body is
         /// dropped and the request is passed on without it (\ref caller_request::is_body_dropped).
         std::function<bool(std::size_t own_bytes)> has_room;
+        /// Counts what is held of answers until the network accepts it.
+        byte_account unsent_bytes;
         /// Called once, when the connection has closed.
         std::function<void(const std::shared_ptr<caller_connection>&)> on_closed;
     };
@@ -78,6 +80,7 @@
     void bound_received();
     void resume_reading();
     void reject(int status, const std::string& remedy);
+    void count_outgoing() { held_.set(outgoing_.size() + in_flight_.size()); }
     void flush();
     void write_some();
     void on_written(bool has_failed, std::size_t bytes);
@@ -95,6 +98,7 @@
     std::array<char, 8192> incoming_{}; ///< read buffer; most requests arrive in two reads
     std::string outgoing_;              ///< bytes that wait for the next write
     std::string in_flight_;             ///< bytes of the write under way
+    byte_hold held_;                    ///< bytes of \ref outgoing_ and \ref in_flight_
     std::size_t accepted_ = 0;          ///< bytes of \ref in_flight_ that the network has accepted
     int unread_checks_ = 0; ///< consecutive timeout checks between which the network has accepted nothing
     std::function<void()> on_gone_;
--- a/src/relay/exchange.cpp
+++ b/src/relay/exchange.cpp
@@ -172,7 +172,7 @@
         answer_failure(status_not_found, "no_route", "use a host and path that match a route", {});
         return false;
     }
-    return admit_team() && admit_body();
+    return admit_team() && admit_body() && admit_answer();
 }
 
 bool exchange::admit_team() {
@@ -524,7 +524,7 @@
 
 retry_context exchange::make_retry_context() const {
     retry_context context;
-    context.may_repeat = route_->may_repeat();
+    context.may_repeat = route_->may_repeat() && !is_passed_on_; // Another answer cannot continue it.
     context.may_have_run = may_have_run_;
     context.has_begun_answer = has_begun_answer_;
     context.attempts = attempts_;
@@ -598,6 +598,10 @@
     is_caller_gone_ = true;
     const bool is_sent = is_in_state("asked") || is_in_state("answering");
     if (is_sent && route_->kind == route_kind::non_idempotent) {
+        if (is_waiting_for_caller()) {
+            attempt_.heard_at = monotonic_now();
+            connection_->resume_reading();
+        }
         return; // Runs to its end: if cancelled, it would be unknown whether it ran.
     }
     if (connection_) {
@@ -635,15 +639,25 @@
     } else if (is_in_state("waiting")) {
         check_waiting(now);
     } else if (is_waiting_for_caller()) {
-        if (now >= expires_at_) {
-            give_up_on_caller();
+        if (now >= expires_at_ && !is_passed_on_) {
+            give_up_on_caller(); // One that is passed on ends when its caller accepts nothing for seconds.
         }
-    } else if (now >= expires_at_ || has_stalled(now)) {
+    } else if (is_overdue(now) || has_stalled(now)) {
         end_attempt(attempt_end::silent);
     }
 }
 
+// The time limit of a route is for the endpoint. A whole answer that has waited for its caller goes on as
+// long as both of them make progress.
+bool exchange::is_overdue(time_point now) const {
+    const bool has_waited_for_caller = is_passed_on_ && attempt_.has_paused;
+    return now >= expires_at_ && (!has_waited_for_caller || now - attempt_.heard_at > min_silence_limit);
+}
+
 bool exchange::has_stalled(time_point now) const {
+    if (is_passed_on_) {
+        return false; // No other endpoint can continue it.
+    }
     const bool may_go_elsewhere =
         state_.settings.in_use.resumes_silent && route_->may_repeat() && attempts_ < route_->max_attempts;
     return may_go_elsewhere && now - attempt_.heard_at > silence_limit();
@@ -680,6 +694,7 @@
     }
     end_wait(is_caller_gone_ ? wait_end::left : wait_end::refused);
     apply_event("ended");
+    state_.passed_on -= is_passed_on_ ? 1 : 0;
     const bool is_served = std::string_view(outcome) == "served";
     observe_end(monotonic_now(), is_served, status == status_gateway_timeout);
     const duration took = monotonic_now() - arrived_at_;
--- a/src/relay/exchange.h
+++ b/src/relay/exchange.h
@@ -100,6 +100,9 @@
     bool admit_load();
     /** \return whether there was room for the request's body; otherwise the request has been refused. */
     bool admit_body();
+    /** \return whether the host has room for an answer as long as the route's last one; otherwise the request
+     * has been refused. */
+    bool admit_answer();
     load_key key_of_load() const;
     /** \return whether a served request missed an objective of its route. */
     bool is_late(duration took) const;
@@ -177,6 +180,15 @@
     /** Counts what is held of the answer. \return whether the host may hold as much; otherwise the attempt
      * has ended */
     bool hold_answer();
+    /** \return whether the answer that is being received, which is no stream, may be passed on before it is
+     * complete: its head decides that it is the one for the caller, and its length is known. */
+    bool may_pass_on();
+    /** Passes on what has been received of an answer that is no stream; the rest follows as it arrives. */
+    void pass_on();
+    /** Records how long a complete answer of the route is, for \ref admit_answer. */
+    void record_answer_size();
+    /** Stops reading from the endpoint if the caller has much to read. */
+    void pause_for_caller();
     /** Ends the attempt, as its endpoint sends more than an answer may have. */
     void refuse_answer(const char* reason, std::size_t bytes, std::size_t limit);
     /** \return the fields of the answer's head, decoded on first use; the head must have arrived. */
@@ -242,6 +254,7 @@
     duration time_left(time_point now) const { return expires_at_ - now; }
     duration silence_limit() const;
     bool has_stalled(time_point now) const;
+    bool is_overdue(time_point now) const;
     duration max_queue_time() const;
     /** \return whether the host stops before a request that is sent to an endpoint now is answered. */
     bool would_outlast_stop(time_point now) const;
@@ -323,7 +336,8 @@
     int forwards_ = 0;              ///< times that the request was forwarded to another host
     bool may_have_run_ = false;
     bool has_begun_answer_ = false;
-    bool is_clearing_ = false; ///< an answer of this request is clearing what it was suspected of
+    bool is_passed_on_ = false; ///< the answer, which is no stream, is passed on as it arrives
+    bool is_clearing_ = false;  ///< an answer of this request is clearing what it was suspected of
     bool is_caller_gone_ = false;
     bool has_excess_bytes_ = false; ///< bytes arrived that are not part of this request's answer
 };
--- a/src/relay/exchange_answers.cpp
+++ b/src/relay/exchange_answers.cpp
@@ -127,8 +127,17 @@
 // answer may have as much as leaves room for all that are held at present.
 bool exchange::hold_answer() {
     constexpr std::size_t min_share_bytes = 16 << 10;
+    if (is_passed_on_) {
+        pass_on();
+        return true;
+    }
     const std::size_t bytes = body_.size() + events_.partial_bytes();
     held_answer_.set(bytes);
+    if (bytes > room_for_answer(state_.held_for_answers(bytes)) && may_pass_on()) {
+        state_.measured.count("answers_passed_on");
+        pass_on();
+        return true;
+    }
     const std::size_t holders = std::max<std::size_t>(1, state_.answer_bytes.holders());
     const std::size_t limit = std::clamp(state_.settings.answer_buffer_bytes / holders, min_share_bytes,
                                          state_.settings.max_answer_bytes);
@@ -139,6 +148,59 @@
     return false;
 }
 
+// A whole answer can be repeated by another endpoint until its first byte has been passed on, so it is held
+// while there is room.
+bool exchange::may_pass_on() {
+    constexpr int status_success = 2;
+    const std::optional<std::int64_t> length =
+        parse_number(reader_->headers().value_or_empty("Content-Length"));
+    const bool has_length = length && *length >= 0 && reader_->headers().find("Transfer-Encoding") == nullptr;
+    return has_length && static_cast<std::size_t>(*length) <= state_.settings.max_answer_bytes &&
+           reader_->status() / status_class == status_success && answer().has_receipt &&
+           !answer().is_misdirected && !answer().is_not_run && !is_event_stream() && !has_begun_answer_;
+}
+
+void exchange::pass_on() {
+    const bool is_first_part = !is_passed_on_;
+    if (is_first_part) {
+        is_passed_on_ = true;
+        has_begun_answer_ = true;
+        ++state_.passed_on;
+        record_first_byte();
+        apply_event("begun");
+        const std::string length = reader_->headers().value_or_empty("Content-Length");
+        caller_->write(answer_head(reader_->status(), reader_->headers(), false,
+                                   static_cast<std::size_t>(parse_number(length).value_or(0))));
+    }
+    caller_->write(body_);
+    body_.clear();
+    if (is_first_part) {
+        body_.shrink_to_fit(); // Later parts are as short as what one read brings.
+        held_answer_.set(0);
+    }
+    if (!reader_->is_complete()) {
+        pause_for_caller();
+    }
+}
+
+void exchange::record_answer_size() {
+    constexpr std::size_t min_long_bytes = 16 << 10;
+    const std::int64_t length = parse_number(reader_->headers().value_or_empty("Content-Length")).value_or(0);
+    const std::size_t bytes = is_passed_on_ ? static_cast<std::size_t>(length) : body_.size();
+    if (bytes > min_long_bytes) {
+        state_.long_answers[route_->name] = bytes;
+    } else if (!state_.long_answers.empty()) {
+        state_.long_answers.erase(route_->name);
+    }
+}
+
+void exchange::pause_for_caller() {
+    if (!is_caller_gone_ && caller_->unsent_bytes() > owner_.max_unsent_bytes_per_caller()) {
+        connection_->pause_reading();
+        attempt_.has_paused = true;
+    }
+}
+
 void exchange::refuse_answer(const char* reason, std::size_t bytes, std::size_t limit) {
     state_.measured.count(std::string("answers_refused_") + reason);
     log_warning("answer_refused",
@@ -249,10 +311,7 @@
     std::string chunk;
     append_chunk(chunk, out);
     caller_->write(chunk);
-    if (caller_->unsent_bytes() > owner_.max_unsent_bytes_per_caller()) {
-        connection_->pause_reading();
-        attempt_.has_paused = true;
-    }
+    pause_for_caller();
     return true;
 }
 
@@ -388,7 +447,7 @@
         end_attempt(attempt_end::broken);
     } else if (is_event_stream()) {
         complete_stream();
-    } else if (has_begun_answer_) {
+    } else if (has_begun_answer_ && !is_passed_on_) {
         end_attempt(attempt_end::unsuitable);
     } else {
         record_answer_time(monotonic_now());
@@ -439,15 +498,18 @@
 // Guards against an answer that is written into the middle of another one. The callers of this function have
 // to handle an answer that has begun; if one does not, the caller's connection is reset.
 void exchange::send_complete_answer(const char* outcome) {
-    if (!invariant("one_head_for_each_answer", !has_begun_answer_, [&] {
+    if (!invariant("one_head_for_each_answer", !has_begun_answer_ || is_passed_on_, [&] {
             return json{{"request", terms_.id}, {"outcome", outcome}};
         })) {
         caller_->abort();
         finish("cut", 0);
         return;
     }
+    if (std::string_view(outcome) == "served") {
+        record_answer_size();
+    }
     const bool keeps = keeps_caller_connection();
-    if (!is_caller_gone_) {
+    if (!is_caller_gone_ && !is_passed_on_) {
         caller_->write(answer_head(reader_->status(), reader_->headers(), false, body_.size()));
         if (request_.method != "HEAD") {
             caller_->write(body_);
--- a/src/relay/exchange_forwarding.cpp
+++ b/src/relay/exchange_forwarding.cpp
@@ -72,7 +72,7 @@
     const bool is_success = status / status_class == 2;
     if (!answer().has_receipt && promises_not_run(status)) {
         end_attempt(attempt_end::refused);
-    } else if (has_begun_answer_ && !is_event_stream()) {
+    } else if (has_begun_answer_ && !is_event_stream() && !is_passed_on_) {
         end_attempt(attempt_end::unsuitable);
     } else if (is_broken_off() || (is_success && !answer().has_receipt)) {
         end_attempt(attempt_end::broken);
--- a/src/relay/exchange_load.cpp
+++ b/src/relay/exchange_load.cpp
@@ -56,4 +56,22 @@
     return false;
 }
 
+// Guards against long answers that wait for slow callers in all of the host's memory, or at all endpoints.
+bool exchange::admit_answer() {
+    const auto found = state_.long_answers.find(route_->name);
+    if (found == state_.long_answers.end() ||
+        has_room_for_expected(found->second, state_.held_for_answers(0), state_.passed_on)) {
+        return true;
+    }
+    state_.measured.count("requests_refused_for_answers");
+    log_info("request_refused_for_memory", {{"request", terms_.id},
+                                            {"expected_bytes", found->second},
+                                            {"held_bytes", state_.answer_bytes.held()},
+                                            {"caller_bytes", state_.caller_bytes.held()},
+                                            {"limit_bytes", state_.settings.answer_buffer_bytes}});
+    answer_failure(status_unavailable, "no_memory", "retry later: this host holds too many long answers",
+                   retry_after_no_memory);
+    return false;
+}
+
 } // namespace laurelhoist
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -62,6 +62,7 @@
     caller_events_.has_room = [this](std::size_t own_bytes) {
         return state_.held_for_requests() - own_bytes <= state_.settings.request_buffer_bytes;
     };
+    caller_events_.unsent_bytes = state_.caller_bytes;
     caller_events_.on_closed = [this](const auto& caller) { callers_.erase(caller); };
     loop.every(sweep_interval, [this] { sweep(); });
 }
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -6,6 +6,7 @@
 
 #include "admission/admission.h"
 #include "recovery/recovery.h"
+#include "relay/answer_room.h"
 #include "relay/caller_connection.h"
 #include "relay/end_confirmation.h"
 #include "relay/endpoint_connection.h"
@@ -95,8 +96,18 @@
     std::size_t hosts = 1; ///< live hosts, this one included
     load_summary load;
     byte_account answer_bytes;  ///< answers of endpoints that have not been forwarded yet
+    byte_account caller_bytes;  ///< answers, or parts of them, that callers have not read
     byte_account request_bytes; ///< bodies of requests that are being received or in progress
 
+    std::size_t passed_on = 0; ///< answers that are no streams and are passed on as they arrive
+    /// By route: bytes of its last answer that was no stream, for routes with long ones.
+    std::map<std::string, std::size_t> long_answers;
+
+    /** \return what is held of answers, for one of which \p own_bytes are held. */
+    answer_holdings held_for_answers(std::size_t own_bytes) const {
+        return {settings.answer_buffer_bytes, answer_bytes.held(), own_bytes, caller_bytes.held(),
+                settings.caller_buffer_bytes};
+    }
     /** \return the bytes of requests that this host holds: bodies, and what endpoints have not read yet. */
     std::size_t held_for_requests() const { return request_bytes.held() + pool.unsent_bytes(); }
 
--- a/test/relay_decisions_test.cpp
+++ b/test/relay_decisions_test.cpp
@@ -1,4 +1,5 @@
-// Tests of the choice between model sizes, which needs no connection.
+// Tests of decisions of the relay that need no connection: the choice between model sizes, and what is held
+// of answers.
 #include "relay/relay.h"
 
 #include <gtest/gtest.h>
@@ -30,5 +31,35 @@
     EXPECT_EQ(largest_model_in_time(busy, least_urgent + 5, remaining_ms), 1U);
 }
 
+constexpr std::size_t one_mb = std::size_t{1} << 20;
+
+// Guards against one long answer that takes all the room of the others.
+TEST(answer_room, one_answer_gets_at_most_three_quarters_of_what_others_leave) {
+    EXPECT_EQ(room_for_answer({20 * one_mb, 0, 0, 0, 0}), 15 * one_mb);
+    EXPECT_EQ(room_for_answer({20 * one_mb, 15 * one_mb, 15 * one_mb, 0, 0}), 15 * one_mb);
+    EXPECT_EQ(room_for_answer({20 * one_mb, 16 * one_mb, 0, 0, 0}), 3 * one_mb);
+}
+
+// Guards against whole answers that count no more once they wait for their callers.
+TEST(answer_room, what_callers_have_not_read_beyond_their_buffer_takes_room) {
+    EXPECT_EQ(room_for_answer({20 * one_mb, 0, 0, 10 * one_mb, 10 * one_mb}), 15 * one_mb);
+    EXPECT_EQ(room_for_answer({20 * one_mb, 0, 0, 26 * one_mb, 10 * one_mb}), 3 * one_mb);
+}
+
+// Guards against an underflow, or no room at all for short answers, when more is held than is allowed.
+TEST(answer_room, short_answers_are_held_whatever_others_hold) {
+    EXPECT_EQ(room_for_answer({20 * one_mb, 90 * one_mb, 0, 90 * one_mb, 10 * one_mb}),
+              std::size_t{16} << 10);
+}
+
+// Guards against long answers at all endpoints, and against a route that is refused for ever because its
+// answers are longer than the room of an idle host.
+TEST(answer_room, long_answers_beyond_the_room_are_asked_for_a_few_at_a_time) {
+    const answer_holdings full{20 * one_mb, 20 * one_mb, 0, 0, 0};
+    EXPECT_TRUE(has_room_for_expected(4 * one_mb, full, max_passed_on - 1));
+    EXPECT_FALSE(has_room_for_expected(4 * one_mb, full, max_passed_on));
+    EXPECT_TRUE(has_room_for_expected(4 * one_mb, {20 * one_mb, 0, 0, 0, 0}, max_passed_on));
+}
+
 } // namespace
 } // namespace laurelhoist
--- a/test/relay_fixture.h
+++ b/test/relay_fixture.h
@@ -371,6 +371,7 @@
         settings.failure_domain = "d1";
         settings.request_buffer_bytes = request_buffer_bytes_;
         settings.max_answer_bytes = max_answer_bytes_;
+        settings.answer_buffer_bytes = answer_buffer_bytes_;
         settings.in_use = in_use_;
         settings.stop_time = stop_time_;
         relay_ = std::make_unique<relay>(loop_, dialect_, releases_,
@@ -484,6 +485,7 @@
     mechanisms in_use_;            ///< set before \ref start_relay
     duration stop_time_ = relay_settings{}.stop_time;                  ///< set before \ref start_relay
     std::size_t max_answer_bytes_ = relay_settings{}.max_answer_bytes; ///< set before \ref start_relay
+    std::size_t answer_buffer_bytes_ = relay_settings{}.answer_buffer_bytes;
     std::size_t request_buffer_bytes_ =
         relay_settings{}.request_buffer_bytes;                  ///< set before \ref start_relay
     std::size_t body_limit_bytes_ = caller_limits{}.body_bytes; ///< set before \ref start_relay
--- a/test/slow_callers_test.cpp
+++ b/test/slow_callers_test.cpp
@@ -228,5 +228,47 @@
     EXPECT_GT(caller.read_all().size(), answer_bytes);
 }
 
+class little_room : public relay_fixture {
+protected:
+    little_room() { answer_buffer_bytes_ = std::size_t{1} << 20; }
+    std::size_t most_held_bytes() {
+        std::size_t held = 0;
+        run_on_relay_thread(
+            [&] { held = relay_->state().answer_bytes.held() + relay_->state().caller_bytes.held(); });
+        return held;
+    }
+    static constexpr std::size_t answer_bytes_ = std::size_t{12} << 20;
+};
+
+// Guards against a host that runs out of memory because it holds whole answers for callers that read slowly.
+TEST_F(little_room, a_long_answer_for_a_slow_caller_is_held_in_parts_and_arrives_whole) {
+    scripted_endpoint endpoint({{answer_of("7", std::string(answer_bytes_, 'x')), false, false}});
+    start_relay(route(route_kind::non_idempotent, 1), {endpoint.address()});
+    slow_caller caller(port_, "7");
+    std::size_t most = 0;
+    for (int i = 0; i < 40; ++i) {
+        sleep_for(milliseconds(20));
+        most = std::max(most, most_held_bytes());
+    }
+    EXPECT_LE(most, std::size_t{2} << 20);
+    const std::string answer = caller.read_all();
+    EXPECT_EQ(answer.size() - answer.find("\r\n\r\n") - 4, answer_bytes_);
+    EXPECT_EQ(endpoint.requests().size(), 1U);
+    EXPECT_EQ(most_held_bytes(), 0U);
+}
+
+// Guards against an answer that is joined from two attempts, or that looks complete, because its endpoint
+// broke off when a part of it had been passed on.
+TEST_F(little_room, an_answer_that_breaks_off_after_a_part_was_passed_on_is_cut) {
+    std::string broken = answer_of("7", std::string(answer_bytes_, 'x'));
+    broken.resize(broken.size() / 2);
+    scripted_endpoint endpoint({{broken, false, true}, {answer_of("7", "served"), false, false}});
+    start_relay(route(route_kind::idempotent, 3), {endpoint.address()});
+    slow_caller caller(port_, "7");
+    EXPECT_LT(caller.read_all().size(), answer_bytes_);
+    EXPECT_EQ(endpoint.requests().size(), 1U);
+    run_on_relay_thread([&] { EXPECT_EQ(relay_->active(), 0U); });
+}
+
 } // namespace
 } // namespace laurelhoist
--- /dev/null
+++ b/test/soak/host_ends_memory.py
@@ -0,0 +1,130 @@
+"""Cases of host_ends.py: the memory that a host uses for callers that read slowly."""
+import asyncio
+import socket
+import time
+import types
+
+from host_ends import case, require
+from standins import answer, response_signature
+
+MEMORY_MB = 110
+DOCUMENT_BYTES = 4 << 20
+READ_BYTES_PER_S = 400_000
+READERS = 40
+READER_GAP_S = 0.1
+TAKEN_IN = 10        # documents that have to arrive whole; the others may be refused before they have run
+
+
+async def answer_document(endpoint, writer, request_id, body):
+    """Answers requests whose ids begin with d with a document, as an endpoint of the bench."""
+    await asyncio.sleep(0.02)
+    text = b"." * (DOCUMENT_BYTES if request_id.startswith("d") else 200)
+    writer.write(answer(200, text, [("X-Request-Id", request_id),
+                                    ("X-Response-Signature", response_signature(request_id, text))]))
+
+
+def resident_mb(host):
+    host.require_alive()
+    with open(f"/proc/{host.child.pid}/status") as lines:
+        return int(next(line for line in lines if line.startswith("VmRSS")).split()[1]) / 1024
+
+
+async def read_document(host, number):
+    """Returns what a slow caller got: "whole", "refused" (503) or what was wrong with it."""
+    loop, connection, got = asyncio.get_running_loop(), socket.socket(), b""
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 64 << 10)
+    connection.setblocking(False)
+    begun = time.monotonic()
+    try:
+        await loop.sock_connect(connection, (host.address, host.ports["callers"]))
+        await loop.sock_sendall(connection, f"GET /status/1 HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: d{number}\r\n"
+                                f"Authorization: Token key-a\r\nConnection: close\r\n\r\n".encode())
+        while piece := await asyncio.wait_for(loop.sock_recv(connection, 32 << 10), 20):
+            got += piece
+            await asyncio.sleep(max(0.0, len(got) / READ_BYTES_PER_S - (time.monotonic() - begun)))
+    except (OSError, asyncio.TimeoutError) as failure:
+        return f"{type(failure).__name__} after {len(got)} bytes"
+    finally:
+        connection.close()
+    head, _, body = got.partition(b"\r\n\r\n")
+    if head.startswith(b"HTTP/1.1 503"):
+        return "refused"
+    return "whole" if len(body) == DOCUMENT_BYTES else f"cut after {len(body)} bytes"
+
+
+@case
+async def slow_readers_of_whole_answers(bench):
+    """Callers that read long answers slowly bring a host over its memory, or take the endpoints from others."""
+    await bench.begin(starts=False)
+    for endpoint in bench.endpoints:
+        endpoint.answer_plain = types.MethodType(answer_document, endpoint)
+    host = bench.hosts[0]
+    host.flags["memory_mb"] = MEMORY_MB
+    host.start()
+    await host.until_ready()
+    highest, others, readers = 0.0, [], []
+    for number in range(READERS):
+        readers.append(asyncio.create_task(read_document(host, number)))
+        for _ in range(int(READER_GAP_S / 0.02)):
+            await asyncio.sleep(0.02)
+            highest = max(highest, resident_mb(host))
+        others.append(asyncio.create_task(bench.ask(host, f"c{number}", "/claims/1", "POST", b"claim")))
+    while not all(reader.done() for reader in readers):
+        await asyncio.sleep(0.02)
+        highest = max(highest, resident_mb(host))
+    ends, statuses = await asyncio.gather(*readers), await asyncio.gather(*others)
+    counts = {end: ends.count(end) for end in sorted(set(ends))}
+    print(f"  highest resident memory {highest:.0f} MB; documents {counts}; claims "
+          f"{ {status: statuses.count(status) for status in sorted(set(statuses))} }")
+    require(highest < MEMORY_MB, f"{highest:.0f} MB resident, {MEMORY_MB} allowed")
+    require(set(ends) <= {"whole", "refused"}, f"documents: {counts}")
+    require(ends.count("whole") >= TAKEN_IN, f"documents: {counts}")
+    require(set(statuses) == {200}, f"other callers got {statuses}")
+
+
+UPLOADERS = 60
+UPLOAD_BYTES = 2 << 20
+UPLOAD_BYTES_PER_S = 1_000_000
+
+
+async def upload(bench, host, number):
+    """Sends a long body slowly. Returns the status, 0 if the connection ended without one."""
+    writer = None
+    try:
+        reader, writer = await asyncio.open_connection(host.address, host.ports["callers"])
+        writer.write(f"POST /claims/1 HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: u{number}\r\nAuthorization: Token "
+                     f"key-a\r\nConnection: close\r\nContent-Length: {UPLOAD_BYTES}\r\n\r\n".encode())
+        begun, piece = time.monotonic(), b"." * (32 << 10)
+        for sent in range(len(piece), UPLOAD_BYTES + 1, len(piece)):
+            writer.write(piece)
+            await writer.drain()
+            await asyncio.sleep(max(0.0, sent / UPLOAD_BYTES_PER_S - (time.monotonic() - begun)))
+        head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 10)
+        return int(head.split(b" ")[1])
+    except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, ValueError):
+        return 0
+    finally:
+        if writer is not None:
+            writer.close()
+
+
+@case
+async def slow_uploads(bench):
+    """Callers that send long bodies slowly bring a host over its memory."""
+    await bench.begin(starts=False)
+    bench.put_config(limits={"max_body_bytes": 4 << 20})
+    host = bench.hosts[0]
+    host.flags["memory_mb"] = MEMORY_MB
+    host.start()
+    await host.until_ready()
+    highest, uploads = 0.0, [asyncio.create_task(upload(bench, host, number)) for number in range(UPLOADERS)]
+    while not all(each.done() for each in uploads):
+        await asyncio.sleep(0.02)
+        highest = max(highest, resident_mb(host))
+    statuses = await asyncio.gather(*uploads)
+    ran = [run["id"] for run in bench.runs]
+    print(f"  highest resident memory {highest:.0f} MB; statuses "
+          f"{ {status: statuses.count(status) for status in sorted(set(statuses))} }")
+    require(highest < MEMORY_MB, f"{highest:.0f} MB resident, {MEMORY_MB} allowed")
+    require(set(statuses) <= {200, 503}, f"statuses {statuses}")
+    require(len(set(ran)) == len(ran) == statuses.count(200), f"{len(ran)} runs, {statuses.count(200)} answers")
