Review of the mends: an exception never leads to a second answer, and ends no chain of handlers

An exception in the handling of an answer counted as a broken connection, so that the request was repeated, or its stream resumed behind events that had been lost: another answer could be written behind a head. Such a request now ends with a reset. Chains that go on after a callback ended with one exception: the watch of the store (the change is now reported again, and nothing confirmed meanwhile), accepting connections, receiving datagrams, requests of the HTTP server (500). finish() leaves nothing behind if it throws; the waiting room goes on.

Tests: messages.a_message_nested_too_deep_is_refused ended in signal 11 on the code before.

--- a/src/node/messages.cpp
+++ b/src/node/messages.cpp
@@ -45,11 +45,10 @@
 
 namespace {
 
-// nlohmann::json throws for some malformed lengths even with exceptions disabled.
 json read_cbor(const std::string& bytes) {
     try {
-        return json::from_cbor(bytes, true, false);
-    } catch (const json::exception&) {
+        return parse_foreign_cbor(bytes);
+    } catch (const std::exception&) {
         return json(json::value_t::discarded);
     }
 }
--- a/src/relay/endpoint_connection.cpp
+++ b/src/relay/endpoint_connection.cpp
@@ -55,7 +55,7 @@
                               }
                               self->is_connected_ = true;
                               self->start_read();
-                              self->report([&] { self->observer_->on_connected(); });
+                              self->observer_->on_connected();
                           });
 }
 
@@ -102,24 +102,13 @@
                 self->close(); // The connection is idle, so no answer is expected.
                 return;
             }
-            self->report([&] { self->observer_->on_received({self->incoming_.data(), bytes}); });
+            self->observer_->on_received({self->incoming_.data(), bytes});
             if (self->socket_.is_open() && !self->is_reading_paused_ && !self->is_reading_) {
                 self->start_read();
             }
         });
 }
 
-// The observer takes the connection for broken, which ends its attempt as any other broken answer does.
-template <class Report>
-void endpoint_connection::report(const Report& to_observer) {
-    try {
-        to_observer();
-    } catch (const std::exception& failure) {
-        log_error("answer_handler_failed", {{"address", address_}, {"what", failure.what()}});
-        close_and_notify(connection_end::broken);
-    }
-}
-
 void endpoint_connection::close_and_notify(connection_end reason) {
     connection_observer* observer = observer_;
     close();
--- a/src/relay/endpoint_connection.h
+++ b/src/relay/endpoint_connection.h
@@ -72,9 +72,6 @@
     void start_read();
     void start_write();
     void close_and_notify(connection_end reason);
-    /** Calls \p to_observer; after an exception, closes the connection and reports it as broken. */
-    template <class Report>
-    void report(const Report& to_observer);
 
     boost::asio::ip::tcp::socket socket_;
     std::string address_;
--- a/src/relay/exchange.cpp
+++ b/src/relay/exchange.cpp
@@ -167,6 +167,12 @@
                        retry_after_no_configuration);
         return false;
     }
+    // An endpoint that returns such a field would seem to send two answers, and count as faulty.
+    if (contains_status_line(request_.headers)) {
+        answer_failure(status_bad_request, "malformed",
+                       "send no field whose value contains a status line, as HTTP/1.1 200", {});
+        return false;
+    }
     route_ = routing_->find_route(terms_.host, request_.path());
     if (route_ == nullptr) {
         answer_failure(status_not_found, "no_route", "use a host and path that match a route", {});
@@ -365,6 +371,10 @@
 }
 
 void exchange::on_connected() {
+    owner_.run_guarded(*this, [this] { send_on_connection(); });
+}
+
+void exchange::send_on_connection() {
     auto self = shared_from_this();
     record_link(true);
     // An overloaded host reads requests seconds after they arrived, before it reads the end of the caller's
@@ -408,6 +418,10 @@
 }
 
 void exchange::on_connect_failed(connect_failure why) {
+    owner_.run_guarded(*this, [this, why] { end_unconnected(why); });
+}
+
+void exchange::end_unconnected(connect_failure why) {
     auto self = shared_from_this();
     if (why == connect_failure::refused && !attempt_.is_forwarded()) {
         owner_.report_connection_refused(attempt_.chosen.endpoint.name);
@@ -703,6 +717,8 @@
     if (is_in_state("finished")) {
         return;
     }
+    const auto self = shared_from_this();
+    owner_.active_.erase(self); // First, so that an exception in what follows leaves nothing behind.
     end_wait(is_caller_gone_ ? wait_end::left : wait_end::refused);
     apply_event("ended");
     state_.passed_on -= is_passed_on_ ? 1 : 0;
@@ -735,7 +751,6 @@
               {"slowness", attempt_.slowness},
               {"waited_ms", static_cast<int>(to_ms(waited_))},
               {"took_ms", static_cast<int>(to_ms(took))}});
-    owner_.active_.erase(shared_from_this());
 }
 
 } // namespace laurelhoist
--- a/src/relay/exchange.h
+++ b/src/relay/exchange.h
@@ -86,11 +86,16 @@
         bool is_slow() const { return *slowness != '\0'; }
     };
 
+    static constexpr int status_bad_request = 400;
     static constexpr int status_bad_gateway = 502;
     static constexpr int status_unavailable = 503;
     static constexpr int status_gateway_timeout = 504;
     static constexpr int status_class = 100; ///< status codes of a kind share what remains if divided by this
 
+    /** Sends the request on the connection that was made for it. */
+    void send_on_connection();
+    void end_unconnected(connect_failure why);
+    void end_with_connection(connection_end end);
     void await_configuration(time_point now);
     void begin();
     void apply_event(const char* event);
--- a/src/relay/exchange_answers.cpp
+++ b/src/relay/exchange_answers.cpp
@@ -56,7 +56,7 @@
 
 void exchange::on_received(std::string_view bytes) {
     auto self = shared_from_this();
-    read_answer(bytes);
+    owner_.run_guarded(*this, [this, bytes] { read_answer(bytes); });
 }
 
 // Decoded once for each answer, because a stream arrives in dozens of pieces.
@@ -463,6 +463,10 @@
 }
 
 void exchange::on_closed(connection_end end) {
+    owner_.run_guarded(*this, [this, end] { end_with_connection(end); });
+}
+
+void exchange::end_with_connection(connection_end end) {
     auto self = shared_from_this();
     const bool is_orderly = end == connection_end::finished;
     if (is_orderly && reader_->has_head() && !is_stray_answer() && !is_broken_off() && reader_->finish()) {
--- a/src/relay/exchange_forwarding.cpp
+++ b/src/relay/exchange_forwarding.cpp
@@ -98,7 +98,8 @@
         return;
     }
     const bool is_sent = is_in_state("asked") || is_in_state("answering");
-    const bool is_silent = now - attempt_.heard_at > slow_connect && !is_waiting_for_caller();
+    const bool is_silent =
+        now - attempt_.heard_at > slow_connect && !is_waiting_for_caller() && !is_passed_on_;
     if (waits_there && is_sent && is_silent && route_->may_repeat() && attempts_ < route_->max_attempts &&
         state_.repeats_of(service_).has_retry(now)) {
         auto self = shared_from_this();
--- a/src/relay/http_codec.cpp
+++ b/src/relay/http_codec.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <charconv>
-#include <limits>
 #include <utility>
 
 namespace laurelhoist {
@@ -26,6 +25,9 @@
 constexpr std::size_t max_answer_framing_bytes = std::size_t{128} << 10;
 constexpr std::size_t max_framing_of_body_byte = 8;
 
+/// Above any answer, also of a stream that lasts for a day.
+constexpr std::uint64_t max_answer_body_bytes = std::uint64_t{1} << 30;
+
 template <class Fields>
 header_list to_header_list(const Fields& message) {
     header_list headers;
@@ -94,6 +96,11 @@
 
 } // namespace
 
+bool contains_status_line(const header_list& headers) {
+    return std::any_of(headers.all().begin(), headers.all().end(),
+                       [](const header_field& field) { return find_status_line(field.value).has_value(); });
+}
+
 bool is_same_name(std::string_view left, std::string_view right) {
     return left.size() == right.size() &&
            std::equal(left.begin(), left.end(), right.begin(),
@@ -250,8 +257,9 @@
 struct answer_reader::state {
     explicit state(bool is_for_head) {
         parser.header_limit(max_answer_header_bytes);
-        // A length is compared with the limit, and in some versions of Beast any length exceeds none.
-        parser.body_limit(std::numeric_limits<std::uint64_t>::max());
+        // Beast sets aside memory for a length up to the limit. No limit is not possible: in some versions
+        // any length exceeds it.
+        parser.body_limit(max_answer_body_bytes);
         parser.eager(false); // Until the head is read: the fields of a trailer would be added to it.
         parser.skip(is_for_head);
     }
--- a/src/relay/http_codec.h
+++ b/src/relay/http_codec.h
@@ -138,6 +138,10 @@
 /** \return whether \p name is a hop-by-hop field, by the standard or by the Connection field in \p headers,
  * and must not be forwarded. */
 bool is_hop_by_hop(std::string_view name, const header_list& headers);
+
+/** \return whether a field's value contains what looks like the first line of an answer, as `HTTP/1.1 200`.
+ * In an answer it shows that another answer follows a head that was not finished (\ref answer_reader). */
+bool contains_status_line(const header_list& headers);
 /** Appends `name: value` and CRLF to \p head. */
 void append_header(std::string& head, std::string_view name, std::string_view value);
 /** \return `HTTP/1.1 status reason` and CRLF. */
--- a/src/relay/relay_waiting.cpp
+++ b/src/relay/relay_waiting.cpp
@@ -63,7 +63,9 @@
             waiting_.erase(id);
             continue;
         }
-        if (head->leave_room_if_served()) {
+        bool has_left = true; // An exception ends the request, which leaves its place, too.
+        run_guarded(*head, [&] { has_left = head->leave_room_if_served(); });
+        if (has_left) {
             continue;
         }
         if (!has_room(service)) {
--- a/src/store/object_watch.cpp
+++ b/src/store/object_watch.cpp
@@ -57,6 +57,24 @@
     }
 }
 
+// An exception must not end the following of all later changes. The change is reported again with the next
+// response.
+void object_watch::report_change() {
+    try {
+        events_.on_change(objects_);
+        has_unhandled_change_ = false;
+    } catch (const std::exception& failure) {
+        has_unhandled_change_ = true;
+        log_error("change_handler_failed", {{"kind", kind_}, {"what", failure.what()}});
+    }
+}
+
+void object_watch::confirm(time_point as_of) {
+    if (!has_unhandled_change_) { // What is in use is otherwise older than the copy.
+        events_.on_confirmed(as_of);
+    }
+}
+
 void object_watch::start(listing_freshness first) {
     listing_freshness_ = first;
     listed_objects_.clear();
@@ -118,8 +136,8 @@
         revision_ = listing_revision_;
         last_changed_revision_ = listing_revision_;
         is_listed_ = true;
-        events_.on_change(objects_);
-        events_.on_confirmed(listing_started_at_);
+        report_change();
+        confirm(listing_started_at_);
     }
     listed_objects_.clear();
     follow();
@@ -167,7 +185,7 @@
         transition("listed");
         follow();
     }
-    events_.on_change(objects_);
+    report_change();
     return true;
 }
 
@@ -257,9 +275,11 @@
     revision_ = std::max(revision_, heard.as_of_revision);
     if (has_changed) {
         last_changed_revision_ = revision_;
-        events_.on_change(objects_);
     }
-    events_.on_confirmed(sent_at + confirmed_wait(heard, monotonic_now() - sent_at));
+    if (has_changed || has_unhandled_change_) {
+        report_change();
+    }
+    confirm(sent_at + confirmed_wait(heard, monotonic_now() - sent_at));
     const bool may_have_more = heard.events.size() >= full_batch;
     if (heard.events.empty() || may_have_more) {
         follow();
--- a/src/transport/datagram.cpp
+++ b/src/transport/datagram.cpp
@@ -47,14 +47,22 @@
                     return;
                 }
                 if (!failure) {
-                    const std::string from =
-                        self->sender.address().to_string() + ":" + std::to_string(self->sender.port());
-                    self->on_received(from, {self->incoming.data(), bytes});
+                    self->deliver(bytes);
                 }
                 self->receive();
             });
     }
 
+    // One message that cannot be handled must not end the receiving of all others.
+    void deliver(std::size_t bytes) {
+        const std::string from = sender.address().to_string() + ":" + std::to_string(sender.port());
+        try {
+            on_received(from, {incoming.data(), bytes});
+        } catch (const std::exception& failure) {
+            log_error("datagram_handler_failed", {{"from", from}, {"what", failure.what()}});
+        }
+    }
+
     udp::socket socket;
     handler on_received;
     std::array<char, max_datagram_bytes> incoming{};
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -205,7 +205,17 @@
             const http_request request = to_request(parser_->get());
             on_disconnect_ = nullptr;
             watch_for_close();
+            handle(request);
+        }
+    }
+
+    void handle(const http_request& request) {
+        try {
             server_->on_request(request, this->shared_from_this());
+        } catch (const std::exception& failure) {
+            log_error("http_handler_failed", {{"path", request.path}, {"what", failure.what()}});
+            constexpr int status_internal_error = 500;
+            reply(status_internal_error, {}, "{}");
         }
     }
 
--- a/src/transport/tcp_listener.cpp
+++ b/src/transport/tcp_listener.cpp
@@ -56,8 +56,8 @@
                     self->on_failed(failure);
                     return;
                 }
+                self->accept_next(); // First, as an exception would otherwise end the accepting.
                 self->what.on_accepted(std::move(socket));
-                self->accept_next();
             });
     }
 
--- a/test/node_test.cpp
+++ b/test/node_test.cpp
@@ -75,6 +75,12 @@
     decode(altered);
 }
 
+// Guards against a message that ends the process, because reading it recurses as deep as it is nested.
+TEST(messages, a_message_nested_too_deep_is_refused) {
+    constexpr std::size_t depth = 1'000'000;
+    EXPECT_EQ(value_of(decode(std::string(depth, '\x81'))), nullptr);
+}
+
 // Guards against links from processes that lack the fleet key, replay an old hello or alter one.
 TEST(messages, a_hello_without_the_key_or_with_an_old_time_is_refused) {
     hello_message hello{"entry", "e", "e#1", "d", "a", 100000, ""};
--- a/test/rollout_test.cpp
+++ b/test/rollout_test.cpp
@@ -462,8 +462,6 @@
     EXPECT_NE(rollout.advance(milliseconds(23'550)), rollout_state::completed);
 }
 
-// Guards against sessions that the other hosts never hear of: with over forty sessions in flight, each
-// message would carry the same first forty.
 // Guards against a session that is kept forever, because the age that a peer sent is negative or overflows.
 TEST(session_memory, an_age_out_of_range_does_not_keep_a_session) {
     const time_point now{seconds(1000)};
@@ -476,6 +474,8 @@
     }
 }
 
+// Guards against sessions that the other hosts never hear of: with over forty sessions in flight, each
+// message would carry the same first forty.
 TEST(session_memory, all_sessions_are_sent_in_turn) {
     session_memory sessions(seconds(5));
     constexpr std::uint64_t count = 100;
