Listeners and signal handler: names of the field; no reading of the memory without a limit

is_transient_listen_failure, permanent_failure_timeout and signal_handler_state replace names that read oddly.

--- a/src/base/process_end.cpp
+++ b/src/base/process_end.cpp
@@ -25,15 +25,15 @@
 constexpr std::size_t max_line_bytes = 512;
 
 /** What the handler of signals needs; it may call neither the allocator nor the log. */
-struct end_report {
+struct signal_handler_state {
     std::array<char, max_line_bytes> identity{}; ///< the fields of the line that are known from the start
     std::size_t identity_length = 0;
     time_point started_at;
     std::array<char, handler_stack_bytes> stack{};
 };
 
-end_report& report() {
-    static end_report instance;
+signal_handler_state& handler_state() {
+    static signal_handler_state instance;
     return instance;
 }
 
@@ -79,14 +79,14 @@
 }
 
 std::int64_t ms_since_start() {
-    return std::chrono::duration_cast<milliseconds>(monotonic_now() - report().started_at).count();
+    return std::chrono::duration_cast<milliseconds>(monotonic_now() - handler_state().started_at).count();
 }
 
 void on_ending_signal(int number) {
     fixed_line line;
     line.append("{\"at_ms\":");
     line.append(realtime_ms());
-    line.append(std::string_view(report().identity.data(), report().identity_length));
+    line.append(std::string_view(handler_state().identity.data(), handler_state().identity_length));
     line.append(",\"reason\":\"signal\",\"signal\":");
     line.append(std::int64_t{number});
     line.append(",\"after_ms\":");
@@ -130,7 +130,7 @@
 } // namespace
 
 void log_process_end(const std::string& program, const std::string& host) {
-    end_report& own = report();
+    signal_handler_state& own = handler_state();
     if (own.identity_length == 0) {
         own.started_at = monotonic_now();
     }
--- a/src/base/settings_file.h
+++ b/src/base/settings_file.h
@@ -37,8 +37,8 @@
 std::string without_zero_fraction(const std::string& value);
 
 /// How long a file is read again that cannot be read, or lacks what is required. A file is written in
-/// milliseconds, on a slow core in a tenth of a second; callers come 10 s after the start, and a supervisor
-/// that restarts this process brings a new file no sooner than this.
+/// milliseconds, on a slow core in a tenth of a second; a supervisor that restarts this process brings a new
+/// file no sooner than this.
 constexpr duration settings_wait_limit = seconds(3);
 /// Time between two readings, which cost a few system calls each.
 constexpr duration settings_retry_interval = milliseconds(100);
--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -218,7 +218,7 @@
 }
 
 void entry_host::check_memory(time_point now) {
-    if (now - memory_checked_at_ < memory_check_interval) {
+    if (memory_.limit_bytes() == 0 || now - memory_checked_at_ < memory_check_interval) {
         return;
     }
     memory_checked_at_ = now;
--- a/src/transport/address_opener.cpp
+++ b/src/transport/address_opener.cpp
@@ -5,10 +5,10 @@
 namespace {
 
 std::string remedy_for(const std::error_code& failure) {
-    return is_passing_listen_failure(failure) ? "none is needed if a process that ends still holds it; "
-                                                "otherwise end the process that uses it, "
-                                                "or give a free address of this host"
-                                              : "give a free address of this host";
+    return is_transient_listen_failure(failure) ? "none is needed if a process that ends still holds it; "
+                                                  "otherwise end the process that uses it, "
+                                                  "or give a free address of this host"
+                                                : "give a free address of this host";
 }
 
 } // namespace
--- a/src/transport/listen_attempts.h
+++ b/src/transport/listen_attempts.h
@@ -16,10 +16,9 @@
 constexpr duration listen_retry_interval = milliseconds(250);
 /// Time between two lines about an address at which a process still cannot listen.
 constexpr duration listen_log_interval = seconds(5);
-/// How long a reason that normally does not pass, such as an address of no interface of this machine, is
-/// taken as passing. An interface that comes up with the machine needs a few seconds; callers come 10 s after
-/// the start.
-constexpr duration listen_patience = seconds(8);
+/// How long attempts are repeated after a failure that is normally permanent, such as an address of no
+/// interface of this machine. An interface that comes up with the machine needs a few seconds.
+constexpr duration permanent_failure_timeout = seconds(8);
 
 /** What an address is for. */
 enum class listen_need {
@@ -40,9 +39,9 @@
     give_up        ///< the address cannot be right: end the process
 };
 
-/** \return whether \p failure says nothing about the address itself and passes when another process ends or
+/** \return whether \p failure says nothing about the address itself and ends when another process ends or
  * releases what it holds, such as a port in use. */
-bool is_passing_listen_failure(const std::error_code& failure);
+bool is_transient_listen_failure(const std::error_code& failure);
 
 /** The attempts to listen at one address, from the first that fails to the one that succeeds. */
 class listen_attempts {
@@ -58,8 +57,7 @@
 private:
     listen_need need_;
     std::optional<time_point> failing_since_;
-    std::optional<time_point>
-        unfit_since_; ///< since when each attempt has failed with a reason that does not pass
+    std::optional<time_point> permanent_since_; ///< since when all failures have been permanent ones
     time_point logged_at_;
 };
 
--- a/test/transport_test.cpp
+++ b/test/transport_test.cpp
@@ -271,25 +271,27 @@
 // Guards against a host without a service that waits for an address that can never be its own, and against
 // one that ends while its network interface still comes up.
 TEST(listen_attempts, an_address_of_no_interface_ends_the_process_after_a_while_if_it_is_needed) {
-    const std::error_code unfit = failure_of(std::errc::address_not_available);
+    const std::error_code permanent = failure_of(std::errc::address_not_available);
     const time_point start = monotonic_now();
     listen_attempts needed(listen_need::service);
-    EXPECT_EQ(needed.on_failed(unfit, start), listen_reaction::log_and_retry);
-    EXPECT_NE(needed.on_failed(unfit, start + listen_patience - milliseconds(1)), listen_reaction::give_up);
-    EXPECT_EQ(needed.on_failed(unfit, start + listen_patience), listen_reaction::give_up);
+    EXPECT_EQ(needed.on_failed(permanent, start), listen_reaction::log_and_retry);
+    EXPECT_NE(needed.on_failed(permanent, start + permanent_failure_timeout - milliseconds(1)),
+              listen_reaction::give_up);
+    EXPECT_EQ(needed.on_failed(permanent, start + permanent_failure_timeout), listen_reaction::give_up);
     listen_attempts observed(listen_need::observation);
-    EXPECT_EQ(observed.on_failed(unfit, start), listen_reaction::log_and_retry);
-    EXPECT_NE(observed.on_failed(unfit, start + 2 * listen_patience), listen_reaction::give_up);
+    EXPECT_EQ(observed.on_failed(permanent, start), listen_reaction::log_and_retry);
+    EXPECT_NE(observed.on_failed(permanent, start + 2 * permanent_failure_timeout), listen_reaction::give_up);
 }
 
 // Guards against an interface that is up at last and whose port is then still in use for a moment.
 TEST(listen_attempts, a_reason_that_passes_ends_the_count_of_one_that_does_not) {
-    const std::error_code unfit = failure_of(std::errc::address_not_available);
+    const std::error_code permanent = failure_of(std::errc::address_not_available);
     const time_point start = monotonic_now();
     listen_attempts attempts(listen_need::service);
-    attempts.on_failed(unfit, start);
-    attempts.on_failed(failure_of(std::errc::too_many_files_open), start + listen_patience);
-    EXPECT_NE(attempts.on_failed(unfit, start + listen_patience + seconds(1)), listen_reaction::give_up);
+    attempts.on_failed(permanent, start);
+    attempts.on_failed(failure_of(std::errc::too_many_files_open), start + permanent_failure_timeout);
+    EXPECT_NE(attempts.on_failed(permanent, start + permanent_failure_timeout + seconds(1)),
+              listen_reaction::give_up);
 }
 
 TEST(link, carries_messages_both_ways_and_reports_the_close) {
