Store: a value of many parts costs only itself, and a listing always makes progress

Cause: each {} of three bytes becomes a value of 80, in the document and again in the copy of the object; only depth was bounded.

Of the same reading: a name with a space, & or a line break made the request for the next page invalid, so that no host became ready; names are percent-encoded.

--- a/src/base/json_text.cpp
+++ b/src/base/json_text.cpp
@@ -110,13 +110,13 @@
     bool is_in_string_ = false;
 };
 
-/** Builds a document from the parser's events, without the values that are nested too deep. */
+/** Builds a document from the parser's events, without the values that are nested too deep or too large. */
 class bounded_builder {
 public:
     enum class on_error { stop, raise };
 
-    bounded_builder(on_error reaction, const omission_handler& on_omitted)
-        : reaction_{reaction}, on_omitted_{on_omitted} {}
+    bounded_builder(on_error reaction, const omission_handler& on_omitted, const element_bounds& bounds)
+        : reaction_{reaction}, on_omitted_{on_omitted}, bounds_{bounds} {}
 
     json take() { return std::move(root_); }
 
@@ -157,6 +157,7 @@
     }
 
     bool add(json value) {
+        count_value();
         if (omitted_levels_ == 0) {
             place(std::move(value));
         }
@@ -164,17 +165,48 @@
     }
 
     bool open(json container) {
+        count_value();
         if (omitted_levels_ == 0 && open_.size() < max_foreign_depth) {
             open_.push_back(&place(std::move(container)));
         } else if (++omitted_levels_ == 1) {
             place(json());
-            if (on_omitted_) {
-                on_omitted_(root_);
-            }
+            report_omission();
         }
         return true;
     }
 
+    /** Counts the next value, and leaves out the field or the object that holds it if that has too many. */
+    void count_value() {
+        const std::size_t level = open_.size();
+        if (bounds_.max_values == 0 || omitted_levels_ > 0) {
+            return;
+        }
+        if (level <= bounds_.element_level) {
+            values_of_element_ = 0;
+        } else if (level <= bounds_.field_level) {
+            values_of_field_ = 0;
+            if (++values_of_element_ > bounds_.max_values) {
+                omit_container(level - 1);
+            }
+        } else if (++values_of_field_ > bounds_.max_values) {
+            omit_container(bounds_.field_level);
+        }
+    }
+
+    /** Makes null of the open container at \p level, and ignores what follows in it. */
+    void omit_container(std::size_t level) {
+        omitted_levels_ = open_.size() - level;
+        *open_[level] = json();
+        open_.resize(level);
+        report_omission();
+    }
+
+    void report_omission() {
+        if (on_omitted_) {
+            on_omitted_(root_);
+        }
+    }
+
     bool close() {
         if (omitted_levels_ > 0) {
             --omitted_levels_;
@@ -186,10 +218,13 @@
 
     on_error reaction_;
     const omission_handler& on_omitted_;
+    const element_bounds& bounds_;
     json root_;
     std::vector<json*> open_; ///< the containers around the next value, the outermost first
     json* member_ = nullptr;  ///< of the innermost container, if it is an object: where its next value goes
     std::size_t omitted_levels_ = 0;
+    std::size_t values_of_element_ = 0; ///< of the current element, without those of its fields
+    std::size_t values_of_field_ = 0;
 };
 
 } // namespace
@@ -198,12 +233,13 @@
     return value.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
-json parse_foreign_json(const std::string& text, const omission_handler& on_omitted) {
-    bounded_builder as_sent(bounded_builder::on_error::stop, on_omitted);
+json parse_foreign_json(const std::string& text, const omission_handler& on_omitted,
+                        const element_bounds& bounds) {
+    bounded_builder as_sent(bounded_builder::on_error::stop, on_omitted, bounds);
     if (json::sax_parse(text, &as_sent)) {
         return as_sent.take();
     }
-    bounded_builder repaired(bounded_builder::on_error::raise, on_omitted);
+    bounded_builder repaired(bounded_builder::on_error::raise, on_omitted, bounds);
     json::sax_parse(json_repair(replace_invalid_utf8(text)).run(), &repaired);
     return repaired.take();
 }
--- a/src/base/json_text.h
+++ b/src/base/json_text.h
@@ -24,13 +24,24 @@
 /** Called when a value is left out, with the document as far as it has been read. */
 using omission_handler = std::function<void(const json& read_so_far)>;
 
+/** Bounds the memory that one element of a list takes. The text `{},` is 3 bytes long and becomes a value of
+ * 80 bytes, so that a megabyte of text may exhaust the memory of a small host. Levels are counted from the
+ * document, which is at level 0. */
+struct element_bounds {
+    std::size_t element_level = 0; ///< of the elements, such as 2 for those of a list in an object
+    std::size_t field_level = 0;   ///< of the fields of an element that are bounded one by one
+    std::size_t max_values = 0;    ///< values in one such field, and in the rest of one element; 0: no bound
+};
+
 /** Parses a document of which parts come from other writers. What JSON's grammar allows but the parser
  * rejects affects only the value it stands in: bytes that are not UTF-8 become question marks, unpaired
  * surrogates U+FFFD, and numbers beyond the range of a double null. Arrays and objects deeper than
- * \ref max_foreign_depth become null. Takes time and memory in proportion to the length of \p text.
- * \param on_omitted called for each value that is left out for its depth; may be called twice for one
+ * \ref max_foreign_depth, or with more values than \p bounds allow, become null. Takes time and memory in
+ * proportion to the length of \p text.
+ * \param on_omitted called for each value that is left out for its depth or size; may be called twice for one
  * \return the document
  * \throws json::exception if \p text is not JSON otherwise either */
-json parse_foreign_json(const std::string& text, const omission_handler& on_omitted = {});
+json parse_foreign_json(const std::string& text, const omission_handler& on_omitted = {},
+                        const element_bounds& bounds = {});
 
 } // namespace laurelhoist
--- a/src/store/object_store.h
+++ b/src/store/object_store.h
@@ -23,7 +23,10 @@
     bool has_more = false;
     std::int64_t as_of_revision = 0;
     std::vector<std::size_t>
-        shortened{}; ///< numbers of the items that lack a value, as it was nested too deep
+        shortened{}; ///< numbers of the items that lack a value, as it was nested too deep or too large
+    /// Name of the last object that the store has listed, also if it is not among \ref items as it is
+    /// unreadable; empty if it has none.
+    std::string last_name{};
 };
 
 struct object_event {
--- a/src/store/object_watch.cpp
+++ b/src/store/object_watch.cpp
@@ -100,6 +100,7 @@
 }
 
 void object_watch::list_from(const std::string& after) {
+    listed_until_ = after;
     const auto call =
         listing_freshness_ == listing_freshness::lagging ? &object_store::list_lagging : &object_store::list;
     (store_.*call)(kind_, after, [this](const auto& result) { on_page(result); });
@@ -119,12 +120,14 @@
     for (const stored_object& item : page.items) {
         listed_objects_[item.name] = item;
     }
-    if (page.has_more && !page.items.empty()) {
+    if (page.has_more) {
         if (is_paused_) {
             stop_listing();
-            return;
+        } else if (page.last_name.empty() || page.last_name == listed_until_) {
+            on_failure(store_failure::unreadable); // The next page would be this one again.
+        } else {
+            list_from(page.last_name);
         }
-        list_from(page.items.back().name);
         return;
     }
     set_reachable(true);
--- a/src/store/object_watch.h
+++ b/src/store/object_watch.h
@@ -121,6 +121,7 @@
     handlers events_;
     objects_by_name objects_;
     objects_by_name listed_objects_; ///< objects received so far by the listing in progress
+    std::string listed_until_;       ///< the name after which its current page begins
     std::int64_t listing_revision_ = 0;
     std::int64_t revision_ = 0;
     std::int64_t last_changed_revision_ = 0;
--- a/test/platform_test.cpp
+++ b/test/platform_test.cpp
@@ -230,6 +230,90 @@
     }
 }
 
+std::string many(std::size_t count) {
+    std::string text = "[{}";
+    for (std::size_t i = 1; i < count; ++i) {
+        text += ",{}";
+    }
+    return text + "]";
+}
+
+std::size_t values_in(const json& value) {
+    std::size_t count = 1;
+    for (const json& each : value.is_structured() ? value : json::array()) {
+        count += values_in(each);
+    }
+    return count;
+}
+
+// Guards against a megabyte of an entry that becomes 50 MB of a host and, with others, has it killed.
+TEST(store_answers, a_value_of_many_parts_costs_only_itself) {
+    const json valid = {{"metadata", {{"name", "e1"}, {"revision", 5}}}, {"spec", valid_endpoint()}};
+    json foreign = valid;
+    foreign["metadata"]["name"] = "large";
+    foreign["spec"]["labels"] = "@@";
+    const json items = {{"items", json::array({foreign, valid})}, {"at", 6}};
+    const json events = {{"events", json::array({{{"object", foreign}}, {{"object", valid}}})}, {"at", 6}};
+    const object_page page = read_page(replace_all(items.dump(), R"("@@")", many(340'000)), endpoint_kind);
+    const object_events heard =
+        read_events(replace_all(events.dump(), R"("@@")", many(340'000)), rollout_kind);
+    ASSERT_EQ(page.items.size(), 2U);
+    ASSERT_EQ(heard.events.size(), 2U);
+    EXPECT_EQ(page.shortened, std::vector<std::size_t>{0});
+    EXPECT_EQ(heard.shortened, std::vector<std::size_t>{0});
+    for (const stored_object& each : page.items) {
+        EXPECT_NE(value_of(decode_endpoint(each)), nullptr);
+    }
+    EXPECT_LT(values_in(heard.events.front().object.spec), 100U);
+    EXPECT_EQ(heard.events.back().object.spec, valid["spec"]);
+}
+
+// Guards against a megabyte of fields, none of which is large by itself.
+TEST(store_answers, an_entry_of_many_fields_does_not_affect_others) {
+    const json valid = {{"metadata", {{"name", "e1"}, {"revision", 5}}}, {"spec", valid_endpoint()}};
+    json foreign = valid;
+    for (int i = 0; i < 100'000; ++i) {
+        foreign["spec"]["f" + std::to_string(i)] = 0;
+    }
+    const json items = {{"items", json::array({foreign, valid})}, {"at", 6}};
+    const object_page page = read_page(items.dump(), endpoint_kind);
+    ASSERT_EQ(page.items.size(), 2U);
+    EXPECT_EQ(value_of(decode_endpoint(page.items.front())), nullptr);
+    EXPECT_NE(value_of(decode_endpoint(page.items.back())), nullptr);
+}
+
+// Guards against a bound that refuses a configuration as large as the store accepts.
+TEST(store_answers, a_configuration_of_a_megabyte_is_read_whole) {
+    json spec = sample_config();
+    const json route = spec["routes"][0];
+    while (spec["routes"].size() < 3000) {
+        spec["routes"].push_back(route);
+    }
+    const json items = {
+        {"items", json::array({{{"metadata", {{"name", "main"}, {"revision", 5}}}, {"spec", spec}}})},
+        {"at", 6}};
+    EXPECT_EQ(read_page(items.dump(), config_kind).items.front().spec, spec);
+}
+
+// Guards against a name that makes the request for the next page invalid, so that no host becomes ready.
+TEST(store_calls, a_name_of_any_bytes_is_encoded_in_a_listing) {
+    EXPECT_EQ(list_target("servers", "a b&c\r\n%\xff", false),
+              "/objects/servers?after=a%20b%26c%0D%0A%25%FF");
+    EXPECT_EQ(list_target("servers", "i-7f.3_a~", true), "/objects/servers?serializable=1&after=i-7f.3_a~");
+    EXPECT_EQ(list_target("servers", "", false), "/objects/servers");
+}
+
+// Guards against a listing that stops at unreadable entries at the end of a page.
+TEST(store_answers, the_last_name_is_that_of_an_unreadable_entry_too) {
+    const json items = {{"items", json::array({{{"metadata", {{"name", "a"}, {"revision", 1}}}},
+                                               {{"metadata", {{"name", "b"}, {"revision", "seven"}}}}})},
+                        {"has_more", true},
+                        {"at", 6}};
+    const object_page page = read_page(items.dump(), endpoint_kind);
+    EXPECT_EQ(page.items.size(), 1U);
+    EXPECT_EQ(page.last_name, "b");
+}
+
 TEST(store_answers, a_value_nested_too_deep_beside_the_routes_leaves_the_configuration_readable) {
     json spec = sample_config();
     spec["labels"] = "@@";
--- a/test/soak/host_ends_entries.py
+++ b/test/soak/host_ends_entries.py
@@ -40,7 +40,7 @@
         host.start()
         await host.until_ready()
         await until_listed(host, valid)
-        lines = [line for line in host.events("store_value_too_deep") if line["name"] == "deep-service-0"]
+        lines = [line for line in host.events("store_value_omitted") if line["name"] == "deep-service-0"]
         require(len(lines) in (1, 2), f"{len(lines)} lines about one entry, 1 expected of each process: {lines[:3]}")
 
 
--- a/test/store_test.cpp
+++ b/test/store_test.cpp
@@ -97,7 +97,7 @@
 // would miss the changes to objects of the earlier pages.
 TEST(object_watch, lists_all_pages_and_follows_from_the_first) {
     watch_fixture copy;
-    copy.answer_list(object_page{{object("a", 3)}, true, 7});
+    copy.answer_list(object_page{{object("a", 3)}, true, 7, {}, "a"});
     ASSERT_EQ(copy.store.lists.size(), 1U);
     EXPECT_EQ(copy.store.lists.front().after, "a");
     copy.answer_list(object_page{{object("b", 8)}, false, 9});
@@ -106,6 +106,27 @@
     EXPECT_EQ(copy.store.watches.front().revision, 7);
 }
 
+// Guards against endpoints that are missing at every host because the last entries of a page are unreadable.
+TEST(object_watch, a_page_of_unreadable_objects_does_not_end_the_listing) {
+    watch_fixture copy;
+    copy.answer_list(object_page{{}, true, 7, {}, "unreadable"});
+    ASSERT_EQ(copy.store.lists.size(), 1U);
+    EXPECT_EQ(copy.store.lists.front().after, "unreadable");
+    copy.answer_list(object_page{{object("z", 8)}, false, 9, {}, "z"});
+    EXPECT_EQ(copy.held.size(), 1U);
+}
+
+// Guards against a core that is kept busy by listing the same page again and again.
+TEST(object_watch, a_listing_that_makes_no_progress_backs_off) {
+    for (const char* name : {"", "a"}) {
+        watch_fixture copy;
+        copy.answer_list(object_page{{object("a", 3)}, true, 7, {}, "a"});
+        copy.answer_list(object_page{{object("a", 3)}, true, 7, {}, name});
+        EXPECT_EQ(copy.store.lists.size(), 0U) << name;
+        EXPECT_TRUE(copy.held.empty());
+    }
+}
+
 // Guards against a delayed response restoring an old object: if it replaced the newer one, a key that an
 // operator has withdrawn would be accepted again by this host.
 TEST(object_watch, ignores_an_event_older_than_the_object_held) {
@@ -166,7 +187,7 @@
 TEST(object_watch, a_paused_listing_stops_after_its_page_and_begins_again) {
     watch_fixture copy;
     copy.watch.pause();
-    copy.answer_list(object_page{{object("a", 3)}, true, 7});
+    copy.answer_list(object_page{{object("a", 3)}, true, 7, {}, "a"});
     EXPECT_TRUE(copy.store.lists.empty());
     EXPECT_TRUE(copy.watch.is_listing_stopped());
     EXPECT_FALSE(copy.watch.is_listed());
@@ -180,7 +201,7 @@
 TEST(object_watch, a_host_with_a_part_lists_everything_before_it_follows) {
     watch_fixture copy;
     copy.watch.pause();
-    copy.answer_list(object_page{{object("a", 3)}, true, 7});
+    copy.answer_list(object_page{{object("a", 3)}, true, 7, {}, "a"});
     ASSERT_TRUE(copy.watch.take_copy({{"b", object("b", 8)}}, 8, object_watch::copy_extent::part));
     EXPECT_TRUE(copy.watch.is_listed());
     EXPECT_TRUE(copy.store.watches.empty());
