Relay: an event without an end costs as much as its bytes

What callers saw: a host that serves nobody while one endpoint sends a server-sent event without an end, or a packet of very short events. Cause: with each packet the whole of the unfinished event was searched again, before and after the answer was accepted; and for each event of a packet the rest of the packet was searched for the other form of a blank line. Change: event_end_search looks at each byte once; event_joiner and the exchange keep one each. The bound on what is held is unchanged.

--- a/src/relay/event_stream.cpp
+++ b/src/relay/event_stream.cpp
@@ -8,14 +8,12 @@
 
 constexpr std::string_view id_field = "id:";
 
-/** \return the length of the first complete event in \p text, including its blank line, or 0. */
-std::size_t first_event_length(std::string_view text) {
-    const std::size_t plain = text.find("\n\n");
-    const std::size_t with_returns = text.find("\r\n\r\n");
-    if (plain == std::string_view::npos && with_returns == std::string_view::npos) {
-        return 0;
-    }
-    return with_returns < plain ? with_returns + 4 : plain + 2;
+/** \return whether the line feed at \p at ends a blank line behind another line. */
+bool ends_event(std::string_view text, std::size_t at) {
+    constexpr std::string_view with_returns = "\r\n\r\n";
+    return (at >= 1 && text[at - 1] == '\n') ||
+           (at + 1 >= with_returns.size() &&
+            text.substr(at + 1 - with_returns.size(), with_returns.size()) == with_returns);
 }
 
 /** \return the number at the start of \p text after any spaces, or nothing. */
@@ -30,8 +28,15 @@
 
 } // namespace
 
-bool has_complete_event(std::string_view text) {
-    return first_event_length(text) > 0;
+std::size_t event_end_search::find_in(std::string_view text) {
+    for (std::size_t at = text.find('\n', searched_bytes_); at != std::string_view::npos;
+         at = text.find('\n', at + 1)) {
+        if (ends_event(text, at)) {
+            return at + 1;
+        }
+    }
+    searched_bytes_ = text.size();
+    return 0;
 }
 
 std::optional<std::int64_t> event_id(std::string_view event) {
@@ -53,7 +58,8 @@
     partial_.append(bytes);
     std::size_t begin = 0;
     int passed_on = 0;
-    while (const std::size_t length = first_event_length(std::string_view(partial_).substr(begin))) {
+    while (const std::size_t length = end_search_.find_in(std::string_view(partial_).substr(begin))) {
+        end_search_.restart();
         const std::string_view event = std::string_view(partial_).substr(begin, length);
         begin += length;
         const std::optional<std::int64_t> id = event_id(event);
--- a/src/relay/event_stream.h
+++ b/src/relay/event_stream.h
@@ -12,6 +12,20 @@
 
 namespace laurelhoist {
 
+/** Finds the end of the first event in a text that grows. Looks at each byte once, however small the pieces
+ * are in which the text arrives. */
+class event_end_search {
+public:
+    /** \param text the event as far as it has arrived; begins with the text of the previous call
+     * \return the length of the first complete event, including its blank line, or 0 */
+    std::size_t find_in(std::string_view text);
+    /** Prepares for another text. */
+    void restart() { searched_bytes_ = 0; }
+
+private:
+    std::size_t searched_bytes_ = 0; ///< those at the beginning of the text that hold no end of an event
+};
+
 /** Joins the event streams of one or more runs of the same request.
  *
  * Example: the first run sends events 1 to 7 and breaks in the middle of event 8. \ref begin_run starts the
@@ -25,6 +39,7 @@
     /** Starts the stream of another run and discards an incomplete event of the previous run. */
     void begin_run() {
         partial_.clear();
+        end_search_.restart();
         is_in_order_ = true;
     }
     /** Adds body bytes of the current run and appends the complete events that the caller lacks to \p out.
@@ -39,11 +54,10 @@
 private:
     std::int64_t last_id_;
     std::string partial_;
+    event_end_search end_search_; ///< of the event in \ref partial_
     bool is_in_order_ = true;
 };
 
-/** \return whether \p text contains a complete event. */
-bool has_complete_event(std::string_view text);
 /** \return the number in the `id:` line of \p event, or nothing if there is none. */
 std::optional<std::int64_t> event_id(std::string_view event);
 
--- a/src/relay/exchange.h
+++ b/src/relay/exchange.h
@@ -326,6 +326,7 @@
     std::optional<answer_terms> answer_; ///< \see answer
     std::string body_;
     event_joiner events_{0};
+    event_end_search first_event_;   ///< of an event stream that is not accepted yet, in \ref body_
     std::set<std::string> tried_;    ///< endpoints of failed attempts, which placement avoids
     std::size_t min_model_size_ = 0; ///< index of the smallest model to use; raised for each step up
     duration config_age_{};          ///< time since the configuration was confirmed, when the request arrived
--- a/src/relay/exchange_answers.cpp
+++ b/src/relay/exchange_answers.cpp
@@ -48,6 +48,7 @@
     reader_.emplace(request_.method == "HEAD");
     answer_.reset();
     body_.clear();
+    first_event_.restart();
     events_.begin_run();
     has_excess_bytes_ = false;
     stray_bytes_ = 0;
@@ -288,7 +289,7 @@
     }
     confidence_ = answer().confidence.value_or(-1);
     if (!attempt_.is_accepted) {
-        if (!has_complete_event(body_)) {
+        if (first_event_.find_in(body_) == 0) {
             return true;
         }
         if (!accept_answer()) {
