A peer's failure clears no suspicion

What callers saw: requests with a part of their prompts that crashes each engine which begins to answer it were sent on after its fifth end.

Cause: a host that takes the links to a service for lost forwards a request. The peer tries the request, its endpoints end, and it answers 502. The forwarding host took each complete answer of a peer for one of an endpoint and cleared the request and all parts of its prompt, and told all hosts. In the logs the count of the part begins again at 1 after each request that ended as peer_failure.

Change: only an answer with an endpoint's receipt, and no server error, clears, as for answers that come without a peer.

Evidence: stays_after_a_failure_of_the_peer and stays_after_a_failure_of_an_endpoint failed before the change (0 ends, 1 expected) and pass with it; forwarding_fixture.* pass. Ends that are seen while the links count as lost are still not counted.

--- a/src/relay/exchange_forwarding.cpp
+++ b/src/relay/exchange_forwarding.cpp
@@ -68,6 +68,7 @@
 }
 
 void exchange::on_forwarded_answer_complete() {
+    constexpr int first_server_error = 500;
     const int status = reader_->status();
     const bool is_success = status / status_class == 2;
     if (!answer().has_receipt && promises_not_run(status)) {
@@ -80,7 +81,10 @@
         complete_stream();
     } else {
         settle_attempt(call_result::answered, release_evidence::none);
-        clear_suspicion();
+        // Any other answer may be the peer's own, to a request under which the endpoints that it tried ended.
+        if (answer().has_receipt && status < first_server_error) {
+            clear_suspicion();
+        }
         release_connection(true);
         send_complete_answer(is_success             ? "served"
                              : answer().has_receipt ? "endpoint_failure"
--- a/test/forwarding_test.cpp
+++ b/test/forwarding_test.cpp
@@ -240,6 +240,45 @@
     EXPECT_TRUE(contains(send_request("1"), " 504 "));
 }
 
+/** A host h1 at which one end counts against a part before a request with it is forwarded to a peer. */
+class suspicion_after_answer_of_peer : public forwarding_fixture {
+protected:
+    /** \return how many ends count against the part after the peer has given \p answer. */
+    int ends_after(const std::string& answer) {
+        scripted_endpoint peer({{answer}});
+        start_relay(route(route_kind::idempotent, 1), {closed_address()});
+        set_peers(port_of(peer));
+        const part_digest part = digest_of_part("dead");
+        int ends = -1;
+        run_on_relay_thread([&] {
+            const time_point now = monotonic_now();
+            relay_->state().quarantine.on_end({7, {part}}, {1, now - milliseconds(50), now}, now);
+        });
+        lose_service();
+        (void)send_request("1", "Prompt: dead own\r\n");
+        EXPECT_EQ(peer.requests().size(), 1U);
+        run_on_relay_thread([&] {
+            ends = relay_->state().quarantine.ends_of({cause_kind::prompt_part, part});
+        });
+        return ends;
+    }
+};
+
+// Guards against a part of prompts that ends endpoints and is cleared each time a peer gives up on it.
+TEST_F(suspicion_after_answer_of_peer, stays_after_a_failure_of_the_peer) {
+    EXPECT_EQ(ends_after("HTTP/1.1 502 Bad Gateway\r\nId: 1\r\nContent-Length: 0\r\n\r\n"), 1);
+}
+
+// Guards against the same where the peer passes on the failure of an endpoint.
+TEST_F(suspicion_after_answer_of_peer, stays_after_a_failure_of_an_endpoint) {
+    EXPECT_EQ(ends_after("HTTP/1.1 500 Failed\r\nId: 1\r\nReceipt: r\r\nContent-Length: 0\r\n\r\n"), 1);
+}
+
+// Guards against an innocent part that stays suspected although an endpoint has answered a request with it.
+TEST_F(suspicion_after_answer_of_peer, is_cleared_by_an_answer_of_an_endpoint) {
+    EXPECT_EQ(ends_after(answer_of("1", "done")), 0);
+}
+
 // Guards against a stream that is cut when the links are lost in its middle, and against more endpoints for
 // it than its route allows, summed over both hosts.
 TEST_F(forwarding_fixture, a_stream_goes_on_through_a_peer) {
