Relay: pass on long answers without a length as they arrive, within the memory of a host

What callers saw: many slow callers of long answers in chunks, or of ones that end with their connection, brought a host over its memory limit, and the platform may kill it. A long answer that did not fit the room was refused as too large and repeated.

Cause: only answers with a Content-Length were passed on as they arrived. Others were held whole, and what callers had not read of them did not keep new ones from being held.

Change: such answers use the same account and limits. The caller gets chunks, or with HTTP/1.0 the end of the connection. One that breaks off after its first part resets the caller's connection, without a last chunk. One that is longer than max_answer_bytes is cut there. Admission goes by the bytes of the route's last long answer, framed or not.

--- a/src/relay/exchange.h
+++ b/src/relay/exchange.h
@@ -189,8 +189,13 @@
      * has ended */
     bool hold_answer();
     /** \return whether the answer that is being received, which is no stream, may be passed on before it is
-     * complete: its head decides that it is the one for the caller, and its length is known. */
+     * complete: its head decides that it is the one for the caller. */
     bool may_pass_on();
+    /** \return the length of the answer's body, in bytes; nothing if its head does not state it. */
+    std::optional<std::size_t> stated_length() const;
+    /** Sends the head of an answer that is passed on. */
+    void begin_passing_on();
+    void write_chunk(const std::string& bytes);
     /** Passes on what has been received of an answer that is no stream; the rest follows as it arrives. */
     void pass_on();
     /** Records how long a complete answer of the route is, for \ref admit_answer. */
@@ -256,7 +261,9 @@
     std::string team_name() const { return team_ == nullptr ? std::string{} : team_->name; }
     /** \return the number of events that the present attempt has forwarded. */
     std::int64_t events_of_attempt() const { return events_.last_id() - attempt_.events_before_attempt; }
-    std::string answer_head(int status, const header_list& headers, bool is_chunked,
+    /** How a caller sees where the body of an answer ends. */
+    enum class body_framing { length, chunks, end_of_connection };
+    std::string answer_head(int status, const header_list& headers, body_framing framing,
                             std::size_t length) const;
     bool keeps_caller_connection() const;
     duration time_left(time_point now) const { return expires_at_ - now; }
@@ -300,8 +307,9 @@
     std::shared_ptr<caller_connection> caller_;
     caller_request request_;
     byte_hold held_body_;
-    byte_hold held_answer_;       ///< bytes of the answer, or of its present event
-    std::size_t stray_bytes_ = 0; ///< of answers to other requests, in the present attempt
+    byte_hold held_answer_;           ///< bytes of the answer, or of its present event
+    std::size_t passed_on_bytes_ = 0; ///< of the body of an answer that is no stream
+    std::size_t stray_bytes_ = 0;     ///< of answers to other requests, in the present attempt
     request_terms terms_;
     prompt_shape prompt_;
     routing_snapshot routing_;
@@ -344,8 +352,9 @@
     int forwards_ = 0;              ///< times that the request was forwarded to another host
     bool may_have_run_ = false;
     bool has_begun_answer_ = false;
-    bool is_passed_on_ = false; ///< the answer, which is no stream, is passed on as it arrives
-    bool is_clearing_ = false;  ///< an answer of this request is clearing what it was suspected of
+    bool is_passed_on_ = false;     ///< the answer, which is no stream, is passed on as it arrives
+    bool passes_in_chunks_ = false; ///< the answer is passed on in chunks, as its length is not known
+    bool is_clearing_ = false;      ///< an answer of this request is clearing what it was suspected of
     bool is_caller_gone_ = false;
     bool has_excess_bytes_ = false; ///< bytes arrived that are not part of this request's answer
 };
--- a/src/relay/exchange_answers.cpp
+++ b/src/relay/exchange_answers.cpp
@@ -129,7 +129,11 @@
     constexpr std::size_t min_share_bytes = 16 << 10;
     if (is_passed_on_) {
         pass_on();
-        return true;
+        if (passed_on_bytes_ <= state_.settings.max_answer_bytes) {
+            return true;
+        }
+        refuse_answer("too_large", passed_on_bytes_, state_.settings.max_answer_bytes);
+        return false;
     }
     const std::size_t bytes = body_.size() + events_.partial_bytes();
     held_answer_.set(bytes);
@@ -148,31 +152,51 @@
     return false;
 }
 
+std::optional<std::size_t> exchange::stated_length() const {
+    const std::optional<std::int64_t> length =
+        parse_number(reader_->headers().value_or_empty("Content-Length"));
+    if (!length || *length < 0 || reader_->headers().find("Transfer-Encoding") != nullptr) {
+        return std::nullopt;
+    }
+    return static_cast<std::size_t>(*length);
+}
+
 // A whole answer can be repeated by another endpoint until its first byte has been passed on, so it is held
 // while there is room.
 bool exchange::may_pass_on() {
     constexpr int status_success = 2;
-    const std::optional<std::int64_t> length =
-        parse_number(reader_->headers().value_or_empty("Content-Length"));
-    const bool has_length = length && *length >= 0 && reader_->headers().find("Transfer-Encoding") == nullptr;
-    return has_length && static_cast<std::size_t>(*length) <= state_.settings.max_answer_bytes &&
+    return stated_length().value_or(0) <= state_.settings.max_answer_bytes &&
            reader_->status() / status_class == status_success && answer().has_receipt &&
            !answer().is_misdirected && !answer().is_not_run && !is_event_stream() && !has_begun_answer_;
 }
 
+void exchange::begin_passing_on() {
+    is_passed_on_ = true;
+    has_begun_answer_ = true;
+    ++state_.passed_on;
+    record_first_byte();
+    apply_event("begun");
+    const std::optional<std::size_t> length = stated_length();
+    passes_in_chunks_ = !length && request_.accepts_chunks;
+    // Without a length and without chunks, only the end of the connection shows the end of the answer.
+    request_.keeps_alive = request_.keeps_alive && (length || passes_in_chunks_);
+    const body_framing framing = length              ? body_framing::length
+                                 : passes_in_chunks_ ? body_framing::chunks
+                                                     : body_framing::end_of_connection;
+    caller_->write(answer_head(reader_->status(), reader_->headers(), framing, length.value_or(0)));
+}
+
 void exchange::pass_on() {
     const bool is_first_part = !is_passed_on_;
     if (is_first_part) {
-        is_passed_on_ = true;
-        has_begun_answer_ = true;
-        ++state_.passed_on;
-        record_first_byte();
-        apply_event("begun");
-        const std::string length = reader_->headers().value_or_empty("Content-Length");
-        caller_->write(answer_head(reader_->status(), reader_->headers(), false,
-                                   static_cast<std::size_t>(parse_number(length).value_or(0))));
-    }
-    caller_->write(body_);
+        begin_passing_on();
+    }
+    if (passes_in_chunks_) {
+        write_chunk(body_);
+    } else {
+        caller_->write(body_);
+    }
+    passed_on_bytes_ += body_.size();
     body_.clear();
     if (is_first_part) {
         body_.shrink_to_fit(); // Later parts are as short as what one read brings.
@@ -183,10 +207,19 @@
     }
 }
 
+// In three writes, as a copy of a long first part would need its memory once more.
+void exchange::write_chunk(const std::string& bytes) {
+    if (bytes.empty()) {
+        return; // An empty chunk would end the answer.
+    }
+    caller_->write(chunk_head(bytes.size()));
+    caller_->write(bytes);
+    caller_->write("\r\n");
+}
+
 void exchange::record_answer_size() {
     constexpr std::size_t min_long_bytes = 16 << 10;
-    const std::int64_t length = parse_number(reader_->headers().value_or_empty("Content-Length")).value_or(0);
-    const std::size_t bytes = is_passed_on_ ? static_cast<std::size_t>(length) : body_.size();
+    const std::size_t bytes = is_passed_on_ ? passed_on_bytes_ : body_.size();
     if (bytes > min_long_bytes) {
         state_.long_answers[route_->name] = bytes;
     } else if (!state_.long_answers.empty()) {
@@ -402,7 +435,7 @@
     has_begun_answer_ = true;
     apply_event("begun");
     state_.measured.time("time_to_first_event_ms", monotonic_now() - arrived_at_);
-    caller_->write(answer_head(reader_->status(), reader_->headers(), true, 0));
+    caller_->write(answer_head(reader_->status(), reader_->headers(), body_framing::chunks, 0));
 }
 
 // An endpoint that breaks off may close its connection in an orderly way, or end the chunks of its answer.
@@ -413,7 +446,7 @@
     const bool ends_with_connection = reader_->ends_with_connection();
     if (!is_event_stream()) {
         const int status = reader_->status();
-        return ends_with_connection && body_.empty() && status / status_class == 2 &&
+        return ends_with_connection && body_.empty() && !is_passed_on_ && status / status_class == 2 &&
                status != status_reset_content;
     }
     const bool is_inside_event = attempt_.is_accepted ? events_.has_partial_event() : !body_.empty();
@@ -480,7 +513,7 @@
     end_attempt(attempt_end::broken);
 }
 
-std::string exchange::answer_head(int status, const header_list& headers, bool is_chunked,
+std::string exchange::answer_head(int status, const header_list& headers, body_framing framing,
                                   std::size_t length) const {
     std::string head = status_line(status);
     for (const header_field& field : headers.all()) {
@@ -488,9 +521,9 @@
             append_header(head, field.name, field.value);
         }
     }
-    if (is_chunked) {
+    if (framing == body_framing::chunks) {
         append_header(head, "Transfer-Encoding", "chunked");
-    } else {
+    } else if (framing == body_framing::length) {
         append_header(head, "Content-Length", std::to_string(length));
     }
     if (!keeps_caller_connection()) {
@@ -518,11 +551,15 @@
     }
     const bool keeps = keeps_caller_connection();
     if (!is_caller_gone_ && !is_passed_on_) {
-        caller_->write(answer_head(reader_->status(), reader_->headers(), false, body_.size()));
+        caller_->write(
+            answer_head(reader_->status(), reader_->headers(), body_framing::length, body_.size()));
         if (request_.method != "HEAD") {
             caller_->write(body_);
         }
     }
+    if (passes_in_chunks_) {
+        caller_->write(last_chunk);
+    }
     finish(outcome, reader_->status());
     caller_->finish(keeps);
 }
@@ -538,7 +575,7 @@
     if (caller_->is_from_peer()) {
         state_.dialect.add_attempts(headers, attempts_);
     }
-    caller_->write(answer_head(status, headers, false, body.size()));
+    caller_->write(answer_head(status, headers, body_framing::length, body.size()));
     if (request_.method != "HEAD") {
         caller_->write(body);
     }
--- a/src/relay/http_codec.cpp
+++ b/src/relay/http_codec.cpp
@@ -159,15 +159,18 @@
            std::string(http::obsolete_reason(static_cast<http::status>(status))) + "\r\n";
 }
 
+std::string chunk_head(std::size_t bytes) {
+    constexpr int hexadecimal = 16;
+    char size[20];
+    const auto [end, failure] = std::to_chars(std::begin(size), std::end(size), bytes, hexadecimal);
+    return std::string(size, static_cast<std::size_t>(end - size)) + "\r\n";
+}
+
 void append_chunk(std::string& out, std::string_view bytes) {
     if (bytes.empty()) {
         return; // An empty chunk would end the body.
     }
-    constexpr int hexadecimal = 16;
-    char size[20];
-    const auto [end, failure] = std::to_chars(std::begin(size), std::end(size), bytes.size(), hexadecimal);
-    out.append(size, static_cast<std::size_t>(end - size));
-    out.append("\r\n");
+    out.append(chunk_head(bytes.size()));
     out.append(bytes);
     out.append("\r\n");
 }
@@ -231,6 +234,8 @@
     request.target = std::string(message.target());
     request.headers = to_header_list(message);
     request.keeps_alive = message.keep_alive();
+    constexpr unsigned version_with_chunks = 11;
+    request.accepts_chunks = message.version() >= version_with_chunks;
     request.body = std::move(message.body());
     request.is_body_dropped = state_->is_body_dropped;
     state_ = std::make_unique<state>(header_bytes_, body_bytes_);
--- a/src/relay/http_codec.h
+++ b/src/relay/http_codec.h
@@ -50,6 +50,7 @@
     header_list headers;
     std::string body;
     bool keeps_alive = true;
+    bool accepts_chunks = true;   ///< the caller speaks HTTP/1.1
     bool is_body_dropped = false; ///< the body has arrived and there was no room for it
 
     std::string path() const { return target.substr(0, target.find('?')); }
@@ -146,6 +147,8 @@
 void append_header(std::string& head, std::string_view name, std::string_view value);
 /** \return `HTTP/1.1 status reason` and CRLF. */
 std::string status_line(int status);
+/** \return what precedes the \p bytes bytes of a chunk, of which there is at least one. */
+std::string chunk_head(std::size_t bytes);
 /** Appends \p bytes to \p out as one chunk of a chunked body; appends nothing if \p bytes is empty. */
 void append_chunk(std::string& out, std::string_view bytes);
 constexpr std::string_view last_chunk = "0\r\n\r\n";
--- a/test/slow_callers_test.cpp
+++ b/test/slow_callers_test.cpp
@@ -28,26 +28,30 @@
 /** A caller that sends one request and reads its answer only when told to. */
 class slow_caller {
 public:
-    slow_caller(std::uint16_t port, const std::string& id, bool keeps_alive = false) {
+    slow_caller(std::uint16_t port, const std::string& id, bool keeps_alive = false,
+                const std::string& protocol = "HTTP/1.1") {
         socket_.open(tcp::v4());
         socket_.set_option(asio::socket_base::receive_buffer_size(4096));
         socket_.connect({asio::ip::make_address("127.0.0.1"), port});
         const std::string ending = keeps_alive ? "" : "Connection: close\r\n";
-        asio::write(socket_, asio::buffer("POST /a/1 HTTP/1.1\r\nHost: x\r\nId: " + id + "\r\n" + ending +
-                                          "Content-Length: 0\r\n\r\n"));
+        asio::write(socket_, asio::buffer("POST /a/1 " + protocol + "\r\nHost: x\r\nId: " + id + "\r\n" +
+                                          ending + "Content-Length: 0\r\n\r\n"));
     }
 
     /** \return what the relay sends until it closes the connection. */
     std::string read_all() {
         std::string answer;
-        boost::system::error_code failure;
-        asio::read(socket_, asio::dynamic_buffer(answer), failure);
+        asio::read(socket_, asio::dynamic_buffer(answer), failure_);
         return answer;
     }
 
+    /** \return whether the connection ended with a reset when the answer was read. */
+    bool was_reset() const { return failure_ == asio::error::connection_reset; }
+
 private:
     asio::io_context context_;
     tcp::socket socket_{context_};
+    boost::system::error_code failure_;
 };
 
 void sleep_for(duration time) {
@@ -237,6 +241,14 @@
             [&] { held = relay_->state().answer_bytes.held() + relay_->state().caller_bytes.held(); });
         return held;
     }
+    std::size_t most_held_in_800_ms() {
+        std::size_t most = 0;
+        for (int i = 0; i < 40; ++i) {
+            sleep_for(milliseconds(20));
+            most = std::max(most, most_held_bytes());
+        }
+        return most;
+    }
     static constexpr std::size_t long_answer_bytes = std::size_t{12} << 20;
 };
 
@@ -270,5 +282,110 @@
     run_on_relay_thread([&] { EXPECT_EQ(relay_->active(), 0U); });
 }
 
+/** \return the head of an answer without a length to the request 7. */
+std::string unframed_head(const std::string& more) {
+    return "HTTP/1.1 200 OK\r\nId: 7\r\nReceipt: r\r\n" + more + "\r\n";
+}
+
+/** \return \p bytes bytes of a body in chunks, without the last one. */
+std::string body_in_chunks(std::size_t bytes) {
+    const std::string chunk = chunk_of(std::string(event_bytes, 'x'));
+    std::string chunks;
+    for (std::size_t i = 0; i < bytes / event_bytes; ++i) {
+        chunks += chunk;
+    }
+    return chunks;
+}
+
+const std::string chunked_field = "Transfer-Encoding: chunked\r\n";
+const std::string last_chunk_text = "0\r\n\r\n";
+
+/** \return how many bytes of a long answer, which is made of x, have arrived. */
+std::size_t body_bytes_of(const std::string& answer) {
+    return static_cast<std::size_t>(std::count(answer.begin(), answer.end(), 'x'));
+}
+
+bool has_last_chunk(const std::string& answer) {
+    return contains(answer, chunked_field) && answer.size() > last_chunk_text.size() &&
+           answer.substr(answer.size() - last_chunk_text.size()) == last_chunk_text;
+}
+
+// Guards against a host that holds whole answers without a length for callers that read slowly.
+TEST_F(little_room, a_chunked_answer_for_a_slow_caller_is_held_in_parts_and_arrives_whole) {
+    scripted_endpoint endpoint(
+        {{unframed_head(chunked_field) + body_in_chunks(long_answer_bytes) + last_chunk_text, false, false}});
+    start_relay(route(route_kind::non_idempotent, 1), {endpoint.address()});
+    slow_caller caller(port_, "7");
+    EXPECT_LE(most_held_in_800_ms(), std::size_t{2} << 20);
+    const std::string answer = caller.read_all();
+    EXPECT_EQ(body_bytes_of(answer), long_answer_bytes);
+    EXPECT_TRUE(has_last_chunk(answer));
+    EXPECT_EQ(endpoint.requests().size(), 1U);
+    EXPECT_EQ(most_held_bytes(), 0U);
+}
+
+// Guards against a host that holds whole answers that end with their connection for callers that read slowly.
+TEST_F(little_room, an_answer_that_ends_with_its_connection_is_held_in_parts_and_arrives_whole) {
+    scripted_endpoint endpoint({{unframed_head("") + std::string(long_answer_bytes, 'x'), true, false}});
+    start_relay(route(route_kind::non_idempotent, 1), {endpoint.address()});
+    slow_caller caller(port_, "7");
+    EXPECT_LE(most_held_in_800_ms(), std::size_t{2} << 20);
+    const std::string answer = caller.read_all();
+    EXPECT_EQ(body_bytes_of(answer), long_answer_bytes);
+    EXPECT_TRUE(has_last_chunk(answer));
+    EXPECT_EQ(most_held_bytes(), 0U);
+}
+
+// Guards against chunks that are sent to a caller that speaks HTTP/1.0 and takes them for the body.
+TEST_F(little_room, a_caller_without_chunks_gets_a_chunked_answer_until_the_end_of_its_connection) {
+    scripted_endpoint endpoint(
+        {{unframed_head(chunked_field) + body_in_chunks(long_answer_bytes) + last_chunk_text, false, false}});
+    start_relay(route(route_kind::non_idempotent, 1), {endpoint.address()});
+    slow_caller caller(port_, "7", false, "HTTP/1.0");
+    EXPECT_LE(most_held_in_800_ms(), std::size_t{2} << 20);
+    const std::string answer = caller.read_all();
+    EXPECT_FALSE(contains(answer, chunked_field));
+    EXPECT_EQ(answer.substr(answer.find("\r\n\r\n") + 4), std::string(long_answer_bytes, 'x'));
+}
+
+class broken_unframed_answer : public little_room {
+protected:
+    /** Checks that a caller that has a part of \p broken sees its connection reset, and no other attempt. */
+    void expect_cut(const scripted_answer& broken, const std::string& protocol = "HTTP/1.1") {
+        scripted_endpoint endpoint({broken, {answer_of("7", "served"), false, false}});
+        start_relay(route(route_kind::idempotent, 3), {endpoint.address()});
+        slow_caller caller(port_, "7", false, protocol);
+        sleep_for(milliseconds(200));
+        const std::string answer = caller.read_all();
+        EXPECT_TRUE(contains(answer, "200 OK")) << "a part must have been passed on";
+        EXPECT_FALSE(has_last_chunk(answer));
+        EXPECT_TRUE(caller.was_reset());
+        EXPECT_EQ(endpoint.requests().size(), 1U);
+    }
+    const std::string half_in_chunks_ = unframed_head(chunked_field) + body_in_chunks(long_answer_bytes / 2);
+    const std::string half_ = unframed_head("") + std::string(long_answer_bytes / 2, 'x');
+};
+
+// Guards against a part of an answer that looks complete because its endpoint's connection was reset.
+TEST_F(broken_unframed_answer, one_in_chunks_that_is_reset_is_cut) {
+    expect_cut({half_in_chunks_, false, true});
+}
+
+// Guards against a part of an answer that looks complete because its endpoint closed the connection in order.
+TEST_F(broken_unframed_answer, one_in_chunks_that_ends_without_its_last_chunk_is_cut) {
+    expect_cut({half_in_chunks_, true, false});
+}
+
+// Guards against a part of an answer that looks complete because only the end of its connection shows its
+// end.
+TEST_F(broken_unframed_answer, one_that_ends_with_its_connection_and_is_reset_is_cut) {
+    expect_cut({half_, false, true});
+}
+
+// Guards against a part of an answer that looks complete to a caller without chunks.
+TEST_F(broken_unframed_answer, one_for_a_caller_without_chunks_is_cut) {
+    expect_cut({half_in_chunks_, false, true}, "HTTP/1.0");
+}
+
 } // namespace
 } // namespace laurelhoist
--- a/test/soak/host_ends_memory.py
+++ b/test/soak/host_ends_memory.py
@@ -23,22 +23,69 @@
                                     ("X-Response-Signature", response_signature(request_id, text))]))
 
 
+def head_of_document(version, status, request_id, text, framing=""):
+    return (f"HTTP/{version} {status} X\r\nX-Request-Id: {request_id}\r\n"
+            f"X-Response-Signature: {response_signature(request_id, text)}\r\n{framing}\r\n").encode()
+
+
+async def answer_chunked(endpoint, writer, request_id, body):
+    """As answer_document, but documents come in chunks of 64 KB, without a length."""
+    if not request_id.startswith("d"):
+        await answer_document(endpoint, writer, request_id, body)
+        return
+    text, piece = b"." * DOCUMENT_BYTES, b"." * (64 << 10)
+    writer.write(head_of_document("1.1", 200, request_id, text, "Transfer-Encoding: chunked\r\n"))
+    for _ in range(DOCUMENT_BYTES // len(piece)):
+        writer.write(b"%x\r\n" % len(piece) + piece + b"\r\n")
+        await writer.drain()
+    writer.write(b"0\r\n\r\n")
+
+
+async def answer_until_end(endpoint, writer, request_id, body):
+    """As answer_document, but documents end with their connection, as by HTTP/1.0."""
+    if not request_id.startswith("d"):
+        await answer_document(endpoint, writer, request_id, body)
+        return
+    text = b"." * DOCUMENT_BYTES
+    writer.write(head_of_document("1.0", 200, request_id, text) + text)
+    await writer.drain()
+    raise ConnectionResetError  # Closes the connection in an orderly way.
+
+
+def whole_body(head, body):
+    """Returns the body of an answer, None if its framing shows that it is not complete."""
+    if b"transfer-encoding: chunked" in head.lower():
+        parts = []
+        while True:
+            size, end, rest = body.partition(b"\r\n")
+            length = int(size, 16) if end else -1
+            if length < 0 or len(rest) < length + 2:
+                return None
+            if length == 0:
+                return b"".join(parts)
+            parts.append(rest[:length])
+            body = rest[length + 2:]
+    length = next((line for line in head.lower().split(b"\r\n") if line.startswith(b"content-length:")), None)
+    return None if length is None or int(length.split(b":")[1]) != len(body) else body
+
+
 def resident_mb(host):
     host.require_alive()
     with open(f"/proc/{host.child.pid}/status") as lines:
         return int(next(line for line in lines if line.startswith("VmRSS")).split()[1]) / 1024
 
 
-async def read_document(host, number):
-    """Returns what a slow caller got: "whole", "refused" (503) or what was wrong with it."""
+async def read_document(host, number, status=200, path="/status/1", method="GET"):
+    """Returns what a slow caller got: "whole" (with `status`), "refused" (503) or what was wrong with it."""
     loop, connection, got = asyncio.get_running_loop(), socket.socket(), b""
     connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 64 << 10)
     connection.setblocking(False)
     begun = time.monotonic()
     try:
         await loop.sock_connect(connection, (host.address, host.ports["callers"]))
-        await loop.sock_sendall(connection, f"GET /status/1 HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: d{number}\r\n"
-                                f"Authorization: Token key-a\r\nConnection: close\r\n\r\n".encode())
+        await loop.sock_sendall(connection, f"{method} {path} HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: d{number}\r\n"
+                                f"Authorization: Token key-a\r\nConnection: close\r\n"
+                                f"Content-Length: 0\r\n\r\n".encode())
         while piece := await asyncio.wait_for(loop.sock_recv(connection, 32 << 10), 20):
             got += piece
             await asyncio.sleep(max(0.0, len(got) / READ_BYTES_PER_S - (time.monotonic() - begun)))
@@ -49,22 +96,23 @@
     head, _, body = got.partition(b"\r\n\r\n")
     if head.startswith(b"HTTP/1.1 503"):
         return "refused"
-    return "whole" if len(body) == DOCUMENT_BYTES else f"cut after {len(body)} bytes"
+    if not head.startswith(f"HTTP/1.1 {status}".encode()):
+        return f"status {head[9:12].decode()}"
+    return "whole" if whole_body(head, body) == b"." * DOCUMENT_BYTES else f"cut after {len(body)} bytes"
 
 
-@case
-async def slow_readers_of_whole_answers(bench):
-    """Callers that read long answers slowly bring a host over its memory, or take the endpoints from others."""
+async def require_room_beside_slow_readers(bench, answer_plain, **asked):
+    """Has endpoints answer by `answer_plain` and many callers read slowly; `asked` is passed to read_document."""
     await bench.begin(starts=False)
     for endpoint in bench.endpoints:
-        endpoint.answer_plain = types.MethodType(answer_document, endpoint)
+        endpoint.answer_plain = types.MethodType(answer_plain, endpoint)
     host = bench.hosts[0]
     host.flags["memory_mb"] = MEMORY_MB
     host.start()
     await host.until_ready()
     highest, others, readers = 0.0, [], []
     for number in range(READERS):
-        readers.append(asyncio.create_task(read_document(host, number)))
+        readers.append(asyncio.create_task(read_document(host, number, **asked)))
         for _ in range(int(READER_GAP_S / 0.02)):
             await asyncio.sleep(0.02)
             highest = max(highest, resident_mb(host))
@@ -82,6 +130,24 @@
     require(set(statuses) == {200}, f"other callers got {statuses}")
 
 
+@case
+async def slow_readers_of_whole_answers(bench):
+    """Callers that read long answers slowly bring a host over its memory, or take the endpoints from others."""
+    await require_room_beside_slow_readers(bench, answer_document)
+
+
+@case
+async def slow_readers_of_chunked_answers(bench):
+    """Callers that read long answers without a length, sent in chunks, bring a host over its memory."""
+    await require_room_beside_slow_readers(bench, answer_chunked)
+
+
+@case
+async def slow_readers_of_unframed_answers(bench):
+    """Callers that read long answers slowly that end with their connection bring a host over its memory."""
+    await require_room_beside_slow_readers(bench, answer_until_end)
+
+
 UPLOADERS = 60
 UPLOAD_BYTES = 2 << 20
 UPLOAD_BYTES_PER_S = 1_000_000
