Known failures: a case of slow callers of long failures, which bring a host over its memory

Cause: failures are held whole, and what callers have not read of them does not keep new ones from being held.

Not mended: in a trial failures were passed on as they arrive. A bound on failures that are passed on is needed.

--- a/test/soak/host_ends_memory.py
+++ b/test/soak/host_ends_memory.py
@@ -52,6 +52,14 @@
     raise ConnectionResetError  # Closes the connection in an orderly way.
 
 
+async def answer_failure(endpoint, writer, request_id, body):
+    """As answer_document, but documents are the bodies of failures."""
+    is_document = request_id.startswith("d")
+    text = b"." * (DOCUMENT_BYTES if is_document else 200)
+    writer.write(answer(500 if is_document else 200, text, [
+        ("X-Request-Id", request_id), ("X-Response-Signature", response_signature(request_id, text))]))
+
+
 def whole_body(head, body):
     """Returns the body of an answer, None if its framing shows that it is not complete."""
     if b"transfer-encoding: chunked" in head.lower():
@@ -148,6 +156,12 @@
     await require_room_beside_slow_readers(bench, answer_until_end)
 
 
+@case
+async def slow_readers_of_long_failures(bench):
+    """Callers that read long failures slowly bring a host over its memory."""
+    await require_room_beside_slow_readers(bench, answer_failure, status=500, path="/claims/1", method="POST")
+
+
 UPLOADERS = 60
 UPLOAD_BYTES = 2 << 20
 UPLOAD_BYTES_PER_S = 1_000_000
