Stewards wait for a port of their links that is in use

Cause: link_server called websocketpp's listen and refused the setting at the first failure. websocketpp reports every failure of the system as "Underlying Transport Error", so that its reason could not be judged either.

Change: link_server accepts through tcp_listener, as the HTTP servers do, and hands the accepted sockets to websocketpp. A steward is not ready while it does not listen for links.

--- a/src/programs/laurel_steward.cpp
+++ b/src/programs/laurel_steward.cpp
@@ -108,7 +108,7 @@
             metrics_,
             entropy_seed()},
       client_{loop_},
-      incoming_{loop_, require_address("listen", FLAGS_listen), handlers(false)},
+      incoming_{loop_, listen_target{"--listen", require_address("listen", FLAGS_listen)}, handlers(false)},
       outgoing_{loop_, handlers(true)} {
     http_limits limits;
     control_ = std::make_unique<http_server>(
@@ -380,7 +380,8 @@
 
 void steward_program::on_http(const http_request& request, const std::shared_ptr<http_responder>& responder) {
     const std::optional<time_point> as_of = core_.confirmed_as_of(monotonic_now());
-    const bool is_ready = as_of && monotonic_now() - *as_of < freshness_limit && core_.is_listed();
+    const bool is_ready =
+        as_of && monotonic_now() - *as_of < freshness_limit && core_.is_listed() && incoming_.is_listening();
     if (serve_health_pages(request, responder, metrics_, is_ready)) {
         return;
     }
--- a/src/transport/link.cpp
+++ b/src/transport/link.cpp
@@ -1,5 +1,7 @@
 #include "transport/link.h"
 
+#include "transport/tcp_listener.h"
+
 #include <boost/asio.hpp>
 #include <websocketpp/client.hpp>
 #include <websocketpp/config/asio_no_tls.hpp>
@@ -156,23 +158,31 @@
 
 struct link_server::state {
     explicit state(link_handlers handlers) : links{server, std::move(handlers)} {}
+
+    /** Begins the WebSocket handshake on a connection that has been accepted. */
+    void accept(boost::asio::ip::tcp::socket socket) {
+        const auto connection = server.get_connection();
+        if (!connection) {
+            return; // The socket closes.
+        }
+        connection->get_raw_socket() = std::move(socket);
+        connection->start();
+    }
+
     websocketpp::server<server_config> server;
     link_table<websocketpp::server<server_config>> links;
+    std::unique_ptr<tcp_listener> listener;
 };
 
-link_server::link_server(event_loop& loop, const socket_address& address, link_handlers handlers)
+link_server::link_server(event_loop& loop, const listen_target& target, link_handlers handlers)
     : state_{std::make_unique<state>(std::move(handlers))} {
     websocketpp::lib::error_code failure;
     state_->server.init_asio(&loop.context(), failure);
-    state_->server.set_reuse_addr(true);
-    const boost::asio::ip::tcp::endpoint endpoint(boost::asio::ip::make_address(address.host), address.port);
-    state_->server.listen(endpoint, failure);
-    if (failure) {
-        refuse_setting("--listen", address.host + ":" + std::to_string(address.port),
-                       "cannot listen on this address (" + failure.message() +
-                           "); use a free address of this host");
-    }
-    state_->server.start_accept(failure);
+    // websocketpp does not report the system's reason for a failure to listen, which decides on the reaction.
+    state_->listener = std::make_unique<tcp_listener>(
+        loop, target,
+        tcp_listener::events{
+            [this](boost::asio::ip::tcp::socket socket) { state_->accept(std::move(socket)); }, {}});
     loop.every(ping_interval, [this] { state_->links.ping_all(); });
 }
 
@@ -190,6 +200,10 @@
     return state_->links.bytes_sent();
 }
 
+bool link_server::is_listening() const {
+    return state_->listener->is_listening();
+}
+
 struct link_client::state {
     explicit state(link_handlers handlers) : links{client, std::move(handlers)} {}
     websocketpp::client<client_config> client;
--- a/src/transport/link.h
+++ b/src/transport/link.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "transport/event_loop.h"
+#include "transport/listen_attempts.h"
 
 namespace laurelhoist {
 
@@ -22,16 +23,17 @@
     std::function<void(link_id)> on_close;
 };
 
-/** Accepts links. */
+/** Accepts links at an address, as soon as it can listen there (\ref tcp_listener). */
 class link_server {
 public:
-    link_server(event_loop& loop, const socket_address& address, link_handlers handlers);
+    link_server(event_loop& loop, const listen_target& target, link_handlers handlers);
     ~link_server();
     link_server(const link_server&) = delete;
     link_server& operator=(const link_server&) = delete;
     void send(link_id link, const std::string& message);
     void close(link_id link);
     std::uint64_t bytes_sent() const;
+    bool is_listening() const;
 
 private:
     struct state;
--- a/test/transport_test.cpp
+++ b/test/transport_test.cpp
@@ -300,7 +300,7 @@
     probe.close();
     std::vector<std::string> heard;
     link_server* serving = nullptr;
-    link_server server(loop, {"127.0.0.1", port},
+    link_server server(loop, listen_target{"--listen", {"127.0.0.1", port}},
                        {[](link_id) {},
                         [&](link_id link, const std::string& message) {
                             heard.push_back("server:" + message);
