Stewards bound the nesting of what they read of the platform and of engines

What callers saw: an object of the platform with a value nested some 200,000 deep ended the steward that read it with signal 11; with a claim in the store, one GET /v1/requests/KEY was enough, for each steward that was asked.

Cause: answers were parsed without a bound on depth, and copies recurse once for each level.

Change: read_foreign_document reads them with parse_foreign_json, whose bound is 32 levels. An object with a value that is left out counts as unavailable, so that no answer without a part of it reaches a caller; the list of hosts is still used, as one entry must not keep the others from being read.

--- a/src/programs/common.h
+++ b/src/programs/common.h
@@ -57,4 +57,21 @@
     return document;
 }
 
+/** A document of another process. */
+struct foreign_document {
+    json value;                ///< discarded if the text is not JSON
+    bool is_shortened = false; ///< values that are nested too deep are null
+};
+
+/** Parses what the platform, an endpoint or another service sent (\ref parse_foreign_json). */
+inline foreign_document read_foreign_document(const std::string& text) {
+    foreign_document document;
+    try {
+        document.value = parse_foreign_json(text, [&document](const json&) { document.is_shortened = true; });
+    } catch (const json::exception&) {
+        document.value = json(json::value_t::discarded);
+    }
+    return document;
+}
+
 } // namespace laurelhoist
--- a/src/programs/laurel_steward.cpp
+++ b/src/programs/laurel_steward.cpp
@@ -330,8 +330,11 @@
         reply.object.key = request.key;
         reply.object.version = std::atoll(answer.header("etag").c_str());
         if (reply.what == platform_reply::result::ok && !is_write) {
-            reply.object.value = json::parse(answer.body, nullptr, false);
-            if (reply.object.value.is_discarded()) {
+            foreign_document document = read_foreign_document(answer.body);
+            // Entries of the list of hosts stand for themselves; any other object is of use as a whole only.
+            const bool is_lacking = document.is_shortened && request.key != "hosts";
+            reply.object.value = std::move(document.value);
+            if (reply.object.value.is_discarded() || is_lacking) {
                 reply.what = platform_reply::result::unavailable;
             }
         }
@@ -351,7 +354,7 @@
     call.target = "/admin/status";
     call.timeout = seconds(1);
     client_.send(call, [this, name = endpoint.name](const http_answer& answer) {
-        const json body = json::parse(answer.body, nullptr, false);
+        const json body = read_foreign_document(answer.body).value;
         const bool is_status = answer.status == 200 && body.is_object() && body.contains("versions");
         core_.on_engine_status(name, is_status,
                                is_status ? body["versions"].get<std::vector<version_name>>()
