Entries bound the nesting of what endpoints and the rating service answer

What callers saw: one answer of a service that is nested some 200,000 deep ended the entry with signal 11, and with it all its requests.

Cause: answers and events of engines were parsed without a bound on depth, and copies recurse once for each level.

Change: they are read with read_foreign_document. The answer of a service that is deeper than 32 levels is passed on as text, as one that is no JSON.

Events of streams and answers of the rating service have no test of their own.

--- a/src/programs/laurel_entry.cpp
+++ b/src/programs/laurel_entry.cpp
@@ -467,7 +467,7 @@
             current->second.is_complete = true;
             continue;
         }
-        const json part = json::parse(data, nullptr, false);
+        const json part = read_foreign_document(data).value;
         if (!part.is_object()) {
             continue;
         }
@@ -531,10 +531,9 @@
         arrived.tokens = open->second.tokens + call.resume_from;
         streams_.erase(open);
     } else if (arrived.result == call_result::answered) {
-        arrived.body = json::parse(answer.body, nullptr, false);
-        if (arrived.body.is_discarded()) {
-            arrived.body = answer.body;
-        }
+        foreign_document document = read_foreign_document(answer.body);
+        const bool is_whole = !document.value.is_discarded() && !document.is_shortened;
+        arrived.body = is_whole ? std::move(document.value) : json(answer.body);
         if (!is_service) {
             const json::json_pointer text("/choices/0/message/content");
             const json::json_pointer tokens("/usage/completion_tokens");
@@ -562,7 +561,7 @@
         json{{"version", request.version}, {"request", request.request}, {"answer", request.answer}}.dump();
     call.timeout = milliseconds(FLAGS_rating_timeout_ms);
     client_.send(call, [this, id = request.call_id](const http_answer& answer) {
-        const json body = json::parse(answer.body, nullptr, false);
+        const json body = read_foreign_document(answer.body).value;
         const bool is_rated =
             answer.status == 200 && body.is_object() && body.contains("score") && body["score"].is_number();
         core_.on_rating(id, is_rated ? std::optional(body["score"].get<double>()) : std::nullopt,
