SIGHUP does not end laurel-entry and laurel-steward

What callers saw: SIGHUP ended a steward or an entry with signal 1, at its start or at any time while it ran.

Cause: both link start_signals but did not call it.

Change: both hold signals before the libraries are initialized, and accept SIGTERM and SIGINT once their handler is set, as laurel-platform-entry does.

--- a/src/programs/laurel_entry.cpp
+++ b/src/programs/laurel_entry.cpp
@@ -198,6 +198,7 @@
     });
     loop_.every(connect_interval, [this] { connect_stewards(); });
     loop_.on_stop_signal([this] { core_.begin_stop(monotonic_now()); });
+    accept_stop_signals();
     connect_stewards();
     loop_.run();
 }
@@ -661,6 +662,11 @@
 
 } // namespace laurelhoist
 
+/// Called before the initializers of the libraries; a reload signal that comes meanwhile would end the
+/// process.
+__attribute__((section(".preinit_array"),
+               used)) void (*hold_signals_first)() = laurelhoist::hold_signals_of_start;
+
 int main(int argc, char** argv) {
     laurelhoist::read_settings(
         &argc, &argv, "laurel-entry: accepts callers' requests and routes each to an allowed version.");
--- a/src/programs/laurel_steward.cpp
+++ b/src/programs/laurel_steward.cpp
@@ -130,6 +130,7 @@
     });
     loop_.every(connect_interval, [this] { connect_peers(); });
     loop_.on_stop_signal([this] { core_.begin_stop(monotonic_now()); });
+    accept_stop_signals();
     connect_peers();
     loop_.run();
 }
@@ -512,6 +513,11 @@
 
 } // namespace laurelhoist
 
+/// Called before the initializers of the libraries; a reload signal that comes meanwhile would end the
+/// process.
+__attribute__((section(".preinit_array"),
+               used)) void (*hold_signals_first)() = laurelhoist::hold_signals_of_start;
+
 int main(int argc, char** argv) {
     laurelhoist::read_settings(&argc, &argv,
                                "laurel-steward: manages configuration, bills and roll-outs for the entries.");
--- a/test/soak/node_ends.py
+++ b/test/soak/node_ends.py
@@ -9,6 +9,7 @@
 import hashlib
 import json
 import pathlib
+import signal
 import socket
 import subprocess
 import sys
@@ -244,7 +245,24 @@
     entry.require_alive("the claim was nested deep")
 
 
-CASES = {function.__name__: function for function in (deeply_nested_answer, deeply_nested_object, port_in_use_at_start)}
+async def reload_signal(bench):
+    """SIGHUP ends a steward or an entry, at its start or while it runs."""
+    processes = [bench.steward(), bench.entry()]
+    for delay_s in (0.003, 0.02, 1):
+        await asyncio.sleep(delay_s)
+        for process in processes:
+            process.child.send_signal(signal.SIGHUP)
+    await asyncio.sleep(0.2)
+    for process in processes:
+        process.require_alive("SIGHUP came")
+        process.child.send_signal(signal.SIGTERM)
+    for process in processes:
+        await until(lambda: process.child.poll() is not None, f"{process.program} still runs after SIGTERM", 15)
+        require(process.child.returncode == 0, f"{process.program} ended with {process.child.returncode}")
+
+
+CASES = {function.__name__: function for function in (deeply_nested_answer, deeply_nested_object, port_in_use_at_start,
+                                                      reload_signal)}
 
 
 async def run(name, programs):
