--- a/src/programs/laurel_steward.cpp
+++ b/src/programs/laurel_steward.cpp
@@ -108,7 +108,7 @@
             metrics_,
             entropy_seed()},
       client_{loop_},
-      incoming_{loop_, require_address("listen", FLAGS_listen), handlers(false)},
+      incoming_{loop_, listen_target{"--listen", require_address("listen", FLAGS_listen)}, handlers(false)},
       outgoing_{loop_, handlers(true)} {
     http_limits limits;
     control_ = std::make_unique<http_server>(
@@ -130,6 +130,7 @@
     });
     loop_.every(connect_interval, [this] { connect_peers(); });
     loop_.on_stop_signal([this] { core_.begin_stop(monotonic_now()); });
+    accept_stop_signals();
     connect_peers();
     loop_.run();
 }
@@ -330,8 +331,11 @@
         reply.object.key = request.key;
         reply.object.version = std::atoll(answer.header("etag").c_str());
         if (reply.what == platform_reply::result::ok && !is_write) {
-            reply.object.value = json::parse(answer.body, nullptr, false);
-            if (reply.object.value.is_discarded()) {
+            foreign_document document = read_foreign_document(answer.body);
+            // Entries of the list of hosts stand for themselves; any other object is of use as a whole only.
+            const bool is_lacking = document.is_shortened && request.key != "hosts";
+            reply.object.value = std::move(document.value);
+            if (reply.object.value.is_discarded() || is_lacking) {
                 reply.what = platform_reply::result::unavailable;
             }
         }
@@ -351,7 +355,7 @@
     call.target = "/admin/status";
     call.timeout = seconds(1);
     client_.send(call, [this, name = endpoint.name](const http_answer& answer) {
-        const json body = json::parse(answer.body, nullptr, false);
+        const json body = read_foreign_document(answer.body).value;
         const bool is_status = answer.status == 200 && body.is_object() && body.contains("versions");
         core_.on_engine_status(name, is_status,
                                is_status ? body["versions"].get<std::vector<version_name>>()
@@ -380,7 +384,8 @@
 
 void steward_program::on_http(const http_request& request, const std::shared_ptr<http_responder>& responder) {
     const std::optional<time_point> as_of = core_.confirmed_as_of(monotonic_now());
-    const bool is_ready = as_of && monotonic_now() - *as_of < freshness_limit && core_.is_listed();
+    const bool is_ready =
+        as_of && monotonic_now() - *as_of < freshness_limit && core_.is_listed() && incoming_.is_listening();
     if (serve_health_pages(request, responder, metrics_, is_ready)) {
         return;
     }
@@ -508,6 +513,11 @@
 
 } // namespace laurelhoist
 
+/// Called before the initializers of the libraries; a reload signal that comes meanwhile would end the
+/// process.
+__attribute__((section(".preinit_array"),
+               used)) void (*hold_signals_first)() = laurelhoist::hold_signals_of_start;
+
 int main(int argc, char** argv) {
     laurelhoist::read_settings(&argc, &argv,
                                "laurel-steward: manages configuration, bills and roll-outs for the entries.");
