--- a/test/soak/host_ends_start.py
+++ b/test/soak/host_ends_start.py
@@ -193,6 +193,24 @@
     require(await bench.ask(host, "after") == 200, "no answer once descriptors were free")
 
 
+def close_standard_descriptors():
+    """Closes the descriptors 0 to 2 of the calling process."""
+    for descriptor in range(3):
+        os.close(descriptor)
+
+
+@case
+async def standard_descriptors_closed_at_start(bench):
+    """A host that starts without standard streams writes its log into one of its own sockets."""
+    await bench.begin(starts=False)
+    host = bench.hosts[0]
+    host.start(prepare=close_standard_descriptors)
+    await host.until_ready()
+    opened = [os.readlink(f"/proc/{host.child.pid}/fd/{descriptor}") for descriptor in range(3)]
+    require(opened == ["/dev/null"] * 3, f"descriptors 0 to 2: {opened}")
+    require(await bench.ask(host, "unlogged") == 200, "no answer")
+
+
 def settings_text(host):
     """The settings file of a host, as it is when nothing is wrong with it."""
     host.write_settings()
