Keep the buffer of the log bounded while standard output takes nothing

A host whose log nobody reads grew without a bound and would be killed for its memory: each flush added a log_lines_dropped line before it looked for room.

The buffer is now a class of its own without input or output (log_buffer). It adds the line with the count only if it fits, and else keeps counting.

--- a/src/base/base.h
+++ b/src/base/base.h
@@ -11,6 +11,7 @@
 #include "base/invariant.h"
 #include "base/json_text.h"
 #include "base/log.h"
+#include "base/log_buffer.h"
 #include "base/mechanisms.h"
 #include "base/metrics.h"
 #include "base/process_end.h"
--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/json_text.h"
+#include "base/log_buffer.h"
 
 #include <fcntl.h>
 #include <glog/logging.h>
@@ -21,8 +22,6 @@
     return current;
 }
 
-/// Limit of the lines buffered for a slow reader; about one second of output at the highest load.
-constexpr std::size_t max_buffered_bytes = 256 << 10;
 /// Buffered lines are written when they reach this size, which avoids one system call per line.
 constexpr std::size_t flush_threshold_bytes = 4 << 10;
 /// Rate limit of informational lines; warnings and errors are exempt.
@@ -34,31 +33,22 @@
     void send(google::LogSeverity severity, const char*, const char*, int, const struct ::tm*,
               const char* message, std::size_t length) override {
         if (severity == google::GLOG_INFO && !allow_info_line()) {
-            ++dropped_;
+            buffer_.count_dropped();
             return;
         }
-        if (buffer_.size() + length > max_buffered_bytes) {
-            ++dropped_;
-            return;
-        }
-        buffer_.append(message, length);
-        buffer_ += '\n';
+        buffer_.add({message, length});
         if (buffer_.size() >= flush_threshold_bytes || severity != google::GLOG_INFO) {
             flush();
         }
     }
 
     void flush() {
-        if (dropped_ > 0) {
-            buffer_ += json{{"event", "log_lines_dropped"}, {"count", dropped_}}.dump() + '\n';
-            dropped_ = 0;
-        }
-        while (!buffer_.empty()) {
-            const ssize_t written = ::write(STDOUT_FILENO, buffer_.data(), buffer_.size());
+        for (std::string_view lines = buffer_.waiting(); !lines.empty(); lines = buffer_.waiting()) {
+            const ssize_t written = ::write(STDOUT_FILENO, lines.data(), lines.size());
             if (written <= 0) {
                 return; // The reader is slow; the lines stay in the buffer until the next call.
             }
-            buffer_.erase(0, static_cast<std::size_t>(written));
+            buffer_.remove(static_cast<std::size_t>(written));
         }
     }
 
@@ -72,8 +62,7 @@
         return ++lines_ <= max_info_lines_per_second;
     }
 
-    std::string buffer_;
-    std::uint64_t dropped_ = 0;
+    log_buffer buffer_;
     std::int64_t second_ = 0;
     std::uint64_t lines_ = 0;
 };
--- a/test/base_test.cpp
+++ b/test/base_test.cpp
@@ -5,6 +5,8 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <algorithm>
+
 DEFINE_uint32(test_count, 1, "a flag that this program has");
 DEFINE_bool(test_switch, false, "another");
 
@@ -191,4 +193,34 @@
     EXPECT_FALSE(none->stops_bad_releases);
 }
 
+// Guards against a host that is killed for its memory days after the reader of its log has stopped reading.
+TEST(log_buffer, stays_bounded_while_nobody_reads) {
+    constexpr std::size_t flushes_of_a_day = 24 * 3600 * 4;
+    log_buffer buffer;
+    const std::string line(200, 'x');
+    std::size_t added = 0;
+    for (std::size_t i = 0; i < flushes_of_a_day; ++i) {
+        buffer.add(line);
+        ++added;
+        (void)buffer.waiting();
+        ASSERT_LE(buffer.size(), log_buffer::max_bytes) << "after flush " << i;
+    }
+    std::string read;
+    for (std::string_view lines = buffer.waiting(); !lines.empty(); lines = buffer.waiting()) {
+        read += lines.substr(0, 1000);
+        buffer.remove(std::min<std::size_t>(lines.size(), 1000));
+    }
+    const std::size_t kept = std::count(read.begin(), read.end(), 'x') / line.size();
+    std::size_t dropped = 0;
+    for (const std::string& each : split_list(read, '\n')) {
+        if (each != line) {
+            const json told = json::parse(each);
+            ASSERT_EQ(told.at("event"), "log_lines_dropped");
+            dropped += told.at("count").get<std::size_t>();
+        }
+    }
+    EXPECT_GT(kept, 1000U);
+    EXPECT_EQ(dropped, added - kept);
+}
+
 } // namespace laurelhoist
