Settings: a field without a value keeps its default instead of ending the start

What operators would see: exit code 2 at every start, invalid_setting, where a field that the settings file is made of has no value (--cpu_share=). Cause: an empty value of a number is a wrong one. Now it is left out with one line, setting_empty; an empty text stays a value.

--- a/src/base/settings_file.cpp
+++ b/src/base/settings_file.cpp
@@ -29,6 +29,12 @@
     return gflags::GetCommandLineFlagInfo(name.c_str(), &info) && (has_value || info.type == "bool");
 }
 
+// An empty text is a value.
+bool is_text(const std::string& name) {
+    gflags::CommandLineFlagInfo info;
+    return gflags::GetCommandLineFlagInfo(name.c_str(), &info) && info.type == "string";
+}
+
 // Written directly, as the settings say how to log.
 void write_warning(const json& fields) {
     json line{{"at_ms", wall_clock_ms()}, {"level", "warning"}};
@@ -57,7 +63,10 @@
             continue;
         }
         const std::string flag = line.substr(0, line.find('='));
-        if (is_known(flag.substr(2), flag.size() < line.size())) {
+        const bool has_no_value = flag.size() + 1 == line.size();
+        if (has_no_value && is_known(flag.substr(2), true) && !is_text(flag.substr(2))) {
+            lines.empty.push_back(flag);
+        } else if (is_known(flag.substr(2), flag.size() < line.size())) {
             lines.known.push_back(line);
         } else {
             lines.unknown.push_back(flag);
@@ -119,6 +128,11 @@
                                {"remedy", "none is needed for a field of another release; otherwise correct "
                                           "the name; --help lists all"}});
             }
+            for (const std::string& name : lines.empty) {
+                write_warning({{"event", "setting_empty"},
+                               {"setting", name},
+                               {"remedy", "none is needed if its default fits; otherwise give a value"}});
+            }
             return text ? std::optional(lines.known) : std::nullopt;
         }
         if (!is_logged && !(text && missing.empty())) {
--- a/src/base/settings_file.h
+++ b/src/base/settings_file.h
@@ -16,6 +16,7 @@
 struct settings_lines {
     std::vector<std::string> known;   ///< those that this program has, as command-line arguments
     std::vector<std::string> unknown; ///< names of the others, and of those without their value, as `--name`
+    std::vector<std::string> empty;   ///< names of those that are no text and have nothing behind the `=`
     bool is_ended = false;            ///< the last line has its end, so that it is not cut
 };
 
@@ -54,7 +55,7 @@
 
 /** Reads the settings file \p path, again for up to \ref settings_wait_limit while it cannot be read, lacks
  * what is required, or ends within a line and still changes. Logs what is missing once, and each flag that
- * this program does not have. Ends the process with code 0 if a stop signal comes meanwhile.
+ * is empty or that this program does not have. Ends the process with code 0 if a stop signal comes meanwhile.
  * \param arguments of the command line, which may hold what is required too
  * \return the flags as command-line arguments, complete or not; nothing if the file cannot be read */
 std::optional<std::vector<std::string>> wait_for_settings_file(const std::string& path,
--- a/test/base_test.cpp
+++ b/test/base_test.cpp
@@ -9,6 +9,7 @@
 
 DEFINE_uint32(test_count, 1, "a flag that this program has");
 DEFINE_bool(test_switch, false, "another");
+DEFINE_string(test_text, "default", "a third");
 
 namespace laurelhoist {
 
@@ -57,6 +58,15 @@
     EXPECT_TRUE(parse_settings_file("").known.empty());
 }
 
+// Guards against a host that does not start because a field that its settings are made of has no value.
+TEST(settings_file, a_flag_without_a_value_keeps_its_default) {
+    const settings_lines lines =
+        parse_settings_file("--test_count=\n--to_come=\n--test_text=\n--test_switch\n");
+    EXPECT_EQ(lines.known, (std::vector<std::string>{"--test_text=", "--test_switch"}));
+    EXPECT_EQ(lines.empty, std::vector<std::string>{"--test_count"});
+    EXPECT_EQ(lines.unknown, std::vector<std::string>{"--to_come"});
+}
+
 // Guards against a host that takes a file that is cut for a complete one.
 TEST(settings_file, what_a_file_lacks_is_named) {
     const required_settings required{{"host"}, {"peers", "store"}};
--- a/test/soak/host_ends_start.py
+++ b/test/soak/host_ends_start.py
@@ -263,6 +263,19 @@
         require(refused[0]["setting"] == setting and remedy in refused[0]["remedy"], f"{refused}")
 
 
+@case
+async def settings_file_with_empty_fields(bench):
+    """A host ends because fields that its settings are made of have no value."""
+    await bench.begin(hosts=1, starts=False)
+    host = bench.hosts[0]
+    empty = ("cpu_share", "memory_mb", "revoke_bound_ms", "exposure_share", "session_life_s", "retry_window_s")
+    host.path.write_text(settings_text(host) + "".join(f"--{name}=\n" for name in empty))
+    host.start(writes_settings=False)
+    await host.until_ready()
+    logged = [line["setting"] for line in host.events("setting_empty")]
+    require(logged == [f"--{name}" for name in empty], f"{logged}")
+
+
 @case
 async def settings_file_of_another_release(bench):
     """A host ends because its settings file has a field that this release does not know, or 5000.0 for 5000."""
