HTTP parser: the end of an empty chunked body may come in pieces; assertions of Boost are exceptions

What callers saw: a chunked request without content whose last five bytes come as '0 CR LF', 'CR', 'LF' ends the host with all that it serves, signal 6. Any caller, through any network that splits them so, and any endpoint. Found by the test of damaged bytes. Cause: Boost.Beast asserts n >= 5 when it is given a last chunk header again that it has asked for more of; the assertions are on in a release build.

Now the three readers that call the parser hold such bytes until there are five (parser_input; a message that ends in a chunk always brings as many), and a failed assertion of any Boost library is an exception, which ends the work on those bytes, as that of a handler does (library_assertion). http_server keeps Beast's own loop: there the connection ends.

The tests of request_reader and answer_reader abort without the mend by the same bytes.

--- a/src/relay/http_codec.cpp
+++ b/src/relay/http_codec.cpp
@@ -1,5 +1,7 @@
 #include "relay/http_codec.h"
 
+#include "transport/parser_input.h"
+
 #include <boost/beast/http.hpp>
 
 #include <algorithm>
@@ -182,6 +184,7 @@
         parser.eager(true);
     }
     http::request_parser<http::string_body> parser;
+    parser_input input;
     bool has_asked_to_continue = false;
     bool is_body_dropped = false;
 };
@@ -196,9 +199,10 @@
 
 request_reader::progress request_reader::advance() {
     auto& parser = state_->parser;
-    while (!pending_.empty() && !parser.is_done()) {
+    while (state_->input.is_due(pending_.size()) && !parser.is_done()) {
         boost::beast::error_code failure;
         const std::size_t used = parser.put(asio::buffer(pending_), failure);
+        state_->input.on_parsed(failure);
         pending_.erase(0, used);
         if (state_->is_body_dropped) {
             parser.get().body().clear();
@@ -269,6 +273,7 @@
         parser.skip(is_for_head);
     }
     http::response_parser<http::string_body> parser;
+    parser_input input;
     std::string head_bytes; ///< bytes of a head that has not arrived completely
 };
 
@@ -297,9 +302,10 @@
     const std::size_t held_before = held.size();
     held.append(bytes);
     std::size_t used = 0;
-    while (used < held.size() && !state_->parser.is_done()) {
+    while (state_->input.is_due(held.size() - used) && !state_->parser.is_done()) {
         boost::beast::error_code failure;
         used += state_->parser.put(asio::buffer(held.data() + used, held.size() - used), failure);
+        state_->input.on_parsed(failure);
         if (failure == http::error::need_more) {
             break;
         }
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -1,5 +1,6 @@
 #include "transport/http_client.h"
 
+#include "transport/parser_input.h"
 #include "transport/socket_options.h"
 
 #include <boost/asio.hpp>
@@ -153,6 +154,7 @@
                 return;
             }
             self->parser_.emplace();
+            self->input_ = parser_input{};
             self->parser_->body_limit(max_response_bytes);
             self->parser_->eager(true);
             self->read();
@@ -189,8 +191,9 @@
     // every token of a stream by one. Received bytes are therefore passed to the parser directly.
     void on_read(beast::error_code failure) {
         beast::error_code parse_failure;
-        while (buffer_.size() > 0 && !parser_->is_done() && !parse_failure) {
+        while (input_.is_due(buffer_.size()) && !parser_->is_done() && !parse_failure) {
             buffer_.consume(parser_->put(buffer_.data(), parse_failure));
+            input_.on_parsed(parse_failure);
         }
         if (failure == asio::error::eof && parser_->got_some() && !parser_->is_done() && !parse_failure) {
             parser_->put_eof(parse_failure);
@@ -264,6 +267,7 @@
     beast::flat_buffer buffer_;
     http::request<http::string_body> request_;
     std::optional<http::response_parser<http::string_body>> parser_;
+    parser_input input_;
     std::size_t delivered_ = 0;
     std::size_t received_bytes_ = 0; ///< of the response
     bool is_reused_ = false;
--- a/src/transport/transport.h
+++ b/src/transport/transport.h
@@ -9,4 +9,5 @@
 #include "transport/http_client.h"
 #include "transport/http_server.h"
 #include "transport/link.h"
+#include "transport/parser_input.h"
 #include "transport/retry_after.h"
--- a/test/base_test.cpp
+++ b/test/base_test.cpp
@@ -1,6 +1,8 @@
 #include "base/base.h"
+#include "base/library_assertion.h"
 #include "base/settings_file.h"
 
+#include <boost/assert.hpp>
 #include <gflags/gflags.h>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -67,6 +69,13 @@
     EXPECT_EQ(lines.unknown, std::vector<std::string>{"--to_come"});
 }
 
+// Guards against a process that ends because bytes of an outsider break an assertion of a library.
+TEST(library_assertion, a_failed_assertion_is_an_exception) {
+    const bool holds = false;
+    EXPECT_THROW(BOOST_ASSERT(holds), library_assertion);
+    EXPECT_THROW(BOOST_ASSERT_MSG(holds, "why"), library_assertion);
+}
+
 // Guards against a host that takes a file that is cut for a complete one.
 TEST(settings_file, what_a_file_lacks_is_named) {
     const required_settings required{{"host"}, {"peers", "store"}};
--- a/test/relay_test.cpp
+++ b/test/relay_test.cpp
@@ -131,6 +131,23 @@
     EXPECT_FALSE(unframed.keeps_alive());
 }
 
+// Guards against a process that an endpoint ends by sending the end of an empty chunked body in pieces.
+TEST(answer_reader, an_empty_chunked_body_may_arrive_in_any_pieces) {
+    const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::vector<std::vector<std::string>> splits = {
+        {"0", "\r", "\n", "\r", "\n"}, {"0\r\n", "\r", "\n"}, {"0\r\n\r", "\n"}, {"0\r", "\n\r\n"}};
+    for (const std::vector<std::string>& pieces : splits) {
+        std::string body;
+        answer_reader reader(false);
+        ASSERT_TRUE(reader.feed(head, body));
+        for (const std::string& piece : pieces) {
+            EXPECT_FALSE(reader.is_complete());
+            ASSERT_TRUE(reader.feed(piece, body));
+        }
+        EXPECT_TRUE(reader.is_complete());
+    }
+}
+
 // Guards against bytes of the next answer on the connection being read as part of this one, and against bytes
 // that are not HTTP being accepted.
 TEST(answer_reader, reports_how_many_bytes_belong_to_the_answer) {
@@ -228,6 +245,21 @@
     }
 }
 
+// Guards against a process that a caller ends by sending the end of an empty chunked body in pieces.
+TEST(request_reader, an_empty_chunked_body_may_arrive_in_any_pieces) {
+    for (const std::vector<std::string>& pieces : std::vector<std::vector<std::string>>{
+             {"0", "\r", "\n", "\r", "\n"}, {"0\r\n", "\r", "\n"}, {"0\r\n\r", "\n"}}) {
+        request_reader reader(4096, 100);
+        reader.feed("POST /a/ HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n");
+        EXPECT_EQ(reader.advance(), request_reader::progress::needs_more);
+        for (std::size_t i = 0; i < pieces.size(); ++i) {
+            reader.feed(pieces[i]);
+            EXPECT_EQ(reader.advance(), i + 1 < pieces.size() ? request_reader::progress::needs_more
+                                                              : request_reader::progress::complete);
+        }
+    }
+}
+
 // Guards against a loss of bytes when the start of the next request arrives together with the present one.
 TEST(request_reader, reads_one_request_after_another) {
     request_reader reader(4096, 100);
--- a/test/soak/host_ends_entries.py
+++ b/test/soak/host_ends_entries.py
@@ -57,3 +57,36 @@
                 await asyncio.sleep(0.1)
                 host.require_alive()
     require(host.events("peer_message_unreadable"), "no datagram was read")
+
+
+PIECES = (b"0\r\n", b"\r", b"\n")  # the end of a chunked body without content
+PIECE_PAUSE_S = 0.02  # long enough that a host reads each piece by itself
+
+
+async def send_in_pieces(host, port_name, method):
+    """Sends a chunked request without content in pieces. Returns the first bytes of the answer."""
+    reader, writer = await asyncio.open_connection(host.address, host.ports[port_name])
+    writer.write(f"{method} /status/1 HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: torn-{port_name}\r\n"
+                 "Authorization: Token key-a\r\nX-Deadline-Ms: 2000\r\nTransfer-Encoding: chunked\r\n\r\n".encode())
+    try:
+        for piece in PIECES:
+            await writer.drain()
+            await asyncio.sleep(PIECE_PAUSE_S)
+            writer.write(piece)
+        answer = await asyncio.wait_for(reader.read(12), 3)
+        writer.close()
+        return answer
+    except (OSError, asyncio.TimeoutError):
+        return b""
+
+
+@case
+async def chunked_request_in_pieces(bench):
+    """A caller that sends the end of an empty chunked body in pieces ends the host."""
+    await bench.begin()
+    host = bench.hosts[0]
+    for port_name in ("callers", "readiness", "directory", "metrics"):
+        answer = await send_in_pieces(host, port_name, "POST")
+        host.require_alive()
+        require(port_name != "callers" or answer == b"HTTP/1.1 200", f"{port_name} got {answer!r}")
+    require(await bench.ask(host, "after") == 200, "the host does not serve the next request")
