--- a/test/base_test.cpp
+++ b/test/base_test.cpp
@@ -214,7 +214,7 @@
 
 // Guards against a host that is killed for its memory days after the reader of its log has stopped reading.
 TEST(log_buffer, stays_bounded_while_nobody_reads) {
-    constexpr std::size_t flushes_of_a_day = 24 * 3600 * 4;
+    constexpr std::size_t flushes_of_a_day = std::size_t{24} * 3600 * 4;
     log_buffer buffer;
     const std::string line(200, 'x');
     std::size_t added = 0;
