--- a/test/soak/node_ends.py
+++ b/test/soak/node_ends.py
@@ -37,6 +37,19 @@
         return probe.getsockname()[1]
 
 
+def free_port_pair():
+    """Returns a free port whose next one is free as well."""
+    while True:
+        with socket.socket() as first, socket.socket() as second:
+            first.bind(("127.0.0.1", 0))
+            port = first.getsockname()[1]
+            try:
+                second.bind(("127.0.0.1", port + 1))
+                return port
+            except (OSError, OverflowError):
+                pass
+
+
 def hold_port(port):
     holder = socket.socket()
     holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -185,7 +198,7 @@
     sample = json.loads((ROOT / "examples/standin-brazda.json").read_text())
     standin["versions"] = sample["versions"]
     engines = next(pool for pool in sample["pools"] if pool["kind"] == "engine")
-    standin["pools"] = [{**engines, "count": 2, "first_port": free_port()}]
+    standin["pools"] = [{**engines, "count": 2, "first_port": free_port_pair()}]
     document = json.loads((ROOT / "examples/brazda-1.json").read_text())
     document["teams"][0]["key_sha256"] = hashlib.sha256(TEAM_KEY.encode()).hexdigest()
     plan, bundle = bench.folder / "standin.json", bench.folder / "bundle.json"
