--- a/src/node/entry_port.h
+++ b/src/node/entry_port.h
@@ -116,6 +116,8 @@
     virtual void send_to_steward(const std::string& incarnation, const node_message& message) = 0;
     virtual void reply(const caller_reply& reply) = 0;
     virtual void stream(const stream_part& part) = 0;
+    /** \return milliseconds since 1970 on the wall clock, for records. */
+    virtual std::int64_t wall_clock_ms() const = 0;
 };
 
 } // namespace laurelhoist
--- a/src/node/entry_replies.cpp
+++ b/src/node/entry_replies.cpp
@@ -53,7 +53,7 @@
     record.score = request.answer->score.value_or(-1.0);
     record.latency_ms = static_cast<std::int64_t>(to_ms(now_ - request.arrived));
     record.entry = settings_.incarnation;
-    record.at_ms = wall_clock_ms();
+    record.at_ms = port_.wall_clock_ms();
     request.billing_since = now_;
     request_by_bill_[key_of(record)] = request.id;
     outbox_.add(record, now_);
--- a/src/node/steward_commands.cpp
+++ b/src/node/steward_commands.cpp
@@ -38,7 +38,7 @@
 void steward_core::start_own_command(fleet_command command) {
     command.by = "steward " + settings_.name;
     command.nonce = random_.identifier("n-");
-    command.at_ms = wall_clock_ms();
+    command.at_ms = port_.wall_clock_ms();
     command.expected_revision = view_->revision();
     on_command("", command, std::nullopt, now_);
 }
--- a/src/node/steward_ledger.cpp
+++ b/src/node/steward_ledger.cpp
@@ -226,7 +226,7 @@
 }
 
 void steward_core::write_counts() {
-    const std::int64_t minute = wall_clock_ms() / ms_per_minute;
+    const std::int64_t minute = port_.wall_clock_ms() / ms_per_minute;
     const bool is_last = host_state_ == "draining";
     if (minute_ == 0) {
         minute_ = minute;
--- a/src/node/steward_port.h
+++ b/src/node/steward_port.h
@@ -76,6 +76,8 @@
     virtual void ask_engine(const endpoint_record& endpoint) = 0;
     virtual void order_engine(const engine_order& order) = 0;
     virtual void answer_operator(const command_reply& reply) = 0;
+    /** \return milliseconds since 1970 on the wall clock, for records. */
+    virtual std::int64_t wall_clock_ms() const = 0;
 };
 
 } // namespace laurelhoist
--- a/src/programs/laurel_entry.cpp
+++ b/src/programs/laurel_entry.cpp
@@ -78,6 +78,7 @@
     void send_to_steward(const std::string& incarnation, const node_message& message) override;
     void reply(const caller_reply& reply) override;
     void stream(const stream_part& part) override;
+    std::int64_t wall_clock_ms() const override { return laurelhoist::wall_clock_ms(); }
 
 private:
     struct steward_connection {
--- a/src/programs/laurel_steward.cpp
+++ b/src/programs/laurel_steward.cpp
@@ -40,6 +40,7 @@
     void ask_engine(const endpoint_record& endpoint) override;
     void order_engine(const engine_order& order) override;
     void answer_operator(const command_reply& reply) override;
+    std::int64_t wall_clock_ms() const override { return laurelhoist::wall_clock_ms(); }
 
 private:
     struct connection {
--- a/src/simulation/nodes.h
+++ b/src/simulation/nodes.h
@@ -22,6 +22,9 @@
     time_point local_now() const { return world_.clock.now() + skew_; }
     void pause(duration span) { paused_until_ = std::max(paused_until_, world_.clock.now() + span); }
     void resume() { paused_until_ = world_.clock.now(); }
+    std::int64_t virtual_wall_clock_ms() const {
+        return world_.clock.now().time_since_epoch() / milliseconds(1);
+    }
 
     /** Runs \p work at once, or when the current pause ends. Drops it if the node is down or is killed
      * before then. */
@@ -55,6 +58,7 @@
     void send_to_steward(const std::string& incarnation, const node_message& message) override;
     void reply(const caller_reply& reply) override;
     void stream(const stream_part& part) override;
+    std::int64_t wall_clock_ms() const override { return virtual_wall_clock_ms(); }
 
     std::unique_ptr<entry_core> core;
     metrics node_metrics;
@@ -89,6 +93,7 @@
     void ask_engine(const endpoint_record& endpoint) override;
     void order_engine(const engine_order& order) override;
     void answer_operator(const command_reply& reply) override;
+    std::int64_t wall_clock_ms() const override { return virtual_wall_clock_ms(); }
 
     std::unique_ptr<steward_core> core;
     metrics node_metrics;
--- a/test/simulation_test.cpp
+++ b/test/simulation_test.cpp
@@ -87,6 +87,27 @@
     EXPECT_NE(fingerprint(9), fingerprint(10));
 }
 
+// Guards against nodes that read the clock of the machine: a run then depends on the minute in which it takes
+// place.
+TEST(simulation, counts_are_written_by_the_minutes_of_the_run) {
+    quiet_log();
+    world_options options;
+    options.requests_per_second = 5;
+    world simulated(options);
+    simulated.start();
+    simulated.run_for(seconds(130));
+    std::set<std::int64_t> minutes;
+    for (const platform_object& object : simulated.platform->list("counts/")) {
+        minutes.insert(object.value.get<counts_bucket>().minute);
+    }
+    EXPECT_GE(minutes.size(), 2U);
+    const auto now = simulated.clock.now().time_since_epoch() / std::chrono::minutes(1);
+    for (const std::int64_t minute : minutes) {
+        EXPECT_LT(minute, now);
+        EXPECT_GE(minute, now - 3);
+    }
+}
+
 // Guards against checks that cannot fail: with the freshness check disabled, an isolated entry goes on
 // dispatching after a withdrawal that it has not received, and an invariant must report it.
 TEST(simulation, a_disabled_freshness_check_violates_an_invariant) {
