Roll-outs: an order that becomes unreadable stays in force as last read

Seen: another writer replaces an order that was rolled back by one that cannot be read, here with a duration that is no number. Every host forgets the order, and the refused release gets its part of the requests again.

Cause: each change of the roll-outs decodes all objects anew, and one that is refused counts as removed. The configuration is kept as last read in this case; no rule was written down.

Change: last_readable keeps the value of each object as last read, until it is readable again or removed, and reports a refusal once for each revision.

Unit test last_readable.an_unreadable_object_keeps_its_last_value.

--- a/src/host/entry_host.h
+++ b/src/host/entry_host.h
@@ -241,6 +241,7 @@
     object_watch config_watch_;
     object_watch endpoint_watch_;
     object_watch rollout_watch_;
+    last_readable<rollout_order> rollout_orders_;
     object_watch evacuation_watch_;
     std::vector<object_watch*> watches_;
     evacuation_set evacuated_;
--- a/src/host/entry_host_rollouts.cpp
+++ b/src/host/entry_host_rollouts.cpp
@@ -37,18 +37,16 @@
 } // namespace
 
 void entry_host::on_rollouts(const objects_by_name& objects) {
-    std::vector<rollout_order> orders;
-    for (const auto& [name, object] : objects) {
-        const outcome<rollout_order> decoded = codec_.rollout(object);
-        if (const error* failure = error_of(decoded)) {
-            log_error("rollout_refused", {{"name", name}, {"remedy", failure->message}});
-            continue;
-        }
-        orders.push_back(*value_of(decoded));
-    }
+    rollout_orders_.update(
+        objects, [this](const stored_object& object) { return codec_.rollout(object); },
+        [](const stored_object& object, const error& failure) {
+            log_error("rollout_refused",
+                      {{"name", object.name}, {"revision", object.revision}, {"remedy", failure.message}});
+        });
     const time_point now = monotonic_now();
     const bool may_have_missed_orders = history_gone_at_ && now - *history_gone_at_ < relisting_time;
-    rollouts_.set_orders(orders, now, may_have_missed_orders ? event_loss_window : duration::zero());
+    rollouts_.set_orders(rollout_orders_.values(), now,
+                         may_have_missed_orders ? event_loss_window : duration::zero());
     send_copy_notice(notice_scope::change);
 }
 
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -4,5 +4,6 @@
  */
 #pragma once
 
+#include "store/last_readable.h"
 #include "store/object_store.h"
 #include "store/object_watch.h"
--- a/test/soak/host_ends_entries.py
+++ b/test/soak/host_ends_entries.py
@@ -1,6 +1,7 @@
 """Cases of host_ends.py: what other writers leave in the store, and what arrives at the peers' port."""
 import asyncio
 import socket
+import time
 
 from host_ends import case, require
 
@@ -44,6 +45,36 @@
         require(len(lines) in (1, 2), f"{len(lines)} lines about one entry, 1 expected of each process: {lines[:3]}")
 
 
+@case
+async def unreadable_rollout(bench):
+    """A writer that leaves an unreadable order in place of one that was rolled back has its release served again."""
+    await bench.begin(starts=False)
+    host = bench.hosts[0]
+    bench.put_entry("i-1", port=bench.endpoints[1].port, version="v2")
+    bench.store.put("rollouts", "claims", {"service": "claims", "target": "v2", "duration_s": 30},
+                    {"state": "rolled_back", "target": "v2"})
+    host.start()
+    await host.until_ready()
+    await until_listed(host, 2)
+
+    async def require_not_served(name):
+        for number in range(20):
+            require(await bench.ask(host, f"{name}-{number}") == 200, f"request {name}-{number} was not served")
+        served = [run["id"] for run in bench.runs if run["endpoint"] == "i-1"]
+        require(not served, f"{len(served)} requests to the release that was rolled back, first {served[:1]}")
+
+    await require_not_served("before")
+    bench.store.put("rollouts", "claims", {"service": "claims", "target": "v2", "duration_s": "soon"})
+    bench.store.put("rollouts", "other", {"service": "other", "target": "v2", "duration_s": 30})
+    end = time.monotonic() + SEEN_S
+    while not [line for line in host.events("rollout_seen") if line["service"] == "other"]:
+        require(time.monotonic() < end, "a later order was not seen")
+        await asyncio.sleep(0.05)
+    await require_not_served("after")
+    refused = host.events("rollout_refused")
+    require(len(refused) == 1, f"{len(refused)} lines about one unreadable order, 1 expected")
+
+
 @case
 async def deep_datagram(bench):
     """A datagram that is nested so deep that reading it exhausts the stack ends a host."""
--- a/test/store_test.cpp
+++ b/test/store_test.cpp
@@ -116,6 +116,34 @@
     EXPECT_EQ(copy.held.size(), 1U);
 }
 
+// Guards against accepted orders that are undone when another writer makes their objects unreadable.
+TEST(last_readable, an_unreadable_object_keeps_its_last_value) {
+    last_readable<std::string> known;
+    std::vector<std::int64_t> refused;
+    const auto update = [&](const objects_by_name& objects) {
+        known.update(
+            objects,
+            [](const stored_object& object) -> outcome<std::string> {
+                if (object.spec.is_string()) {
+                    return object.spec.get<std::string>();
+                }
+                return error{error_kind::invalid_request, "give a string"};
+            },
+            [&](const stored_object& object, const error&) { refused.push_back(object.revision); });
+        return known.values();
+    };
+    const stored_object sound{"a", 3, "order", {}};
+    const stored_object unreadable{"a", 4, 7, {}};
+    const stored_object never_readable{"b", 5, 8, {}};
+    using values = std::vector<std::string>;
+    EXPECT_EQ(update({{"a", sound}}), values{"order"});
+    EXPECT_EQ(update({{"a", unreadable}, {"b", never_readable}}), values{"order"});
+    EXPECT_EQ(update({{"a", unreadable}, {"b", never_readable}}), values{"order"});
+    EXPECT_EQ(refused, (std::vector<std::int64_t>{4, 5}));
+    EXPECT_EQ(update({{"b", never_readable}}), values{});
+    EXPECT_EQ(update({{"a", unreadable}}), values{});
+}
+
 // Guards against a core that is kept busy by listing the same page again and again.
 TEST(object_watch, a_listing_that_makes_no_progress_backs_off) {
     for (const char* name : {"", "a"}) {
