Settings: an optional number out of range is bounded instead of ending the start

Cause: twelve checks in the start refused what two others bounded, each with a copy of its range, and gflags refuses what a type does not hold.

Each is set to the nearest number in range, or to its default if it is no number, with the line setting_bounded (used, remedy). Numbers beyond the type of a flag are bounded in the same way before gflags reads them, in this program only. A text where a number belongs is still refused. The largest answer follows the buffer of answers, not the buffer the answer, as the buffer bounds the memory.

--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/json_text.h"
+#include "base/optional_settings.h"
 #include "base/settings_file.h"
 
 #include <arpa/inet.h>
@@ -35,23 +36,15 @@
     return all;
 }
 
-bool is_whole_number(const gflags::CommandLineFlagInfo& flag) {
-    return flag.type == "int32" || flag.type == "int64" || flag.type == "uint32" || flag.type == "uint64";
-}
-
-// Files of settings may write a whole number as 5000.0, which gflags refuses.
-std::string normal_value(const gflags::CommandLineFlagInfo& flag, const std::string& value) {
-    return is_whole_number(flag) ? without_zero_fraction(value) : value;
-}
-
 // gflags reads a flag from the environment only if the command line asks for it; this reads all of them.
-void read_environment() {
+void read_environment(out_of_type reaction) {
     for (const gflags::CommandLineFlagInfo& flag : own_flags()) {
         const char* value = std::getenv(environment_name(flag.name).c_str());
         if (value == nullptr) {
             continue;
         }
-        if (gflags::SetCommandLineOption(flag.name.c_str(), normal_value(flag, value).c_str()).empty()) {
+        const std::string readable = readable_value(flag.name, flag.type, value, reaction);
+        if (gflags::SetCommandLineOption(flag.name.c_str(), readable.c_str()).empty()) {
             refuse_setting(environment_name(flag.name), value, "give a value of type " + flag.type);
         }
     }
@@ -81,9 +74,9 @@
 }
 
 // For an unknown flag or a value of the wrong type, gflags itself ends the process with code 1 and no remedy.
-// Checking each argument first reports every invalid setting in the same way. Values are cut to the form that
-// gflags reads, in place, as it parses the same arguments afterwards.
-void check_arguments(int argc, char** argv) {
+// Checking each argument first reports every invalid setting in the same way. Values get the form that gflags
+// reads, which is no longer, in place, as it parses the same arguments afterwards.
+void check_arguments(int argc, char** argv, out_of_type reaction) {
     for (int i = 1; i < argc; ++i) {
         const std::string argument = argv[i];
         if (argument.rfind("--", 0) != 0 || argument == "--") {
@@ -99,11 +92,11 @@
             continue;
         }
         const std::string value = argument.substr(equals + 1);
-        const std::string normal = normal_value(info, value);
-        if (gflags::SetCommandLineOption(name.c_str(), normal.c_str()).empty()) {
+        const std::string readable = readable_value(name, info.type, value, reaction);
+        if (gflags::SetCommandLineOption(name.c_str(), readable.c_str()).empty()) {
             refuse_setting("--" + name, value, "give a value of type " + info.type);
         }
-        argv[i][equals + 1 + normal.size()] = '\0';
+        argv[i][equals + 1 + readable.copy(&argv[i][equals + 1], readable.size())] = '\0';
     }
 }
 
@@ -143,11 +136,15 @@
 }
 
 void read_settings(int* argc, char*** argv, const std::string& usage) {
+    read_settings(argc, argv, usage, out_of_type::refuse);
+}
+
+void read_settings(int* argc, char*** argv, const std::string& usage, out_of_type reaction) {
     gflags::SetUsageMessage(usage);
     gflags::SetVersionString(version_text);
     handle_information_flags(*argc, *argv, usage);
-    read_environment();
-    check_arguments(*argc, *argv);
+    read_environment(reaction);
+    check_arguments(*argc, *argv, reaction);
     gflags::ParseCommandLineFlags(argc, argv, true);
 }
 
--- a/test/soak/host_ends_start.py
+++ b/test/soak/host_ends_start.py
@@ -276,6 +276,36 @@
     require(logged == [f"--{name}" for name in empty], f"{logged}")
 
 
+@case
+async def settings_out_of_range(bench):
+    """A host ends because a setting that it could do without is a number out of range."""
+    # The setting, its value, and the value that is to be in force.
+    too_low = (("cpu_share", "-1", 0), ("memory_mb", "-0.5", 0), ("caller_buffer_kb", "0", 1),
+               ("request_buffer_kb", "0", 1), ("max_answer_kb", "3", 16), ("exposure_share", "0", 1e-6),
+               ("exposure_slack", "-1", 0), ("retry_ratio", "-2", 0), ("retry_window_s", "0", 0.1),
+               ("retry_slack", "-1", 0), ("session_life_s", "-5", 0), ("cold_overage", "-1", 0),
+               ("cold_slack", "-1", 0), ("revoke_bound_ms", "-1", 0), ("stop_grace_ms", "-8000.0", 0))
+    too_high = (("cpu_share", "1e400", 1024), ("memory_mb", "inf", 1 << 30), ("exposure_share", "2", 1),
+                ("exposure_slack", "inf", 1e9), ("retry_ratio", "1e300", 1e9), ("retry_slack", "inf", 1e9),
+                ("session_life_s", "1e9", 86400), ("cold_overage", "1e300", 1e9), ("cold_slack", "inf", 1e9),
+                ("revoke_bound_ms", "4294967296", 4294967295), ("caller_buffer_kb", "99999999999999999999", 4294967295))
+    no_numbers = (("cpu_share", "nan", 0), ("exposure_share", "nan", 0.15), ("retry_window_s", "nan", 10))
+    related = (("max_answer_kb", "2048", 1024),)
+    await bench.begin(hosts=4, starts=False)
+    expected = dict(zip(bench.hosts, (too_low, too_high, no_numbers, related)))
+    bench.hosts[3].flags["answer_buffer_kb"] = "1024"
+    for host, values in expected.items():
+        host.flags.update({name: value for name, value, _ in values})
+        host.start()
+    for host, values in expected.items():
+        await host.until_ready()
+        logged = {line["setting"]: line for line in host.events("setting_bounded")}
+        require(set(logged) == {f"--{name}" for name, _, _ in values}, f"{sorted(logged)}")
+        for name, _, used in values:
+            line = logged[f"--{name}"]
+            require(line["used"] == used and "give a number from" in line["remedy"], f"{line}")
+
+
 @case
 async def settings_file_of_another_release(bench):
     """A host ends because its settings file has a field that this release does not know, or 5000.0 for 5000."""
