Watch of the store: an exception of a report does not end the following

What operators saw: a host that keeps the configuration or the endpoints that it has, or counts the store as lost, until it is restarted; one line handler_failed.

Cause: the handlers of a confirmation, of a loss and of a return of the store were called before the next call to the store was made, and without a guard; that of a dropped history after it. The handler of a change had a guard.

Change: all four have the same one, with the line change_handler_failed. A loss or a return whose report has failed is reported again with the next response, as a change is. A confirmation is not, as the next one replaces it, nor a dropped history, as the watches of other kinds hear of it by themselves.

--- a/src/store/object_watch.cpp
+++ b/src/store/object_watch.cpp
@@ -57,21 +57,25 @@
     }
 }
 
-// An exception must not end the following of all later changes. The change is reported again with the next
-// response.
-void object_watch::report_change() {
+// An exception must not end the following of all later changes.
+bool object_watch::report(const std::function<void()>& handler) {
     try {
-        events_.on_change(objects_);
-        has_unhandled_change_ = false;
+        handler();
+        return true;
     } catch (const std::exception& failure) {
-        has_unhandled_change_ = true;
         log_error("change_handler_failed", {{"kind", kind_}, {"what", failure.what()}});
+        return false;
     }
 }
 
+// A change whose handling failed is reported again with the next response.
+void object_watch::report_change() {
+    has_unhandled_change_ = !report([this] { events_.on_change(objects_); });
+}
+
 void object_watch::confirm(time_point as_of) {
     if (!has_unhandled_change_) { // What is in use is otherwise older than the copy.
-        events_.on_confirmed(as_of);
+        report([this, as_of] { events_.on_confirmed(as_of); });
     }
 }
 
@@ -296,7 +300,7 @@
         log_warning("store_history_gone", {{"kind", kind_}, {"revision", revision_}});
         transition("history_gone");
         start();
-        events_.on_history_gone();
+        report(events_.on_history_gone); // If it fails, the watches of other kinds hear of it themselves.
         return;
     }
     // A paused watch makes no further call, so it would consider the store lost until it is resumed, and its
@@ -337,8 +341,12 @@
     }
     if (is_reachable != is_reachable_) {
         is_reachable_ = is_reachable;
+        has_unhandled_reachability_ = true;
         log_warning(is_reachable ? "store_regained" : "store_lost", {{"kind", kind_}});
-        events_.on_reachability(!is_reachable);
+    }
+    if (has_unhandled_reachability_) { // As a change, it is reported until it has been handled.
+        has_unhandled_reachability_ =
+            !report([this, is_reachable] { events_.on_reachability(!is_reachable); });
     }
 }
 
--- a/src/store/object_watch.h
+++ b/src/store/object_watch.h
@@ -98,6 +98,8 @@
     void follow_after_events();
     void on_events(const store_result<object_events>& result, time_point sent_at);
     duration confirmed_wait(const object_events& heard, duration took) const;
+    /** \return whether \p handler, which is called, ended without an exception. Logs one. */
+    bool report(const std::function<void()>& handler);
     void report_change();
     void confirm(time_point as_of);
     void on_failure(store_failure failure);
@@ -131,7 +133,8 @@
     std::uint64_t current_call_ = 0; ///< call or backoff in progress; results of earlier ones are ignored
     bool is_listed_ = false;
     bool is_reachable_ = true;
-    bool has_unhandled_change_ = false; ///< the last report of a change ended in an exception
+    bool has_unhandled_change_ = false;       ///< the last report of a change ended in an exception
+    bool has_unhandled_reachability_ = false; ///< the same of a loss or a return of the store
     bool is_paused_ = false;
     bool is_idle_ = false; ///< paused, with no call in progress
     bool is_listing_stopped_ = false;
--- a/test/store_test.cpp
+++ b/test/store_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <utility>
+
 #include <deque>
 #include <set>
 
@@ -54,11 +56,28 @@
                 "config",
                 {seconds(2), duration::zero()},
                 {[this](const objects_by_name& objects) { take(objects); },
-                 [this](time_point as_of) { confirmed = as_of; },
-                 [this](bool is_lost) { reachability.push_back(is_lost); }, [this] { ++histories_gone; }}} {
+                 [this](time_point as_of) {
+                     throw_if_asked();
+                     confirmed = as_of;
+                 },
+                 [this](bool is_lost) {
+                     throw_if_asked();
+                     reachability.push_back(is_lost);
+                 },
+                 [this] {
+                     throw_if_asked();
+                     ++histories_gone;
+                 }}} {
         watch.start();
     }
 
+    /** Throws once for each time that \ref throws_once was set. */
+    void throw_if_asked() {
+        if (std::exchange(throws_once, false)) {
+            throw std::runtime_error("the report cannot be handled");
+        }
+    }
+
     void take(const objects_by_name& objects) {
         if (throws) {
             throw std::runtime_error("the change cannot be handled");
@@ -88,6 +107,8 @@
     object_watch watch;
     objects_by_name held;
     bool throws = false;
+    bool throws_once =
+        false; ///< the next report of a confirmation, a loss, a return or a dropped history fails
     std::optional<time_point> confirmed;
     std::vector<bool> reachability;
     int histories_gone = 0;
@@ -153,6 +174,51 @@
     EXPECT_TRUE(copy.confirmed.has_value());
 }
 
+// Guards against a copy that is never updated again because the report of its confirmation has thrown.
+TEST(object_watch, follows_on_after_the_report_of_a_confirmation_has_thrown) {
+    watch_fixture copy;
+    copy.throws_once = true;
+    EXPECT_NO_THROW(copy.answer_list(object_page{{object("main", 5)}, false, 5}));
+    ASSERT_EQ(copy.store.watches.size(), 1U);
+    copy.throws_once = true;
+    EXPECT_NO_THROW(copy.answer_watch(object_events{{{object("main", 9), false}}, 9}));
+    ASSERT_EQ(copy.store.watches.size(), 1U);
+    copy.answer_watch(object_events{{}, 9});
+    EXPECT_TRUE(copy.confirmed.has_value());
+    EXPECT_EQ(copy.held.at("main").revision, 9);
+}
+
+// Guards against a store that is never called again, or counts as lost for good, because the report of its
+// loss or of its return has thrown.
+TEST(object_watch, a_report_of_reachability_that_has_thrown_is_made_again) {
+    watch_fixture copy;
+    copy.answer_list(object_page{{object("main", 5)}, false, 5});
+    copy.throws_once = true;
+    EXPECT_NO_THROW(copy.answer_watch(store_failure::refused));
+    copy.watch.restart_call();
+    ASSERT_EQ(copy.store.watches.size(), 1U);
+    copy.answer_watch(store_failure::refused);
+    EXPECT_EQ(copy.reachability, std::vector<bool>({true}));
+    copy.watch.restart_call();
+    ASSERT_EQ(copy.store.watches.size(), 1U);
+    copy.throws_once = true;
+    EXPECT_NO_THROW(copy.answer_watch(object_events{{}, 5}));
+    ASSERT_EQ(copy.store.watches.size(), 1U);
+    copy.answer_watch(object_events{{}, 5});
+    EXPECT_EQ(copy.reachability, std::vector<bool>({true, false}));
+}
+
+// Guards against an exception that leaves the watch when the store has dropped its history.
+TEST(object_watch, lists_again_after_the_report_of_a_dropped_history_has_thrown) {
+    watch_fixture copy;
+    copy.answer_list(object_page{{object("main", 5)}, false, 5});
+    copy.throws_once = true;
+    EXPECT_NO_THROW(copy.answer_watch(store_failure::history_gone));
+    ASSERT_EQ(copy.store.lists.size(), 1U);
+    copy.answer_list(object_page{{object("main", 9)}, false, 9});
+    EXPECT_EQ(copy.held.at("main").revision, 9);
+}
+
 // Guards against a stale listing: after dropping its history, the store may return a listing from before the
 // latest change, which would restore the old configuration on this host.
 TEST(object_watch, ignores_a_listing_older_than_the_copy) {
