Relay: time limits are checked on after a check has thrown

What callers saw: requests that are not answered at their time limit, on a host whose check of another request had thrown, until the next request arrived there.

Cause: the next check was scheduled at the end of the one before, so that an exception that left it ended the checks; and they counted as scheduled before they were, so that a failure to schedule one ended them for good. Change: the next one is scheduled first.

--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -122,22 +122,23 @@
     if (is_ticking_) {
         return;
     }
-    is_ticking_ = true;
     tick_due_ = monotonic_now() + tick_interval;
     state_.loop.after(tick_interval, [this] {
         is_ticking_ = false;
         on_tick();
     });
+    is_ticking_ = true;
 }
 
 void relay::on_tick() {
     const time_point now = monotonic_now();
     was_paused_ = now - tick_due_ > max_tick_delay;
+    if (active_.empty()) {
+        return;
+    }
+    start_ticking(); // First, as an exception would otherwise end the checks of time limits.
     for_each_active([now](exchange& each) { each.on_tick(now); });
     wake_all_waiting(); // Some exclusions of endpoints end by time.
-    if (!active_.empty()) {
-        start_ticking();
-    }
 }
 
 void relay::sweep() {
--- a/test/waiting_test.cpp
+++ b/test/waiting_test.cpp
@@ -149,4 +149,30 @@
     EXPECT_EQ(count_served(), 2);
 }
 
+// Guards against time limits that are no longer checked, and requests that are never answered, because one
+// request could not even be ended by the exception of its handling.
+TEST_F(waiting_fixture, requests_end_in_time_after_the_end_of_another_has_thrown) {
+    traffic_route brief = route(route_kind::non_idempotent, 1);
+    brief.timeout = milliseconds(700);
+    brief.latency_objective = milliseconds(200);
+    start(brief, 0, duration::zero());
+    send("1");
+    wait_until([this] { return waiting() == 1; });
+    run_on_relay_thread([this] { relay_->state().waiting.clear(); }); // Its place is gone.
+    const time_point limit = monotonic_now() + seconds(3);
+    while (count_of("request_handlers_failed") == 0 && monotonic_now() < limit) {
+        std::this_thread::sleep_for(milliseconds(5));
+    }
+    EXPECT_EQ(count_of("request_handlers_failed"), 1U);
+    EXPECT_EQ(answers_.back().wait_for(seconds(1)), std::future_status::ready); // Its caller is reset.
+    EXPECT_EQ(answers_.front().wait_for(seconds(2)), std::future_status::ready);
+    EXPECT_EQ(count_of("requests_expired") + count_of("requests_served"), 1U);
+    free_endpoint();
+    run_on_relay_thread([this] {
+        EXPECT_EQ(relay_->active(), 0U);
+        relay_->end_requests(); // Otherwise a caller of a request that has no end keeps this test.
+        relay_->close_idle();
+    });
+}
+
 } // namespace laurelhoist
