Relay: a second exception ends its own request only, and no attempt is counted twice

What callers saw: where the handling of a request threw, and what ends such a request threw as well, the requests that were to be visited after it were left out: a stop of the host did not answer them. What operators saw: an endpoint with fewer requests than it runs in the load that the host places by, after an exception behind a complete answer.

Cause: exchange::end_after_exception took its steps one after another without a guard, the removal from the active requests and the reset of the caller's connection last, and counted the end of an attempt whose end had been counted before.

Change: the request leaves the active ones first, then its caller's connection is reset; each step is taken whatever becomes of the others, so that no connection to an endpoint outlives the request that observes it. An attempt holds whether its end is counted.

--- a/src/relay/exchange.cpp
+++ b/src/relay/exchange.cpp
@@ -458,6 +458,13 @@
 }
 
 void exchange::settle_attempt(call_result result, release_evidence evidence) {
+    if (attempt_.is_settled) {
+        return; // An exception has ended what followed.
+    }
+    if (result == call_result::answered && !attempt_.is_forwarded()) {
+        record_first_byte();
+    }
+    attempt_.is_settled = true; // Before it is counted, as an exception must not count a part of it twice.
     const time_point now = monotonic_now();
     const duration took = now - attempt_.sent_at;
     if (attempt_.is_forwarded()) {
@@ -465,9 +472,6 @@
         state_.peers.on_ended(attempt_.peer, has_answered || attempt_.has_head, now);
         return;
     }
-    if (result == call_result::answered) {
-        record_first_byte();
-    }
     state_.endpoints.on_ended(attempt_.chosen, attempt_.has_first_byte, result, took, now);
     owner_.wake_waiting(service_);
     const attempt_progress progress = result == call_result::answered ? attempt_progress::whole
@@ -627,13 +631,23 @@
 
 void exchange::end_after_exception(const std::string& what) {
     auto self = shared_from_this();
-    log_error("request_handler_failed", {{"request", terms_.id}, {"what", what}});
+    owner_.active_.erase(self);
+    // Each step is taken whatever becomes of the others: a caller would otherwise wait without end, or the
+    // connection outlive the request that observes it.
+    const auto take = [this](const auto& step) {
+        try {
+            step();
+        } catch (const std::exception& failure) {
+            log_error("request_handler_failed", {{"request", terms_.id}, {"what", failure.what()}});
+        }
+    };
+    take([&] { log_error("request_handler_failed", {{"request", terms_.id}, {"what", what}}); });
+    take([&] { caller_->abort(); });
     if (connection_) {
-        settle_attempt(call_result::cancelled, release_evidence::none);
-        release_connection(false);
+        take([&] { settle_attempt(call_result::cancelled, release_evidence::none); });
+        take([&] { release_connection(false); });
     }
-    caller_->abort();
-    finish("handler_failed", 0);
+    take([&] { finish("handler_failed", 0); });
 }
 
 duration exchange::silence_limit() const {
--- a/src/relay/exchange.h
+++ b/src/relay/exchange.h
@@ -37,7 +37,8 @@
      * part of an answer gets a failure; a begun answer is cut off when the process ends. */
     void end_with_process();
     /** Ends the request after an exception in its handling. The caller's connection is reset, as it is
-     * unknown whether the request has run. \param what the text of the exception */
+     * unknown whether the request has run. Whatever throws in the course of it, the request is no longer
+     * among the active ones and its connections are closed. \param what the text of the exception */
     void end_after_exception(const std::string& what);
     /** \return for whom and how long this request has waited for an endpoint; nothing if it does not wait. */
     std::optional<waiting_time> waiting(time_point now) const;
@@ -70,6 +71,7 @@
         std::int64_t events_before_attempt = 0; ///< last event id that the caller had before this attempt
         std::string peer; ///< host to which the request is forwarded; empty: sent to an endpoint
         bool is_new_connection = false; ///< not one of the idle connections
+        bool is_settled = false;        ///< its end is counted
         bool is_link_recorded = false;  ///< \ref relay::record_link was called for its connection
         bool has_first_byte = false;
         bool has_head = false;     ///< the answer's head has arrived and its endpoint statement is recorded
--- a/test/waiting_test.cpp
+++ b/test/waiting_test.cpp
@@ -175,4 +175,64 @@
     });
 }
 
+// Guards against requests that are left without an end because the end of another has thrown twice.
+TEST_F(waiting_fixture, a_second_exception_ends_its_own_request_only) {
+    start(route(route_kind::idempotent, 2), 0, duration::zero());
+    send("1");
+    wait_until([this] { return waiting() == 1; });
+    run_on_relay_thread([this] {
+        relay_->state().waiting.clear(); // Its place is gone.
+        EXPECT_NO_THROW(relay_->end_requests());
+        EXPECT_EQ(relay_->active(), 0U);
+        relay_->end_requests();
+    });
+    EXPECT_EQ(answers_.back().get(), "");
+    EXPECT_TRUE(contains(answers_.front().get(), "HTTP/1.1 502"));
+    answers_.clear();
+    free_endpoint();
+}
+
+// Guards against an endpoint that seems to have room although it runs a request, because an exception has
+// settled the attempt of another request twice.
+TEST_F(waiting_fixture, an_exception_after_an_answer_does_not_settle_its_attempt_twice) {
+    std::promise<void> freed;
+    const auto served = [](const std::string& request) { return answer_of(id_in(request), "served"); };
+    scripted_endpoint endpoint({{"", false, false,
+                                 [&](const std::string& request) {
+                                     freed.get_future().wait_for(seconds(5));
+                                     return served(request);
+                                 }},
+                                {"", false, false, served}});
+    start_relay(route(route_kind::idempotent, 2), {endpoint.address()});
+    run_on_relay_thread([this] {
+        const time_point now = monotonic_now();
+        relay_->state().endpoints.set_slots("claims", 2, 1);
+        relay_->state().quarantine.on_end({7, {digest_of_part("part")}}, {1, now - milliseconds(50), now},
+                                          now);
+        relay_->state().on_crash_notices_changed = [this] {
+            relay_->state().on_crash_notices_changed = nullptr;
+            throw std::runtime_error("a report that fails");
+        };
+    });
+    auto running = std::async(std::launch::async, [this] { return send_request("0"); });
+    for (int i = 0; i < 1000 && endpoint.requests().empty(); ++i) {
+        std::this_thread::sleep_for(milliseconds(2));
+    }
+    int before = 0;
+    int after = 0;
+    const auto running_now = [this] {
+        const load_by_endpoint& load = relay_->state().endpoints.own_load();
+        const auto found = load.find("e0");
+        return found == load.end() ? 0 : found->second.running;
+    };
+    run_on_relay_thread([&] { before = running_now(); });
+    const std::string cut = send_request("1", "Prompt: part own\r\n");
+    run_on_relay_thread([&] { after = running_now(); });
+    EXPECT_EQ(cut, "");
+    EXPECT_EQ(before, 1);
+    EXPECT_EQ(after, before);
+    freed.set_value();
+    EXPECT_TRUE(contains(running.get(), "served"));
+}
+
 } // namespace laurelhoist
