--- a/test/waiting_test.cpp
+++ b/test/waiting_test.cpp
@@ -149,4 +149,90 @@
     EXPECT_EQ(count_served(), 2);
 }
 
+// Guards against time limits that are no longer checked, and requests that are never answered, because one
+// request could not even be ended by the exception of its handling.
+TEST_F(waiting_fixture, requests_end_in_time_after_the_end_of_another_has_thrown) {
+    traffic_route brief = route(route_kind::non_idempotent, 1);
+    brief.timeout = milliseconds(700);
+    brief.latency_objective = milliseconds(200);
+    start(brief, 0, duration::zero());
+    send("1");
+    wait_until([this] { return waiting() == 1; });
+    run_on_relay_thread([this] { relay_->state().waiting.clear(); }); // Its place is gone.
+    const time_point limit = monotonic_now() + seconds(3);
+    while (count_of("request_handlers_failed") == 0 && monotonic_now() < limit) {
+        std::this_thread::sleep_for(milliseconds(5));
+    }
+    EXPECT_EQ(count_of("request_handlers_failed"), 1U);
+    EXPECT_EQ(answers_.back().wait_for(seconds(1)), std::future_status::ready); // Its caller is reset.
+    EXPECT_EQ(answers_.front().wait_for(seconds(2)), std::future_status::ready);
+    EXPECT_EQ(count_of("requests_expired") + count_of("requests_served"), 1U);
+    free_endpoint();
+    run_on_relay_thread([this] {
+        EXPECT_EQ(relay_->active(), 0U);
+        relay_->end_requests(); // Otherwise a caller of a request that has no end keeps this test.
+        relay_->close_idle();
+    });
+}
+
+// Guards against requests that are left without an end because the end of another has thrown twice.
+TEST_F(waiting_fixture, a_second_exception_ends_its_own_request_only) {
+    start(route(route_kind::idempotent, 2), 0, duration::zero());
+    send("1");
+    wait_until([this] { return waiting() == 1; });
+    run_on_relay_thread([this] {
+        relay_->state().waiting.clear(); // Its place is gone.
+        EXPECT_NO_THROW(relay_->end_requests());
+        EXPECT_EQ(relay_->active(), 0U);
+        relay_->end_requests();
+    });
+    EXPECT_EQ(answers_.back().get(), "");
+    EXPECT_TRUE(contains(answers_.front().get(), "HTTP/1.1 502"));
+    answers_.clear();
+    free_endpoint();
+}
+
+// Guards against an endpoint that seems to have room although it runs a request, because an exception has
+// settled the attempt of another request twice.
+TEST_F(waiting_fixture, an_exception_after_an_answer_does_not_settle_its_attempt_twice) {
+    std::promise<void> freed;
+    const auto served = [](const std::string& request) { return answer_of(id_in(request), "served"); };
+    scripted_endpoint endpoint({{"", false, false,
+                                 [&](const std::string& request) {
+                                     freed.get_future().wait_for(seconds(5));
+                                     return served(request);
+                                 }},
+                                {"", false, false, served}});
+    start_relay(route(route_kind::idempotent, 2), {endpoint.address()});
+    run_on_relay_thread([this] {
+        const time_point now = monotonic_now();
+        relay_->state().endpoints.set_slots("claims", 2, 1);
+        relay_->state().quarantine.on_end({7, {digest_of_part("part")}}, {1, now - milliseconds(50), now},
+                                          now);
+        relay_->state().on_crash_notices_changed = [this] {
+            relay_->state().on_crash_notices_changed = nullptr;
+            throw std::runtime_error("a report that fails");
+        };
+    });
+    auto running = std::async(std::launch::async, [this] { return send_request("0"); });
+    for (int i = 0; i < 1000 && endpoint.requests().empty(); ++i) {
+        std::this_thread::sleep_for(milliseconds(2));
+    }
+    int before = 0;
+    int after = 0;
+    const auto running_now = [this] {
+        const load_by_endpoint& load = relay_->state().endpoints.own_load();
+        const auto found = load.find("e0");
+        return found == load.end() ? 0 : found->second.running;
+    };
+    run_on_relay_thread([&] { before = running_now(); });
+    const std::string cut = send_request("1", "Prompt: part own\r\n");
+    run_on_relay_thread([&] { after = running_now(); });
+    EXPECT_EQ(cut, "");
+    EXPECT_EQ(before, 1);
+    EXPECT_EQ(after, before);
+    freed.set_value();
+    EXPECT_TRUE(contains(running.get(), "served"));
+}
+
 } // namespace laurelhoist
