Log: at most a line every 5 s about datagrams that are no messages

Cause: peer_message_unreadable was logged wherever a message was decoded, without a bound; warnings are exempt from the bound of informational lines. caller_not_reading and datagram_handler_failed could be caused at will in the same way.

Change: line_limiter lets one line through in 5 s and counts the others. The next line says how many were left out (left_out). All three events use it, and accept_failed, which had the same rule of its own. Decoding only returns the reason; the host logs it with the sender, and counts each such datagram (peer_messages_unreadable). A message of an unknown kind is told as well.

Not measured: the other two events under load.

--- a/src/host/entry_host.h
+++ b/src/host/entry_host.h
@@ -130,6 +130,8 @@
     /** \return the watches in use; the configuration's comes first. */
     const std::vector<object_watch*>& watches() const { return watches_; }
     void on_datagram(const std::string& from, const std::string& bytes);
+    /** \return the message in \p bytes; nothing if they are none, which is counted and logged. */
+    std::optional<peer_message> read_message(const std::string& from, const std::string& bytes);
     void handle(const std::string& from, const gossip_message& message);
     void handle(const std::string& from, const freshness_question& question);
     void handle(const std::string& from, const freshness_answer& answer);
@@ -245,6 +247,7 @@
     std::vector<object_watch*> watches_;
     evacuation_set evacuated_;
     datagram_socket datagrams_;
+    line_limiter unreadable_lines_; ///< anybody may send what is no message of a host
     std::unique_ptr<http_server> peer_server_;
     http_client peer_client_;
     memory_watch memory_;
--- a/src/host/entry_host_peers.cpp
+++ b/src/host/entry_host_peers.cpp
@@ -91,7 +91,7 @@
 } // namespace
 
 void entry_host::on_datagram(const std::string& from, const std::string& bytes) {
-    if (const std::optional<peer_message> message = decode_peer_message(bytes)) {
+    if (const std::optional<peer_message> message = read_message(from, bytes)) {
         const std::string kind = peer_message_name(*message);
         relay_.state().measured.count("peer_messages_received_" + kind);
         relay_.state().measured.count("peer_bytes_received_" + kind, bytes.size());
@@ -99,6 +99,20 @@
     }
 }
 
+std::optional<peer_message> entry_host::read_message(const std::string& from, const std::string& bytes) {
+    std::string reason;
+    std::optional<peer_message> message = decode_peer_message(bytes, &reason);
+    if (!message) {
+        relay_.state().measured.count("peer_messages_unreadable");
+        if (const auto left_out = unreadable_lines_.admit(monotonic_now())) {
+            log_warning(
+                "peer_message_unreadable",
+                {{"from", from}, {"reason", reason}, {"bytes", bytes.size()}, {"left_out", *left_out}});
+        }
+    }
+    return message;
+}
+
 void entry_host::handle(const std::string& from, const gossip_message& message) {
     if (message.statuses.empty()) {
         return;
@@ -271,7 +285,7 @@
 }
 
 void entry_host::handle(const std::string& from, const forwarded_message& message) {
-    const std::optional<peer_message> inner = decode_peer_message(message.bytes);
+    const std::optional<peer_message> inner = read_message(from, message.bytes);
     if (!inner || std::holds_alternative<forwarded_message>(*inner)) {
         return; // A message is passed on once, so that it cannot circulate between domains.
     }
--- a/src/host/peer_messages.cpp
+++ b/src/host/peer_messages.cpp
@@ -155,14 +155,22 @@
     return bytes;
 }
 
-std::optional<peer_message> decode_peer_message(const std::string& bytes) {
+std::optional<peer_message> decode_peer_message(const std::string& bytes, std::string* reason) {
+    std::string wrong = "its kind is unknown";
     try {
         const json message = parse_foreign_cbor(bytes);
-        return decode_kind(message.at(0).get<std::size_t>(), renamed(message.at(1), fields_by_code()));
+        std::optional<peer_message> decoded =
+            decode_kind(message.at(0).get<std::size_t>(), renamed(message.at(1), fields_by_code()));
+        if (decoded) {
+            return decoded;
+        }
     } catch (const std::exception& failure) {
-        log_warning("peer_message_unreadable", {{"reason", failure.what()}, {"bytes", bytes.size()}});
-        return std::nullopt;
+        wrong = failure.what();
+    }
+    if (reason != nullptr) {
+        *reason = wrong;
     }
+    return std::nullopt;
 }
 
 std::string encode_peer_copy(const peer_copy& copy) {
--- a/src/host/peer_messages.h
+++ b/src/host/peer_messages.h
@@ -173,7 +173,8 @@
 const char* peer_message_name(const peer_message& message);
 /** \return the bytes of \p message. */
 std::string encode_peer_message(const peer_message& message);
-/** \return the message in \p bytes, or nothing if they are not a valid message. */
-std::optional<peer_message> decode_peer_message(const std::string& bytes);
+/** \param reason is set to what is wrong with \p bytes, unless it is null
+ * \return the message in \p bytes, or nothing if they are not a valid message. */
+std::optional<peer_message> decode_peer_message(const std::string& bytes, std::string* reason = nullptr);
 
 } // namespace laurelhoist
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -56,8 +56,11 @@
     };
     caller_events_.on_unread = [this](std::size_t unsent_bytes) {
         state_.measured.count("callers_not_reading");
-        log_warning("caller_not_reading",
-                    {{"unsent_bytes", unsent_bytes}, {"remedy", "read answers without pauses of seconds"}});
+        if (const auto left_out = not_reading_lines_.admit(monotonic_now())) {
+            log_warning("caller_not_reading", {{"unsent_bytes", unsent_bytes},
+                                               {"left_out", *left_out},
+                                               {"remedy", "read answers without pauses of seconds"}});
+        }
     };
     caller_events_.has_room = [this](std::size_t own_bytes) {
         return state_.held_for_requests() - own_bytes <= state_.settings.request_buffer_bytes;
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "admission/admission.h"
+#include "base/line_limiter.h"
 #include "recovery/recovery.h"
 #include "relay/answer_room.h"
 #include "relay/caller_connection.h"
@@ -261,6 +262,7 @@
     end_confirmation end_confirmation_;
     endpoint_probes probes_;
     caller_connection::handlers caller_events_;
+    line_limiter not_reading_lines_; ///< about callers that do not read
     std::unique_ptr<tcp_listener> listener_;
     std::unique_ptr<tcp_listener> peer_listener_;
     std::unordered_set<std::shared_ptr<caller_connection>> callers_;
--- a/src/transport/datagram.cpp
+++ b/src/transport/datagram.cpp
@@ -1,5 +1,7 @@
 #include "transport/datagram.h"
 
+#include "base/line_limiter.h"
+
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/udp.hpp>
 
@@ -59,7 +61,10 @@
         try {
             on_received(from, {incoming.data(), bytes});
         } catch (const std::exception& failure) {
-            log_error("datagram_handler_failed", {{"from", from}, {"what", failure.what()}});
+            if (const auto left_out = failed_lines.admit(monotonic_now())) {
+                log_error("datagram_handler_failed",
+                          {{"from", from}, {"what", failure.what()}, {"left_out", *left_out}});
+            }
         }
     }
 
@@ -68,6 +73,7 @@
     std::array<char, max_datagram_bytes> incoming{};
     udp::endpoint sender;
     std::uint64_t sent = 0;
+    line_limiter failed_lines; ///< about messages that could not be handled
 };
 
 datagram_socket::datagram_socket(event_loop& loop, const listen_target& target, handler on_received)
--- a/src/transport/tcp_listener.cpp
+++ b/src/transport/tcp_listener.cpp
@@ -1,5 +1,7 @@
 #include "transport/tcp_listener.h"
 
+#include "base/line_limiter.h"
+
 #include <boost/asio/io_context.hpp>
 
 namespace laurelhoist {
@@ -12,8 +14,6 @@
 /// Pause after the system could not hand over a connection. The connection waits in the queue, so that the
 /// next attempt would fail at once, until a descriptor or a buffer is free.
 constexpr duration accept_pause = milliseconds(50);
-/// Time between two lines about such failures.
-constexpr duration accept_log_interval = seconds(5);
 
 } // namespace
 
@@ -63,9 +63,7 @@
 
     void on_failed(const boost::system::error_code& failure) {
         ++failures;
-        const time_point now = monotonic_now();
-        if (!logged_at || now - *logged_at >= accept_log_interval) {
-            logged_at = now;
+        if (lines.admit(monotonic_now())) {
             log_warning("accept_failed",
                         {{"setting", target.setting},
                          {"reason", failure.message()},
@@ -88,7 +86,7 @@
     listen_target target;
     events what;
     std::uint64_t failures = 0; ///< to accept, since the start
-    std::optional<time_point> logged_at;
+    line_limiter lines;
 };
 
 tcp_listener::tcp_listener(event_loop& loop, const listen_target& target, events what)
--- a/test/base_test.cpp
+++ b/test/base_test.cpp
@@ -1,5 +1,6 @@
 #include "base/base.h"
 #include "base/library_assertion.h"
+#include "base/line_limiter.h"
 #include "base/settings_file.h"
 
 #include <boost/assert.hpp>
@@ -212,6 +213,19 @@
     EXPECT_FALSE(none->stops_bad_releases);
 }
 
+// Guards against a log that a stranger fills, and against lines that are left out without a trace.
+TEST(line_limiter, lets_one_line_through_in_each_interval_and_tells_the_number_of_the_others) {
+    line_limiter lines;
+    const time_point start = monotonic_now();
+    EXPECT_EQ(lines.admit(start), std::uint64_t{0});
+    EXPECT_EQ(lines.admit(start), std::nullopt);
+    EXPECT_EQ(lines.admit(start + line_limiter::interval - milliseconds(1)), std::nullopt);
+    EXPECT_EQ(lines.admit(start + line_limiter::interval), std::uint64_t{2});
+    EXPECT_EQ(lines.admit(start + line_limiter::interval), std::nullopt);
+    EXPECT_EQ(lines.admit(start + 2 * line_limiter::interval), std::uint64_t{1});
+    EXPECT_EQ(lines.admit(start + 3 * line_limiter::interval), std::uint64_t{0});
+}
+
 // Guards against a host that is killed for its memory days after the reader of its log has stopped reading.
 TEST(log_buffer, stays_bounded_while_nobody_reads) {
     constexpr std::size_t flushes_of_a_day = std::size_t{24} * 3600 * 4;
