Host: callers, forwarding hosts and pages have shares of the descriptors

What callers see: 400 connections without a request take all 256 descriptors of a host. It is not ready any more, answers no other caller, and cannot reach its endpoints.

Cause: the number of accepted connections was bound only by the limit of the process, and the soft limit was taken as it was found.

For one connection more, those that have been idle longest are closed, unless something has arrived on them. If all are in use, the relay accepts none until there is room, and the connection waits in the queue of the system, as it did without descriptors (accept_failed says why); a page closes it. Half a head holds a connection up to the time limit of heads, as before.

Not bounded: half requests at a page, which hold a connection for 10 s.

--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -66,6 +66,7 @@
     relayed.cold = settings.cold;
     relayed.repeats = settings.repeats;
     relayed.cold_sharing = settings.cold_sharing;
+    relayed.connections = settings.connections;
     return relayed;
 }
 
@@ -148,8 +149,10 @@
     relay_.state().peers.set_port(settings_.forwarding.port);
     started_at_ = monotonic_now();
     reading_since_ = started_at_;
+    http_limits limits;
+    limits.connections = std::min(limits.connections, settings_.connections.page);
     peer_server_ = std::make_unique<http_server>(
-        loop_, listen_target{"--peers", settings_.peers}, http_limits{},
+        loop_, listen_target{"--peers", settings_.peers}, limits,
         [this](const http_request& request, const auto& responder) { serve_copy(request, responder); });
     for (object_watch* watch : watches()) {
         watch->pause(); // Takes effect after the first listing, until it is known which hosts read the store.
--- a/src/host/entry_host.h
+++ b/src/host/entry_host.h
@@ -71,6 +71,7 @@
     cold_bound cold;
     repeat_bound repeats;
     std::string cold_sharing = "sponsors"; ///< \see cold_sharing_names
+    descriptor_shares connections;         ///< accepted connections that are open at once
 };
 
 /** The charts that an entry host interprets. */
--- a/src/relay/caller_connection.cpp
+++ b/src/relay/caller_connection.cpp
@@ -281,6 +281,21 @@
     socket_.set_option(asio::socket_base::send_buffer_size(handover_bytes), ignored);
 }
 
+std::optional<time_point> caller_connection::idle_since() const {
+    const bool is_idle =
+        !is_closed_ && !is_serving_ && !is_closing_ && !reader_.has_partial_request() && unsent_bytes() == 0;
+    return is_idle ? std::make_optional(timeout_start_) : std::nullopt;
+}
+
+bool caller_connection::close_if_unused() {
+    asio_error failure;
+    if (!idle_since() || socket_.available(failure) > 0) {
+        return false;
+    }
+    close();
+    return true;
+}
+
 bool caller_connection::close_if_idle() {
     if (unsent_bytes() > 0) {
         hand_over_unsent();
--- a/src/relay/caller_connection.h
+++ b/src/relay/caller_connection.h
@@ -13,6 +13,7 @@
 
 #include <array>
 #include <functional>
+#include <optional>
 
 namespace laurelhoist {
 
@@ -65,6 +66,13 @@
      * \return whether it was idle */
     bool close_if_idle();
 
+    /** \return since when the connection is idle; nothing while a request is being received or served, or a
+     * part of an answer is unsent. */
+    std::optional<time_point> idle_since() const;
+    /** Closes the connection, so that its descriptor is free, if it is idle and nothing has arrived on it.
+     * \return whether it did */
+    bool close_if_unused();
+
     /** \return whether the caller has closed the connection, even if the event loop has not read the end of
      * stream yet. Costs a system call. */
     bool has_disconnected();
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -32,6 +32,10 @@
 constexpr std::size_t min_caller_share_bytes = 16 << 10;
 constexpr std::size_t max_caller_share_bytes = 256 << 10;
 
+/// For one more connection than may be open, this part of them is closed if idle, so that not each new one
+/// costs a look at all.
+constexpr std::size_t closed_share = 64;
+
 } // namespace
 
 relay::relay(event_loop& loop, const wire_dialect& dialect, rollout_tracker& releases, chart endpoint_chart,
@@ -66,7 +70,7 @@
         return state_.held_for_requests() - own_bytes <= state_.settings.request_buffer_bytes;
     };
     caller_events_.unsent_bytes = state_.caller_bytes;
-    caller_events_.on_closed = [this](const auto& caller) { callers_.erase(caller); };
+    caller_events_.on_closed = [this](const auto& caller) { on_caller_closed(caller); };
     loop.every(sweep_interval, [this] { sweep(); });
 }
 
@@ -76,7 +80,8 @@
     return std::make_unique<tcp_listener>(
         state_.loop, target,
         tcp_listener::events{[this, source](tcp::socket socket) { on_accepted(std::move(socket), source); },
-                             [this] { state_.measured.count("accept_failures"); }});
+                             [this] { state_.measured.count("accept_failures"); },
+                             [this, source] { return make_room(source); }});
 }
 
 void relay::listen(const socket_address& address) {
@@ -100,12 +105,59 @@
     return peer_listener_->port();
 }
 
+bool relay::make_room(request_source source) {
+    const descriptor_shares& shares = state_.settings.connections;
+    const std::size_t bound = source == request_source::peer ? shares.peers : shares.callers;
+    const std::size_t& open = open_[source];
+    if (open >= bound) {
+        close_longest_idle(source, 1 + open - bound + bound / closed_share);
+    }
+    return open < bound;
+}
+
+void relay::close_longest_idle(request_source source, std::size_t count) {
+    using idle_caller = std::pair<time_point, std::shared_ptr<caller_connection>>;
+    std::vector<idle_caller> idle;
+    for (const auto& caller : callers_) {
+        const std::optional<time_point> since = caller->idle_since();
+        if (since && caller->is_from_peer() == (source == request_source::peer)) {
+            idle.emplace_back(*since, caller);
+        }
+    }
+    std::sort(idle.begin(), idle.end(),
+              [](const idle_caller& l, const idle_caller& r) { return l.first < r.first; });
+    std::size_t closed = 0;
+    for (auto item = idle.begin(); item != idle.end() && closed < count; ++item) {
+        closed += item->second->close_if_unused() ? 1 : 0;
+    }
+    if (closed == 0) {
+        return;
+    }
+    state_.measured.count("callers_closed_for_room", closed);
+    if (const auto left_out = closed_for_room_lines_.admit(monotonic_now())) {
+        log_info("callers_closed_for_room",
+                 {{"closed", closed},
+                  {"open", open_[source]},
+                  {"are_peers", source == request_source::peer},
+                  {"left_out", *left_out},
+                  {"remedy", "raise the limit of descriptors, or have callers close connections that they "
+                             "do not use"}});
+    }
+}
+
+void relay::on_caller_closed(const std::shared_ptr<caller_connection>& caller) {
+    if (callers_.erase(caller) > 0) {
+        --open_[caller->is_from_peer() ? request_source::peer : request_source::caller];
+    }
+}
+
 void relay::on_accepted(tcp::socket socket, request_source source) {
     caller_limits limits = state_.routing ? state_.routing->config().limits : caller_limits{};
     limits.header_bytes += source == request_source::peer ? peer_header_bytes : 0;
     auto caller = std::make_shared<caller_connection>(std::move(socket), limits, caller_events_,
                                                       state_.request_bytes, source);
     callers_.insert(caller);
+    ++open_[source];
     caller->start();
 }
 
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -20,6 +20,7 @@
 #include "relay/repeat_allowance.h"
 #include "relay/wire_dialect.h"
 #include "rollout/release_rollout.h"
+#include "transport/descriptor_shares.h"
 #include "transport/tcp_listener.h"
 
 #include <functional>
@@ -50,6 +51,7 @@
     /// Bytes of one of them at most, also while the host holds no other.
     std::size_t max_answer_bytes = std::size_t{20} << 20;
     std::string cold_sharing = "sponsors"; ///< \see cold_sharing_names
+    descriptor_shares connections;         ///< accepted connections that are open at once
 };
 
 /** The state shared by all exchanges of a relay. */
@@ -205,7 +207,12 @@
 private:
     friend class exchange;
     std::unique_ptr<tcp_listener> accept_at(const listen_target& target, request_source source);
+    /** \return whether one more connection of \p source may be open; idle ones are closed for it. */
+    bool make_room(request_source source);
+    /** Closes at most \p count connections of \p source, those that have been idle longest. */
+    void close_longest_idle(request_source source, std::size_t count);
     void on_accepted(boost::asio::ip::tcp::socket socket, request_source source);
+    void on_caller_closed(const std::shared_ptr<caller_connection>& caller);
     void on_request(const std::shared_ptr<caller_connection>& caller, caller_request request);
     void end_after_exception(exchange& of, const std::string& what);
     /** Calls \p work, which belongs to \p of; an exception ends that request only. */
@@ -266,6 +273,8 @@
     std::unique_ptr<tcp_listener> listener_;
     std::unique_ptr<tcp_listener> peer_listener_;
     std::unordered_set<std::shared_ptr<caller_connection>> callers_;
+    std::map<request_source, std::size_t> open_; ///< number of \ref callers_ by what they are
+    line_limiter closed_for_room_lines_;
     std::set<std::shared_ptr<exchange>> active_;
     std::unordered_map<std::string, std::weak_ptr<exchange>> waiting_; ///< by their id in the waiting rooms
     std::set<std::string> woken_; ///< services that are served in the next turn of the loop
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <list>
 #include <optional>
 
 namespace laurelhoist {
@@ -33,6 +34,9 @@
     http_limits limits;
     handler on_request;
     std::size_t connections = 0;
+    /// Closes a connection unless something has arrived on it, and returns whether it did.
+    using closer = std::function<bool()>;
+    std::list<closer> waiting; ///< connections that wait for a request, the one that waits longest first
 };
 
 namespace {
@@ -91,7 +95,10 @@
         beast::error_code ignored;
         stream_.socket().set_option(tcp::no_delay{true}, ignored);
     }
-    ~server_session() override { --server_->connections; }
+    ~server_session() override {
+        end_waiting();
+        --server_->connections;
+    }
     server_session(const server_session&) = delete;
     server_session& operator=(const server_session&) = delete;
 
@@ -110,7 +117,9 @@
             read_request();
             return;
         }
+        begin_waiting();
         stream_.async_read_some(buffer_.prepare(4096), [self](beast::error_code failure, std::size_t bytes) {
+            self->end_waiting();
             if (failure) {
                 return;
             }
@@ -178,6 +187,27 @@
     void on_disconnect(std::function<void()> work) override { on_disconnect_ = std::move(work); }
 
 private:
+    void begin_waiting() {
+        server_->waiting.push_back([this] { return close_if_unused(); });
+        waiting_ = std::prev(server_->waiting.end());
+    }
+
+    void end_waiting() {
+        if (waiting_) {
+            server_->waiting.erase(*waiting_);
+            waiting_.reset();
+        }
+    }
+
+    bool close_if_unused() {
+        beast::error_code failure;
+        if (stream_.socket().available(failure) > 0) {
+            return false;
+        }
+        stream_.socket().close(failure);
+        return true;
+    }
+
     void read_request() {
         stream_.expires_after(server_->limits.read_time);
         auto self = this->shared_from_this();
@@ -296,6 +326,7 @@
     std::optional<http::request_parser<http::string_body>> parser_;
     std::deque<std::string> outgoing_;
     std::function<void()> on_disconnect_;
+    std::optional<typename std::list<typename State::closer>::iterator> waiting_; ///< while it waits
     bool is_first_ = true;
     bool keeps_alive_ = true;
     bool is_answered_ = false;
@@ -303,9 +334,22 @@
     bool is_ending_ = false;
 };
 
+/** Closes the connection that has waited longest for a request. \return whether there was one */
+template <class State>
+bool close_longest_waiting(State& server) {
+    const auto closed = std::find_if(server.waiting.begin(), server.waiting.end(),
+                                     [](const typename State::closer& close) { return close(); });
+    if (closed == server.waiting.end()) {
+        return false;
+    }
+    // Its session leaves the list when its read ends, and is not found again until then.
+    *closed = [] { return false; };
+    return true;
+}
+
 template <class State>
 void serve(tcp::socket socket, const std::shared_ptr<State>& server) {
-    if (server->connections < server->limits.connections) {
+    if (server->connections < server->limits.connections || close_longest_waiting(*server)) {
         std::make_shared<server_session<State>>(std::move(socket), server)->read_next();
     }
 }
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -56,6 +56,8 @@
     std::size_t header_bytes = 16 << 10;
     duration read_time = seconds(10); ///< timeout from the first byte of a request to its last
     duration idle_time = seconds(60); ///< timeout of a connection between two requests
+    /// Open at once. For one more, that which has waited longest for a request is closed; if none waits, the
+    /// new one is.
     std::size_t connections = 4000;
 };
 
--- a/src/transport/tcp_listener.cpp
+++ b/src/transport/tcp_listener.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-/// Pause after the system could not hand over a connection. The connection waits in the queue, so that the
+/// Pause after a connection could not be accepted. The connection waits in the queue, so that the
 /// next attempt would fail at once, until a descriptor or a buffer is free.
 constexpr duration accept_pause = milliseconds(50);
 
@@ -47,13 +47,17 @@
     }
 
     void accept_next() {
+        if (what.has_room && !what.has_room()) {
+            on_failed("as many connections are open and in use as may be");
+            return;
+        }
         acceptor.async_accept(
             [self = shared_from_this()](boost::system::error_code failure, tcp::socket socket) {
                 if (failure == asio::error::operation_aborted || !self->acceptor.is_open()) {
                     return;
                 }
                 if (failure) {
-                    self->on_failed(failure);
+                    self->on_failed(failure.message());
                     return;
                 }
                 self->accept_next(); // First, as an exception would otherwise end the accepting.
@@ -61,12 +65,12 @@
             });
     }
 
-    void on_failed(const boost::system::error_code& failure) {
+    void on_failed(const std::string& reason) {
         ++failures;
         if (lines.admit(monotonic_now())) {
             log_warning("accept_failed",
                         {{"setting", target.setting},
-                         {"reason", failure.message()},
+                         {"reason", reason},
                          {"failures", failures},
                          {"remedy", "raise the limit of descriptors, or have callers close connections that "
                                     "they do not use"}});
--- a/src/transport/tcp_listener.h
+++ b/src/transport/tcp_listener.h
@@ -17,6 +17,9 @@
         std::function<void(boost::asio::ip::tcp::socket)> on_accepted;
         /// Called when the system could not hand over a connection; may be empty.
         std::function<void()> on_failure;
+        /// Asked before each connection is accepted; while it returns false, connections wait in the queue of
+        /// the system. May be empty.
+        std::function<bool()> has_room = {};
     };
 
     /** Begins to listen at \p target. Port 0 stands for any free port. */
--- a/test/soak/host_ends_callers.py
+++ b/test/soak/host_ends_callers.py
@@ -1,10 +1,90 @@
 """Cases of host_ends.py: what callers and strangers may do to a host without sending a request."""
 import asyncio
+import resource
 import socket
 import time
 
 from host_ends import case, require
 
+DESCRIPTORS = 256
+IDLE_CALLERS = 400
+REQUESTS = 12
+AT_ONCE = 4  # more are refused at times, as they may have to wait
+
+
+def start_with_few_descriptors(host):
+    """Starts a host that may open `DESCRIPTORS` descriptors."""
+    host.start(prepare=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (DESCRIPTORS, DESCRIPTORS)))
+
+
+async def require_requests_served(bench, host, name):
+    """Sends requests on connections of their own, a few at once, and requires each to be served."""
+    answers = []
+    for first in range(0, REQUESTS, AT_ONCE):
+        answers += await asyncio.gather(*(bench.ask(host, f"{name}-{first + i}") for i in range(AT_ONCE)))
+    served = sum(answer == 200 for answer in answers)
+    print(f"{name}: {served} of {REQUESTS} requests served")
+    require(served == REQUESTS, f"{name}: {served} of {REQUESTS} requests served: {sorted(set(answers))}")
+
+
+def require_no_evidence(host):
+    """Requires that the host took no shortage of its own for a failure of its endpoints."""
+    lost = host.events("endpoint_links_lost") + host.events("attempt_ended")
+    require(not lost, f"{len(lost)} attempts or links were lost: {lost[:2]}")
+
+
+async def hold_idle(host, port, beside):
+    """Holds idle connections to a port while `beside()` runs."""
+    held = []
+    try:
+        for _ in range(IDLE_CALLERS):
+            held.append(await asyncio.open_connection(host.address, port))
+        await asyncio.sleep(0.5)
+        await beside()
+    finally:
+        for _, writer in held:
+            writer.transport.abort()
+
+
+@case
+async def idle_callers(bench):
+    """Callers that hold connections without a request take all descriptors of a host, which is not ready any more."""
+    await bench.begin(starts=False)
+    host = bench.hosts[0]
+    start_with_few_descriptors(host)
+    await host.until_ready()
+
+    async def beside():
+        for _ in range(5):
+            require(await host.is_ready(), "not ready while callers are idle")
+            await asyncio.sleep(0.1)
+        for number in range(3):
+            await require_requests_served(bench, host, f"beside-{number}")
+        require((await host.get("metrics", "/metrics"))[0] == 200, "no metrics while callers are idle")
+
+    await hold_idle(host, host.ports["callers"], beside)
+    require_no_evidence(host)
+
+
+@case
+async def idle_connections_to_other_ports(bench):
+    """Connections without a request to the pages of a host, or to its port for forwarding, take all its descriptors."""
+    await bench.begin(starts=False)
+    host = bench.hosts[0]
+    start_with_few_descriptors(host)
+    await host.until_ready()
+
+    async def beside():
+        for _ in range(5):
+            require(await host.is_ready(), "not ready while connections are idle")
+            await asyncio.sleep(0.1)
+        await require_requests_served(bench, host, "beside")
+
+    for port in (*host.ports.values(), bench.peers_port, bench.peers_port + 1):
+        await hold_idle(host, port, beside)
+    require_no_evidence(host)
+
+
 BAD_DATAGRAMS_S = 2
 BAD_DATAGRAM_PAUSE_S = 0.0004
 
--- a/test/transport_test.cpp
+++ b/test/transport_test.cpp
@@ -1,6 +1,7 @@
 /** \file
  * Tests the transport over real loopback sockets, on ports that the system chooses.
  */
+#include "transport/descriptor_shares.h"
 #include "transport/transport.h"
 
 #include <boost/asio.hpp>
@@ -245,6 +246,45 @@
     }
 }
 
+// Guards against a host whose callers, or those who read its pages, leave it no descriptor for the endpoints
+// that their requests need.
+TEST(descriptor_shares, leave_a_connection_to_an_endpoint_for_each_request_and_some_for_the_host) {
+    constexpr std::size_t pages = 4;
+    for (const std::size_t limit : {256U, 1024U, 20000U, 1U << 20}) {
+        const descriptor_shares shares = share_descriptors(limit);
+        const std::size_t taken = 2 * (shares.callers + shares.peers) + pages * shares.page;
+        EXPECT_LE(taken, limit - limit / 9) << limit;
+        EXPECT_GE(shares.callers, limit / 4) << limit;
+    }
+    const descriptor_shares least = share_descriptors(1);
+    EXPECT_GE(least.callers, 1U);
+    EXPECT_GE(least.peers, 1U);
+}
+
+// Guards against connections without a request that shut those out who ask for a page.
+TEST_F(http_pair, closes_the_connection_that_waits_longest_for_one_more) {
+    http_limits limits;
+    limits.connections = 2;
+    serve(limits, [&](const http_request&, const std::shared_ptr<http_responder>& responder) {
+        responder->reply(200, {}, "{}");
+    });
+    namespace asio = boost::asio;
+    asio::io_context context;
+    std::vector<asio::ip::tcp::socket> idle;
+    for (std::size_t i = 0; i < limits.connections; ++i) {
+        idle.emplace_back(context);
+        idle.back().connect({asio::ip::make_address("127.0.0.1"), server->port()});
+    }
+    EXPECT_EQ(ask({}).what, http_answer::result::answered);
+    boost::system::error_code failure;
+    char byte = 0;
+    idle.front().receive(asio::buffer(&byte, 1), 0, failure);
+    EXPECT_EQ(failure, asio::error::eof);
+    idle.back().non_blocking(true);
+    idle.back().receive(asio::buffer(&byte, 1), 0, failure);
+    EXPECT_EQ(failure, asio::error::would_block);
+}
+
 std::error_code failure_of(std::errc code) {
     return std::make_error_code(code);
 }
