Relay: a connection that this host has no means for is no evidence

What callers and operators see: a host that has no descriptor left takes all endpoints of a service for unreachable (endpoint_links_lost) and rests peers, though nothing is wrong with either.

Cause: any connect that failed, other than a refusal, counted as one to an unreachable endpoint.

Change: EMFILE, ENFILE, ENOBUFS, ENOMEM and EADDRNOTAVAIL are a failure of their own (connect_failure::own_shortage). Such an attempt counts as not sent and as cancelled, so that it excludes no endpoint, rests no peer and records no link; a probe that ends so has no result. Counter connections_lacking_means.

A shortage that hits a connection to the store or the fetching of copies (http_client) is not told apart.

--- a/src/relay/endpoint_connection.cpp
+++ b/src/relay/endpoint_connection.cpp
@@ -18,6 +18,17 @@
 /// bound the idle ones would use up the endpoint's limit.
 constexpr std::size_t max_idle_connections = 3;
 
+connect_failure to_connect_failure(const asio_error& reason) {
+    if (reason == asio::error::connection_refused) {
+        return connect_failure::refused;
+    }
+    namespace errc = boost::system::errc;
+    const bool is_own = reason == errc::too_many_files_open ||
+                        reason == errc::too_many_files_open_in_system || reason == errc::no_buffer_space ||
+                        reason == errc::not_enough_memory || reason == errc::address_not_available;
+    return is_own ? connect_failure::own_shortage : connect_failure::unreachable;
+}
+
 } // namespace
 
 endpoint_connection::endpoint_connection(asio::io_context& context, std::string address,
@@ -48,9 +59,7 @@
                                   return;
                               }
                               if (reason) {
-                                  self->observer_->on_connect_failed(reason == asio::error::connection_refused
-                                                                         ? connect_failure::refused
-                                                                         : connect_failure::unreachable);
+                                  self->observer_->on_connect_failed(to_connect_failure(reason));
                                   return;
                               }
                               self->is_connected_ = true;
--- a/src/relay/endpoint_connection.h
+++ b/src/relay/endpoint_connection.h
@@ -24,8 +24,9 @@
 
 /** Why a connection could not be made. */
 enum class connect_failure {
-    refused,     ///< nothing listens at the address: the endpoint's process has ended
-    unreachable, ///< any other failure; the cause may be in the network
+    refused,      ///< nothing listens at the address: the endpoint's process has ended
+    unreachable,  ///< any other failure; the cause may be in the network
+    own_shortage, ///< this host has no descriptor, buffer or port left, which says nothing about the endpoint
 };
 
 /** Receives the events of a connection; implemented by its user. */
--- a/src/relay/endpoint_probes.cpp
+++ b/src/relay/endpoint_probes.cpp
@@ -17,7 +17,14 @@
     time_point started_at() const { return started_at_; }
 
     void on_connected() override { owner_.resolve(endpoint_, true); }
-    void on_connect_failed(connect_failure) override { owner_.resolve(endpoint_, false); }
+    void on_connect_failed(connect_failure why) override {
+        if (why == connect_failure::own_shortage) {
+            // Ends this probe without a result; another begins when it is due.
+            const auto ended = owner_.probes_.extract(endpoint_);
+        } else {
+            owner_.resolve(endpoint_, false);
+        }
+    }
     void on_received(std::string_view) override {}
     void on_closed(connection_end) override {}
 
--- a/src/relay/exchange.cpp
+++ b/src/relay/exchange.cpp
@@ -427,7 +427,12 @@
         owner_.report_connection_refused(attempt_.chosen.endpoint.name);
     }
     unreachable_endpoints_ += attempt_.is_forwarded() ? 0 : 1;
-    record_link(false);
+    if (why == connect_failure::own_shortage) {
+        attempt_.lacked_means = true;
+        state_.measured.count("connections_lacking_means");
+    } else {
+        record_link(false);
+    }
     end_attempt(attempt_end::not_sent);
 }
 
@@ -510,9 +515,10 @@
     const bool is_dropped_unread = end == attempt_end::broken && attempt_.has_paused;
     const bool has_waited = monotonic_now() - attempt_.sent_at >= slow_connect;
     const bool is_unanswered = end == attempt_end::silent || (end == attempt_end::not_sent && has_waited);
-    settle_attempt(asks_for_back_off || is_dropped_unread ? call_result::cancelled
-                   : is_unanswered                        ? call_result::unanswered
-                                                          : to_call_result(end),
+    const bool is_no_evidence = asks_for_back_off || is_dropped_unread || attempt_.lacked_means;
+    settle_attempt(is_no_evidence  ? call_result::cancelled
+                   : is_unanswered ? call_result::unanswered
+                                   : to_call_result(end),
                    evidence_of(end));
     release_connection(end == attempt_end::refused || end == attempt_end::failed ||
                        end == attempt_end::misdirected || end == attempt_end::unsuitable);
--- a/src/relay/exchange.h
+++ b/src/relay/exchange.h
@@ -70,6 +70,7 @@
         std::int64_t events_before_attempt = 0; ///< last event id that the caller had before this attempt
         std::string peer; ///< host to which the request is forwarded; empty: sent to an endpoint
         bool is_new_connection = false; ///< not one of the idle connections
+        bool lacked_means = false;      ///< this host had no descriptor, buffer or port for its connection
         bool is_link_recorded = false;  ///< \ref relay::record_link was called for its connection
         bool has_first_byte = false;
         bool has_head = false;     ///< the answer's head has arrived and its endpoint statement is recorded
--- a/test/soak/host_ends_callers.py
+++ b/test/soak/host_ends_callers.py
@@ -10,6 +10,7 @@
 IDLE_CALLERS = 400
 REQUESTS = 12
 AT_ONCE = 4  # more are refused at times, as they may have to wait
+OPEN_CALLERS = 40
 
 
 def start_with_few_descriptors(host):
@@ -85,6 +86,47 @@
     require_no_evidence(host)
 
 
+def limit_descriptors(host, limit):
+    """Sets how many descriptors a host that runs may open."""
+    _, hard = resource.prlimit(host.child.pid, resource.RLIMIT_NOFILE)
+    resource.prlimit(host.child.pid, resource.RLIMIT_NOFILE, (limit, hard))
+
+
+async def ask_on(connection, request_id):
+    """Sends a request on an open connection. Returns its status, 0 if the connection ended without one."""
+    reader, writer = connection
+    try:
+        writer.write(f"GET /status/1 HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: {request_id}\r\n"
+                     "Authorization: Token key-a\r\nX-Deadline-Ms: 2000\r\n\r\n".encode())
+        head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 3)
+        return int(head.split(b" ")[1])
+    except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, ValueError):
+        return 0
+
+
+@case
+async def endpoints_without_descriptors(bench):
+    """A host that has no descriptor left for its own connections takes its endpoints for unreachable."""
+    await bench.begin()
+    host = bench.hosts[0]
+    callers = [await asyncio.open_connection(host.address, host.ports["callers"]) for _ in range(OPEN_CALLERS)]
+    before = resource.prlimit(host.child.pid, resource.RLIMIT_NOFILE)[0]
+    try:
+        await asyncio.sleep(0.2)
+        limit_descriptors(host, 3)
+        refused = await asyncio.gather(*(ask_on(caller, f"none-{i}") for i, caller in enumerate(callers)))
+    finally:
+        limit_descriptors(host, before)
+        for _, writer in callers:
+            writer.transport.abort()
+    lost = host.events("endpoint_links_lost")
+    print(f"answers without descriptors {sorted(set(refused))}, links lost {len(lost)}")
+    require(not lost, f"links to endpoints were lost: {lost[:1]}")
+    require(200 not in refused, "the host had descriptors")
+    await require_requests_served(bench, host, "after")
+    require(not host.events("endpoint_links_lost"), "links to endpoints were lost later")
+
+
 BAD_DATAGRAMS_S = 2
 BAD_DATAGRAM_PAUSE_S = 0.0004
 
