--- a/src/transport/tcp_listener.cpp
+++ b/src/transport/tcp_listener.cpp
@@ -1,5 +1,7 @@
 #include "transport/tcp_listener.h"
 
+#include "base/line_limiter.h"
+
 #include <boost/asio/io_context.hpp>
 
 namespace laurelhoist {
@@ -9,11 +11,9 @@
 
 namespace {
 
-/// Pause after the system could not hand over a connection. The connection waits in the queue, so that the
+/// Pause after a connection could not be accepted. The connection waits in the queue, so that the
 /// next attempt would fail at once, until a descriptor or a buffer is free.
 constexpr duration accept_pause = milliseconds(50);
-/// Time between two lines about such failures.
-constexpr duration accept_log_interval = seconds(5);
 
 } // namespace
 
@@ -47,13 +47,17 @@
     }
 
     void accept_next() {
+        if (what.has_room && !what.has_room()) {
+            on_failed("as many connections are open and in use as may be");
+            return;
+        }
         acceptor.async_accept(
             [self = shared_from_this()](boost::system::error_code failure, tcp::socket socket) {
                 if (failure == asio::error::operation_aborted || !self->acceptor.is_open()) {
                     return;
                 }
                 if (failure) {
-                    self->on_failed(failure);
+                    self->on_failed(failure.message());
                     return;
                 }
                 self->accept_next(); // First, as an exception would otherwise end the accepting.
@@ -61,7 +65,7 @@
             });
     }
 
-    void on_failed(const boost::system::error_code& failure) {
+    void on_failed(const std::string& reason) {
         // First, as an exception would otherwise end the accepting.
         loop.after(accept_pause, [self = shared_from_this()] {
             if (self->acceptor.is_open()) {
@@ -69,12 +73,10 @@
             }
         });
         ++failures;
-        const time_point now = monotonic_now();
-        if (!logged_at || now - *logged_at >= accept_log_interval) {
-            logged_at = now;
+        if (lines.admit(monotonic_now())) {
             log_warning("accept_failed",
                         {{"setting", target.setting},
-                         {"reason", failure.message()},
+                         {"reason", reason},
                          {"failures", failures},
                          {"remedy", "raise the limit of descriptors, or have callers close connections that "
                                     "they do not use"}});
@@ -89,7 +91,7 @@
     listen_target target;
     events what;
     std::uint64_t failures = 0; ///< to accept, since the start
-    std::optional<time_point> logged_at;
+    line_limiter lines;
 };
 
 tcp_listener::tcp_listener(event_loop& loop, const listen_target& target, events what)
