HTTP: a stated length of a body sets no memory aside

A head of some hundred bytes that states a length made the process set aside as much address space at once: up to 1 GiB for each answer of an endpoint, 8 MiB for each response of the store or a peer, and the configured bound on bodies for each request. Where address space is limited, the allocation fails, and with it the exchange.

Cause: the string body of Boost.Beast reserves the stated length before the first byte of the body has arrived.

All four parsers have a body of their own now (growing_body), which takes memory for the bytes that have arrived. A length beyond the limit is refused by the parser, as before.

--- a/src/relay/http_codec.cpp
+++ b/src/relay/http_codec.cpp
@@ -1,5 +1,6 @@
 #include "relay/http_codec.h"
 
+#include "transport/growing_body.h"
 #include "transport/parser_input.h"
 
 #include <boost/beast/http.hpp>
@@ -183,7 +184,7 @@
         parser.body_limit(body_bytes);
         parser.eager(true);
     }
-    http::request_parser<http::string_body> parser;
+    http::request_parser<growing_body> parser;
     parser_input input;
     bool has_asked_to_continue = false;
     bool is_body_dropped = false;
@@ -266,13 +267,12 @@
 struct answer_reader::state {
     explicit state(bool is_for_head) {
         parser.header_limit(max_answer_header_bytes);
-        // Beast sets aside memory for a length up to the limit. No limit is not possible: in some versions
-        // any length exceeds it.
+        // No limit is not possible: in some versions of Beast any length exceeds it.
         parser.body_limit(max_answer_body_bytes);
         parser.eager(false); // Until the head is read: the fields of a trailer would be added to it.
         parser.skip(is_for_head);
     }
-    http::response_parser<http::string_body> parser;
+    http::response_parser<growing_body> parser;
     parser_input input;
     std::string head_bytes; ///< bytes of a head that has not arrived completely
 };
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -1,5 +1,6 @@
 #include "transport/http_client.h"
 
+#include "transport/growing_body.h"
 #include "transport/parser_input.h"
 #include "transport/socket_options.h"
 
@@ -266,7 +267,7 @@
     std::unique_ptr<beast::tcp_stream> stream_;
     beast::flat_buffer buffer_;
     http::request<http::string_body> request_;
-    std::optional<http::response_parser<http::string_body>> parser_;
+    std::optional<http::response_parser<growing_body>> parser_;
     parser_input input_;
     std::size_t delivered_ = 0;
     std::size_t received_bytes_ = 0; ///< of the response
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -1,5 +1,6 @@
 #include "transport/http_server.h"
 
+#include "transport/growing_body.h"
 #include "transport/tcp_listener.h"
 
 #include <boost/asio.hpp>
@@ -61,7 +62,7 @@
     return text;
 }
 
-http_request to_request(const http::request<http::string_body>& message) {
+http_request to_request(const http::request<growing_body>& message) {
     http_request request;
     request.method = std::string(message.method_string());
     const std::string target(message.target());
@@ -293,7 +294,7 @@
     beast::tcp_stream stream_;
     std::shared_ptr<State> server_;
     beast::flat_buffer buffer_;
-    std::optional<http::request_parser<http::string_body>> parser_;
+    std::optional<http::request_parser<growing_body>> parser_;
     std::deque<std::string> outgoing_;
     std::function<void()> on_disconnect_;
     bool is_first_ = true;
--- a/test/transport_test.cpp
+++ b/test/transport_test.cpp
@@ -1,6 +1,8 @@
 /** \file
  * Tests the transport over real loopback sockets, on ports that the system chooses.
  */
+#include "address_space.h"
+
 #include "transport/transport.h"
 
 #include <boost/asio.hpp>
@@ -245,6 +247,55 @@
     }
 }
 
+// Guards against a process that runs out of memory, where its address space is limited, because servers state
+// long responses and send nearly nothing of them.
+TEST(http_client, a_stated_length_sets_no_memory_aside) {
+    constexpr int calls = 16;
+    event_loop loop;
+    namespace asio = boost::asio;
+    using tcp = asio::ip::tcp;
+    tcp::acceptor acceptor(loop.context(), {asio::ip::make_address("127.0.0.1"), 0});
+    http_client client(loop);
+    http_call call;
+    call.address = {"127.0.0.1", acceptor.local_endpoint().port()};
+    call.is_large = true;
+    call.timeout = seconds(30);
+    const std::int64_t before = address_space_bytes();
+    std::vector<tcp::socket> served;
+    int ended = 0;
+    for (int i = 0; i < calls; ++i) {
+        client.send(call, [&](const http_answer&) { ++ended; });
+        served.push_back(acceptor.accept());
+        asio::write(served.back(),
+                    asio::buffer(std::string("HTTP/1.1 200 OK\r\nContent-Length: 8000000\r\n\r\na")));
+    }
+    loop.after(milliseconds(300), [&] { loop.stop(); });
+    loop.run();
+    EXPECT_EQ(ended, 0);
+    EXPECT_LT(address_space_bytes() - before, std::int64_t{32} << 20);
+}
+
+// Guards against the same by requests.
+TEST_F(http_pair, a_stated_length_of_a_request_sets_no_memory_aside) {
+    http_limits limits;
+    limits.body_bytes = std::size_t{1} << 30;
+    serve(limits, [](const http_request&, const std::shared_ptr<http_responder>&) {});
+    namespace asio = boost::asio;
+    const std::int64_t before = address_space_bytes();
+    std::vector<asio::ip::tcp::socket> callers;
+    for (int i = 0; i < 4; ++i) {
+        callers.emplace_back(loop.context());
+        callers.back().connect({asio::ip::make_address("127.0.0.1"), server->port()});
+        asio::write(
+            callers.back(),
+            asio::buffer(std::string("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000000\r\n\r\na")));
+    }
+    loop.after(milliseconds(300), [&] { loop.stop(); });
+    loop.run();
+    EXPECT_EQ(server->open_connections(), 4U);
+    EXPECT_LT(address_space_bytes() - before, std::int64_t{64} << 20);
+}
+
 std::error_code failure_of(std::errc code) {
     return std::make_error_code(code);
 }
