--- a/src/base/optional_settings.cpp
+++ b/src/base/optional_settings.cpp
@@ -80,7 +80,7 @@
 std::string readable_value(const std::string& flag, const std::string& type, const std::string& value,
                            out_of_type reaction) {
     // Files of settings may write a whole number as 5000.0, which gflags refuses.
-    const std::string normal = is_whole_number(type) ? without_zero_fraction(value) : value;
+    std::string normal = is_whole_number(type) ? without_zero_fraction(value) : value;
     if (reaction == out_of_type::refuse) {
         return normal;
     }
@@ -88,7 +88,7 @@
         return type == "double" ? within_double(normal) : normal;
     }
     const type_range range = range_of(type);
-    const std::string nearest = nearest_in(range, normal);
+    std::string nearest = nearest_in(range, normal);
     if (nearest != normal) {
         // Written directly, as the settings say how to log.
         json line{{"at_ms", wall_clock_ms()}, {"level", "warning"}, {"event", "setting_bounded"}};
