Settings: an optional address that is none does not end the start

Cause: both were read as the addresses without which a host cannot serve. An empty one keeps its meaning, which is the same. The addresses of callers, readiness, directory, peers and the store still end the start with code 2.

--- a/src/base/optional_settings.cpp
+++ b/src/base/optional_settings.cpp
@@ -128,4 +128,19 @@
     gflags::SetCommandLineOption(range.flag, text.c_str());
 }
 
+std::optional<socket_address> optional_address(const std::string& flag, const std::string& value,
+                                               const std::string& instead) {
+    if (value.empty()) {
+        return std::nullopt;
+    }
+    const outcome<socket_address> parsed = parse_address(value);
+    if (const error* failure = error_of(parsed)) {
+        log_warning(
+            "setting_ignored",
+            {{"setting", "--" + flag}, {"value", value}, {"used", instead}, {"remedy", failure->message}});
+        return std::nullopt;
+    }
+    return *value_of(parsed);
+}
+
 } // namespace laurelhoist
--- a/src/base/optional_settings.h
+++ b/src/base/optional_settings.h
@@ -1,12 +1,12 @@
 /** \file
- * Defines how settings are read that a program can do without: a number out of range is bounded.
- * A process that serves with less is of more use than one that ends.
+ * Defines how settings are read that a program can do without: a number out of range is bounded, and an
+ * address that is none is left out. A process that serves with less is of more use than one that ends.
  */
 #pragma once
 
 #include "base/settings.h"
 
-#include <cstdint>
+#include <optional>
 #include <string>
 
 namespace laurelhoist {
@@ -41,4 +41,10 @@
  * that its conversions are defined. Logs `setting_bounded` if that changes it. */
 void bound_setting(const setting_range& range);
 
+/** Reads an address that the program can do without.
+ * \param instead what is in force without it, for the log
+ * \return its parts; nothing if \p value is empty or, with the line `setting_ignored`, not `ip:port` */
+std::optional<socket_address> optional_address(const std::string& flag, const std::string& value,
+                                               const std::string& instead);
+
 } // namespace laurelhoist
--- a/test/soak/host_ends_start.py
+++ b/test/soak/host_ends_start.py
@@ -306,6 +306,28 @@
             require(line["used"] == used and "give a number from" in line["remedy"], f"{line}")
 
 
+@case
+async def optional_addresses_that_are_none(bench):
+    """A host ends because an address that it could do without is empty or none."""
+    metrics = ("", ":9100", "nowhere", "127.0.0.1:70000")
+    await bench.begin(hosts=len(metrics) + 1, starts=False)
+    for host, address in zip(bench.hosts, metrics):
+        host.flags["metrics"] = address
+    bench.hosts[-1].flags["forwarding"] = "127.0.0.1:"
+    for host in bench.hosts:
+        host.start()
+    for host in bench.hosts:
+        await host.until_ready()
+    for host, address in zip(bench.hosts, metrics):
+        ignored = host.events("setting_ignored")
+        require([line["value"] for line in ignored] == [address] * bool(address), f"{address!r}: {ignored}")
+        require(all(line["setting"] == "--metrics" and "write an IP number" in line["remedy"] for line in ignored),
+                f"{ignored}")
+    ignored = bench.hosts[-1].events("setting_ignored")
+    require([line["setting"] for line in ignored] == ["--forwarding"], f"{ignored}")
+    socket.create_connection((bench.hosts[-1].address, bench.peers_port + 1), timeout=1).close()  # its default
+
+
 @case
 async def settings_file_of_another_release(bench):
     """A host ends because its settings file has a field that this release does not know, or 5000.0 for 5000."""
