--- a/src/host/entry_host_peers.cpp
+++ b/src/host/entry_host_peers.cpp
@@ -68,7 +68,8 @@
     std::vector<load_entry> entries;
     entries.reserve(loads.size());
     for (const auto& [endpoint, load] : loads) {
-        entries.push_back({endpoint, std::llround(load.reading_ms), load.running});
+        entries.push_back(
+            {endpoint, bounded(std::round(load.reading_ms), -max_reading_ms, max_reading_ms), load.running});
     }
     return entries;
 }
--- a/src/host/peer_messages.h
+++ b/src/host/peer_messages.h
@@ -13,6 +13,10 @@
 
 namespace laurelhoist {
 
+/// Longest time to read prompts that a host announces of one endpoint. Sums and differences of such times
+/// over all hosts are exact to a fraction of a millisecond.
+constexpr std::int64_t max_reading_ms = std::int64_t{1} << 34;
+
 /** The sender's requests in flight at one endpoint. */
 struct load_entry {
     std::string endpoint;
--- a/src/membership/host_gossip.cpp
+++ b/src/membership/host_gossip.cpp
@@ -232,7 +232,7 @@
     if (earlier_process.incarnation > self_.incarnation) {
         log_warning("incarnation_raised",
                     {{"from", self_.incarnation}, {"past", earlier_process.incarnation}});
-        self_.incarnation = earlier_process.incarnation + 1;
+        self_.incarnation = std::min(earlier_process.incarnation, max_incarnation - 1) + 1;
     }
 }
 
@@ -309,7 +309,7 @@
         const auto ahead =
             static_cast<std::int16_t>(heartbeat.beat - static_cast<std::uint16_t>(peer.status.beat));
         if (is_same_process && ahead > 0) {
-            peer.status.beat += ahead;
+            peer.status.beat = std::min(peer.status.beat, max_beat - ahead) + ahead;
             mark_heard(peer, now);
         }
     }
--- a/src/membership/host_gossip.h
+++ b/src/membership/host_gossip.h
@@ -35,6 +35,11 @@
 /** Up to this many hosts of its own failure domain, a host knows all hosts of all domains. */
 constexpr std::size_t max_flat_domain_hosts = 40;
 
+/// Bounds of what hosts announce. A host that is told of an incarnation of its own name, or counts
+/// heartbeats, raises numbers no further, so that its messages never hold what others refuse.
+constexpr std::int64_t max_incarnation = std::int64_t{1} << 62;
+constexpr std::int64_t max_beat = std::int64_t{1} << 62;
+
 /** What a host announces about itself. The status with the higher incarnation is newer; of two statuses with
  * the same incarnation, the one with the higher beat is newer. */
 struct host_status {
--- a/src/rollout/usual_times.cpp
+++ b/src/rollout/usual_times.cpp
@@ -36,7 +36,7 @@
     for (const usual_time& each : of_hosts) {
         combined.service = each.service;
         combined.name = each.name;
-        combined.answers += each.answers;
+        combined.answers = std::min(max_answers_counted, combined.answers + each.answers);
     }
     combined.mean = bounded_mean(of_hosts, outlier_factor_);
     return combined;
--- a/src/rollout/usual_times.h
+++ b/src/rollout/usual_times.h
@@ -18,6 +18,10 @@
 
 namespace laurelhoist {
 
+/// Answers that one host counts, and the most that \ref usual_time::answers holds: no host gives as many in
+/// years, and sums over all hosts fit into 64 bits.
+constexpr std::int64_t max_answers_counted = std::int64_t{1} << 40;
+
 /** The mean of a time, or of its ratio to the predicted one, over answers of the established release. */
 struct usual_time {
     std::string service;
--- a/test/membership_test.cpp
+++ b/test/membership_test.cpp
@@ -459,6 +459,25 @@
     EXPECT_EQ(other.live(begin + seconds(5)).front().incarnation, 3'000);
 }
 
+// Guards against a host whose messages all others refuse because a peer has named the highest incarnation or
+// heartbeat, which the host then raised.
+TEST(host_gossip, incarnations_and_heartbeats_are_raised_no_further_than_others_accept) {
+    host_status earlier;
+    earlier.name = "h1";
+    earlier.incarnation = max_incarnation;
+    host_status self = earlier;
+    self.incarnation = 3'000;
+    host_gossip own(self, 1);
+    own.merge({earlier}, begin);
+    EXPECT_EQ(own.self().incarnation, max_incarnation);
+    host_status peer;
+    peer.name = "h2";
+    peer.beat = max_beat - 1;
+    own.merge({peer}, begin);
+    own.merge_heartbeats({{host_name_hash("h2"), 0, 9}}, begin);
+    EXPECT_EQ(own.statuses_to_send(begin).back().beat, max_beat);
+}
+
 // All hosts share one rate limit for calls of the store, which a large fleet would exceed if every host read
 // it.
 TEST(store_reading, only_two_hosts_of_a_large_fleet_read) {
--- a/test/stream_pace_test.cpp
+++ b/test/stream_pace_test.cpp
@@ -114,5 +114,15 @@
     EXPECT_LT(combined.mean, 30);
 }
 
+// Guards against a host whose messages all others refuse because the answers of its peers add up to more than
+// one host may name.
+TEST(usual_times, the_answers_of_all_hosts_together_stay_within_what_others_accept) {
+    const usual_times times(20, 4.0);
+    const std::vector<usual_time> of_hosts(3, {"pool", "a", 15, max_answers_counted});
+    const usual_time combined = times.combine(of_hosts);
+    EXPECT_EQ(combined.answers, max_answers_counted);
+    EXPECT_DOUBLE_EQ(combined.mean, 15);
+}
+
 } // namespace
 } // namespace laurelhoist
