Caller connections: what the network has accepted of an answer is released

The gauge caller_unsent_bytes stated more than was unsent.

Cause: a connection kept, and counted as held, all of a write until the network had accepted its last byte. The network takes some MiB of an answer at once, and the rest as its caller reads, so that a host kept each answer whole, for as long as its caller read.

Change: what waits for a connection is held in blocks of 64 KiB (byte_blocks), each of which is released once the network has accepted it. What is counted as held is what is unsent.

Not bounded by this: long failures whose callers do not read, which count against no new failure.

--- a/src/relay/caller_connection.cpp
+++ b/src/relay/caller_connection.cpp
@@ -34,17 +34,8 @@
 constexpr int handover_bytes = 4 << 20;
 /// Checks are counted instead of the time, which also passes while the host is suspended.
 constexpr int max_unread_checks = unread_timeout / caller_connection::check_interval;
-/// Memory that an idle connection keeps for its next answer.
-constexpr std::size_t max_kept_bytes = 32 << 10;
-
-// A string keeps the memory of its longest content, and connections are kept for many requests.
-void clear_and_release(std::string& buffer) {
-    if (buffer.capacity() > max_kept_bytes) {
-        std::string().swap(buffer);
-    } else {
-        buffer.clear();
-    }
-}
+/// Blocks that one write passes to the network, 1 MiB together.
+constexpr std::size_t max_blocks_of_write = 16;
 
 } // namespace
 
@@ -175,10 +166,13 @@
 }
 
 void caller_connection::write_some() {
-    socket_.async_write_some(asio::buffer(in_flight_) + accepted_,
-                             [self = shared_from_this()](asio_error failure, std::size_t bytes) {
-                                 self->on_written(static_cast<bool>(failure), bytes);
-                             });
+    std::vector<asio::const_buffer> parts;
+    for (const std::string_view part : in_flight_.front(max_blocks_of_write)) {
+        parts.emplace_back(part.data(), part.size());
+    }
+    socket_.async_write_some(parts, [self = shared_from_this()](asio_error failure, std::size_t bytes) {
+        self->on_written(static_cast<bool>(failure), bytes);
+    });
 }
 
 void caller_connection::on_written(bool has_failed, std::size_t bytes) {
@@ -186,15 +180,13 @@
         close();
         return;
     }
-    accepted_ += bytes;
+    in_flight_.drop_front(bytes);
+    count_outgoing();
     unread_checks_ = 0;
-    if (accepted_ < in_flight_.size()) {
+    if (!in_flight_.empty()) {
         write_some();
     } else {
         is_flushing_ = false;
-        clear_and_release(in_flight_);
-        accepted_ = 0;
-        count_outgoing();
         flush();
     }
     if (unsent_bytes() == 0 && is_closing_) {
@@ -299,8 +291,7 @@
     is_closed_ = true;
     asio_error ignored;
     socket_.close(ignored);
-    std::string().swap(
-        outgoing_); // An exchange may keep the connection; the write under way keeps its bytes.
+    outgoing_.clear(); // An exchange may keep the connection; the write under way keeps its bytes.
     count_outgoing();
     const std::function<void()> gone = std::move(on_gone_);
     end_answer();
--- a/src/relay/caller_connection.h
+++ b/src/relay/caller_connection.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "relay/byte_account.h"
+#include "relay/byte_blocks.h"
 #include "relay/http_codec.h"
 #include "traffic/traffic.h"
 #include "transport/event_loop.h"
@@ -70,7 +71,7 @@
     bool has_disconnected();
     bool is_from_peer() const { return source_ == request_source::peer; }
     bool is_serving() const { return is_serving_; }
-    std::size_t unsent_bytes() const { return outgoing_.size() + in_flight_.size() - accepted_; }
+    std::size_t unsent_bytes() const { return outgoing_.size() + in_flight_.size(); }
 
 private:
     void start_read();
@@ -80,7 +81,7 @@
     void bound_received();
     void resume_reading();
     void reject(int status, const std::string& remedy);
-    void count_outgoing() { held_.set(outgoing_.size() + in_flight_.size()); }
+    void count_outgoing() { held_.set(unsent_bytes()); }
     void flush();
     void write_some();
     void on_written(bool has_failed, std::size_t bytes);
@@ -96,10 +97,9 @@
     request_reader reader_;
     byte_hold received_;                ///< bytes in \ref reader_
     std::array<char, 8192> incoming_{}; ///< read buffer; most requests arrive in two reads
-    std::string outgoing_;              ///< bytes that wait for the next write
-    std::string in_flight_;             ///< bytes of the write under way
-    byte_hold held_;                    ///< bytes of \ref outgoing_ and \ref in_flight_
-    std::size_t accepted_ = 0;          ///< bytes of \ref in_flight_ that the network has accepted
+    byte_blocks outgoing_;              ///< bytes that wait for the next write
+    byte_blocks in_flight_;             ///< bytes of the write under way, and those that follow it
+    byte_hold held_;                    ///< \ref unsent_bytes
     int unread_checks_ = 0; ///< consecutive timeout checks between which the network has accepted nothing
     std::function<void()> on_gone_;
     std::function<void()> on_sent_;
--- a/test/slow_callers_test.cpp
+++ b/test/slow_callers_test.cpp
@@ -232,6 +232,21 @@
     EXPECT_GT(caller.read_all().size(), answer_bytes);
 }
 
+// Guards against a host that keeps, and counts as held, all of an answer until its caller has read the last
+// of it: bytes that the network has accepted are not needed any more.
+TEST_F(relay_fixture, what_the_network_has_accepted_of_an_answer_is_not_held) {
+    scripted_endpoint endpoint({{answer_of("7", std::string(long_body_bytes, 'x')), false, false}});
+    start_relay(route(route_kind::idempotent, 1), {endpoint.address()});
+    slow_caller caller(port_, "7");
+    sleep_for(milliseconds(700));
+    run_on_relay_thread([&] {
+        EXPECT_GT(relay_->unsent_bytes(), 0U) << "the caller must not have read it";
+        EXPECT_LT(relay_->unsent_bytes(), long_body_bytes) << "the network must have accepted a part";
+        EXPECT_EQ(relay_->state().caller_bytes.held(), relay_->unsent_bytes());
+    });
+    EXPECT_GT(caller.read_all().size(), long_body_bytes);
+}
+
 class little_room : public relay_fixture {
 protected:
     little_room() { answer_buffer_bytes_ = std::size_t{1} << 20; }
