HTTP: the last bytes of a head are read when they arrive alone

Seen: an answer with Content-Length: 0 or status 204, and a request without a body, are never complete if their last bytes arrive in a packet of their own: the caller waits until a time limit.

Cause: parser_input holds fewer than five bytes once the parser has asked for more. That is needed within a body in chunks only; a head may end with fewer.

Change: it holds them only once the head is complete.

Measured: torn_answer.is_complete_in_any_two_pieces and torn_request.is_complete_in_any_two_pieces fail on the code before (2 and 3 cuts), and pass after, with the other tests of torn answers.

--- a/src/relay/http_codec.cpp
+++ b/src/relay/http_codec.cpp
@@ -203,7 +203,7 @@
     while (state_->input.is_due(pending_.size()) && !parser.is_done()) {
         boost::beast::error_code failure;
         const std::size_t used = parser.put(asio::buffer(pending_), failure);
-        state_->input.on_parsed(failure);
+        state_->input.on_parsed(parser, failure);
         pending_.erase(0, used);
         if (state_->is_body_dropped) {
             parser.get().body().clear();
@@ -305,7 +305,7 @@
     while (state_->input.is_due(held.size() - used) && !state_->parser.is_done()) {
         boost::beast::error_code failure;
         used += state_->parser.put(asio::buffer(held.data() + used, held.size() - used), failure);
-        state_->input.on_parsed(failure);
+        state_->input.on_parsed(state_->parser, failure);
         if (failure == http::error::need_more) {
             break;
         }
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -194,7 +194,7 @@
         beast::error_code parse_failure;
         while (input_.is_due(buffer_.size()) && !parser_->is_done() && !parse_failure) {
             buffer_.consume(parser_->put(buffer_.data(), parse_failure));
-            input_.on_parsed(parse_failure);
+            input_.on_parsed(*parser_, parse_failure);
         }
         if (failure == asio::error::eof && parser_->got_some() && !parser_->is_done() && !parse_failure) {
             parser_->put_eof(parse_failure);
--- a/src/transport/parser_input.h
+++ b/src/transport/parser_input.h
@@ -9,9 +9,9 @@
 
 namespace laurelhoist {
 
-/** The bytes that a parser has not taken yet. Once the parser has asked for more, they are held until there
- * are as many as the shortest chunk header that ends a body: given fewer of one, the parser asserts that
- * they are complete. A message that ends in a chunk always brings as many. */
+/** The bytes that a parser has not taken yet. Once the parser has asked for more of a body, they are held
+ * until there are as many as the shortest chunk header that ends one: given fewer, the parser asserts that
+ * they are complete. A body in chunks always brings as many; a head may end with fewer. */
 class parser_input {
 public:
     /** \return whether \p size bytes may be given to the parser. */
@@ -19,9 +19,10 @@
         constexpr std::size_t shortest_last_chunk = 5; // "0\r\n\r\n"
         return size >= (needs_more_ ? shortest_last_chunk : 1);
     }
-    /** Records the result of the parser. */
-    void on_parsed(const boost::beast::error_code& failure) {
-        needs_more_ = failure == boost::beast::http::error::need_more;
+    /** Records the result of a \p parser. */
+    template <class Parser>
+    void on_parsed(const Parser& parser, const boost::beast::error_code& failure) {
+        needs_more_ = parser.is_header_done() && failure == boost::beast::http::error::need_more;
     }
 
 private:
--- a/test/torn_answers_test.cpp
+++ b/test/torn_answers_test.cpp
@@ -143,6 +143,37 @@
     }
 }
 
+// Guards against messages that end with their head and are never complete, because its last bytes arrive
+// alone.
+TEST(torn_answer, is_complete_in_any_two_pieces) {
+    for (const std::string& whole : framed_answers) {
+        for (std::size_t cut = 1; cut < whole.size(); ++cut) {
+            EXPECT_TRUE(read_in_pieces(whole, {cut}).is_complete) << whole << cut;
+        }
+    }
+}
+
+TEST(torn_request, is_complete_in_any_two_pieces) {
+    constexpr std::size_t limit = 4096;
+    const std::string head = "POST /a HTTP/1.1\r\nHost: h\r\n";
+    const std::vector<std::string> requests = {
+        "GET /a HTTP/1.1\r\nHost: h\r\n\r\n",
+        head + "Content-Length: 0\r\n\r\n",
+        head + "Content-Length: 1\r\n\r\na",
+        head + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        head + "Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n",
+    };
+    for (const std::string& whole : requests) {
+        for (std::size_t cut = 1; cut < whole.size(); ++cut) {
+            request_reader reader(limit, limit);
+            reader.feed(whole.substr(0, cut));
+            EXPECT_NE(reader.advance(), request_reader::progress::complete) << whole << cut;
+            reader.feed(whole.substr(cut));
+            EXPECT_EQ(reader.advance(), request_reader::progress::complete) << whole << cut;
+        }
+    }
+}
+
 // Guards against refusing an answer whose head arrives before its body.
 TEST(torn_answer, is_not_seen_in_a_head_that_arrives_alone) {
     for (const std::string& whole : framed_answers) {
