Test of descriptors that run out: its callers send half a head at once

Cause: the case opened 100 connections and wrote on them only then. Each caller now sends its half head when it connects, so that none is idle. Bounds and checks are unchanged.

--- a/test/soak/host_ends_start.py
+++ b/test/soak/host_ends_start.py
@@ -176,10 +176,12 @@
     host = bench.hosts[0]
     host.start(prepare=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (64, 64)))
     await host.until_ready()
-    callers = [socket.create_connection((host.address, host.ports["callers"])) for _ in range(100)]
-    for caller in callers:
-        caller.sendall(b"GET /status/1 HTTP/1.1\r\n")  # half a head
+    callers = []
+    for _ in range(100):
+        caller = socket.create_connection((host.address, host.ports["callers"]))
+        caller.sendall(b"GET /status/1 HTTP/1.1\r\n")  # half a head, as idle connections are closed for new ones
         caller.settimeout(10)
+        callers.append(caller)
     await asyncio.sleep(0.2)
     used, since = processor_s(host), time.monotonic()
     await asyncio.sleep(2)
