Relay: what is read of answers besides their bodies is in the metrics and in the line about memory

Heads, chunk extensions, trailers and interim answers of endpoints were in no account, so that a host whose memory they fill could not be told from one whose allocator keeps it. The gauge answer_framing_bytes, the same field in memory_high, and the bytes and framing_bytes of answer_invalid tell the three hypotheses of the incident apart. No decision depends on them.

--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -207,6 +207,7 @@
     measured.gauge("requests_active", static_cast<double>(relay_.active()));
     measured.gauge("caller_unsent_bytes", static_cast<double>(relay_.unsent_bytes()));
     measured.gauge("answer_bytes", static_cast<double>(relay_.state().answer_bytes.held()));
+    measured.gauge("answer_framing_bytes", static_cast<double>(relay_.state().answer_framing_bytes.held()));
     measured.gauge("request_body_bytes", static_cast<double>(relay_.state().request_bytes.held()));
     measured.gauge("endpoint_unsent_bytes", static_cast<double>(relay_.state().pool.unsent_bytes()));
     measured.gauge("endpoints_known", static_cast<double>(relay_.state().endpoints.size()));
@@ -234,6 +235,7 @@
                                     {"requests_active", relay_.active()},
                                     {"caller_unsent_bytes", relay_.unsent_bytes()},
                                     {"answer_bytes", relay_.state().answer_bytes.held()},
+                                    {"answer_framing_bytes", relay_.state().answer_framing_bytes.held()},
                                     {"request_body_bytes", relay_.state().request_bytes.held()},
                                     {"endpoint_unsent_bytes", relay_.state().pool.unsent_bytes()}});
     }
--- a/src/relay/exchange.h
+++ b/src/relay/exchange.h
@@ -311,6 +311,7 @@
     caller_request request_;
     byte_hold held_body_;
     byte_hold held_answer_;           ///< bytes of the answer, or of its present event
+    byte_hold held_framing_;          ///< what has been read of the present answer and is no body
     std::size_t passed_on_bytes_ = 0; ///< of the body of an answer that is no stream
     std::size_t stray_bytes_ = 0;     ///< of answers to other requests, in the present attempt
     request_terms terms_;
--- a/src/relay/exchange_answers.cpp
+++ b/src/relay/exchange_answers.cpp
@@ -53,6 +53,7 @@
     has_excess_bytes_ = false;
     stray_bytes_ = 0;
     held_answer_.set(0);
+    held_framing_.set(0);
 }
 
 void exchange::on_received(std::string_view bytes) {
@@ -85,8 +86,14 @@
 void exchange::read_answer(std::string_view bytes) {
     while (!bytes.empty() && !is_in_state("finished")) {
         const std::optional<std::size_t> used = reader_->feed(bytes, body_);
+        held_framing_.set(reader_->framing_bytes());
         if (!used) {
-            log_info("answer_invalid", {{"request", terms_.id}, {"endpoint", attempt_.chosen.endpoint.name}});
+            log_info("answer_invalid", {{"request", terms_.id},
+                                        {"endpoint", attempt_.chosen.endpoint.name},
+                                        {"has_head", reader_->has_head()},
+                                        {"bytes", reader_->received_bytes()},
+                                        {"framing_bytes", reader_->framing_bytes()}});
+            state_.measured.count("answers_invalid");
             end_attempt(attempt_end::broken);
             return;
         }
--- a/src/relay/http_codec.h
+++ b/src/relay/http_codec.h
@@ -114,6 +114,11 @@
      * \return whether the answer is complete */
     bool finish();
 
+    /** \return the bytes of the answer so far, with its interim answers. */
+    std::size_t received_bytes() const { return received_bytes_; }
+    /** \return those of them that are no body: heads, chunk extensions and trailers. */
+    std::size_t framing_bytes() const { return received_bytes_ - body_bytes_; }
+
     bool has_head() const;
     bool is_complete() const;
     int status() const;
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -99,9 +99,10 @@
     waiting_room::weight_function team_weight;
     std::size_t hosts = 1; ///< live hosts, this one included
     load_summary load;
-    byte_account answer_bytes;  ///< answers of endpoints that have not been forwarded yet
-    byte_account caller_bytes;  ///< answers, or parts of them, that callers have not read
-    byte_account request_bytes; ///< bodies of requests that are being received or in progress
+    byte_account answer_bytes;         ///< answers of endpoints that have not been forwarded yet
+    byte_account answer_framing_bytes; ///< what has been read of unfinished answers and is no body
+    byte_account caller_bytes;         ///< answers, or parts of them, that callers have not read
+    byte_account request_bytes;        ///< bodies of requests that are being received or in progress
 
     std::size_t passed_on = 0; ///< answers that are no streams and are passed on as they arrive
     /// By route: bytes of its last answer that was no stream, for routes with long ones.
