Endpoint connections: an answer that is reset while the request is being written is not whole

Cause: the reset fails the write that is under way, and the failed call takes the error of the socket with it. The read that follows finds the end of the stream, which is an orderly end, and ends an answer without a length. The relay ignored the failed write, on the ground that the read reports the end.

Mend: a connection on which a write has failed ends as broken, whatever the read says. An orderly end without a failed write still ends such an answer, as the protocol allows.

The class is an error that another call has consumed. Looked for elsewhere: http_client writes the whole request before it reads, and a failed write ends its call; caller connections close on a failed write; http_server takes no answers.

--- a/src/relay/endpoint_connection.cpp
+++ b/src/relay/endpoint_connection.cpp
@@ -79,6 +79,7 @@
 void endpoint_connection::start_write() {
     asio::async_write(socket_, asio::buffer(outgoing_.front()),
                       [self = shared_from_this()](asio_error failure, std::size_t) {
+                          self->has_write_failed_ = self->has_write_failed_ || failure;
                           if (failure || self->outgoing_.empty()) {
                               return; // The pending read reports the end of the connection.
                           }
@@ -103,8 +104,10 @@
         asio::buffer(incoming_), [self = shared_from_this()](asio_error failure, std::size_t bytes) {
             self->is_reading_ = false;
             if (failure) {
-                self->close_and_notify(failure == asio::error::eof ? connection_end::finished
-                                                                   : connection_end::broken);
+                // A write that fails takes the error of the connection with it, so that the read after it
+                // finds an orderly end.
+                const bool is_orderly = failure == asio::error::eof && !self->has_write_failed_;
+                self->close_and_notify(is_orderly ? connection_end::finished : connection_end::broken);
                 return;
             }
             if (self->observer_ == nullptr) {
--- a/src/relay/endpoint_connection.h
+++ b/src/relay/endpoint_connection.h
@@ -81,6 +81,7 @@
     std::deque<std::string> outgoing_;
     byte_hold unsent_; ///< bytes in \ref outgoing_
     bool is_connected_ = false;
+    bool has_write_failed_ = false;
     bool is_reading_ = false; ///< a read is in progress
     bool is_reading_paused_ = false;
 };
