Messages of others take about the memory of their bytes, and all of it is in an account

Cause, one class: what a connection makes a host hold was bounded by the bytes of its body only. Boost.Beast's container allocates each field by itself (a line of four bytes took some 80 times as much with our own list of the fields beside it), its limit of a head holds for the bytes of one call, so that a head whose lines arrive one by one has none, and it waits for the end of a chunk's extensions and of trailers without any. None of this was in an account, so that the sum over connections had no bound either.

Mend: one parser for requests, answers and the responses of http_client (message_parser) keeps the fields in one text and drops extensions and trailers; the limit of a head counts all its pieces, and what is not parsed behind it has the same limit. What is held besides bodies counts: of requests beyond 4 KiB in the account of requests, of which it may take half (503 with a time to return, not run); of answers in answer_framing_bytes, and framing and bodies together stay within the buffer of answers. The names in all Connection fields are sorted once.

Two checks of tests name the accessor that replaces another (held bytes of a reader); foreign_bytes now includes the head's bytes in the same bound.

--- a/src/relay/caller_connection.cpp
+++ b/src/relay/caller_connection.cpp
@@ -21,6 +21,10 @@
 constexpr int status_request_timeout = 408;
 constexpr int status_body_too_large = 413;
 constexpr int status_headers_too_large = 431;
+constexpr int status_unavailable = 503;
+/// Of a request that was refused before it was read, in seconds: as long as other callers take to send
+/// theirs.
+constexpr const char* retry_after_refused_unread = "1";
 /// Added to the idle limit, so that a caller that respects the limit never sends on a connection that is
 /// being closed.
 constexpr duration idle_slack = seconds(1);
@@ -80,25 +84,29 @@
         read_requests();
     }
     bound_received();
-    is_reading_paused_ = is_serving_ && reader_.received_bytes() > max_bytes_ahead;
+    is_reading_paused_ = has_read_ahead();
     if (!is_closed_ && !is_reading_paused_) {
         start_read();
     }
 }
 
-void caller_connection::bound_received() {
-    received_.set(reader_.received_bytes());
-    if (reader_.body_bytes() > 0 && !events_.has_room(received_.bytes())) {
+bool caller_connection::bound_received() {
+    received_.set(reader_.holding().counted_bytes());
+    if (!has_room_for_body(reader_.holding(), events_.requests_held())) {
         reader_.drop_body();
-        received_.set(reader_.received_bytes());
+        received_.set(reader_.holding().counted_bytes());
     }
+    return has_room_for_head(reader_.holding(), events_.requests_held());
 }
 
 void caller_connection::read_requests() {
     const request_reader::progress made = reader_.advance();
-    bound_received();
+    const bool has_room = bound_received();
     switch (made) {
     case request_reader::progress::needs_more:
+        if (!has_room) {
+            refuse_for_memory();
+        }
         return;
     case request_reader::progress::needs_continue:
         write("HTTP/1.1 100 Continue\r\n\r\n");
@@ -107,7 +115,7 @@
         reject(status_bad_request, "send a valid HTTP/1.1 request");
         return;
     case request_reader::progress::header_too_large:
-        reject(status_headers_too_large, "send shorter headers");
+        reject(status_headers_too_large, "send shorter headers, chunk extensions and trailers");
         return;
     case request_reader::progress::body_too_large:
         reject(status_body_too_large, "send a smaller body");
@@ -115,13 +123,18 @@
     case request_reader::progress::complete: {
         is_serving_ = true;
         caller_request request = reader_.take();
-        received_.set(reader_.received_bytes());
+        received_.set(reader_.holding().counted_bytes());
         events_.on_request(shared_from_this(), std::move(request));
         return;
     }
     }
 }
 
+bool caller_connection::has_read_ahead() const {
+    return is_serving_ && (reader_.unparsed_bytes() > max_bytes_ahead ||
+                       !has_room_for_head(reader_.holding(), events_.requests_held()));
+}
+
 void caller_connection::resume_reading() {
     if (is_reading_paused_ && !is_closed_) {
         is_reading_paused_ = false;
@@ -131,11 +144,25 @@
 
 void caller_connection::reject(int status, const std::string& remedy) {
     events_.on_rejected(status);
+    send_rejection(status, {}, remedy);
+}
+
+void caller_connection::refuse_for_memory() {
+    events_.on_no_room(received_.bytes());
+    header_list headers;
+    headers.add("Retry-After", retry_after_refused_unread);
+    send_rejection(status_unavailable, headers, "retry later: this host holds too many long requests");
+}
+
+void caller_connection::send_rejection(int status, const header_list& headers, const std::string& remedy) {
     const std::string body = json{{"error", "request_refused"}, {"remedy", remedy}}.dump();
     std::string answer = status_line(status);
     append_header(answer, "Content-Type", "application/json");
     append_header(answer, "Content-Length", std::to_string(body.size()));
     append_header(answer, "Connection", "close");
+    for (const header_field& field : headers.all()) {
+        append_header(answer, field.name, field.value);
+    }
     write(answer + "\r\n" + body);
     finish(false);
 }
--- a/src/relay/caller_connection.h
+++ b/src/relay/caller_connection.h
@@ -4,10 +4,10 @@
  */
 #pragma once
 
-#include "relay/byte_account.h"
 #include "relay/byte_blocks.h"
 #include "relay/http_codec.h"
 #include "traffic/traffic.h"
+#include "transport/byte_account.h"
 #include "transport/event_loop.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -32,11 +32,15 @@
         std::function<void(const std::shared_ptr<caller_connection>&, caller_request&&)> on_request;
         /// Called when the connection itself answers an invalid, oversized or slow request.
         std::function<void(int status)> on_rejected;
+        /// Called when the connection itself refuses a request of which \p own_bytes are held, as the host
+        /// has no room for more.
+        std::function<void(std::size_t own_bytes)> on_no_room;
         /// Called before the connection is reset because the caller does not read its answer.
         std::function<void(std::size_t unsent_bytes)> on_unread;
-        /// Asked while a body arrives of which \p own_bytes are held; if it returns false, the body is
-        /// dropped and the request is passed on without it (\ref caller_request::is_body_dropped).
-        std::function<bool(std::size_t own_bytes)> has_room;
+        /// Tells what is held of all requests. Where there is no room for a body, it is dropped and the
+        /// request is passed on without it (\ref caller_request::is_body_dropped); where there is none for
+        /// a head, the request is refused.
+        std::function<request_buffer()> requests_held;
         /// Counts what is held of answers until the network accepts it.
         byte_account unsent_bytes;
         /// Called once, when the connection has closed.
@@ -85,10 +89,15 @@
     void start_read();
     void on_read(std::size_t bytes);
     void read_requests();
-    /** Updates the count of received bytes; drops the body of the present request if there is no room. */
-    void bound_received();
+    /** Updates the count of received bytes; drops the body of the present request if there is no room.
+     * \return whether there is room for what is held then */
+    bool bound_received();
+    /** \return whether so much of later requests has arrived that the rest is left in the network. */
+    bool has_read_ahead() const;
     void resume_reading();
     void reject(int status, const std::string& remedy);
+    void refuse_for_memory();
+    void send_rejection(int status, const header_list& headers, const std::string& remedy);
     void count_outgoing() { held_.set(unsent_bytes()); }
     void flush();
     void write_some();
--- a/src/relay/endpoint_connection.h
+++ b/src/relay/endpoint_connection.h
@@ -3,7 +3,7 @@
  */
 #pragma once
 
-#include "relay/byte_account.h"
+#include "transport/byte_account.h"
 #include "transport/event_loop.h"
 
 #include <boost/asio/ip/tcp.hpp>
--- a/src/relay/exchange.cpp
+++ b/src/relay/exchange.cpp
@@ -94,11 +94,11 @@
       state_{owner.state()},
       caller_{std::move(caller)},
       request_{std::move(request)},
-      held_body_{state_.request_bytes},
+      held_request_{state_.request_bytes},
       held_answer_{state_.answer_bytes},
       held_framing_{state_.answer_framing_bytes},
       exchange_state_{state_.request_chart.initial()} {
-    held_body_.set(request_.body.size());
+    held_request_.set(request_.holding().counted_bytes());
 }
 
 void exchange::apply_event(const char* event) {
--- a/src/relay/exchange.h
+++ b/src/relay/exchange.h
@@ -191,6 +191,11 @@
     /** Counts what is held of the answer. \return whether the host may hold as much; otherwise the attempt
      * has ended */
     bool hold_answer();
+    /** The same for what is no body. */
+    bool hold_framing();
+    /** \return whether the buffer has room for what is held of answers. */
+    bool has_room_for_answers() const;
+    void on_invalid_answer();
     /** \return whether the answer that is being received, which is no stream, may be passed on before it is
      * complete: its head decides that it is the one for the caller. */
     bool may_pass_on();
@@ -309,9 +314,9 @@
     relay_state& state_;
     std::shared_ptr<caller_connection> caller_;
     caller_request request_;
-    byte_hold held_body_;
+    byte_hold held_request_;
     byte_hold held_answer_;           ///< bytes of the answer, or of its present event
-    byte_hold held_framing_;          ///< what has been read of the present answer and is no body
+    byte_hold held_framing_;          ///< what is held of the present answer and is no body
     std::size_t passed_on_bytes_ = 0; ///< of the body of an answer that is no stream
     std::size_t stray_bytes_ = 0;     ///< of answers to other requests, in the present attempt
     request_terms terms_;
--- a/src/relay/exchange_answers.cpp
+++ b/src/relay/exchange_answers.cpp
@@ -14,6 +14,8 @@
 /// A stream with fewer intervals does not show the pace of its endpoint: one prompt read meanwhile outweighs
 /// them.
 constexpr int min_intervals_for_pace = 4;
+/// What may be held of each answer, however much is held of the others.
+constexpr std::size_t min_answer_share_bytes = 16 << 10;
 
 } // namespace
 
@@ -86,19 +88,12 @@
 void exchange::read_answer(std::string_view bytes) {
     while (!bytes.empty() && !is_in_state("finished")) {
         const std::optional<std::size_t> used = reader_->feed(bytes, body_);
-        held_framing_.set(reader_->framing_bytes());
         if (!used) {
-            log_info("answer_invalid", {{"request", terms_.id},
-                                        {"endpoint", attempt_.chosen.endpoint.name},
-                                        {"has_head", reader_->has_head()},
-                                        {"bytes", reader_->received_bytes()},
-                                        {"framing_bytes", reader_->framing_bytes()}});
-            state_.measured.count("answers_invalid");
-            end_attempt(attempt_end::broken);
+            on_invalid_answer();
             return;
         }
         bytes.remove_prefix(*used);
-        if (!reader_->has_head()) {
+        if (!hold_framing() || !reader_->has_head()) {
             return;
         }
         if (is_stray_answer()) {
@@ -131,10 +126,38 @@
     }
 }
 
+void exchange::on_invalid_answer() {
+    const char* reason = to_string(reader_->fault());
+    log_info("answer_invalid", {{"request", terms_.id},
+                                {"endpoint", attempt_.chosen.endpoint.name},
+                                {"reason", reason},
+                                {"has_head", reader_->has_head()},
+                                {"bytes", reader_->received_bytes()}});
+    state_.measured.count(std::string("answers_invalid_") + reason);
+    end_attempt(attempt_end::broken);
+}
+
+// Guards against a host that runs out of memory because many endpoints send heads, or what surrounds a body,
+// without end.
+bool exchange::hold_framing() {
+    const std::size_t bytes = reader_->held_bytes();
+    held_framing_.set(bytes);
+    if (bytes <= min_answer_share_bytes || has_room_for_answers()) {
+        return true;
+    }
+    refuse_answer("framing", bytes, min_answer_share_bytes);
+    return false;
+}
+
+bool exchange::has_room_for_answers() const {
+    return state_.answer_bytes.held() + state_.answer_framing_bytes.held() <=
+           state_.settings.answer_buffer_bytes;
+}
+
 // Guards against a host that runs out of memory because endpoints send bodies, or events, without end. Each
-// answer may have as much as leaves room for all that are held at present.
+// answer may have as much as leaves room for all that are held at present, and all of them as much as the
+// buffer.
 bool exchange::hold_answer() {
-    constexpr std::size_t min_share_bytes = 16 << 10;
     if (is_passed_on_) {
         pass_on();
         if (passed_on_bytes_ <= state_.settings.max_answer_bytes) {
@@ -151,8 +174,9 @@
         return true;
     }
     const std::size_t holders = std::max<std::size_t>(1, state_.answer_bytes.holders());
-    const std::size_t limit = std::clamp(state_.settings.answer_buffer_bytes / holders, min_share_bytes,
-                                         state_.settings.max_answer_bytes);
+    const std::size_t share = std::clamp(state_.settings.answer_buffer_bytes / holders,
+                                         min_answer_share_bytes, state_.settings.max_answer_bytes);
+    const std::size_t limit = has_room_for_answers() ? share : min_answer_share_bytes;
     if (bytes <= limit) {
         return true;
     }
@@ -524,8 +548,9 @@
 std::string exchange::answer_head(int status, const header_list& headers, body_framing framing,
                                   std::size_t length) const {
     std::string head = status_line(status);
+    const hop_by_hop_fields hop_by_hop(headers);
     for (const header_field& field : headers.all()) {
-        if (!is_hop_by_hop(field.name, headers) && !is_same_name(field.name, "Content-Length")) {
+        if (!hop_by_hop.contains(field.name) && !is_same_name(field.name, "Content-Length")) {
             append_header(head, field.name, field.value);
         }
     }
--- a/src/relay/exchange_load.cpp
+++ b/src/relay/exchange_load.cpp
@@ -45,13 +45,14 @@
 
 // Guards against a host that runs out of memory because endpoints read slowly, or many requests wait.
 bool exchange::admit_body() {
-    if (!request_.is_body_dropped) {
+    if (!request_.is_body_dropped && has_room_for_head(request_.holding(), state_.requests_held())) {
         return true;
     }
     log_info("request_refused_for_memory", {{"request", terms_.id},
+                                            {"bytes", held_request_.bytes()},
                                             {"held_bytes", state_.held_for_requests()},
                                             {"limit_bytes", state_.settings.request_buffer_bytes}});
-    answer_failure(status_unavailable, "no_memory", "retry later: this host holds too many request bodies",
+    answer_failure(status_unavailable, "no_memory", "retry later: this host holds too many long requests",
                    retry_after_no_memory);
     return false;
 }
--- a/src/relay/http_codec.cpp
+++ b/src/relay/http_codec.cpp
@@ -1,9 +1,11 @@
 #include "relay/http_codec.h"
 
-#include "transport/growing_body.h"
+#include "transport/message_parser.h"
 #include "transport/parser_input.h"
 
-#include <boost/beast/http.hpp>
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/status.hpp>
 
 #include <algorithm>
 #include <charconv>
@@ -16,10 +18,6 @@
 
 namespace {
 
-constexpr std::string_view hop_by_hop_names[] = {"Connection",          "Keep-Alive", "Proxy-Authenticate",
-                                                 "Proxy-Authorization", "TE",         "Trailer",
-                                                 "Transfer-Encoding",   "Upgrade",    "Proxy-Connection"};
-
 /// Size limit of an endpoint's answer head. It is far above any real head and keeps a faulty endpoint from
 /// exhausting memory.
 constexpr std::uint32_t max_answer_header_bytes = 64 << 10;
@@ -31,38 +29,6 @@
 /// Above any answer, also of a stream that lasts for a day.
 constexpr std::uint64_t max_answer_body_bytes = std::uint64_t{1} << 30;
 
-template <class Fields>
-header_list to_header_list(const Fields& message) {
-    header_list headers;
-    for (const auto& field : message) {
-        headers.add(std::string(field.name_string()), std::string(field.value()));
-    }
-    return headers;
-}
-
-char to_lower(char letter) {
-    return letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter - 'A' + 'a') : letter;
-}
-
-/** \return whether the comma-separated \p list contains \p token, ignoring case. */
-bool contains_token(std::string_view list, std::string_view token) {
-    while (!list.empty()) {
-        const std::size_t comma = list.find(',');
-        std::string_view item = list.substr(0, comma);
-        while (!item.empty() && item.front() == ' ') {
-            item.remove_prefix(1);
-        }
-        while (!item.empty() && item.back() == ' ') {
-            item.remove_suffix(1);
-        }
-        if (is_same_name(item, token)) {
-            return true;
-        }
-        list = comma == std::string_view::npos ? std::string_view{} : list.substr(comma + 1);
-    }
-    return false;
-}
-
 /** \return the status in the first status line within \p text and where that line begins, or nothing. */
 std::optional<std::pair<std::string_view, std::size_t>> find_status_line(std::string_view text) {
     constexpr std::string_view protocol = "HTTP/1.";
@@ -104,19 +70,6 @@
                        [](const header_field& field) { return find_status_line(field.value).has_value(); });
 }
 
-bool is_same_name(std::string_view left, std::string_view right) {
-    return left.size() == right.size() &&
-           std::equal(left.begin(), left.end(), right.begin(),
-                      [](char l, char r) { return to_lower(l) == to_lower(r); });
-}
-
-std::optional<std::int64_t> parse_number(std::string_view text) {
-    std::int64_t number = 0;
-    const char* end = text.data() + text.size();
-    const auto [stop, failure] = std::from_chars(text.data(), end, number);
-    return failure == std::errc{} && stop == end ? std::optional(number) : std::nullopt;
-}
-
 std::optional<duration> retry_after_in(const header_list& headers) {
     std::optional<duration> longest;
     for (const header_field& field : headers.all()) {
@@ -129,25 +82,20 @@
     return longest;
 }
 
-const std::string* header_list::find(std::string_view name) const {
-    for (const header_field& field : fields_) {
-        if (is_same_name(field.name, name)) {
-            return &field.value;
-        }
+const char* to_string(answer_fault fault) {
+    switch (fault) {
+    case answer_fault::none:
+        break;
+    case answer_fault::malformed:
+        return "malformed";
+    case answer_fault::invalid_status:
+        return "invalid_status";
+    case answer_fault::foreign_answer:
+        return "foreign_answer";
+    case answer_fault::too_much_framing:
+        return "too_much_framing";
     }
-    return nullptr;
-}
-
-std::string header_list::value_or_empty(std::string_view name) const {
-    const std::string* value = find(name);
-    return value == nullptr ? std::string{} : *value;
-}
-
-bool is_hop_by_hop(std::string_view name, const header_list& headers) {
-    const bool is_known = std::any_of(std::begin(hop_by_hop_names), std::end(hop_by_hop_names),
-                                      [&](std::string_view known) { return is_same_name(name, known); });
-    const std::string* connection = headers.find("Connection");
-    return is_known || (connection != nullptr && contains_token(*connection, name));
+    return "none";
 }
 
 void append_header(std::string& head, std::string_view name, std::string_view value) {
@@ -178,103 +126,17 @@
     out.append("\r\n");
 }
 
-struct request_reader::state {
-    state(std::size_t header_bytes, std::size_t body_bytes) {
-        parser.header_limit(static_cast<std::uint32_t>(header_bytes));
-        parser.body_limit(body_bytes);
-        parser.eager(true);
-    }
-    http::request_parser<growing_body> parser;
-    parser_input input;
-    bool has_asked_to_continue = false;
-    bool is_body_dropped = false;
-};
-
-request_reader::request_reader(std::size_t header_bytes, std::size_t body_bytes)
-    : state_{std::make_unique<state>(header_bytes, body_bytes)},
-      header_bytes_{header_bytes},
-      body_bytes_{body_bytes} {}
-request_reader::~request_reader() = default;
-request_reader::request_reader(request_reader&&) noexcept = default;
-request_reader& request_reader::operator=(request_reader&&) noexcept = default;
-
-request_reader::progress request_reader::advance() {
-    auto& parser = state_->parser;
-    while (state_->input.is_due(pending_.size()) && !parser.is_done()) {
-        boost::beast::error_code failure;
-        const std::size_t used = parser.put(asio::buffer(pending_), failure);
-        state_->input.on_parsed(parser, failure);
-        pending_.erase(0, used);
-        if (state_->is_body_dropped) {
-            parser.get().body().clear();
-        }
-        if (failure == http::error::need_more) {
-            break;
-        }
-        if (failure == http::error::header_limit) {
-            return progress::header_too_large;
-        }
-        if (failure == http::error::body_limit) {
-            return progress::body_too_large;
-        }
-        if (failure) {
-            return progress::malformed;
-        }
-    }
-    if (parser.is_done()) {
-        return progress::complete;
-    }
-    if (parser.is_header_done() && !state_->has_asked_to_continue &&
-        is_same_name(std::string(parser.get()[http::field::expect]), "100-continue")) {
-        state_->has_asked_to_continue = true;
-        return progress::needs_continue;
-    }
-    return progress::needs_more;
-}
-
-caller_request request_reader::take() {
-    auto message = state_->parser.release();
-    caller_request request;
-    request.method = std::string(message.method_string());
-    request.target = std::string(message.target());
-    request.headers = to_header_list(message);
-    request.keeps_alive = message.keep_alive();
-    constexpr unsigned version_with_chunks = 11;
-    request.accepts_chunks = message.version() >= version_with_chunks;
-    request.body = std::move(message.body());
-    request.is_body_dropped = state_->is_body_dropped;
-    state_ = std::make_unique<state>(header_bytes_, body_bytes_);
-    return request;
-}
-
-bool request_reader::has_partial_request() const {
-    return !pending_.empty() || state_->parser.got_some();
-}
-
-std::size_t request_reader::body_bytes() const {
-    return state_->parser.get().body().size();
-}
-
-std::size_t request_reader::received_bytes() const {
-    return pending_.size() + body_bytes();
-}
-
-void request_reader::drop_body() {
-    state_->is_body_dropped = true;
-    std::string().swap(state_->parser.get().body());
-}
-
 struct answer_reader::state {
     explicit state(bool is_for_head) {
         parser.header_limit(max_answer_header_bytes);
         // No limit is not possible: in some versions of Beast any length exceeds it.
         parser.body_limit(max_answer_body_bytes);
-        parser.eager(false); // Until the head is read: the fields of a trailer would be added to it.
+        parser.eager(false); // Until the head has been checked.
         parser.skip(is_for_head);
     }
-    http::response_parser<growing_body> parser;
+    message_parser<false> parser;
     parser_input input;
-    std::string head_bytes; ///< bytes of a head that has not arrived completely
+    std::string unparsed;
 };
 
 answer_reader::answer_reader(bool is_for_head)
@@ -288,21 +150,28 @@
     const std::optional<std::size_t> used = parse(bytes, body);
     received_bytes_ += used.value_or(0);
     body_bytes_ += body.size() - body_before;
-    return has_too_much_framing() ? std::nullopt : used;
+    if (used && has_too_much_framing()) {
+        fault_ = answer_fault::too_much_framing;
+        return std::nullopt;
+    }
+    return used;
 }
 
 bool answer_reader::has_too_much_framing() const {
-    return received_bytes_ - body_bytes_ > max_answer_framing_bytes + max_framing_of_body_byte * body_bytes_;
+    const std::size_t most = has_head() ? max_answer_framing_bytes + max_framing_of_body_byte * body_bytes_
+                                        : max_answer_header_bytes;
+    return received_bytes_ - body_bytes_ > most;
 }
 
 std::optional<std::size_t> answer_reader::parse(std::string_view bytes, std::string& body) {
     constexpr int informational = 1; // status class 1xx
     constexpr int class_size = 100;
-    std::string& held = state_->head_bytes;
+    std::string& held = state_->unparsed;
     const std::size_t held_before = held.size();
     held.append(bytes);
     std::size_t used = 0;
     while (state_->input.is_due(held.size() - used) && !state_->parser.is_done()) {
+        const bool had_head = has_head();
         boost::beast::error_code failure;
         used += state_->parser.put(asio::buffer(held.data() + used, held.size() - used), failure);
         state_->input.on_parsed(state_->parser, failure);
@@ -310,6 +179,8 @@
             break;
         }
         if (failure) {
+            fault_ = failure == http::error::header_limit ? answer_fault::too_much_framing
+                                                          : answer_fault::malformed;
             return std::nullopt;
         }
         if (state_->parser.is_done() && status() / class_size == informational) {
@@ -318,16 +189,12 @@
             const std::optional<std::size_t> used_of_rest = parse(rest, body);
             return used_of_rest ? std::optional(bytes.size() - (rest.size() - *used_of_rest)) : std::nullopt;
         }
-        if (has_head() && !state_->parser.eager()) {
-            state_->parser.eager(true);
-            headers_ = to_header_list(state_->parser.get());
-            if (has_status_line_within(std::string(state_->parser.get().reason()), headers_, status())) {
-                return std::nullopt;
-            }
+        if (has_head() && !had_head && !read_head()) {
+            return std::nullopt;
         }
     }
-    body.append(state_->parser.get().body());
-    state_->parser.get().body().clear();
+    body.append(state_->parser.body());
+    state_->parser.body().clear();
     const bool is_done = state_->parser.is_done();
     held.erase(0, used);
     if (is_done) {
@@ -337,6 +204,19 @@
     return bytes.size();
 }
 
+bool answer_reader::read_head() {
+    state_->parser.eager(true);
+    headers_ = state_->parser.fields().unpack();
+    if (has_status_line_within(state_->parser.reason(), headers_, status())) {
+        fault_ = answer_fault::foreign_answer;
+    }
+    return fault_ == answer_fault::none;
+}
+
+std::size_t answer_reader::held_bytes() const {
+    return state_->unparsed.size() + state_->parser.held_bytes() + headers_.held_bytes();
+}
+
 bool answer_reader::finish() {
     if (!has_head() || is_complete()) {
         return is_complete();
@@ -355,7 +235,7 @@
 }
 
 int answer_reader::status() const {
-    return static_cast<int>(state_->parser.get().result_int());
+    return state_->parser.status();
 }
 
 bool answer_reader::ends_with_connection() const {
@@ -363,7 +243,7 @@
 }
 
 bool answer_reader::keeps_alive() const {
-    return state_->parser.get().keep_alive() && !ends_with_connection();
+    return state_->parser.keep_alive() && !ends_with_connection();
 }
 
 } // namespace laurelhoist
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -58,6 +58,18 @@
         state_.measured.count("malformed_requests");
         log_info("request_unreadable", {{"status", status}});
     };
+    caller_events_.on_no_room = [this](std::size_t own_bytes) {
+        state_.measured.count("requests_refused_unread");
+        if (const auto left_out = no_room_lines_.admit(monotonic_now())) {
+            log_warning("request_refused_unread",
+                        {{"bytes", own_bytes},
+                         {"held_bytes", state_.held_for_requests()},
+                         {"limit_bytes", state_.settings.request_buffer_bytes},
+                         {"left_out", *left_out},
+                         {"remedy", "find the callers that send long heads or bodies, or raise "
+                                    "--request_buffer_kb"}});
+        }
+    };
     caller_events_.on_unread = [this](std::size_t unsent_bytes) {
         state_.measured.count("callers_not_reading");
         if (const auto left_out = not_reading_lines_.admit(monotonic_now())) {
@@ -66,9 +78,7 @@
                                                {"remedy", "read answers without pauses of seconds"}});
         }
     };
-    caller_events_.has_room = [this](std::size_t own_bytes) {
-        return state_.held_for_requests() - own_bytes <= state_.settings.request_buffer_bytes;
-    };
+    caller_events_.requests_held = [this] { return state_.requests_held(); };
     caller_events_.unsent_bytes = state_.caller_bytes;
     caller_events_.on_closed = [this](const auto& caller) { on_caller_closed(caller); };
     loop.every(sweep_interval, [this] { sweep(); });
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -21,6 +21,7 @@
 #include "relay/wire_dialect.h"
 #include "rollout/release_rollout.h"
 #include "transport/descriptor_shares.h"
+#include "transport/request_room.h"
 #include "transport/tcp_listener.h"
 
 #include <functional>
@@ -100,9 +101,9 @@
     std::size_t hosts = 1; ///< live hosts, this one included
     load_summary load;
     byte_account answer_bytes;         ///< answers of endpoints that have not been forwarded yet
-    byte_account answer_framing_bytes; ///< what has been read of unfinished answers and is no body
+    byte_account answer_framing_bytes; ///< what is held of unfinished answers and is no body
     byte_account caller_bytes;         ///< answers, or parts of them, that callers have not read
-    byte_account request_bytes;        ///< bodies of requests that are being received or in progress
+    byte_account request_bytes;        ///< requests that are being received or in progress, at all ports
 
     std::size_t passed_on = 0; ///< answers that are no streams and are passed on as they arrive
     /// By route: bytes of its last answer that was no stream, for routes with long ones.
@@ -113,8 +114,10 @@
         return {settings.answer_buffer_bytes, answer_bytes.held(), own_bytes, caller_bytes.held(),
                 settings.caller_buffer_bytes};
     }
-    /** \return the bytes of requests that this host holds: bodies, and what endpoints have not read yet. */
+    /** \return the bytes of requests that this host holds: as they were received, and what endpoints have not
+     * read yet. */
     std::size_t held_for_requests() const { return request_bytes.held() + pool.unsent_bytes(); }
+    request_buffer requests_held() const { return {held_for_requests(), settings.request_buffer_bytes}; }
 
     repeat_allowance& repeats_of(const std::string& service) {
         repeat_allowance& found =
@@ -271,6 +274,7 @@
     endpoint_probes probes_;
     caller_connection::handlers caller_events_;
     line_limiter not_reading_lines_; ///< about callers that do not read
+    line_limiter no_room_lines_;     ///< about requests that are not read as the host holds too much
     std::unique_ptr<tcp_listener> listener_;
     std::unique_ptr<tcp_listener> peer_listener_;
     std::unordered_set<std::shared_ptr<caller_connection>> callers_;
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -1,6 +1,6 @@
 #include "transport/http_client.h"
 
-#include "transport/growing_body.h"
+#include "transport/message_parser.h"
 #include "transport/parser_input.h"
 #include "transport/socket_options.h"
 
@@ -26,7 +26,7 @@
 /// Bytes of a response's body and all around it. A server that sends chunk extensions or trailers without end
 /// would otherwise fill this process's memory, as no time limit ends a response that goes on.
 constexpr std::size_t max_received_bytes = 2 * max_response_bytes;
-/// Bytes that a parser waits for the end of: a field, a chunk's size line or the trailers.
+/// Bytes that a parser waits for the end of: the head, a chunk's size line or the trailers.
 constexpr std::size_t max_unparsed_bytes = 64 << 10;
 
 } // namespace
@@ -156,6 +156,7 @@
             }
             self->parser_.emplace();
             self->input_ = parser_input{};
+            self->parser_->header_limit(max_unparsed_bytes);
             self->parser_->body_limit(max_response_bytes);
             self->parser_->eager(true);
             self->read();
@@ -199,7 +200,8 @@
         if (failure == asio::error::eof && parser_->got_some() && !parser_->is_done() && !parse_failure) {
             parser_->put_eof(parse_failure);
         }
-        const bool is_endless = buffer_.size() > max_unparsed_bytes || received_bytes_ > max_received_bytes;
+        const std::size_t unparsed_bytes = parser_->is_header_done() ? buffer_.size() : received_bytes_;
+        const bool is_endless = unparsed_bytes > max_unparsed_bytes || received_bytes_ > max_received_bytes;
         const bool is_broken =
             (parse_failure && parse_failure != http::error::need_more) || failure || is_endless;
         if (is_broken && !parser_->is_done()) {
@@ -222,10 +224,10 @@
     }
 
     void deliver_piece() {
-        if (!on_piece_ || !parser_->is_header_done() || parser_->get().result_int() != 200) {
+        if (!on_piece_ || !parser_->is_header_done() || parser_->status() != 200) {
             return;
         }
-        const std::string& body = parser_->get().body();
+        const std::string& body = parser_->body();
         if (body.size() > delivered_) {
             const std::string piece = body.substr(delivered_);
             delivered_ = body.size();
@@ -242,15 +244,16 @@
         http_answer answer;
         answer.what = what;
         if (what == http_answer::result::answered) {
-            answer.status = static_cast<int>(parser_->get().result_int());
-            for (const auto& field : parser_->get()) {
-                std::string name(field.name_string());
+            answer.status = parser_->status();
+            const header_list headers = parser_->fields().unpack();
+            for (const header_field& field : headers.all()) {
+                std::string name = field.name;
                 std::transform(name.begin(), name.end(), name.begin(),
                                [](unsigned char c) { return std::tolower(c); });
-                answer.headers[name] = std::string(field.value());
+                answer.headers[name] = field.value;
             }
-            answer.body = parser_->get().body();
-            if (parser_->get().keep_alive()) {
+            answer.body = parser_->body();
+            if (parser_->keep_alive()) {
                 client_->keep(address(), std::move(stream_));
             }
         } else {
@@ -267,7 +270,7 @@
     std::unique_ptr<beast::tcp_stream> stream_;
     beast::flat_buffer buffer_;
     http::request<http::string_body> request_;
-    std::optional<http::response_parser<growing_body>> parser_;
+    std::optional<message_parser<false>> parser_;
     parser_input input_;
     std::size_t delivered_ = 0;
     std::size_t received_bytes_ = 0; ///< of the response
--- a/src/transport/transport.h
+++ b/src/transport/transport.h
@@ -4,10 +4,15 @@
  */
 #pragma once
 
+#include "transport/byte_account.h"
 #include "transport/datagram.h"
 #include "transport/event_loop.h"
+#include "transport/header_list.h"
 #include "transport/http_client.h"
 #include "transport/http_server.h"
 #include "transport/link.h"
+#include "transport/message_parser.h"
 #include "transport/parser_input.h"
+#include "transport/request_reader.h"
+#include "transport/request_room.h"
 #include "transport/retry_after.h"
--- a/test/foreign_bytes_test.cpp
+++ b/test/foreign_bytes_test.cpp
@@ -128,7 +128,7 @@
             header_dialect().write_forwarded_request(request, {});
             EXPECT_LE(terms.time_left, max_foreign_time);
         }
-        EXPECT_LE(reader.received_bytes(), text.size());
+        EXPECT_LE(reader.holding().head_bytes + reader.holding().body_bytes, text.size());
         return made == request_reader::progress::needs_more ||
                made == request_reader::progress::needs_continue;
     });
--- a/test/stated_lengths_test.cpp
+++ b/test/stated_lengths_test.cpp
@@ -37,7 +37,7 @@
         readers.emplace_back(header_bytes, std::size_t{stated_bytes});
         readers.back().feed("POST / HTTP/1.1\r\nHost: h\r\n" + length_field() + "a");
         EXPECT_EQ(readers.back().advance(), request_reader::progress::needs_more);
-        EXPECT_EQ(readers.back().body_bytes(), 1U);
+        EXPECT_EQ(readers.back().holding().body_bytes, 1U);
     }
     EXPECT_LT(address_space_bytes() - before, allowed_bytes);
 }
