HTTP server: requests to a host's own pages are read as those of callers, and count with them

Cause: the server read with Beast's own loop into a buffer without a maximum, and bodies of 1 MiB were accepted on pages that take none, on each of the connections that the descriptors allow.

Mend: the server reads with request_reader, whose limits hold for every part of a request. http_limits bounds what is held of all requests and counts it; a host passes its account of callers' requests, so that all ports share one bound, and 4 KiB as the limit of bodies. Beyond it a long request gets 503 and its connection ends; short ones are served.

The page's buffer of a response is not bounded (open).

--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -16,6 +16,8 @@
 constexpr duration gossip_interval = milliseconds(400);
 constexpr duration maintenance_interval = milliseconds(250);
 constexpr duration memory_check_interval = milliseconds(1000);
+/// Body of a request for one of the host's own pages; none of them takes a body.
+constexpr std::size_t max_page_body_bytes = 4 << 10;
 constexpr duration stop_interval = milliseconds(100);
 constexpr std::size_t max_logged_invalid_endpoints =
     1000; ///< endpoints whose last logged revision is remembered
@@ -149,10 +151,8 @@
     relay_.state().peers.set_port(settings_.forwarding.port);
     started_at_ = monotonic_now();
     reading_since_ = started_at_;
-    http_limits limits;
-    limits.connections = std::min(limits.connections, settings_.connections.page);
     peer_server_ = std::make_unique<http_server>(
-        loop_, listen_target{"--peers", settings_.peers}, limits,
+        loop_, listen_target{"--peers", settings_.peers}, page_limits(),
         [this](const http_request& request, const auto& responder) { serve_copy(request, responder); });
     for (object_watch* watch : watches()) {
         watch->pause(); // Takes effect after the first listing, until it is known which hosts read the store.
@@ -196,6 +196,15 @@
     return is_listening() && state.routing != nullptr && knows_endpoints() && !state.is_stopping;
 }
 
+http_limits entry_host::page_limits() const {
+    http_limits limits;
+    limits.body_bytes = max_page_body_bytes;
+    limits.held = relay_.state().request_bytes;
+    limits.held_bytes = relay_.state().settings.request_buffer_bytes;
+    limits.connections = std::min(limits.connections, settings_.connections.page);
+    return limits;
+}
+
 std::vector<std::string> entry_host::entries_for_caller(const std::string& domain) const {
     const std::vector<host_status>& live = gossip_.live(monotonic_now());
     return entries_for(domain, settings_.in_use.leaves_directory ? without_lost_hosts(live) : live,
--- a/src/host/entry_host.h
+++ b/src/host/entry_host.h
@@ -95,6 +95,9 @@
     void set_seeds(const std::vector<std::string>& seeds);
 
     bool is_ready() const;
+    /** \return the limits of the servers of this host's own pages, whose requests count with those of
+     * callers. */
+    http_limits page_limits() const;
     /** \return the addresses that a caller in \p domain may use. */
     std::vector<std::string> entries_for_caller(const std::string& domain) const;
     std::string metrics_text();
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -1,6 +1,7 @@
 #include "transport/http_server.h"
 
-#include "transport/growing_body.h"
+#include "transport/request_reader.h"
+#include "transport/request_room.h"
 #include "transport/tcp_listener.h"
 
 #include <boost/asio.hpp>
@@ -30,7 +31,7 @@
 
 struct http_server::state {
     state(http_limits server_limits, handler server_handler)
-        : limits{server_limits}, on_request{std::move(server_handler)} {}
+        : limits{std::move(server_limits)}, on_request{std::move(server_handler)} {}
 
     http_limits limits;
     handler on_request;
@@ -66,10 +67,10 @@
     return text;
 }
 
-http_request to_request(const http::request<growing_body>& message) {
+http_request to_request(received_request received) {
     http_request request;
-    request.method = std::string(message.method_string());
-    const std::string target(message.target());
+    request.method = std::move(received.method);
+    const std::string& target = received.target;
     const std::size_t question = target.find('?');
     request.path = decode_percent(target.substr(0, question));
     if (question != std::string::npos) {
@@ -79,10 +80,10 @@
             request.query[decode_percent(pair.substr(0, equals))] = decode_percent(value);
         }
     }
-    for (const auto& field : message) {
-        request.headers[to_lower(std::string(field.name_string()))] = std::string(field.value());
+    for (const header_field& field : received.headers.all()) {
+        request.headers[to_lower(field.name)] = field.value;
     }
-    request.body = message.body();
+    request.body = std::move(received.body);
     return request;
 }
 
@@ -91,7 +92,10 @@
 class server_session : public http_responder, public std::enable_shared_from_this<server_session<State>> {
 public:
     server_session(tcp::socket socket, std::shared_ptr<State> server)
-        : stream_{std::move(socket)}, server_{std::move(server)} {
+        : stream_{std::move(socket)},
+          server_{std::move(server)},
+          reader_{server_->limits.header_bytes, server_->limits.body_bytes},
+          held_{server_->limits.held} {
         ++server_->connections;
         beast::error_code ignored;
         stream_.socket().set_option(tcp::no_delay{true}, ignored);
@@ -103,30 +107,16 @@
     server_session(const server_session&) = delete;
     server_session& operator=(const server_session&) = delete;
 
+    // The first byte of a request ends the idle timeout and starts the read timeout: a caller that sends a
+    // body byte by byte is disconnected, one that keeps its connection open between requests is not.
     void read_next() {
-        parser_.emplace();
-        parser_->body_limit(server_->limits.body_bytes);
-        parser_->header_limit(static_cast<std::uint32_t>(server_->limits.header_bytes));
-        stream_.expires_after(is_first_ ? server_->limits.read_time : server_->limits.idle_time);
+        const bool has_begun = is_first_ || reader_.has_partial_request();
+        stream_.expires_after(has_begun ? server_->limits.read_time : server_->limits.idle_time);
         is_first_ = false;
         is_answered_ = false;
         is_streaming_ = false;
-        // The first byte of a request ends the idle timeout and starts the read timeout: a caller that sends
-        // a body byte by byte is disconnected, one that keeps its connection open between requests is not.
-        auto self = this->shared_from_this();
-        if (buffer_.size() > 0) {
-            read_request();
-            return;
-        }
-        begin_waiting();
-        stream_.async_read_some(buffer_.prepare(4096), [self](beast::error_code failure, std::size_t bytes) {
-            self->end_waiting();
-            if (failure) {
-                return;
-            }
-            self->buffer_.commit(bytes);
-            self->read_request();
-        });
+        held_.set(reader_.holding().counted_bytes());
+        read_request();
     }
 
     void reply(int status, const http_headers& headers, std::string body) override {
@@ -209,37 +199,78 @@
         return true;
     }
 
-    void read_request() {
-        stream_.expires_after(server_->limits.read_time);
+    void read_some() {
+        if (!reader_.has_partial_request()) {
+            begin_waiting();
+        }
         auto self = this->shared_from_this();
-        http::async_read(stream_, buffer_, *parser_,
-                         [self](beast::error_code failure, std::size_t) { self->on_request_read(failure); });
+        stream_.async_read_some(asio::buffer(incoming_),
+                                [self](beast::error_code failure, std::size_t bytes) {
+                                    self->end_waiting();
+                                    self->on_read(failure, bytes);
+                                });
+    }
+
+    void on_read(beast::error_code failure, std::size_t bytes) {
+        const bool had_begun = reader_.has_partial_request();
+        if (failure == beast::error::timeout && had_begun) {
+            refuse({error_kind::invalid_request,
+                    "the request was not complete in time; send it without pauses"});
+        }
+        if (failure) {
+            return;
+        }
+        reader_.feed({incoming_.data(), bytes});
+        if (!had_begun) {
+            stream_.expires_after(server_->limits.read_time);
+        }
+        read_request();
     }
 
-    void on_request_read(beast::error_code failure) {
-        keeps_alive_ = !failure && parser_->get().keep_alive();
-        if (failure == http::error::body_limit) {
+    void read_request() {
+        const request_reader::progress made = reader_.advance();
+        held_.set(reader_.holding().counted_bytes());
+        switch (made) {
+        case request_reader::progress::needs_more:
+        case request_reader::progress::needs_continue:
+            if (has_room()) {
+                read_some();
+            } else {
+                refuse({error_kind::no_capacity, "too many long requests are held; retry later"});
+            }
+            return;
+        case request_reader::progress::malformed:
+            refuse({error_kind::invalid_request, "not a valid HTTP request"});
+            return;
+        case request_reader::progress::header_too_large:
+            refuse({error_kind::too_large, "the headers are too large; send less"});
+            return;
+        case request_reader::progress::body_too_large:
             refuse({error_kind::too_large, "the body is larger than " +
                                                std::to_string(server_->limits.body_bytes) +
                                                " bytes; send less"});
-        } else if (failure == http::error::header_limit) {
-            refuse({error_kind::too_large, "the headers are too large; send less"});
-        } else if (failure == beast::error::timeout) {
-            refuse({error_kind::invalid_request,
-                    "the request was not complete in time; send it without pauses"});
-        } else if (failure &&
-                   failure.category() == http::make_error_code(http::error::bad_method).category() &&
-                   failure != http::error::end_of_stream && failure != http::error::partial_message) {
-            refuse({error_kind::invalid_request, "not a valid HTTP request: " + failure.message()});
-        } else if (!failure) {
-            stream_.expires_never();
-            const http_request request = to_request(parser_->get());
-            on_disconnect_ = nullptr;
-            watch_for_close();
-            handle(request);
+            return;
+        case request_reader::progress::complete:
+            on_request_read(reader_.take());
+            return;
         }
     }
 
+    bool has_room() const {
+        const request_holding own = reader_.holding();
+        const request_buffer buffer{server_->limits.held.held(), server_->limits.held_bytes};
+        return has_room_for_head(own, buffer) && has_room_for_body(own, buffer);
+    }
+
+    void on_request_read(received_request request) {
+        keeps_alive_ = request.keeps_alive;
+        held_.set(reader_.holding().counted_bytes() + request.holding().counted_bytes());
+        stream_.expires_never();
+        on_disconnect_ = nullptr;
+        watch_for_close();
+        handle(to_request(std::move(request)));
+    }
+
     void handle(const http_request& request) {
         try {
             server_->on_request(request, this->shared_from_this());
@@ -251,6 +282,7 @@
     }
 
     void refuse(const error& failure) {
+        keeps_alive_ = false;
         reply(http_status(failure.kind), {}, to_error_body(failure, "").dump());
     }
 
@@ -323,8 +355,9 @@
 
     beast::tcp_stream stream_;
     std::shared_ptr<State> server_;
-    beast::flat_buffer buffer_;
-    std::optional<http::request_parser<growing_body>> parser_;
+    request_reader reader_;
+    byte_hold held_;                    ///< what is held of the request
+    std::array<char, 4096> incoming_{}; ///< read buffer
     std::deque<std::string> outgoing_;
     std::function<void()> on_disconnect_;
     std::optional<typename std::list<typename State::closer>::iterator> waiting_; ///< while it waits
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -1,10 +1,11 @@
 /** \file
- * Defines the HTTP server. Header size, body size, read time and the number of connections are limited, so
- * that a malformed, oversized, slow or half-open request ends with an error and does not affect other
- * callers.
+ * Defines the HTTP server. Header size, body size, read time, the number of connections and what is held of
+ * all requests are limited, so that a malformed, oversized, slow or half-open request ends with an error and
+ * does not affect other callers.
  */
 #pragma once
 
+#include "transport/byte_account.h"
 #include "transport/event_loop.h"
 #include "transport/listen_attempts.h"
 
@@ -56,6 +57,9 @@
     std::size_t header_bytes = 16 << 10;
     duration read_time = seconds(10); ///< timeout from the first byte of a request to its last
     duration idle_time = seconds(60); ///< timeout of a connection between two requests
+    /// Bytes held of requests that are being received or handled, beyond which larger ones are refused.
+    std::size_t held_bytes = std::size_t{64} << 20;
+    byte_account held; ///< counts them; servers with a copy of these limits share it
     /// Open at once. For one more, that which has waited longest for a request is closed; if none waits, the
     /// new one is.
     std::size_t connections = 4000;
--- a/test/transport_test.cpp
+++ b/test/transport_test.cpp
@@ -57,6 +57,21 @@
 
 } // namespace
 
+// A crowd of long heads that stop before their end fills the memory; short requests are served beside it.
+TEST_F(http_pair, long_requests_are_refused_while_too_much_is_held) {
+    http_limits limits;
+    limits.held_bytes = 8 << 10;
+    serve(limits, [](const http_request&, const auto& responder) { responder->reply(200, {}, "{}"); });
+    const std::string long_head = "GET / HTTP/1.1\r\nA: " + std::string(12 << 10, 'a');
+    boost::asio::ip::tcp::socket first(loop.context());
+    first.connect({boost::asio::ip::make_address("127.0.0.1"), server->port()});
+    boost::asio::write(first, boost::asio::buffer(long_head));
+    loop.after(milliseconds(100), [this] { loop.stop(); });
+    loop.run();
+    EXPECT_NE(send_raw(long_head).find("HTTP/1.1 503"), std::string::npos);
+    EXPECT_EQ(ask({}).status, 200);
+}
+
 // Guards against an exception of one handler ending the process, or the timer that has thrown it.
 TEST(event_loop, an_exception_ends_only_the_handler_that_throws) {
     event_loop loop;
