Answers: a status that is none makes an answer invalid

Cause: the parser takes three digits for a status, whatever their value, and what is below 500 and no success was passed on.

Mend: an answer whose status is not within 100 to 599 (RFC 9110, 15) is invalid, as one that is no HTTP: the attempt ends as broken, a request that may be repeated goes elsewhere, others get 502. answer_invalid names the reason (invalid_status).

Test: status_out_of_range, 000, 001, 099, 600 and 999.

--- a/src/relay/http_codec.cpp
+++ b/src/relay/http_codec.cpp
@@ -29,6 +29,10 @@
 /// Above any answer, also of a stream that lasts for a day.
 constexpr std::uint64_t max_answer_body_bytes = std::uint64_t{1} << 30;
 
+/// The statuses that an answer may have (RFC 9110, 15).
+constexpr int first_status = 100;
+constexpr int last_status = 599;
+
 /** \return the status in the first status line within \p text and where that line begins, or nothing. */
 std::optional<std::pair<std::string_view, std::size_t>> find_status_line(std::string_view text) {
     constexpr std::string_view protocol = "HTTP/1.";
@@ -207,14 +211,17 @@
 bool answer_reader::read_head() {
     state_->parser.eager(true);
     headers_ = state_->parser.fields().unpack();
-    if (has_status_line_within(state_->parser.reason(), headers_, status())) {
+    headers_bytes_ = headers_.held_bytes();
+    if (status() < first_status || status() > last_status) {
+        fault_ = answer_fault::invalid_status;
+    } else if (has_status_line_within(state_->parser.reason(), headers_, status())) {
         fault_ = answer_fault::foreign_answer;
     }
     return fault_ == answer_fault::none;
 }
 
 std::size_t answer_reader::held_bytes() const {
-    return state_->unparsed.size() + state_->parser.held_bytes() + headers_.held_bytes();
+    return state_->unparsed.size() + state_->parser.held_bytes() + headers_bytes_;
 }
 
 bool answer_reader::finish() {
--- a/src/relay/http_codec.h
+++ b/src/relay/http_codec.h
@@ -78,6 +78,7 @@
     struct state;
     std::unique_ptr<state> state_;
     header_list headers_;
+    std::size_t headers_bytes_ = 0; ///< memory of \ref headers_
     answer_fault fault_ = answer_fault::none;
     bool is_for_head_;
     std::size_t received_bytes_ = 0; ///< of the answer, with its interim answers
--- a/test/early_answers_test.cpp
+++ b/test/early_answers_test.cpp
@@ -1,4 +1,4 @@
-// Endpoints that answer before they have read a long request.
+// Endpoints that answer before they have read a long request, and answers whose status is none.
 #include "relay_fixture.h"
 
 namespace laurelhoist {
@@ -103,5 +103,30 @@
     EXPECT_GT(endpoint.requests(), 0);
 }
 
+class status_out_of_range : public relay_fixture, public ::testing::WithParamInterface<const char*> {
+protected:
+    std::string answer() const {
+        return std::string("HTTP/1.1 ") + GetParam() +
+               " X\r\nId: 7\r\nReceipt: r\r\nContent-Length: 4\r\n\r\nbody";
+    }
+};
+
+INSTANTIATE_TEST_SUITE_P(all, status_out_of_range, ::testing::Values("000", "001", "099", "600", "999"));
+
+// A caller gets an answer whose status is none.
+TEST_P(status_out_of_range, is_no_answer) {
+    scripted_endpoint endpoint({{answer(), false, false}});
+    start_relay(route(route_kind::non_idempotent, 1), {endpoint.address()});
+    const std::string received = send_request("7");
+    EXPECT_TRUE(contains(received, "HTTP/1.1 502")) << received;
+}
+
+TEST_P(status_out_of_range, is_replaced_by_another_answer) {
+    scripted_endpoint endpoint({{answer(), false, false}, {answer_of("7", "served"), false, false}});
+    start_relay(route(route_kind::idempotent, 2), {endpoint.address()});
+    const std::string received = send_request("7");
+    EXPECT_TRUE(contains(received, "served")) << received;
+}
+
 } // namespace
 } // namespace laurelhoist
