Caller connections: what is sent ahead stays in the network, also while answers go out

Cause: reading is paused above 64 KiB sent ahead, but each answer resumed it for one read of 8 KiB, while the next request took a hundred bytes; and between an answer at once and the look for the next request, in a later turn of the loop, nothing paused it at all. A caller that does not read got further requests served, whose answers piled up for it. Besides, a string keeps its memory: a connection without a request kept some 16 KB, and a body up to its own size again.

Mend: reading goes on only once little is ahead (16 KiB), and only while the account of requests has room; a state says that the next request is due, from the end of an answer until it has been looked for, which waits until no more than 16 KiB of the caller's answers are unsent. A caller that waits for each answer before it sends on meets neither. What has been parsed is released, and bodies grow by an eighth.

--- a/src/relay/caller_connection.cpp
+++ b/src/relay/caller_connection.cpp
@@ -30,7 +30,9 @@
 constexpr duration idle_slack = seconds(1);
 /// Bytes that a caller may send ahead of the answer to its present request before they are left in the
 /// network.
-constexpr std::size_t max_bytes_ahead = 64 << 10;
+constexpr std::size_t max_bytes_ahead = 16 << 10;
+/// Unsent bytes of answers from which on no further request of the caller is read.
+constexpr std::size_t max_unsent_before_next = 16 << 10;
 /// A caller that accepts nothing for this long is disconnected. Endpoints drop an answer that stays unread
 /// for some seconds, so a longer wait would not save it.
 constexpr duration unread_timeout = seconds(4);
@@ -80,7 +82,7 @@
         timeout_start_ = monotonic_now();
     }
     reader_.feed({incoming_.data(), bytes});
-    if (!is_serving_) {
+    if (!is_serving_ && !is_next_due_) {
         read_requests();
     }
     bound_received();
@@ -131,12 +133,13 @@
 }
 
 bool caller_connection::has_read_ahead() const {
-    return is_serving_ && (reader_.unparsed_bytes() > max_bytes_ahead ||
+    const bool is_busy = is_serving_ || is_next_due_;
+    return is_busy && (reader_.unparsed_bytes() > max_bytes_ahead ||
                        !has_room_for_head(reader_.holding(), events_.requests_held()));
 }
 
 void caller_connection::resume_reading() {
-    if (is_reading_paused_ && !is_closed_) {
+    if (is_reading_paused_ && !is_closed_ && !has_read_ahead()) {
         is_reading_paused_ = false;
         start_read();
     }
@@ -220,9 +223,20 @@
         close();
     } else if (on_sent_) {
         on_sent_();
+    } else if (is_next_due_) {
+        read_next_request();
     }
 }
 
+void caller_connection::read_next_request() {
+    is_next_due_ = unsent_bytes() > max_unsent_before_next;
+    if (is_closed_ || is_serving_ || is_closing_ || is_next_due_) {
+        return;
+    }
+    read_requests();
+    resume_reading();
+}
+
 void caller_connection::end_answer() {
     on_gone_ = nullptr;
     on_sent_ = nullptr;
@@ -241,14 +255,10 @@
         return;
     }
     is_serving_ = false;
+    is_next_due_ = true;
     timeout_start_ = monotonic_now();
     // Deferred, because the exchange that finishes may still be using this connection.
-    asio::post(socket_.get_executor(), [self = shared_from_this()] {
-        if (!self->is_closed_ && !self->is_serving_) {
-            self->read_requests();
-            self->resume_reading();
-        }
-    });
+    asio::post(socket_.get_executor(), [self = shared_from_this()] { self->read_next_request(); });
 }
 
 void caller_connection::abort() {
--- a/src/relay/caller_connection.h
+++ b/src/relay/caller_connection.h
@@ -89,6 +89,8 @@
     void start_read();
     void on_read(std::size_t bytes);
     void read_requests();
+    /** Reads the request that follows an answer, once little of the answers is unsent. */
+    void read_next_request();
     /** Updates the count of received bytes; drops the body of the present request if there is no room.
      * \return whether there is room for what is held then */
     bool bound_received();
@@ -123,6 +125,9 @@
     time_point timeout_start_; ///< when the connection became idle or the present request began to arrive
     bool is_serving_ = false;
     bool is_reading_paused_ = false; ///< the caller has sent much ahead of the answer to its present request
+    /// An answer has ended, and the next request has not been looked for: that is done in a later turn of the
+    /// loop, and once the caller has read more of its answers.
+    bool is_next_due_ = false;
     bool is_flushing_ = false;
     bool is_flush_posted_ = false;
     bool is_closing_ = false;
--- a/src/transport/message_parser.h
+++ b/src/transport/message_parser.h
@@ -70,6 +70,7 @@
         failure = {}; // Memory is taken for what has arrived, and not for what a head states.
     }
     std::size_t on_body_impl(text body, error_code& failure) override {
+        reserve_for_body(body_.size() + body.size());
         body_.append(body.data(), body.size());
         failure = {};
         return body.size();
@@ -82,6 +83,14 @@
     }
     void on_finish_impl(error_code& failure) override { failure = {}; }
 
+    // A string doubles its memory as it grows, of which up to half would be unused and in no account.
+    void reserve_for_body(std::size_t size) {
+        constexpr std::size_t growth_divisor = 8;
+        if (size > body_.capacity()) {
+            body_.reserve(size + size / growth_divisor);
+        }
+    }
+
     std::string method_;
     std::string target_;
     std::string reason_;
--- a/src/transport/request_reader.cpp
+++ b/src/transport/request_reader.cpp
@@ -37,6 +37,9 @@
         return state_->empty_line_bytes > header_bytes_ ? progress::header_too_large : progress::needs_more;
     }
     const progress made = parse();
+    if (pending_.empty()) {
+        std::string().swap(pending_); // Most connections wait for long between two requests.
+    }
     const bool may_go_on = made == progress::needs_more || made == progress::needs_continue;
     return may_go_on && has_too_much_unparsed() ? progress::header_too_large : made;
 }
@@ -70,7 +73,7 @@
             parser.eager(true);
         }
         if (state_->is_body_dropped) {
-            parser.body().clear();
+            std::string().swap(parser.body());
         }
         if (failure == http::error::need_more) {
             break;
