Review case 10: a worker that has left is used again when the store refuses the machine

Cause: the roster keeps lapsed endpoints beyond their grace period and adds them again in the next one.

--- a/review/lib-2/fleet.py
+++ b/review/lib-2/fleet.py
@@ -71,16 +71,21 @@
 
 class Door(Listener):
     """The store as one machine reaches it. While `is_silent`, a response that is due is lost, and its channel returns
-    nothing further; a call that arrives is not answered either. Other machines are served."""
+    nothing further; a call that arrives is not answered either. While it `refuses`, a call that arrives gets 503.
+    Other machines are served."""
 
     def __init__(self, store, record, machine):
         self.store, self.record, self.machine = store, record, machine
-        self.is_silent, self.calls = False, []  # (arrival time, target) of each call
+        self.is_silent, self.refuses, self.calls = False, False, []  # calls: (arrival time, target) of each
 
     async def serve(self, reader, writer):
         while (request := await read_request(reader)) is not None:
             method, target, _, body = request
             self.calls.append((time.monotonic(), target))
+            if self.refuses:
+                writer.write(answer(503, b"{}"))
+                await writer.drain()
+                continue
             reply = None if self.is_silent else await self.store.handle(method, target, body)
             if reply is None or self.is_silent:
                 self.record.note("response_lost", machine=self.machine, call=target)
