--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,5 +1,5 @@
-"""A worker leaves shortly after the store has refused a machine for a moment. When the store refuses the machine again,
-seconds later, the machine takes up the worker that it knows to have left."""
+"""A store that is silent to one machine for 0.8 s loses the response to the watch of the workers. The machine goes on
+with a channel that returns nothing, while its other calls are answered."""
 import asyncio
 import pathlib
 import sys
@@ -9,10 +9,10 @@
 sys.path.insert(0, str(FOLDER.parent / "lib-2"))
 from fleet import BOUNDS, Fleet, Worker, run_case  # noqa: E402
 
-REFUSAL_S = 3.0
-LEAVES_AFTER_S = 1.0         # after the first refusal
-SECOND_REFUSAL_AFTER_S = 6.0  # after the first refusal
+SILENCE_S = 0.8
+CONTACT_S = BOUNDS["contact_ms"] / 1000
 DRAIN_S = BOUNDS["drain_ms"] / 1000
+SERVING_AFTER_DRAIN_S = 5.0  # "a little longer (at times many seconds)"
 
 ROUTE = {"name": "claims", "host": "h.example", "path_prefix": "/claims/", "kind": "unsafe", "timeout_ms": 4000,
          "target_latency_ms": 300, "max_attempts": 1, "priority": 0, "allow_anonymous": True, "service": "claimsvc"}
@@ -29,14 +29,6 @@
     await asyncio.gather(*tasks)
 
 
-async def refuse(record, machine, has_trouble):
-    record.note("refusal_begins" if has_trouble else "no_refusal", machine=machine.name)
-    machine.door.refuses = has_trouble
-    await asyncio.sleep(REFUSAL_S)
-    machine.door.refuses = False
-    record.note("refusal_ends", machine=machine.name)
-
-
 async def play(record, has_trouble):
     fleet = Fleet(record, machines=3)
     stop = asyncio.Event()
@@ -45,13 +37,24 @@
         traffic = asyncio.create_task(send_requests(fleet, stop))
         await asyncio.sleep(1)
         machine, leaving = fleet.machines[1], fleet.workers["i-0"]
-        await refuse(record, machine, has_trouble)
-        await asyncio.sleep(LEAVES_AFTER_S)
+        # Two workers join, one after the other. The store is silent to one machine as the second one joins.
+        await machine.door.wait_for_call("/objects/config")
+        await fleet.add(Worker("i-4", "claimsvc", record))
+        await asyncio.sleep(0.4)
+        if has_trouble:
+            record.note("silence_begins", machine=machine.name)
+            machine.door.is_silent = True
+        await asyncio.sleep(0.1)
+        await fleet.add(Worker("i-5", "claimsvc", record))
+        await asyncio.sleep(SILENCE_S - 0.1)
+        machine.door.is_silent = False
+        record.note("silence_ends", machine=machine.name)
+        # The machine and the store have been without disturbance for contact_ms when a worker drains.
+        await asyncio.sleep(CONTACT_S + 0.2)
+        fleet.list(leaving, "draining")
+        drained_at = time.monotonic()
+        await asyncio.sleep(DRAIN_S + SERVING_AFTER_DRAIN_S)
         fleet.store.remove("servers", leaving.name)
-        left_at = time.monotonic()
-        record.note("store_removes", worker=leaving.name)
-        await asyncio.sleep(SECOND_REFUSAL_AFTER_S - LEAVES_AFTER_S)
-        await refuse(record, machine, has_trouble)
         leaving.crash()
         record.note("worker_ends", worker=leaving.name)
         await asyncio.sleep(0.5)
@@ -59,11 +62,11 @@
         await traffic
     finally:
         await fleet.stop()
-    late = [(at - left_at, request_id) for at, request_id in leaving.runs if at > left_at + DRAIN_S]
+    late = [(at - drained_at, request_id) for at, request_id in leaving.runs if at > drained_at + DRAIN_S]
     record.note("result", served=sum(each["status"] == 200 for each in fleet.answers), sent=len(fleet.sent),
                 late=len(late))
     return [f"DRAIN: {request_id}, sent to {fleet.sent[request_id][1].name}, reached {leaving.name} {after:.2f} s after "
-            f"the store removed it (drain_ms {BOUNDS['drain_ms']})" for after, request_id in late]
+            f"the store accepted that it drains (drain_ms {BOUNDS['drain_ms']})" for after, request_id in late]
 
 
 run_case(FOLDER, play)
--- a/review/lib-2/fleet.py
+++ b/review/lib-2/fleet.py
@@ -5,6 +5,7 @@
 import os
 import pathlib
 import re
+import shutil
 import signal
 import socket
 import sys
@@ -220,14 +221,22 @@
             await asyncio.sleep(0.1)
         raise RuntimeError(f"{machine.name} does not become ready")
 
+    async def open(self, machine):
+        return await asyncio.wait_for(asyncio.open_connection(machine.ip, self.ports["front"]), 1)
+
     async def ask(self, machine, request_id, path, method="POST", fields=(), body=b"x" * 200, timeout=6.0):
         """Sends one request on a channel of its own and reads the answer."""
+        return await self.ask_on(None, machine, request_id, path, method, fields, body, timeout)
+
+    async def ask_on(self, channel, machine, request_id, path, method="POST", fields=(), body=b"x" * 200, timeout=6.0):
+        """Sends one request on `channel`, or on a channel of its own, and reads the answer. For a kept channel, returns
+        whether it may be used again."""
         self.sent[request_id] = (time.monotonic(), machine)
         self.record.note("sent", id=request_id, to=machine.name, path=path)
         result = {"id": request_id, "status": None, "headers": {}, "body": b"", "problem": ""}
         writer = None
         try:
-            reader, writer = await asyncio.wait_for(asyncio.open_connection(machine.ip, self.ports["front"]), 1)
+            reader, writer = channel or await self.open(machine)
             head = f"{method} {path} HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: {request_id}\r\n"
             head += "".join(f"{name}: {value}\r\n" for name, value in fields)
             head += f"Content-Length: {len(body)}\r\n" if method == "POST" else ""
@@ -235,12 +244,12 @@
             await asyncio.wait_for(self.read_answer(reader, result), timeout)
         except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError) as problem:
             result["problem"] = repr(problem)
-        finally:
-            if writer is not None:
-                writer.close()
+        is_kept = channel is not None and not result["problem"] and result["headers"].get("connection") != "close"
+        if writer is not None and not is_kept:
+            writer.close()
         self.answers.append(result)
         self.record.note("answered", id=request_id, status=result["status"], problem=result["problem"] or "-")
-        return result
+        return is_kept if channel is not None else result
 
     async def read_answer(self, reader, result):
         lines = (await reader.readuntil(b"\r\n\r\n")).decode("latin1").split("\r\n")
@@ -263,6 +272,15 @@
             if machine.process is not None and machine.process.returncode is None:
                 machine.process.kill()
                 await machine.process.wait()
+        shutil.rmtree(self.folder, ignore_errors=True)
+
+
+async def play_until_signal(play, record, has_trouble):
+    """Plays the case; a signal that ends the script ends its processes first."""
+    loop, task = asyncio.get_running_loop(), asyncio.current_task()
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        loop.add_signal_handler(number, task.cancel)
+    return await asyncio.wait_for(play(record, has_trouble), 110)
 
 
 def run_case(folder, play):
@@ -271,8 +289,8 @@
     record = Record(pathlib.Path(folder) / "record.txt")
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     try:
-        violations = asyncio.run(asyncio.wait_for(play(record, has_trouble), 110))
-    except Exception as problem:  # Any failure of the script itself means that the case could not run.
+        violations = asyncio.run(play_until_signal(play, record, has_trouble))
+    except (Exception, asyncio.CancelledError) as problem:  # The script itself has failed or was ended.
         record.note("could_not_run", problem=repr(problem))
         print(f"could not run: {problem!r}")
         sys.exit(2)
