--- a/review/10/case.py
+++ b/review/10/case.py
@@ -7,7 +7,7 @@
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "lib-2"))
-from fleet import BOUNDS, Fleet, Worker, run_case  # noqa: E402
+from fleet import BOUNDS, Fleet, Worker, require_service, run_case  # noqa: E402
 
 SILENCE_S = 0.8
 CONTACT_S = BOUNDS["contact_ms"] / 1000
@@ -61,7 +61,8 @@
         stop.set()
         await traffic
     finally:
-        await fleet.stop()
+        fleet.stop()
+    require_service(fleet, 0.9)
     late = [(at - drained_at, request_id) for at, request_id in leaving.runs if at > drained_at + DRAIN_S]
     record.note("result", served=sum(each["status"] == 200 for each in fleet.answers), sent=len(fleet.sent),
                 late=len(late))
--- a/review/lib-2/fleet.py
+++ b/review/lib-2/fleet.py
@@ -8,6 +8,7 @@
 import shutil
 import signal
 import socket
+import subprocess
 import sys
 import tempfile
 import time
@@ -119,6 +120,9 @@
             if headers.get("x-expect-instance", self.name) != self.name:
                 writer.write(answer(421, b"", [("X-Not-Executed", "1"), ("X-Request-Id", request_id)]))
                 continue
+            if target == "/healthz":  # A liveness check is no run.
+                writer.write(answer(200, b"", [("X-Instance-Id", self.name)]))
+                continue
             self.runs.append((time.monotonic(), request_id))
             self.record.note("run", worker=self.name, id=request_id, target=target)
             await asyncio.sleep(self.work_s)
@@ -154,8 +158,8 @@
         path = fleet.folder / f"{self.name}.flags"
         path.write_text(render((ROOT / fleet.role["template"]).read_text(), fields))
         self.log = open(fleet.folder / f"{self.name}.log", "ab")
-        self.process = await asyncio.create_subprocess_exec(
-            *fleet.role["run"].split(), cwd=ROOT, stdout=self.log, stderr=self.log,
+        self.process = subprocess.Popen(  # Not awaited: a script that is ended here would not know of the process.
+            fleet.role["run"].split(), cwd=ROOT, stdout=self.log, stderr=self.log,
             env={"PATH": os.environ["PATH"], "HOME": os.environ.get("HOME", "/"), "LANG": "C.UTF-8",
                  "LAURELHOIST_BOOT": str(path)})
 
@@ -267,14 +271,24 @@
         else:
             result["body"] = await reader.readexactly(int(headers.get("content-length", "0")))
 
-    async def stop(self):
+    def stop(self):
+        """Ends the processes. Does not wait for anything else, so that a second signal interrupts nothing."""
         for machine in self.machines:
-            if machine.process is not None and machine.process.returncode is None:
+            if machine.process is not None:
                 machine.process.kill()
-                await machine.process.wait()
+        for machine in self.machines:
+            if machine.process is not None:
+                machine.process.wait()
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
+def require_service(fleet, least):
+    """Raises if fewer than the part `least` of the requests were served: the case then shows nothing."""
+    served = sum(each["status"] == 200 and not each["problem"] for each in fleet.answers)
+    if served < least * len(fleet.sent):
+        raise RuntimeError(f"{served} of {len(fleet.sent)} requests were served")
+
+
 async def play_until_signal(play, record, has_trouble):
     """Plays the case; a signal that ends the script ends its processes first."""
     loop, task = asyncio.get_running_loop(), asyncio.current_task()
