Memory lines and gauges: the peak, the allocator's share, and bytes not read from sockets

The line and the gauges now have the peak (peak_resident_bytes), what the allocator has handed out and keeps (allocated_bytes, allocator_kept_bytes) and what has arrived and is not read (unread_bytes); answer_refused has resident_bytes. No logic changes.

--- a/src/base/base.h
+++ b/src/base/base.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "base/allocator.h"
 #include "base/clock.h"
 #include "base/digest.h"
 #include "base/error.h"
--- a/src/base/metrics.cpp
+++ b/src/base/metrics.cpp
@@ -16,6 +16,7 @@
 #include <cmath>
 #include <fstream>
 #include <sstream>
+#include <string_view>
 
 namespace laurelhoist {
 
@@ -114,4 +115,18 @@
     return resident_pages * static_cast<std::uint64_t>(sysconf(_SC_PAGESIZE));
 }
 
+std::uint64_t process_peak_resident_bytes() {
+    constexpr std::string_view peak_field = "VmHWM:";
+    constexpr std::uint64_t bytes_per_kb = 1024;
+    std::ifstream file("/proc/self/status");
+    std::string field;
+    while (file >> field) {
+        std::uint64_t peak_kb = 0;
+        if (field == peak_field && file >> peak_kb) {
+            return peak_kb * bytes_per_kb;
+        }
+    }
+    return 0;
+}
+
 } // namespace laurelhoist
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -61,5 +61,7 @@
 double process_cpu_seconds();
 /** \return this process's resident memory in bytes. */
 std::uint64_t process_resident_bytes();
+/** \return the most resident memory that this process has had, in bytes; 0 if the system does not say. */
+std::uint64_t process_peak_resident_bytes();
 
 } // namespace laurelhoist
--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -226,7 +226,12 @@
     measured.gauge("config_age_ms", std::min(to_ms(relay_.state().freshness.age(monotonic_now())), 1e9));
     measured.gauge("sessions_remembered", static_cast<double>(rollouts_.remembered_sessions()));
     measured.gauge("requests_under_quarantine", static_cast<double>(quarantined().size()));
+    const allocator_memory allocated = allocated_memory();
+    measured.gauge("allocated_bytes", static_cast<double>(allocated.in_use));
+    measured.gauge("allocator_kept_bytes", static_cast<double>(allocated.kept));
+    measured.gauge("unread_bytes", static_cast<double>(relay_.unread_bytes()));
     measured.gauge("resident_bytes", static_cast<double>(process_resident_bytes()));
+    measured.gauge("peak_resident_bytes", static_cast<double>(process_peak_resident_bytes()));
     return measured.to_text();
 }
 
@@ -238,8 +243,13 @@
     const std::uint64_t resident_bytes = process_resident_bytes();
     if (const std::optional<int> percent = memory_.note(resident_bytes)) {
         relay_.state().measured.count("memory_levels_passed");
+        const allocator_memory allocated = allocated_memory();
         log_warning("memory_high", {{"percent", *percent},
                                     {"resident_bytes", resident_bytes},
+                                    {"peak_resident_bytes", process_peak_resident_bytes()},
+                                    {"allocated_bytes", allocated.in_use},
+                                    {"allocator_kept_bytes", allocated.kept},
+                                    {"unread_bytes", relay_.unread_bytes()},
                                     {"limit_bytes", memory_.limit_bytes()},
                                     {"requests_active", relay_.active()},
                                     {"caller_unsent_bytes", relay_.unsent_bytes()},
--- a/src/relay/caller_connection.cpp
+++ b/src/relay/caller_connection.cpp
@@ -280,6 +280,11 @@
     return is_closed_ || seen == 0 || (seen < 0 && !has_nothing);
 }
 
+std::size_t caller_connection::unread_bytes() const {
+    asio_error ignored;
+    return is_closed_ ? 0 : socket_.available(ignored);
+}
+
 void caller_connection::check_timeouts(time_point now) {
     if (is_closed_) {
         return;
--- a/src/relay/caller_connection.h
+++ b/src/relay/caller_connection.h
@@ -83,6 +83,8 @@
     bool has_disconnected();
     bool is_from_peer() const { return source_ == request_source::peer; }
     bool is_serving() const { return is_serving_; }
+    /** \return the bytes that have arrived and have not been read. Costs a system call. */
+    std::size_t unread_bytes() const;
     std::size_t unsent_bytes() const { return outgoing_.size() + in_flight_.size(); }
 
 private:
--- a/src/relay/endpoint_connection.cpp
+++ b/src/relay/endpoint_connection.cpp
@@ -91,6 +91,11 @@
                       });
 }
 
+std::size_t endpoint_connection::unread_bytes() const {
+    asio_error ignored;
+    return is_open() ? socket_.available(ignored) : 0;
+}
+
 void endpoint_connection::resume_reading() {
     is_reading_paused_ = false;
     if (!is_reading_ && is_open()) {
--- a/src/relay/endpoint_connection.h
+++ b/src/relay/endpoint_connection.h
@@ -66,6 +66,8 @@
     const std::string& address() const { return address_; }
     bool is_open() const { return is_connected_ && socket_.is_open(); }
     bool has_unsent() const { return !outgoing_.empty(); }
+    /** \return the bytes that have arrived and have not been read. Costs a system call. */
+    std::size_t unread_bytes() const;
 
     time_point idle_until; ///< when the pool closes an idle connection
 
--- a/src/relay/exchange.h
+++ b/src/relay/exchange.h
@@ -28,6 +28,8 @@
     void start();
     /** Checks time limits; called every 50 ms. */
     void on_tick(time_point now);
+    /** \return the bytes that the present endpoint has sent and this host has not read. */
+    std::size_t unread_bytes() const { return connection_ ? connection_->unread_bytes() : 0; }
     /** Ends the present attempt if it was sent to an earlier process of \p endpoint. */
     void on_endpoint_restarted(const endpoint_record& endpoint);
     /** Refuses this request if it waits for an endpoint and cannot be answered before the host stops.
--- a/src/relay/exchange_answers.cpp
+++ b/src/relay/exchange_answers.cpp
@@ -275,6 +275,7 @@
                  {"bytes", bytes},
                  {"limit_bytes", limit},
                  {"held_bytes", state_.answer_bytes.held()},
+                 {"resident_bytes", process_resident_bytes()},
                  {"remedy", "raise --max_answer_kb if the endpoint's answers are that large"}});
     end_attempt(attempt_end::broken);
 }
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -422,6 +422,17 @@
     for_each_active([&endpoint](exchange& each) { each.on_endpoint_restarted(endpoint); });
 }
 
+std::size_t relay::unread_bytes() const {
+    std::size_t bytes = 0;
+    for (const auto& caller : callers_) {
+        bytes += caller->unread_bytes();
+    }
+    for (const auto& each : active_) {
+        bytes += each->unread_bytes();
+    }
+    return bytes;
+}
+
 std::size_t relay::unsent_bytes() const {
     return std::accumulate(callers_.begin(), callers_.end(), std::size_t{0},
                            [](std::size_t sum, const auto& caller) { return sum + caller->unsent_bytes(); });
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -202,6 +202,9 @@
     void end_requests();
     /** \return the bytes of answers that wait for their callers to read. */
     std::size_t unsent_bytes() const;
+    /** \return the bytes that callers and endpoints have sent and this host has not read. Costs a system call
+     * for each connection. */
+    std::size_t unread_bytes() const;
     /** \return what operators see of the load, as of \ref load_summary::report. */
     json report_load(const load_filter& filter) const;
     /** \return the unsent bytes of one caller from which on no more of its answer is read: an even share of
