Answers: what is held of one takes about the memory of its bytes

What callers saw: beside one endpoint that sends an answer without an end, hosts of 110 MB end by themselves, and the requests that they have passed on end with them.

Cause: a held answer was one string that doubles. While it grows, the old and the new memory exist together, and no hole that it leaves behind fits the next size; passing it on copied it once more, and an event of a stream was copied three times. The account of answers counted its bytes once.

Change: bodies and events are held in blocks of 64 KiB (byte_blocks), which are moved and not copied when they are passed on. Event ends and ids are found in the pieces as they arrive (event_scanner), so that an event need not be contiguous. byte_blocks keeps its blocks in a vector: an empty one takes no memory.

The tests of event_joiner and byte_blocks read the output through content_of, with the same assertions.

--- a/src/relay/caller_connection.cpp
+++ b/src/relay/caller_connection.cpp
@@ -175,6 +175,19 @@
         return;
     }
     outgoing_.append(bytes);
+    post_flush();
+}
+
+void caller_connection::write(byte_blocks&& bytes) {
+    if (is_closed_) {
+        bytes.clear();
+        return;
+    }
+    outgoing_.append(std::move(bytes));
+    post_flush();
+}
+
+void caller_connection::post_flush() {
     count_outgoing();
     if (!is_flushing_ && !is_flush_posted_) {
         is_flush_posted_ = true;
--- a/src/relay/caller_connection.h
+++ b/src/relay/caller_connection.h
@@ -58,6 +58,8 @@
     void on_sent(std::function<void()> work) { on_sent_ = std::move(work); }
     /** Adds \p bytes to the answer; those of one iteration of the event loop are sent in one write. */
     void write(std::string_view bytes);
+    /** The same for bytes that are moved, so that a long answer is not held twice. */
+    void write(byte_blocks&& bytes);
     /** Ends the answer. \param keeps_alive whether the caller may send another request */
     void finish(bool keeps_alive);
     /** Resets the connection at once, so that the caller cannot take a partial answer for a complete one. */
@@ -103,6 +105,7 @@
     void refuse_for_memory();
     void send_rejection(int status, const header_list& headers, const std::string& remedy);
     void count_outgoing() { held_.set(unsent_bytes()); }
+    void post_flush();
     void flush();
     void write_some();
     void on_written(bool has_failed, std::size_t bytes);
--- a/src/relay/event_stream.h
+++ b/src/relay/event_stream.h
@@ -5,6 +5,8 @@
  */
 #pragma once
 
+#include "relay/byte_blocks.h"
+
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -12,18 +14,30 @@
 
 namespace laurelhoist {
 
-/** Finds the end of the first event in a text that grows. Looks at each byte once, however small the pieces
- * are in which the text arrives. */
-class event_end_search {
+/** Finds the ends and ids of the events in a text that arrives in pieces. Looks at each byte once, and keeps
+ * of an event no more than the beginning of one line. */
+class event_scanner {
 public:
-    /** \param text the event as far as it has arrived; begins with the text of the previous call
-     * \return the length of the first complete event, including its blank line, or 0 */
-    std::size_t find_in(std::string_view text);
-    /** Prepares for another text. */
-    void restart() { searched_bytes_ = 0; }
+    /** \param text the bytes that follow those of the previous call
+     * \return the number of bytes up to the end of the present event, including its blank line; 0 if it does
+     * not end in \p text. What follows an end belongs to the next event, which begins with \ref restart. */
+    std::size_t find_end(std::string_view text);
+    /** \return the number in the first `id:` line of the present event, or nothing if there is none. */
+    std::optional<std::int64_t> id() const { return id_; }
+    /** Prepares for another event. */
+    void restart() { *this = event_scanner{}; }
 
 private:
-    std::size_t searched_bytes_ = 0; ///< those at the beginning of the text that hold no end of an event
+    void read_line_part(std::string_view part);
+    bool ends_event_with_line();
+
+    std::optional<std::int64_t> id_;
+    bool has_id_line_ = false;
+    std::string line_start_;         ///< of the present line
+    std::size_t line_bytes_ = 0;     ///< of the present line so far
+    char last_of_line_ = 0;          ///< its last byte so far
+    bool has_lines_ = false;         ///< at least one line of the event has ended
+    bool ended_with_return_ = false; ///< the line before did, besides its line feed
 };
 
 /** Joins the event streams of one or more runs of the same request.
@@ -39,12 +53,12 @@
     /** Starts the stream of another run and discards an incomplete event of the previous run. */
     void begin_run() {
         partial_.clear();
-        end_search_.restart();
+        scanner_.restart();
         is_in_order_ = true;
     }
     /** Adds body bytes of the current run and appends the complete events that the caller lacks to \p out.
      * \return the number of events appended, or nothing if an event id was skipped */
-    std::optional<int> feed(std::string_view bytes, std::string& out);
+    std::optional<int> feed(std::string_view bytes, byte_blocks& out);
 
     std::int64_t last_id() const { return last_id_; }
     bool has_partial_event() const { return !partial_.empty(); }
@@ -53,12 +67,9 @@
 
 private:
     std::int64_t last_id_;
-    std::string partial_;
-    event_end_search end_search_; ///< of the event in \ref partial_
+    byte_blocks partial_;
+    event_scanner scanner_; ///< of the event in \ref partial_
     bool is_in_order_ = true;
 };
 
-/** \return the number in the `id:` line of \p event, or nothing if there is none. */
-std::optional<std::int64_t> event_id(std::string_view event);
-
 } // namespace laurelhoist
--- a/src/relay/exchange.h
+++ b/src/relay/exchange.h
@@ -205,7 +205,7 @@
     std::optional<std::size_t> stated_length() const;
     /** Sends the head of an answer that is passed on. */
     void begin_passing_on();
-    void write_chunk(const std::string& bytes);
+    void write_chunk(byte_blocks&& bytes);
     /** Passes on what has been received of an answer that is no stream; the rest follows as it arrives. */
     void pass_on();
     /** Records how long a complete answer of the route is, for \ref admit_answer. */
@@ -234,8 +234,10 @@
     /** Decides whether the answer is good enough to be forwarded, once its first event has arrived.
      * \return whether it is; otherwise it has been declined */
     bool accept_answer();
-    /** Forwards the complete events received so far. \return whether the attempt continues */
-    bool forward_events();
+    /** Forwards the events that \p part of the body completes. \return whether the attempt continues */
+    bool forward_events(std::string_view part);
+    /** Moves what is held of the stream to the events. \return whether no event is missing */
+    bool join_held_events(byte_blocks& complete);
     /** Reads on from the endpoint once the caller has received enough of what was forwarded. */
     void on_caller_progress();
     /** \return whether the attempt makes no progress because the caller does not read. */
@@ -343,9 +345,9 @@
     std::shared_ptr<endpoint_connection> connection_;
     std::optional<answer_reader> reader_;
     std::optional<answer_terms> answer_; ///< \see answer
-    std::string body_;
+    byte_blocks body_; ///< what is held of the answer; of an event stream, until it is accepted
     event_joiner events_{0};
-    event_end_search first_event_;   ///< of an event stream that is not accepted yet, in \ref body_
+    event_scanner first_event_;      ///< of an event stream that is not accepted yet, in \ref body_
     std::set<std::string> tried_;    ///< endpoints of failed attempts, which placement avoids
     std::size_t min_model_size_ = 0; ///< index of the smallest model to use; raised for each step up
     duration config_age_{};          ///< time since the configuration was confirmed, when the request arrived
--- a/src/relay/exchange_answers.cpp
+++ b/src/relay/exchange_answers.cpp
@@ -2,6 +2,7 @@
 #include "relay/exchange.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace laurelhoist {
 
@@ -87,7 +88,8 @@
 
 void exchange::read_answer(std::string_view bytes) {
     while (!bytes.empty() && !is_in_state("finished")) {
-        const std::optional<std::size_t> used = reader_->feed(bytes, body_);
+        std::string part_of_body;
+        const std::optional<std::size_t> used = reader_->feed(bytes, part_of_body);
         if (!used) {
             on_invalid_answer();
             return;
@@ -104,19 +106,22 @@
                 return;
             }
             if (!reader_->is_complete()) {
-                body_.clear();
                 return;
             }
             state_.measured.count("stray_answers");
             reader_.emplace(request_.method == "HEAD");
             answer_.reset();
-            body_.clear();
             continue;
         }
         attempt_.heard_at = monotonic_now();
         has_excess_bytes_ = has_excess_bytes_ || !bytes.empty();
         record_endpoint_statement();
-        if ((is_event_stream() && !forward_events()) || !hold_answer()) {
+        if (!is_event_stream()) {
+            body_.append(part_of_body);
+        } else if (!forward_events(part_of_body)) {
+            return;
+        }
+        if (!hold_answer()) {
             return;
         }
         if (reader_->is_complete()) {
@@ -219,33 +224,27 @@
 }
 
 void exchange::pass_on() {
-    const bool is_first_part = !is_passed_on_;
-    if (is_first_part) {
+    if (!is_passed_on_) {
         begin_passing_on();
     }
+    passed_on_bytes_ += body_.size();
     if (passes_in_chunks_) {
-        write_chunk(body_);
+        write_chunk(std::move(body_));
     } else {
-        caller_->write(body_);
-    }
-    passed_on_bytes_ += body_.size();
-    body_.clear();
-    if (is_first_part) {
-        body_.shrink_to_fit(); // Later parts are as short as what one read brings.
-        held_answer_.set(0);
+        caller_->write(std::move(body_));
     }
+    held_answer_.set(0);
     if (!reader_->is_complete()) {
         pause_for_caller();
     }
 }
 
-// In three writes, as a copy of a long first part would need its memory once more.
-void exchange::write_chunk(const std::string& bytes) {
+void exchange::write_chunk(byte_blocks&& bytes) {
     if (bytes.empty()) {
         return; // An empty chunk would end the answer.
     }
     caller_->write(chunk_head(bytes.size()));
-    caller_->write(bytes);
+    caller_->write(std::move(bytes));
     caller_->write("\r\n");
 }
 
@@ -347,40 +346,50 @@
     return true;
 }
 
-bool exchange::forward_events() {
+bool exchange::forward_events(std::string_view part) {
     if (!answer().has_receipt) {
         end_attempt(attempt_end::broken);
         return false;
     }
     confidence_ = answer().confidence.value_or(-1);
     if (!attempt_.is_accepted) {
-        if (first_event_.find_in(body_) == 0) {
+        body_.append(part);
+        if (first_event_.find_end(part) == 0) {
             return true;
         }
         if (!accept_answer()) {
             return false;
         }
+        part = {}; // It is the end of what is held.
     }
-    std::string out;
-    const std::optional<int> count = events_.feed(body_, out);
-    body_.clear();
-    if (!count) {
+    byte_blocks complete;
+    if (!join_held_events(complete) || !events_.feed(part, complete)) {
         end_attempt(attempt_end::out_of_order);
         return false;
     }
-    if (out.empty()) {
+    if (complete.empty()) {
         return true;
     }
     record_first_byte();
     begin_stream_answer();
     record_forwarded_event();
-    std::string chunk;
-    append_chunk(chunk, out);
-    caller_->write(chunk);
+    write_chunk(std::move(complete));
     pause_for_caller();
     return true;
 }
 
+// Releases what is held block by block, so that a long event is not held twice.
+bool exchange::join_held_events(byte_blocks& complete) {
+    while (!body_.empty()) {
+        const std::string_view held = body_.front(1).front();
+        if (!events_.feed(held, complete)) {
+            return false;
+        }
+        body_.drop_front(held.size());
+    }
+    return true;
+}
+
 void exchange::on_caller_progress() {
     if (is_waiting_for_caller() && caller_->unsent_bytes() <= owner_.max_unsent_bytes_per_caller() / 2) {
         attempt_.heard_at = monotonic_now(); // The endpoint was not silent during the pause.
@@ -588,7 +597,7 @@
         caller_->write(
             answer_head(reader_->status(), reader_->headers(), body_framing::length, body_.size()));
         if (request_.method != "HEAD") {
-            caller_->write(body_);
+            caller_->write(std::move(body_));
         }
     }
     if (passes_in_chunks_) {
--- a/test/event_stream_test.cpp
+++ b/test/event_stream_test.cpp
@@ -1,6 +1,7 @@
 // Event streams that keep a host busy.
 #include "relay/event_stream.h"
 
+#include "byte_text.h"
 #include "work_growth.h"
 
 #include <gtest/gtest.h>
@@ -11,7 +12,7 @@
 /** Feeds a joiner \p bytes of one event that does not end, in small pieces that consist of \p line. */
 void feed_endless_event(std::size_t bytes, const std::string& line) {
     event_joiner joiner(0);
-    std::string out;
+    byte_blocks out;
     for (std::size_t fed = 0; fed < bytes; fed += line.size()) {
         joiner.feed(line, out);
     }
@@ -39,7 +40,7 @@
             packet += short_event;
         }
         event_joiner joiner(0);
-        std::string out;
+        byte_blocks out;
         joiner.feed(packet, out);
         EXPECT_EQ(out.size(), packet.size());
     };
@@ -53,10 +54,10 @@
         const std::string text = event + "data: 2\n";
         for (std::size_t cut = 0; cut <= text.size(); ++cut) {
             event_joiner joiner(0);
-            std::string out;
+            byte_blocks out;
             joiner.feed(text.substr(0, cut), out);
             joiner.feed(text.substr(cut), out);
-            EXPECT_EQ(out, event) << "cut at " << cut;
+            EXPECT_EQ(content_of(out), event) << "cut at " << cut;
         }
     }
 }
--- a/test/foreign_bytes_test.cpp
+++ b/test/foreign_bytes_test.cpp
@@ -145,7 +145,7 @@
         if (reader.has_head()) {
             header_dialect().read_answer(reader.status(), reader.headers());
         }
-        std::string out;
+        byte_blocks out;
         const bool is_in_order = events.feed(body, out).has_value();
         body.clear();
         return is_in_order && !reader.is_complete();
@@ -155,7 +155,7 @@
 
 void read_events_bytes(const std::string& text, generator& random) {
     event_joiner events(0);
-    std::string out;
+    byte_blocks out;
     feed_torn(text, random, [&](std::string_view piece) {
         const bool is_in_order = events.feed(piece, out).has_value();
         // After a gap, the joiner keeps what it has until the next run begins.
--- a/test/relay_test.cpp
+++ b/test/relay_test.cpp
@@ -1,3 +1,4 @@
+#include "byte_text.h"
 #include "relay_fixture.h"
 
 #include "relay/attempt_rules.h"
@@ -64,30 +65,30 @@
 // Guards against a caller receiving part of an event, when an event arrives in two pieces.
 TEST(event_joiner, forwards_complete_events_only) {
     event_joiner joiner(0);
-    std::string out;
+    byte_blocks out;
     const std::string text = event(1) + event(2);
     EXPECT_EQ(joiner.feed(text.substr(0, text.size() - 3), out), 1);
-    EXPECT_EQ(out, event(1));
+    EXPECT_EQ(content_of(out), event(1));
     EXPECT_TRUE(joiner.has_partial_event());
     EXPECT_EQ(joiner.feed(text.substr(text.size() - 3), out), 1);
-    EXPECT_EQ(out, text);
+    EXPECT_EQ(content_of(out), text);
 }
 
 // Guards against gaps and duplicates when an engine crashes in the middle of event 2 and another one resumes
 // after event 1. The caller must receive events 1, 2 and 3 complete and once each.
 TEST(event_joiner, a_second_run_leaves_no_gap_and_no_duplicate) {
     event_joiner joiner(0);
-    std::string out;
+    byte_blocks out;
     joiner.feed(event(1) + event(2).substr(0, 9), out);
     joiner.begin_run();
     joiner.feed(event(1) + event(2) + event(3), out);
-    EXPECT_EQ(out, event(1) + event(2) + event(3));
+    EXPECT_EQ(content_of(out), event(1) + event(2) + event(3));
 }
 
 // Guards against a stream that lacks an event, when a run resumes after a later event than it was asked to.
 TEST(event_joiner, a_gap_is_reported) {
     event_joiner joiner(4);
-    std::string out;
+    byte_blocks out;
     EXPECT_EQ(joiner.feed(event(6), out), std::nullopt);
     EXPECT_TRUE(out.empty());
 }
@@ -100,7 +101,7 @@
         whole += event(id);
     }
     event_joiner joiner(0);
-    std::string out;
+    byte_blocks out;
     std::size_t at = 0;
     for (const std::uint8_t cut : cuts) {
         const std::size_t length = std::min<std::size_t>(cut % 40, whole.size() - at);
@@ -108,7 +109,7 @@
         at += length;
     }
     joiner.feed(std::string_view(whole).substr(at), out);
-    RC_ASSERT(out == whole);
+    RC_ASSERT(content_of(out) == whole);
 }
 
 // Guards against an answer that is taken for complete too early or never, with each of the three ways in
