Allocator: long blocks go back to the system as soon as they are released

What callers saw: a host that has had one long answer stays large, so that the next burst of anything ends it. In the record: 69 MB or more resident, 29 KB in all accounts, half a second after the answer had been refused.

Cause: once a block above its threshold has been released, glibc raises the threshold, up to 32 MB, and keeps up to 64 MB at the end of its heap.

--- a/src/programs/laurel_entry.cpp
+++ b/src/programs/laurel_entry.cpp
@@ -672,6 +672,7 @@
     laurelhoist::read_settings(
         &argc, &argv, "laurel-entry: accepts callers' requests and routes each to an allowed version.");
     laurelhoist::start_log("laurel-entry", FLAGS_name);
+    laurelhoist::return_long_blocks_to_system();
     laurelhoist::entry_program program;
     program.run();
     return 0;
--- a/src/programs/laurel_steward.cpp
+++ b/src/programs/laurel_steward.cpp
@@ -523,6 +523,7 @@
     laurelhoist::read_settings(&argc, &argv,
                                "laurel-steward: manages configuration, bills and roll-outs for the entries.");
     laurelhoist::start_log("laurel-steward", FLAGS_name);
+    laurelhoist::return_long_blocks_to_system();
     laurelhoist::steward_program program;
     program.run();
     return 0;
--- a/test/soak/host_ends_one_answer.py
+++ b/test/soak/host_ends_one_answer.py
@@ -145,10 +145,10 @@
             at_rest, peak, after = await measure_one_answer(bench, host, kind)
             text = f"{status}, {kind}: {at_rest:.0f} MB resident at rest, {peak:.0f} at most, {after:.0f} afterwards"
             print(f"  {form}, {text}", flush=True)
-            if peak > at_rest + ANSWER_BUFFER_MB + OTHER_MB:
+            if peak > at_rest + ANSWER_BUFFER_MB + OTHER_MB or after > at_rest + OTHER_MB:
                 too_much.append(text)
-    require(not too_much, f"{form}: allowed are {ANSWER_BUFFER_MB + OTHER_MB} more than at rest: "
-            f"{'; '.join(too_much)}")
+    require(not too_much, f"{form}: allowed are {ANSWER_BUFFER_MB + OTHER_MB} more than at rest, and {OTHER_MB} "
+            f"afterwards: {'; '.join(too_much)}")
 
 
 def register(form):
