Streams: events that arrive in one read before a gap reach the caller

Found by reading the joiner of events. What callers would see: a stream that lacks events, and looks complete.

Cause: a read with an event, and behind it one whose id skips a number, ended the attempt without writing the first, but the joiner counted it as passed on, so that the next run was asked to go on after it.

Evidence: resuming_fixture.events_before_a_gap_reach_the_caller fails before the change (event 2 of 3 is missing) and passes with it. What is complete is written before the attempt ends.

--- a/src/relay/exchange.h
+++ b/src/relay/exchange.h
@@ -238,6 +238,7 @@
     bool forward_events(std::string_view part);
     /** Moves what is held of the stream to the events. \return whether no event is missing */
     bool join_held_events(byte_blocks& complete);
+    void write_events(byte_blocks&& events);
     /** Reads on from the endpoint once the caller has received enough of what was forwarded. */
     void on_caller_progress();
     /** \return whether the attempt makes no progress because the caller does not read. */
--- a/src/relay/exchange_answers.cpp
+++ b/src/relay/exchange_answers.cpp
@@ -363,19 +363,24 @@
         part = {}; // It is the end of what is held.
     }
     byte_blocks complete;
-    if (!join_held_events(complete) || !events_.feed(part, complete)) {
+    const bool is_in_order = join_held_events(complete) && events_.feed(part, complete);
+    // Also before a gap: the next run is asked to go on after them.
+    write_events(std::move(complete));
+    if (!is_in_order) {
         end_attempt(attempt_end::out_of_order);
-        return false;
     }
-    if (complete.empty()) {
-        return true;
+    return is_in_order;
+}
+
+void exchange::write_events(byte_blocks&& events) {
+    if (events.empty()) {
+        return;
     }
     record_first_byte();
     begin_stream_answer();
     record_forwarded_event();
-    write_chunk(std::move(complete));
+    write_chunk(std::move(events));
     pause_for_caller();
-    return true;
 }
 
 // Releases what is held block by block, so that a long event is not held twice.
--- a/test/resumed_answers_test.cpp
+++ b/test/resumed_answers_test.cpp
@@ -97,6 +97,15 @@
     EXPECT_TRUE(was_reset_);
 }
 
+// Guards against a stream that lacks the events which arrived in one read with a gap behind them.
+TEST_F(resuming_fixture, events_before_a_gap_reach_the_caller) {
+    start({stream_head("7") + chunk_of(event(2) + event(4)) + "0\r\n\r\n",
+           stream_head("7") + chunk_of(event(3)) + "0\r\n\r\n"});
+    const std::string answer = send_request("7");
+    EXPECT_TRUE(contains(answer, chunk_of(event(1)) + chunk_of(event(2)) + chunk_of(event(3)) + "0\r\n\r\n"))
+        << answer;
+}
+
 INSTANTIATE_TEST_SUITE_P(each, resuming_after, ::testing::Range<std::size_t>(0, unsuitable_answers.size()));
 
 } // namespace laurelhoist
