Answers: what callers have not read takes room from all answers, and redirects and client errors are passed on

What callers would see: callers that ask for long answers of another status than a success, and read slowly, end the host, and the requests of all others end with it.

Cause: only successes were passed on as they arrive. All other answers were held until they were complete and then given to the caller's buffer, which counted in no bound for them: has_room_for_answers asked for what is held, and not for what callers had not read.

Change: a redirect or client error with its endpoint's receipt is final, as a success is, and is passed on like one. Server errors may be repeated elsewhere and are held; beyond the room that the answers of all callers leave they end as broken.

--- a/src/relay/answer_room.h
+++ b/src/relay/answer_room.h
@@ -17,13 +17,18 @@
     std::size_t unsent_share = 0; ///< what may be unsent without taking room from answers
 };
 
+/** \return what takes room from answers: those that are held, and what callers have not read beyond their
+ * share. */
+inline std::size_t bytes_beyond_shares(const answer_holdings& now) {
+    return now.held_bytes + now.unsent_bytes - std::min(now.unsent_bytes, now.unsent_share);
+}
+
 /** \return the bytes of one answer that may be held: at most three quarters of what the others leave, so that
  * no caller takes all of the room, and never less than the smallest answers need. */
 inline std::size_t room_for_answer(const answer_holdings& now) {
     constexpr std::size_t min_room_bytes = 16 << 10;
     constexpr std::size_t quarters_of_rest = 3;
-    const std::size_t others = now.held_bytes - std::min(now.held_bytes, now.own_bytes) + now.unsent_bytes -
-                               std::min(now.unsent_bytes, now.unsent_share);
+    const std::size_t others = bytes_beyond_shares(now) - std::min(now.held_bytes, now.own_bytes);
     const std::size_t rest = now.buffer_bytes - std::min(now.buffer_bytes, others);
     return std::max(min_room_bytes, rest / 4 * quarters_of_rest);
 }
--- a/src/relay/exchange_answers.cpp
+++ b/src/relay/exchange_answers.cpp
@@ -17,6 +17,8 @@
 constexpr int min_intervals_for_pace = 4;
 /// What may be held of each answer, however much is held of the others.
 constexpr std::size_t min_answer_share_bytes = 16 << 10;
+/// From this status on, a request that may be repeated is sent to another endpoint.
+constexpr int first_server_error = 500;
 
 } // namespace
 
@@ -155,7 +157,7 @@
 }
 
 bool exchange::has_room_for_answers() const {
-    return state_.answer_bytes.held() + state_.answer_framing_bytes.held() <=
+    return state_.answer_framing_bytes.held() + bytes_beyond_shares(state_.held_for_answers(0)) <=
            state_.settings.answer_buffer_bytes;
 }
 
@@ -201,10 +203,9 @@
 // A whole answer can be repeated by another endpoint until its first byte has been passed on, so it is held
 // while there is room.
 bool exchange::may_pass_on() {
-    constexpr int status_success = 2;
     return stated_length().value_or(0) <= state_.settings.max_answer_bytes &&
-           reader_->status() / status_class == status_success && answer().has_receipt &&
-           !answer().is_misdirected && !answer().is_not_run && !is_event_stream() && !has_begun_answer_;
+           reader_->status() < first_server_error && answer().has_receipt && !answer().is_misdirected &&
+           !answer().is_not_run && !is_event_stream() && !has_begun_answer_;
 }
 
 void exchange::begin_passing_on() {
@@ -514,7 +515,6 @@
 }
 
 void exchange::on_answer_complete() {
-    constexpr int first_server_error = 500;
     if (attempt_.is_forwarded()) {
         on_forwarded_answer_complete();
     } else if (answer().is_misdirected) {
--- a/test/relay_decisions_test.cpp
+++ b/test/relay_decisions_test.cpp
@@ -33,6 +33,14 @@
 
 constexpr std::size_t one_mb = std::size_t{1} << 20;
 
+// Guards against failures that are held beside others which callers have not read, until memory runs out.
+TEST(answer_room, what_callers_have_not_read_beyond_their_share_takes_room) {
+    EXPECT_EQ(bytes_beyond_shares({20 * one_mb, 0, 0, 0, 10 * one_mb}), 0U);
+    EXPECT_EQ(bytes_beyond_shares({20 * one_mb, 3 * one_mb, 3 * one_mb, 10 * one_mb, 10 * one_mb}),
+              3 * one_mb);
+    EXPECT_EQ(bytes_beyond_shares({20 * one_mb, 3 * one_mb, 0, 14 * one_mb, 10 * one_mb}), 7 * one_mb);
+}
+
 // Guards against one long answer that takes all the room of the others.
 TEST(answer_room, one_answer_gets_at_most_three_quarters_of_what_others_leave) {
     EXPECT_EQ(room_for_answer({20 * one_mb, 0, 0, 0, 0}), 15 * one_mb);
--- a/test/soak/host_ends_memory.py
+++ b/test/soak/host_ends_memory.py
@@ -162,6 +162,74 @@
     await require_room_beside_slow_readers(bench, answer_failure, status=500, path="/claims/1", method="POST")
 
 
+UNREAD_BYTES = 15_000_000
+UNREAD_ANSWERS = 14
+BUFFERS_MB = 0.3 * MEMORY_MB  # what answers and callers that read slowly get of it together
+OTHER_MB = 8                  # connections, logs, and what the allocator keeps
+
+
+def peak_mb(host):
+    """Returns the highest resident memory that the process has had."""
+    host.require_alive()
+    with open(f"/proc/{host.child.pid}/status") as lines:
+        return int(next(line for line in lines if line.startswith("VmHWM")).split()[1]) / 1024
+
+
+async def require_room_beside_unread_answers(bench, status):
+    """Has callers ask for long answers of a status, one after the other, and read nothing of them."""
+    await bench.begin(starts=False)
+    text = b"." * UNREAD_BYTES
+
+    async def answer_long(endpoint, writer, request_id, body):
+        writer.write(answer(status, text, [("X-Request-Id", request_id),
+                                           ("X-Response-Signature", response_signature(request_id, text))]))
+    for endpoint in bench.endpoints:
+        endpoint.answer_plain = types.MethodType(answer_long, endpoint)
+    host = bench.hosts[0]
+    host.flags["memory_mb"] = MEMORY_MB
+    for method, path in (("GET", "/status/1"), ("POST", "/claims/1")):
+        host.start()
+        await host.until_ready()
+        at_rest, callers = resident_mb(host), []
+        for number in range(UNREAD_ANSWERS):
+            caller = socket.create_connection((host.address, host.ports["callers"]))
+            callers.append(caller)
+            caller.sendall(f"{method} {path} HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: n{number}\r\n"
+                           "Authorization: Token key-a\r\nContent-Length: 0\r\n\r\n".encode())
+            await asyncio.sleep(0.15)
+        peak = peak_mb(host)
+        print(f"  {status}, {method}: {at_rest:.0f} MB resident at rest, {peak:.0f} at most")
+        for caller in callers:
+            caller.close()
+        require(peak < at_rest + BUFFERS_MB + OTHER_MB, f"{status}, {method}: {peak:.0f} MB resident, "
+                f"{at_rest + BUFFERS_MB + OTHER_MB:.0f} allowed")
+        await host.end()
+
+
+@case
+async def unread_long_successes(bench):
+    """Long answers that nobody reads bring a host over its memory."""
+    await require_room_beside_unread_answers(bench, 200)
+
+
+@case
+async def unread_long_redirects(bench):
+    """Long answers of a status that is no success, which nobody reads, bring a host over its memory."""
+    await require_room_beside_unread_answers(bench, 302)
+
+
+@case
+async def unread_long_client_errors(bench):
+    """Long answers of a status that is no success, which nobody reads, bring a host over its memory."""
+    await require_room_beside_unread_answers(bench, 404)
+
+
+@case
+async def unread_long_failures(bench):
+    """Long failures of endpoints, which nobody reads, bring a host over its memory."""
+    await require_room_beside_unread_answers(bench, 500)
+
+
 UPLOADERS = 60
 UPLOAD_BYTES = 2 << 20
 UPLOAD_BYTES_PER_S = 1_000_000
--- a/test/soak/host_ends_one_answer.py
+++ b/test/soak/host_ends_one_answer.py
@@ -5,7 +5,7 @@
 
 from host_ends import case, require
 from host_ends_endless import put_config
-from host_ends_memory import MEMORY_MB, resident_mb
+from host_ends_memory import MEMORY_MB, peak_mb, resident_mb
 from standins import Endpoint, response_signature
 
 ANSWER_BUFFER_MB = 20   # --answer_buffer_kb and --max_answer_kb
@@ -65,12 +65,6 @@
     endpoint.answer_plain = types.MethodType(answer_endless, endpoint)
 
 
-def peak_mb(host):
-    host.require_alive()
-    with open(f"/proc/{host.child.pid}/status") as lines:
-        return int(next(line for line in lines if line.startswith("VmHWM")).split()[1]) / 1024
-
-
 async def ask_for_endless(host, number, kind):
     """One caller that reads all that comes, for a while."""
     method, path = KINDS[kind]
