Answers: a success without its endpoint's receipt ends at its head

The record's answers were held up to their limit of 20 MiB although none of them could have been given to a caller: a success without a receipt counts as broken, but only at its end. Now the attempt ends at the head, with the same result for the caller.

--- a/src/relay/exchange.h
+++ b/src/relay/exchange.h
@@ -236,6 +236,8 @@
     bool accept_answer();
     /** Forwards the events that \p part of the body completes. \return whether the attempt continues */
     bool forward_events(std::string_view part);
+    /** \return whether the answer claims to be a success without its endpoint's receipt. */
+    bool lacks_receipt();
     /** Moves what is held of the stream to the events. \return whether no event is missing */
     bool join_held_events(byte_blocks& complete);
     void write_events(byte_blocks&& events);
--- a/src/relay/exchange_answers.cpp
+++ b/src/relay/exchange_answers.cpp
@@ -118,6 +118,10 @@
         attempt_.heard_at = monotonic_now();
         has_excess_bytes_ = has_excess_bytes_ || !bytes.empty();
         record_endpoint_statement();
+        if (lacks_receipt()) {
+            end_attempt(attempt_end::broken); // At the head, as nothing of its body can be used.
+            return;
+        }
         if (!is_event_stream()) {
             body_.append(part_of_body);
         } else if (!forward_events(part_of_body)) {
@@ -133,6 +137,11 @@
     }
 }
 
+bool exchange::lacks_receipt() {
+    return reader_->status() / status_class == 2 && !answer().has_receipt && !answer().is_misdirected &&
+           !answer().is_not_run;
+}
+
 void exchange::on_invalid_answer() {
     const char* reason = to_string(reader_->fault());
     log_info("answer_invalid", {{"request", terms_.id},
@@ -527,7 +536,7 @@
         end_attempt(attempt_end::refused);
     } else if (reader_->status() >= first_server_error) {
         end_attempt(attempt_end::failed);
-    } else if (is_broken_off() || (reader_->status() / status_class == 2 && !answer().has_receipt)) {
+    } else if (is_broken_off() || lacks_receipt()) {
         end_attempt(attempt_end::broken);
     } else if (is_event_stream()) {
         complete_stream();
--- a/test/endless_answers_test.cpp
+++ b/test/endless_answers_test.cpp
@@ -133,6 +133,16 @@
     EXPECT_LE(endpoint.sent_bytes(), std::size_t{16} << 20);
 }
 
+// A success without its endpoint's receipt can be given to no caller, and the host reads on to its end.
+TEST_F(endless_answers, an_answer_without_a_receipt_is_not_read_beyond_its_head) {
+    endless_endpoint endpoint("HTTP/1.1 200 OK\r\n\r\n", piece);
+    max_answer_bytes_ = std::size_t{48} << 20;
+    start_relay(route(route_kind::idempotent, 1), {endpoint.address()});
+    EXPECT_TRUE(contains(send_request("7"), "502"));
+    constexpr std::size_t most_in_the_network = std::size_t{16} << 20;
+    EXPECT_LE(endpoint.sent_bytes(), most_in_the_network);
+}
+
 // The bound on answers refuses a sound one.
 TEST_F(endless_answers, an_answer_below_the_bound_is_served) {
     const std::string body(std::size_t{900} << 10, 'y');
