Planned stop: a new connection stays open until its request arrives

What callers saw: requests that came late in the grace of a host were cut without an answer, so that a caller could not tell whether one that may not be repeated had run.

Cause: from 3 s after SIGTERM, close_idle closed every connection without a request each 100 ms. A connection that had just been accepted has none yet; a caller whose request follows its connection by some ms met a closed one. A kept connection whose request lay unread in the socket was reset as well.

A connection is closed only once it has been idle for 500 ms and nothing has arrived on it. A request that arrives is then served or refused with 503 as any other.

--- a/src/relay/caller_connection.cpp
+++ b/src/relay/caller_connection.cpp
@@ -40,6 +40,8 @@
 constexpr int handover_bytes = 4 << 20;
 /// Checks are counted instead of the time, which also passes while the host is suspended.
 constexpr int max_unread_checks = unread_timeout / caller_connection::check_interval;
+/// Within this, the first request of a new connection arrives.
+constexpr duration min_idle_before_close = milliseconds(500);
 /// Blocks that one write passes to the network, 1 MiB together.
 constexpr std::size_t max_blocks_of_write = 16;
 
@@ -343,15 +345,12 @@
     return true;
 }
 
-bool caller_connection::close_if_idle() {
+bool caller_connection::close_if_idle(time_point now) {
     if (unsent_bytes() > 0) {
         hand_over_unsent();
     }
-    if (is_serving_ || reader_.has_partial_request() || unsent_bytes() > 0) {
-        return false;
-    }
-    close();
-    return true;
+    const std::optional<time_point> since = idle_since();
+    return since && now - *since >= min_idle_before_close && close_if_unused();
 }
 
 void caller_connection::close() {
--- a/src/relay/caller_connection.h
+++ b/src/relay/caller_connection.h
@@ -68,10 +68,11 @@
      * takes too long to arrive. To be called every \ref check_interval. */
     void check_timeouts(time_point now);
     static constexpr duration check_interval = milliseconds(250);
-    /** Closes the connection unless a request is being received or served, or a part of an answer is unsent,
-     * which the kernel is told to take. For a process that is about to end.
-     * \return whether it was idle */
-    bool close_if_idle();
+    /** Closes the connection unless a request is being received, has arrived unread or is served, a part of
+     * an answer is unsent, which the kernel is told to take, or the connection has been idle only briefly: a
+     * new one whose request is on its way. For a process that is about to end. \return whether it was closed
+     */
+    bool close_if_idle(time_point now);
 
     /** \return since when the connection is idle; nothing while a request is being received or served, or a
      * part of an answer is unsent. */
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -466,8 +466,9 @@
 
 bool relay::close_idle() {
     const std::vector<std::shared_ptr<caller_connection>> callers(callers_.begin(), callers_.end());
+    const time_point now = monotonic_now();
     for (const auto& caller : callers) {
-        caller->close_if_idle();
+        caller->close_if_idle(now);
     }
     return active_.empty() && callers_.empty();
 }
