Failing test: complete answers that callers do not read have no bound together

What callers see: a host of 110 MB ends by itself beside an endpoint whose answers are complete and long, if their callers read slowly.

Cause: only a success that is no stream is passed on as it arrives (may_pass_on). A failure, a 4xx and an event are held until they are complete, up to max_answer_bytes, and then move to what callers have not read. hold_answer takes the room for such an answer from answer_bytes and answer_framing_bytes alone, in which it does not count any more; admit_answer lets everything through while passed_on is below four, which it always is here, and does not know failures and events at all.

The test is expected to fail until the fault is mended.

--- a/test/slow_callers_test.cpp
+++ b/test/slow_callers_test.cpp
@@ -160,6 +160,56 @@
     EXPECT_LT(most_unsent, relay_settings{}.caller_buffer_bytes + callers * 2 * event_bytes);
 }
 
+/** An answer that is complete before its caller has read any of it, as long as one may be. */
+struct long_complete_answer {
+    const char* name;
+    route_kind kind;
+    std::string bytes;
+};
+
+std::string with_length(const std::string& status) {
+    return "HTTP/1.1 " + status + "\r\nReceipt: 1\r\nContent-Length: " + std::to_string(long_body_bytes) +
+           "\r\n\r\n" + std::string(long_body_bytes, 'x');
+}
+
+std::vector<long_complete_answer> long_complete_answers() {
+    const std::string event = "id: 1\ndata: " + std::string(long_body_bytes, 'x') + "\n\n";
+    return {{"success", route_kind::non_idempotent, with_length("200 OK")},
+            {"refusal", route_kind::non_idempotent, with_length("404 Not Found")},
+            {"failure", route_kind::non_idempotent, with_length("500 Internal Server Error")},
+            {"event", route_kind::stream, stream_head("7") + chunk_of(event)}};
+}
+
+class complete_answer_fixture : public relay_fixture,
+                                public ::testing::WithParamInterface<long_complete_answer> {};
+
+// Guards against a host that runs out of memory because each answer is held until it is complete, however
+// much of earlier ones their callers have not read.
+TEST_P(complete_answer_fixture, what_callers_have_not_read_leaves_no_room_for_more) {
+    constexpr std::size_t callers = 8;
+    std::vector<std::unique_ptr<scripted_endpoint>> endpoints;
+    std::vector<std::string> addresses;
+    const auto make_answer = [&whole = GetParam().bytes](const std::string&) { return whole; };
+    for (std::size_t i = 0; i < callers; ++i) {
+        endpoints.push_back(std::make_unique<scripted_endpoint>(
+            std::vector<scripted_answer>(callers, {"", false, false, make_answer})));
+        addresses.push_back(endpoints.back()->address());
+    }
+    start_relay(route(GetParam().kind, 1), addresses);
+    std::vector<std::unique_ptr<slow_caller>> stuck;
+    std::size_t most_unsent = 0;
+    for (std::size_t i = 0; i < callers; ++i) {
+        stuck.push_back(std::make_unique<slow_caller>(port_, "7"));
+        sleep_for(milliseconds(200));
+        run_on_relay_thread([&] { most_unsent = std::max(most_unsent, relay_->unsent_bytes()); });
+    }
+    const relay_settings settings;
+    EXPECT_LT(most_unsent, settings.caller_buffer_bytes + settings.answer_buffer_bytes);
+}
+
+INSTANTIATE_TEST_SUITE_P(all, complete_answer_fixture, ::testing::ValuesIn(long_complete_answers()),
+                         [](const auto& each) { return std::string(each.param.name); });
+
 // A slow caller's stream was the probe of an ejected endpoint, which no other request got until it ended.
 TEST_F(relay_fixture, a_probe_for_a_slow_caller_keeps_no_other_request_waiting) {
     const auto short_stream = [](const std::string& id) {
