Failing test: a request that waits for another attempt holds the answer of the one before

What callers would see: long answers of sound services refused (too_large), as the room for answers is taken by failed attempts whose requests wait for an endpoint. The refusal itself follows from has_room_for_answers and has not been played.

Cause: follow_up goes on to dispatch with body_ and the partial event as they are; start_reader releases them only once the next attempt is sent, up to the end of the wait later.

Evidence: a_request_that_waits_for_another_attempt_holds_no_answer, 6 failures of 2 MiB whose requests wait: 12,582,912 bytes in answer_bytes in 3 of 3 runs, 0 expected. The test is expected to fail until the fault is mended.

--- a/test/slow_callers_test.cpp
+++ b/test/slow_callers_test.cpp
@@ -210,6 +210,40 @@
 INSTANTIATE_TEST_SUITE_P(all, complete_answer_fixture, ::testing::ValuesIn(long_complete_answers()),
                          [](const auto& each) { return std::string(each.param.name); });
 
+// Guards against the body of a failed attempt that takes room from other answers while its request waits for
+// an endpoint.
+TEST_F(relay_fixture, a_request_that_waits_for_another_attempt_holds_no_answer) {
+    constexpr std::size_t slots = 6; // of each endpoint, as its service has no engine profile
+    constexpr std::size_t body_bytes = 2 << 20;
+    const std::string failure =
+        "HTTP/1.1 500 X\r\nReceipt: 1\r\nContent-Length: " + std::to_string(body_bytes) + "\r\n\r\n" +
+        std::string(body_bytes, 'x');
+    const auto fail_later = [&failure](const std::string&) {
+        sleep_for(milliseconds(400)); // Until the slots of both endpoints are taken.
+        return std::string(failure);
+    };
+    scripted_endpoint fails(std::vector<scripted_answer>(2 * slots, {"", false, false, fail_later}));
+    scripted_endpoint hangs(std::vector<scripted_answer>(2 * slots, {"", false, false}));
+    start_relay(route(route_kind::idempotent, 3), {fails.address(), hangs.address()});
+    std::vector<std::unique_ptr<slow_caller>> callers;
+    for (std::size_t i = 0; i < 2 * slots; ++i) {
+        callers.push_back(std::make_unique<slow_caller>(port_, std::to_string(i)));
+        sleep_for(milliseconds(20));
+    }
+    sleep_for(milliseconds(500));
+    constexpr int checks = 8;
+    std::size_t least_held = body_bytes * slots;
+    for (int i = 0; i < checks; ++i) {
+        sleep_for(milliseconds(25));
+        run_on_relay_thread([&] {
+            EXPECT_EQ(relay_->active(), 2 * slots) << "all of them must still wait";
+            least_held = std::min(least_held, relay_->state().answer_bytes.held());
+        });
+    }
+    EXPECT_EQ(fails.requests().size(), slots);
+    EXPECT_EQ(least_held, 0U);
+}
+
 // A slow caller's stream was the probe of an ejected endpoint, which no other request got until it ended.
 TEST_F(relay_fixture, a_probe_for_a_slow_caller_keeps_no_other_request_waiting) {
     const auto short_stream = [](const std::string& id) {
