Requests that wait for another attempt hold no answer

What callers would see: answers of other services refused as too large, while requests whose endpoints have failed wait for another one.

Cause: the body of a failed attempt was released when the next one was sent, and not when it ended.

--- a/src/relay/exchange.cpp
+++ b/src/relay/exchange.cpp
@@ -579,6 +579,7 @@
             tried_.insert(attempt_.chosen.endpoint.name);
         }
         state_.measured.count("attempts_repeated");
+        drop_answer();
         waiting_since_ = monotonic_now();
         apply_event("again");
         dispatch();
--- a/src/relay/exchange.h
+++ b/src/relay/exchange.h
@@ -190,6 +190,8 @@
     void cancel_and_redispatch();
     void read_answer(std::string_view bytes);
     void start_reader();
+    /** Releases what is held of the present answer. */
+    void drop_answer();
     /** Counts what is held of the answer. \return whether the host may hold as much; otherwise the attempt
      * has ended */
     bool hold_answer();
--- a/src/relay/exchange_answers.cpp
+++ b/src/relay/exchange_answers.cpp
@@ -50,13 +50,17 @@
 }
 
 void exchange::start_reader() {
+    drop_answer();
     reader_.emplace(request_.method == "HEAD");
     answer_.reset();
-    body_.clear();
     first_event_.restart();
-    events_.begin_run();
     has_excess_bytes_ = false;
     stray_bytes_ = 0;
+}
+
+void exchange::drop_answer() {
+    body_.clear();
+    events_.begin_run();
     held_answer_.set(0);
     held_framing_.set(0);
 }
