Answers beyond their share of the buffer are passed on, where they may be

Cause: an answer is refused above an even share of the buffer, which may be below the size from which on it is passed on.

An answer at the limit of a single one is refused as before: endless_answers_* pass unchanged (252 tests of relay_test, those of answers among them).

--- a/src/relay/exchange_answers.cpp
+++ b/src/relay/exchange_answers.cpp
@@ -188,15 +188,17 @@
     }
     const std::size_t bytes = body_.size() + events_.partial_bytes();
     held_answer_.set(bytes);
-    if (bytes > room_for_answer(state_.held_for_answers(bytes)) && may_pass_on()) {
-        state_.measured.count("answers_passed_on");
-        pass_on();
-        return true;
-    }
     const std::size_t holders = std::max<std::size_t>(1, state_.answer_bytes.holders());
     const std::size_t share = std::clamp(state_.settings.answer_buffer_bytes / holders,
                                          min_answer_share_bytes, state_.settings.max_answer_bytes);
     const std::size_t limit = has_room_for_answers() ? share : min_answer_share_bytes;
+    const bool is_beyond_share = bytes > limit && limit < state_.settings.max_answer_bytes;
+    const bool is_beyond_room = bytes > room_for_answer(state_.held_for_answers(bytes));
+    if ((is_beyond_share || is_beyond_room) && may_pass_on()) {
+        state_.measured.count("answers_passed_on");
+        pass_on();
+        return true;
+    }
     if (bytes <= limit) {
         return true;
     }
