--- a/src/relay/byte_blocks.cpp
+++ b/src/relay/byte_blocks.cpp
@@ -8,8 +8,9 @@
 
 namespace {
 
-/// Sequences up to this length are copied, so that many short ones do not become many short blocks.
-constexpr std::size_t max_copied_bytes = 16 << 10;
+/// Sequences up to this length are copied, so that many short ones do not become many blocks that are not
+/// full.
+constexpr std::size_t max_copied_bytes = byte_blocks::block_bytes;
 
 /** Appends to a block, whose memory doubles until it has that of a whole block. A string that grows itself
  * would take up to twice that. */
@@ -35,7 +36,6 @@
 }
 
 void byte_blocks::append(std::string_view bytes) {
-    size_ += bytes.size();
     while (!bytes.empty()) {
         if (blocks_.empty() || blocks_.back().size() >= block_bytes) {
             blocks_.emplace_back();
@@ -43,6 +43,7 @@
         std::string& last = blocks_.back();
         const std::string_view part = bytes.substr(0, block_bytes - last.size());
         append_to_block(last, part);
+        size_ += part.size();
         bytes.remove_prefix(part.size());
     }
 }
@@ -61,9 +62,9 @@
             append(part);
         }
     } else {
-        size_ += other.size_;
         blocks_.insert(blocks_.end(), std::make_move_iterator(other.blocks_.begin() + other.first_),
                        std::make_move_iterator(other.blocks_.end()));
+        size_ += other.size_;
     }
     other.clear();
 }
