Endpoints: a restart of one no longer cuts the requests at all others

Cause: exchange::on_endpoint_restarted asked is_restart_of, which compared the times of two starts without the names. Its other callers look the record up by name first (endpoint_table, endpoint_reach, endpoint_roster, back_offs: read, not affected; restarted_among and the cold endpoints compare by name themselves).

Change: is_restart_of is true only for records of one name, so that no caller can compare two endpoints.

Before: host_list.a_newer_process_of_another_endpoint_is_no_restart failed (is_restart_of true, expected false); relay_fixture.a_restart_of_another_endpoint_does_not_cut_a_stream failed (the stream had been taken up anew at the restart of the other endpoint).

--- a/src/membership/host_list.h
+++ b/src/membership/host_list.h
@@ -28,9 +28,11 @@
 LAUREL_VALUE_TYPE(endpoint_record, name, address, domain, pool, state, release, started_at_ms, cold_ms,
                   is_common)
 
-/** \return whether \p later names a newer process of the same endpoint than \p earlier. */
+/** \return whether \p later names a newer process of the same endpoint than \p earlier; false for two
+ * endpoints, whichever of them started first. */
 inline bool is_restart_of(const endpoint_record& later, const endpoint_record& earlier) {
-    return earlier.started_at_ms != 0 && later.started_at_ms > earlier.started_at_ms;
+    return later.name == earlier.name && earlier.started_at_ms != 0 &&
+           later.started_at_ms > earlier.started_at_ms;
 }
 
 /** \return a hash that identifies one process of an endpoint; it changes when the endpoint restarts. */
--- a/test/membership_test.cpp
+++ b/test/membership_test.cpp
@@ -141,6 +141,17 @@
     EXPECT_LT(most, 20);
 }
 
+// Guards against a restart of one endpoint that ends the requests at all that started before it.
+TEST(host_list, a_newer_process_of_another_endpoint_is_no_restart) {
+    const endpoint_record first{"e1", "a1", "d1", "claims", "live", "v1", 1000};
+    const endpoint_record first_again{"e1", "a1", "d1", "claims", "live", "v1", 2000};
+    const endpoint_record second{"e2", "a2", "d1", "claims", "live", "v1", 2000};
+    EXPECT_TRUE(is_restart_of(first_again, first));
+    EXPECT_FALSE(is_restart_of(second, first));
+    EXPECT_FALSE(is_restart_of(first, first_again)) << "an entry of the earlier process";
+    EXPECT_FALSE(is_restart_of(first, first));
+}
+
 // A session that changes its entry loses its cached prompt prefix, so a leaving entry must not move other
 // sessions.
 TEST(entry_directory, a_session_keeps_its_entry_and_a_leaving_entry_moves_only_its_own_sessions) {
--- a/test/relay_test.cpp
+++ b/test/relay_test.cpp
@@ -639,6 +639,31 @@
         << "without the restart notice the silence limit ends the attempt after 4 s";
 }
 
+// Guards against a restart of one endpoint that cuts the streams at the others.
+TEST_F(relay_fixture, a_restart_of_another_endpoint_does_not_cut_a_stream) {
+    const scripted_answer begun{stream_head("7") + chunk_of(event(1)), false, false};
+    const scripted_answer rest{stream_head("7") + chunk_of(event(2)) + "0\r\n\r\n", false, false};
+    scripted_endpoint serving({begun, rest});
+    start_relay(route(route_kind::stream, 3), {serving.address()});
+    endpoint_record other{"other", serving.address(), "d1", "bills", "live", "v1", 1000};
+    loop_.post([&] { relay_->set_endpoints({records_.front(), other}); });
+    asio::steady_timer other_restart(loop_.context(), milliseconds(150));
+    other_restart.async_wait([&](const boost::system::error_code&) {
+        other.started_at_ms = 9000;
+        relay_->set_endpoints({records_.front(), other});
+    });
+    std::size_t sent_before_own_restart = 0;
+    asio::steady_timer own_restart(loop_.context(), milliseconds(450));
+    own_restart.async_wait([&](const boost::system::error_code&) {
+        sent_before_own_restart = serving.requests().size();
+        records_.front().started_at_ms = 9000;
+        relay_->set_endpoints({records_.front(), other});
+    });
+    const std::string answer = send_request("7");
+    EXPECT_TRUE(contains(answer, event(2))) << answer;
+    EXPECT_EQ(sent_before_own_restart, 1U) << "the stream was sent again while its endpoint was running it";
+}
+
 // Guards against missing the end of an engine behind a network partition, which must count against the
 // request that it was running: no connection breaks, and only the store shows the restart.
 TEST_F(relay_fixture, a_restart_under_a_request_counts_against_the_request) {
