Watches: a call whose response was lost is made anew once another call tells of later changes

What was seen: after the store had been silent to one host for 0.8 s, that host sent requests to an endpoint for up to 3.4 s after the store had accepted that it leaves (bound 2.0 s), 3.2 s after the silence.

Cause: the response to the host's watch of endpoints was lost, and its connection returns nothing further. A watch call had no end but its limit (8.7 s for endpoints and roll-outs, 15.7 s for evacuations). The other calls are made anew only after a failure of the configuration's watch, which was being answered.

Change: the store's revision counts the changes of all kinds, and a response is lost only if it was due. Each response of the configuration's watch (every 1.5 to 2.5 s) now tells the other watches its revision. A call that was sent before the store reached it and brings nothing within 0.3 s is made anew, once for a revision (response_check). The same holds for roll-outs and evacuations. A paused watch makes no call.

Before: object_watch.a_call_that_lost_its_response_is_made_anew failed with the new member doing nothing (1 call, 2 expected).

Open: the configuration's own watch still ends at its limit only, 3.2 s.

--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -102,6 +102,7 @@
                          if (is_config_readable_) {
                              relay_.state().freshness.confirm(as_of);
                          }
+                         check_other_watches();
                      },
                      [this](bool is_lost) { on_store_reachability(is_lost); },
                      [this] { on_history_gone(); }}},
@@ -288,6 +289,16 @@
     }
 }
 
+// Guards against a watch of endpoints that waits for its whole limit on a connection that lost a response,
+// while requests go to endpoints that leave.
+void entry_host::check_other_watches() {
+    for (object_watch* watch : watches()) {
+        if (watch != &config_watch_) {
+            watch->note_store_revision(config_watch_.revision());
+        }
+    }
+}
+
 void entry_host::on_history_gone() {
     history_gone_at_ = monotonic_now();
     for (object_watch* watch : watches()) {
--- a/src/host/entry_host.h
+++ b/src/host/entry_host.h
@@ -120,6 +120,8 @@
     };
     void note_reachability(bool is_lost);
     void on_store_reachability(bool is_lost);
+    /** Tells the other watches the revision that the watch of the configuration was told. */
+    void check_other_watches();
     void on_history_gone();
     void on_config(const objects_by_name& objects);
     bool apply_config(const stored_object& object);
--- a/src/store/object_watch.cpp
+++ b/src/store/object_watch.cpp
@@ -80,6 +80,7 @@
 }
 
 void object_watch::start(listing_freshness first) {
+    response_.end_call();
     listing_freshness_ = first;
     listed_objects_.clear();
     listing_started_at_ = monotonic_now();
@@ -95,6 +96,20 @@
     }
 }
 
+void object_watch::note_store_revision(std::int64_t revision) {
+    if (is_paused_ || !response_.note(revision, revision_, monotonic_now())) {
+        return;
+    }
+    const std::uint64_t call = current_call_;
+    loop_.after(response_check::response_slack, [this, call] {
+        if (call == current_call_ && state_ == "following" && !is_paused_ &&
+            response_.is_overdue(monotonic_now())) {
+            log_info("watch_call_repeated", {{"kind", kind_}, {"revision", revision_}});
+            follow();
+        }
+    });
+}
+
 void object_watch::relist() {
     if (state_ == "following" && !is_idle_) {
         ++current_call_; // Ignores the result of the call in progress.
@@ -223,6 +238,7 @@
     // the time for which endpoints that have disappeared are kept begins with it.
     current_wait_ = is_reachable_ && !skips_next_wait_ ? next_wait() : duration::zero();
     skips_next_wait_ = false;
+    response_.begin_call();
     store_.watch(kind_, revision_, current_wait_, [this, sent_at, call](const auto& result) {
         if (call == current_call_) {
             on_events(result, sent_at);
@@ -268,6 +284,7 @@
 }
 
 void object_watch::on_events(const store_result<object_events>& result, time_point sent_at) {
+    response_.end_call();
     if (const store_failure* failure = std::get_if<store_failure>(&result)) {
         on_failure(*failure);
         return;
--- a/src/store/object_watch.h
+++ b/src/store/object_watch.h
@@ -7,6 +7,7 @@
 #include "base/base.h"
 #include "chart/chart.h"
 #include "store/object_store.h"
+#include "store/response_check.h"
 #include "transport/event_loop.h"
 
 namespace laurelhoist {
@@ -61,6 +62,9 @@
      * watch finds the store reachable: the call in progress may be waiting on a connection that was lost
      * without an error, and a backoff is no longer needed. */
     void restart_call();
+    /** Notes that the store is at \p revision, as the watch of another kind was told. If the call in progress
+     * brings nothing of it in time, it is made anew: its response may have been lost. */
+    void note_store_revision(std::int64_t revision);
     void set_max_backoff(duration longest) { max_backoff_ = longest; }
     void set_batch_delay(duration batch_delay) { batch_delay_ = batch_delay; }
     void set_wait(duration wait) { wait_ = wait; }
@@ -84,6 +88,8 @@
     bool is_listing_stopped() const { return is_listing_stopped_; }
     /** \return the store's revision at the last change of the copy. */
     std::int64_t last_changed_revision() const { return last_changed_revision_; }
+    /** \return the store's revision up to which the copy is complete. */
+    std::int64_t revision() const { return revision_; }
     const objects_by_name& objects() const { return objects_; }
     bool is_listed() const { return is_listed_; }
     /** \return whether the last call succeeded, or none has been made. */
@@ -131,6 +137,7 @@
     listing_freshness listing_freshness_ = listing_freshness::newest; ///< of the listing in progress
     int failures_ = 0;
     std::uint64_t current_call_ = 0; ///< call or backoff in progress; results of earlier ones are ignored
+    response_check response_;
     bool is_listed_ = false;
     bool is_reachable_ = true;
     bool has_unhandled_change_ = false;       ///< the last report of a change ended in an exception
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -7,3 +7,4 @@
 #include "store/last_readable.h"
 #include "store/object_store.h"
 #include "store/object_watch.h"
+#include "store/response_check.h"
--- a/test/store_test.cpp
+++ b/test/store_test.cpp
@@ -484,5 +484,53 @@
     EXPECT_EQ(waits.size(), 8U);
 }
 
+// Guards against a watch that waits until its limit on a connection that lost a response, while another watch
+// is told of later revisions: endpoints that left meanwhile still got requests.
+TEST(response_check, a_call_that_does_not_bring_a_known_revision_is_made_anew_once) {
+    const time_point begin{seconds(100)};
+    const time_point due = begin + response_check::response_slack;
+    response_check response;
+    response.begin_call();
+    EXPECT_TRUE(response.note(7, 5, begin));
+    EXPECT_FALSE(response.note(8, 5, begin + milliseconds(100))) << "the call is in doubt since the first";
+    EXPECT_FALSE(response.is_overdue(due - milliseconds(1)));
+    EXPECT_TRUE(response.is_overdue(due));
+    response.begin_call();
+    EXPECT_FALSE(response.note(8, 5, due)) << "this call was sent after the store had reached the revision";
+    EXPECT_FALSE(response.is_overdue(due + seconds(8)));
+    EXPECT_TRUE(response.note(9, 5, due + seconds(1)));
+}
+
+TEST(response_check, a_call_that_responds_in_time_or_is_up_to_date_is_kept) {
+    const time_point begin{seconds(100)};
+    response_check response;
+    EXPECT_FALSE(response.note(7, 5, begin)) << "no call is waiting";
+    response.begin_call();
+    EXPECT_FALSE(response.note(9, 9, begin));
+    EXPECT_TRUE(response.note(10, 9, begin));
+    response.end_call();
+    EXPECT_FALSE(response.is_overdue(begin + seconds(8)));
+}
+
+// Guards against the same in a watch: its next call must go out soon, and follow from the copy that it holds.
+TEST(object_watch, a_call_that_lost_its_response_is_made_anew) {
+    watch_fixture copy;
+    copy.answer_list(object_page{{object("a", 1)}, false, 5});
+    ASSERT_EQ(copy.store.watches.size(), 1U);
+    copy.watch.note_store_revision(5);
+    copy.watch.note_store_revision(7);
+    copy.loop.after(response_check::response_slack + milliseconds(50), [&] { copy.loop.stop(); });
+    copy.loop.run();
+    ASSERT_EQ(copy.store.watches.size(), 2U);
+    EXPECT_EQ(copy.store.watches.back().revision, 5);
+    copy.watch.note_store_revision(7);
+    copy.loop.after(response_check::response_slack + milliseconds(50), [&] { copy.loop.stop(); });
+    copy.loop.run();
+    EXPECT_EQ(copy.store.watches.size(), 2U) << "one more call for one revision";
+    copy.store.watches.pop_front();
+    copy.answer_watch(object_events{{{object("a", 7), true}}, 7});
+    EXPECT_TRUE(copy.held.empty());
+}
+
 } // namespace
 } // namespace laurelhoist
