Long answers: the work that they cause is bounded while processor time is short

A host with a quarter of a core then spends its quota at once, and the whole process stands still for the rest of each period.

Why it works: an answer beyond its share of a tick's work is not read until the next tick, so that the network slows its endpoint.

--- a/src/relay/endpoint_connection.cpp
+++ b/src/relay/endpoint_connection.cpp
@@ -98,7 +98,14 @@
 
 void endpoint_connection::resume_reading() {
     is_reading_paused_ = false;
-    if (!is_reading_ && is_open()) {
+    if (may_read() && is_open()) {
+        start_read();
+    }
+}
+
+void endpoint_connection::resume_deferred_reading() {
+    is_reading_deferred_ = false;
+    if (may_read() && is_open()) {
         start_read();
     }
 }
@@ -120,7 +127,7 @@
                 return;
             }
             self->observer_->on_received({self->incoming_.data(), bytes});
-            if (self->socket_.is_open() && !self->is_reading_paused_ && !self->is_reading_) {
+            if (self->socket_.is_open() && self->may_read()) {
                 self->start_read();
             }
         });
@@ -164,6 +171,7 @@
         return;
     }
     connection->set_observer(nullptr);
+    connection->resume_deferred_reading();
     connection->resume_reading(); // Otherwise the end of the idle connection would go unnoticed.
     connection->idle_until = until;
     idle.push_back(std::move(connection));
--- a/src/relay/endpoint_connection.h
+++ b/src/relay/endpoint_connection.h
@@ -60,6 +60,10 @@
     void pause_reading() { is_reading_paused_ = true; }
     void resume_reading();
     bool is_reading_paused() const { return is_reading_paused_; }
+    /** Stops reading like \ref pause_reading, whether or not that is in force. */
+    void defer_reading() { is_reading_deferred_ = true; }
+    void resume_deferred_reading();
+    bool is_reading_deferred() const { return is_reading_deferred_; }
     /** Closes at once without notifying the observer. */
     void close();
 
@@ -72,6 +76,7 @@
     time_point idle_until; ///< when the pool closes an idle connection
 
 private:
+    bool may_read() const { return !is_reading_ && !is_reading_paused_ && !is_reading_deferred_; }
     void start_read();
     void start_write();
     void close_and_notify(connection_end reason);
@@ -86,6 +91,7 @@
     bool has_write_failed_ = false;
     bool is_reading_ = false; ///< a read is in progress
     bool is_reading_paused_ = false;
+    bool is_reading_deferred_ = false;
 };
 
 /** Idle connections by endpoint address. */
--- a/src/relay/exchange.h
+++ b/src/relay/exchange.h
@@ -85,6 +85,13 @@
         std::int64_t first_events = 0; ///< number of events forwarded at that time
         bool is_accepted = false;      ///< the answer has begun and is good enough to be forwarded
         bool has_paused = false;       ///< reading was paused at least once because of a slow caller
+        bool has_deferred = false;     ///< reading was deferred to the next tick at least once
+        time_point deferred_at;        ///< when that last happened
+        duration deferred_for{};       ///< time in which reading was deferred
+        answer_work work;
+        std::size_t unspent_work = 0; ///< of the bytes that are being read, not yet part of \ref work
+        /** \return whether the answer came late because this host did not read it. */
+        bool has_waited() const { return has_paused || has_deferred; }
 
         bool has_reached_no_endpoint = false; ///< the other host refused the request and sent it nowhere
         bool is_forwarded() const { return !peer.empty(); }
@@ -243,6 +250,9 @@
     void on_caller_progress();
     /** \return whether the attempt makes no progress because the caller does not read. */
     bool is_waiting_for_caller() const { return connection_ && connection_->is_reading_paused(); }
+    /** Reads no more of the answer until the next tick if it has caused its share of work in this one. */
+    void bound_answer_work();
+    void resume_deferred(time_point now);
     /** Ends a request whose time limit has passed while its caller did not read. */
     void give_up_on_caller();
     /** \return whether the events received so far, if nothing follows them, are those of a run that broke
--- a/src/relay/exchange_answers.cpp
+++ b/src/relay/exchange_answers.cpp
@@ -61,7 +61,10 @@
 
 void exchange::on_received(std::string_view bytes) {
     auto self = shared_from_this();
-    owner_.run_guarded(*this, [this, bytes] { read_answer(bytes); });
+    owner_.run_guarded(*this, [this, bytes] {
+        read_answer(bytes);
+        bound_answer_work();
+    });
 }
 
 // Decoded once for each answer, because a stream arrives in dozens of pieces.
@@ -95,6 +98,7 @@
             return;
         }
         bytes.remove_prefix(*used);
+        attempt_.unspent_work += work_of_reading(*used, part_of_body.size());
         if (!hold_framing() || !reader_->has_head()) {
             return;
         }
@@ -439,7 +443,7 @@
     attempt_.is_paced = true;
     const duration elapsed = last_event_at_ - attempt_.first_event_at;
     record_endpoint_pace(elapsed, intervals);
-    if (attempt_.has_paused || attempt_.is_slow()) {
+    if (attempt_.has_waited() || attempt_.is_slow()) {
         return; // A caller that reads slowly delays the events, too.
     }
     if (state_.releases.on_stream_paced(release_key(), {attempt_.model, elapsed, static_cast<int>(intervals),
@@ -449,7 +453,7 @@
 }
 
 void exchange::record_endpoint_pace(duration elapsed, std::int64_t intervals) {
-    if (!state_.settings.in_use.knows_pace || attempt_.has_paused || intervals < min_intervals_for_pace ||
+    if (!state_.settings.in_use.knows_pace || attempt_.has_waited() || intervals < min_intervals_for_pace ||
         warm_endpoint(last_event_at_).empty()) {
         return;
     }
@@ -461,7 +465,7 @@
 // A stream that crawls shows it before it has made many events. Counted only then, the few streams of a trial
 // that were sound had ended long before the others, and spoke for their release alone.
 void exchange::record_overdue_pace(time_point now) {
-    if (attempt_.is_forwarded() || attempt_.is_paced || attempt_.has_paused || attempt_.is_slow() ||
+    if (attempt_.is_forwarded() || attempt_.is_paced || attempt_.has_waited() || attempt_.is_slow() ||
         attempt_.first_events == 0) {
         return;
     }
--- a/src/relay/exchange_load.cpp
+++ b/src/relay/exchange_load.cpp
@@ -1,6 +1,8 @@
 // The part of an exchange that reports the load and keeps the memory for request bodies bounded.
 #include "relay/exchange.h"
 
+#include <utility>
+
 namespace laurelhoist {
 
 namespace {
@@ -13,6 +15,31 @@
     return {service_, route_ == nullptr ? std::string{} : route_->name, team_name()};
 }
 
+// Guards against long answers that take the processor time of all other requests.
+void exchange::bound_answer_work() {
+    if (!connection_ || attempt_.unspent_work == 0 ||
+        state_.answer_work.spend(attempt_.work, std::exchange(attempt_.unspent_work, 0))) {
+        return;
+    }
+    const bool is_first = attempt_.deferred_for == duration::zero();
+    attempt_.deferred_at = monotonic_now();
+    attempt_.has_deferred = true;
+    connection_->defer_reading();
+    state_.measured.count("answer_deferrals");
+    if (is_first) {
+        owner_.report_deferred(terms_.id, attempt_.chosen.endpoint.name, attempt_.work.total);
+    }
+}
+
+void exchange::resume_deferred(time_point now) {
+    if (!connection_ || !connection_->is_reading_deferred()) {
+        return;
+    }
+    attempt_.deferred_for += now - attempt_.deferred_at;
+    attempt_.heard_at = now; // The endpoint was not silent meanwhile.
+    connection_->resume_deferred_reading();
+}
+
 std::optional<waiting_time> exchange::waiting(time_point now) const {
     if (!is_in_state("waiting")) {
         return std::nullopt;
@@ -23,7 +50,7 @@
 bool exchange::is_late(duration took) const {
     const duration first = first_event_ms_ >= 0 ? milliseconds(first_event_ms_) : took;
     // A caller that reads slowly makes pauses, too.
-    const bool has_long_gap = !attempt_.has_paused && route_->gap_objective > duration::zero() &&
+    const bool has_long_gap = !attempt_.has_waited() && route_->gap_objective > duration::zero() &&
                               milliseconds(longest_gap_ms_) > route_->gap_objective;
     return first > route_->latency_objective || has_long_gap;
 }
--- a/src/relay/exchange_stop.cpp
+++ b/src/relay/exchange_stop.cpp
@@ -104,7 +104,7 @@
 
 void exchange::record_answer_time(time_point now) {
     const bool is_whole_run = attempt_.events_before_attempt == 0;
-    if (!attempt_.is_forwarded() && !attempt_.has_paused && is_whole_run) {
+    if (!attempt_.is_forwarded() && !attempt_.has_waited() && is_whole_run) {
         state_.route_answer_times[route_->name].observe(now - attempt_.sent_at, now);
     }
 }
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -198,6 +198,7 @@
 void relay::on_tick() {
     const time_point now = monotonic_now();
     was_paused_ = now - tick_due_ > max_tick_delay;
+    state_.answer_work.begin_tick(now - tick_due_);
     if (active_.empty()) {
         return;
     }
@@ -296,6 +297,17 @@
     }
 }
 
+void relay::report_deferred(const std::string& request, const std::string& endpoint, std::size_t work) {
+    state_.measured.count("answers_deferred");
+    if (const auto left_out = deferred_lines_.admit(monotonic_now())) {
+        log_info("answer_deferred", {{"request", request},
+                                     {"endpoint", endpoint},
+                                     {"work_units", work},
+                                     {"share_units", state_.answer_work.share()},
+                                     {"left_out", *left_out}});
+    }
+}
+
 void relay::merge_limit_notices(const std::vector<limit_notice>& notices) {
     rate_limits& limits = state_.endpoints.allowance().limits();
     for (const std::string& endpoint : limits.merge(notices, monotonic_now())) {
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -8,6 +8,7 @@
 #include "base/line_limiter.h"
 #include "recovery/recovery.h"
 #include "relay/answer_room.h"
+#include "relay/answer_work.h"
 #include "relay/caller_connection.h"
 #include "relay/end_confirmation.h"
 #include "relay/endpoint_connection.h"
@@ -105,6 +106,8 @@
     byte_account caller_bytes;         ///< answers, or parts of them, that callers have not read
     byte_account request_bytes;        ///< requests that are being received or in progress, at all ports
 
+    answer_work_budget answer_work; ///< of the present tick
+
     std::size_t passed_on = 0; ///< answers that are no streams and are passed on as they arrive
     /// By route: bytes of its last answer that was no stream, for routes with long ones.
     std::map<std::string, std::size_t> long_answers;
@@ -247,6 +250,8 @@
     void begin_probes(time_point now);
     /** \return whether this process was paused just now, so that elapsed time shows nothing about others. */
     bool was_paused() const { return was_paused_; }
+    /** Logs that the answer to \p request has caused \p work units of work and is read more slowly. */
+    void report_deferred(const std::string& request, const std::string& endpoint, std::size_t work);
     /** Logs endpoints that have become slow or are no longer. */
     void report_paces(const std::vector<pace_change>& changes);
     /** Records what \p endpoint stated about itself in its answer to \p request. */
@@ -277,6 +282,7 @@
     endpoint_probes probes_;
     caller_connection::handlers caller_events_;
     line_limiter not_reading_lines_; ///< about callers that do not read
+    line_limiter deferred_lines_;    ///< about answers that are read more slowly
     line_limiter no_room_lines_;     ///< about requests that are not read as the host holds too much
     std::unique_ptr<tcp_listener> listener_;
     std::unique_ptr<tcp_listener> peer_listener_;
--- a/test/relay_decisions_test.cpp
+++ b/test/relay_decisions_test.cpp
@@ -54,6 +54,99 @@
 
 // Guards against long answers at all endpoints, and against a route that is refused for ever because its
 // answers are longer than the room of an idle host.
+namespace {
+
+constexpr std::size_t read_units = 8192;
+constexpr duration late = milliseconds(60);
+
+/// Lets each of \p answers read in turn until the budget defers it. \return the units that each has read.
+std::vector<std::size_t> play_tick(answer_work_budget& budget, std::vector<answer_work>& answers,
+                                   duration delay = late) {
+    budget.begin_tick(delay);
+    std::vector<std::size_t> read(answers.size());
+    std::vector<bool> is_deferred(answers.size());
+    while (std::find(is_deferred.begin(), is_deferred.end(), false) != is_deferred.end()) {
+        for (std::size_t index = 0; index < answers.size(); ++index) {
+            if (!is_deferred[index]) {
+                read[index] += read_units;
+                is_deferred[index] = !budget.spend(answers[index], read_units);
+            }
+        }
+    }
+    return read;
+}
+
+} // namespace
+
+// Guards against one answer without an end that takes the processor time of all other requests.
+TEST(answer_work, endless_answers_share_what_all_may_cause_in_a_tick) {
+    for (const std::size_t count : {1, 4, 40}) {
+        answer_work_budget budget;
+        std::vector<answer_work> answers(count);
+        play_tick(budget, answers); // Their first part is free.
+        const std::vector<std::size_t> read = play_tick(budget, answers);
+        const std::size_t most = answer_work_budget::min_units_per_tick / count + 2 * read_units;
+        std::size_t sum = 0;
+        for (const std::size_t each : read) {
+            EXPECT_LE(each, most);
+            EXPECT_GE(each, std::min(most / 2, answer_work_budget::free_units_per_tick));
+            sum += each;
+        }
+        EXPECT_LE(sum, answer_work_budget::min_units_per_tick +
+                           count * (answer_work_budget::free_units_per_tick + 2 * read_units));
+    }
+}
+
+// Guards against long answers that are read slowly although there is processor time.
+TEST(answer_work, one_late_tick_bounds_long_answers_until_ticks_are_in_time_for_a_while) {
+    answer_work_budget budget;
+    EXPECT_EQ(budget.share(), answer_work_budget::max_units_per_tick);
+    budget.begin_tick(answer_work_budget::max_delay);
+    EXPECT_EQ(budget.share(), answer_work_budget::max_units_per_tick);
+    budget.begin_tick(late);
+    EXPECT_EQ(budget.share(), answer_work_budget::min_units_per_tick);
+    for (int tick = 0; tick < 400; ++tick) {
+        const std::size_t before = budget.share();
+        budget.begin_tick(duration::zero());
+        EXPECT_GE(budget.share(), before);
+    }
+    EXPECT_EQ(budget.share(), answer_work_budget::max_units_per_tick);
+}
+
+// Guards against a sound long answer that gets nothing beside answers without an end.
+TEST(answer_work, a_long_answer_that_begins_later_gets_an_even_share_from_the_next_tick_on) {
+    answer_work_budget budget;
+    std::vector<answer_work> answers(3);
+    play_tick(budget, answers);
+    play_tick(budget, answers);
+    answers.emplace_back();
+    play_tick(budget, answers);
+    EXPECT_GE(play_tick(budget, answers).back(), answer_work_budget::min_units_per_tick / 4 - 2 * read_units);
+}
+
+// Guards against tokens that are delayed beside answers without an end.
+TEST(answer_work, streams_at_the_pace_of_an_engine_and_short_answers_are_not_deferred) {
+    constexpr std::size_t event_units = 500;
+    constexpr int events_per_tick = 20;
+    answer_work_budget budget;
+    std::vector<answer_work> endless(40);
+    answer_work stream;
+    for (int tick = 0; tick < 1000; ++tick) {
+        play_tick(budget, endless);
+        for (int event = 0; event < events_per_tick; ++event) {
+            EXPECT_TRUE(budget.spend(stream, event_units));
+        }
+        answer_work short_answer;
+        EXPECT_TRUE(budget.spend(short_answer, answer_work_budget::free_units));
+    }
+}
+
+// Guards against chunks of one byte that cost far more than the bytes of their body show.
+TEST(answer_work, framing_weighs_more_than_bytes_of_a_body) {
+    EXPECT_EQ(work_of_reading(read_units, read_units), read_units);
+    EXPECT_GE(work_of_reading(6, 1), 20U);
+}
+
 TEST(answer_room, long_answers_beyond_the_room_are_asked_for_a_few_at_a_time) {
     const answer_holdings full{20 * one_mb, 20 * one_mb, 0, 0, 0};
     EXPECT_TRUE(has_room_for_expected(4 * one_mb, full, max_passed_on - 1));
