Connections: what has arrived and is not read is bounded

Beside a resident memory of 12 MB, a host of 110 MB had up to 207 MB of received bytes in the kernel: no receive buffer was set, so that the system let each grow with the rate at which its connection had been read, up to its own limit (32 MB here), and a stream that is paused for its caller, or a request sent ahead, fills it. On the platform these bytes count toward the host's memory.

The share depends on how many are open and falls so that all above 128 KiB add up to the total in whatever order connections come and go, so that a few connections keep the window that a fast link needs. The least share is what the system gives a new connection. Connections of pages, to the store and to peers have a fixed bound. The throughput over a link with a delay was not measured.

--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -63,6 +63,7 @@
     relayed.request_buffer_bytes = settings.request_buffer_bytes;
     relayed.answer_buffer_bytes = settings.answer_buffer_bytes;
     relayed.max_answer_bytes = settings.max_answer_bytes;
+    relayed.receive_buffer_bytes = settings.receive_buffer_bytes;
     relayed.cascade = settings.cascade;
     relayed.in_use = settings.in_use;
     relayed.cold = settings.cold;
--- a/src/host/entry_host.h
+++ b/src/host/entry_host.h
@@ -64,6 +64,7 @@
     std::size_t request_buffer_bytes = relay_settings{}.request_buffer_bytes;
     std::size_t answer_buffer_bytes = relay_settings{}.answer_buffer_bytes;
     std::size_t max_answer_bytes = relay_settings{}.max_answer_bytes;
+    std::size_t receive_buffer_bytes = relay_settings{}.receive_buffer_bytes;
     cascade_settings cascade;
     rollout_settings rollouts;
     mechanisms in_use;
--- a/src/relay/endpoint_connection.cpp
+++ b/src/relay/endpoint_connection.cpp
@@ -1,5 +1,6 @@
 #include "relay/endpoint_connection.h"
 
+#include "transport/receive_share.h"
 #include "transport/socket_options.h"
 
 #include <boost/asio/buffer.hpp>
@@ -32,8 +33,14 @@
 } // namespace
 
 endpoint_connection::endpoint_connection(asio::io_context& context, std::string address,
-                                         byte_account unsent_bytes)
-    : socket_{context}, address_{std::move(address)}, unsent_{std::move(unsent_bytes)} {}
+                                         byte_account unsent_bytes, std::size_t receive_bytes,
+                                         byte_account receive_buffers)
+    : socket_{context},
+      address_{std::move(address)},
+      unsent_{std::move(unsent_bytes)},
+      receive_{std::move(receive_buffers)} {
+    receive_.set(receive_bytes);
+}
 
 void endpoint_connection::connect(connection_observer& observer) {
     observer_ = &observer;
@@ -52,6 +59,7 @@
     socket_.open(tcp::v4(), failure);
     if (!failure) {
         set_liveness_options(socket_);
+        set_receive_buffer(socket_, receive_.bytes());
     }
     socket_.async_connect({asio::ip::make_address(target->host), target->port},
                           [self = shared_from_this()](asio_error reason) {
@@ -138,6 +146,7 @@
     observer_ = nullptr;
     asio_error ignored;
     socket_.close(ignored);
+    receive_.set(0);
 }
 
 std::shared_ptr<endpoint_connection> connection_pool::take_idle(const std::string& address, time_point now) {
@@ -154,7 +163,9 @@
 }
 
 std::shared_ptr<endpoint_connection> connection_pool::make(const std::string& address) {
-    return std::make_shared<endpoint_connection>(context_, address, unsent_bytes_);
+    const std::size_t receive_bytes = receive_share(receive_bytes_, receive_buffers_.holders());
+    return std::make_shared<endpoint_connection>(context_, address, unsent_bytes_, receive_bytes,
+                                                 receive_buffers_);
 }
 
 void connection_pool::keep(std::shared_ptr<endpoint_connection> connection, time_point until) {
--- a/src/relay/endpoint_connection.h
+++ b/src/relay/endpoint_connection.h
@@ -47,8 +47,11 @@
 /** A TCP connection to an endpoint. */
 class endpoint_connection : public std::enable_shared_from_this<endpoint_connection> {
 public:
-    /** \param unsent_bytes counts what has been given to \ref send and not been written yet */
-    endpoint_connection(boost::asio::io_context& context, std::string address, byte_account unsent_bytes);
+    /** \param unsent_bytes counts what has been given to \ref send and not been written yet
+     * \param receive_bytes size of the receive buffer \param receive_buffers counts it until the connection
+     * is closed */
+    endpoint_connection(boost::asio::io_context& context, std::string address, byte_account unsent_bytes,
+                        std::size_t receive_bytes, byte_account receive_buffers);
 
     void connect(connection_observer& observer);
     /** Sets the observer. Null means that the connection is idle: it then closes on any received byte and on
@@ -81,17 +84,20 @@
     connection_observer* observer_ = nullptr;
     std::array<char, 8192> incoming_{}; ///< fits about a hundred events; a larger buffer gains nothing
     std::deque<std::string> outgoing_;
-    byte_hold unsent_; ///< bytes in \ref outgoing_
+    byte_hold unsent_;  ///< bytes in \ref outgoing_
+    byte_hold receive_; ///< size of the receive buffer
     bool is_connected_ = false;
     bool has_write_failed_ = false;
     bool is_reading_ = false; ///< a read is in progress
     bool is_reading_paused_ = false;
 };
 
-/** Idle connections by endpoint address. */
+/** Makes connections to endpoints, and keeps idle ones by address. */
 class connection_pool {
 public:
-    explicit connection_pool(boost::asio::io_context& context) : context_{context} {}
+    /** \param receive_bytes of the receive buffers of all connections, see \ref receive_share */
+    connection_pool(boost::asio::io_context& context, std::size_t receive_bytes)
+        : context_{context}, receive_bytes_{receive_bytes} {}
 
     /** \return the most recently used idle connection to \p address, or null. */
     std::shared_ptr<endpoint_connection> take_idle(const std::string& address, time_point now);
@@ -109,7 +115,9 @@
 
 private:
     boost::asio::io_context& context_;
+    std::size_t receive_bytes_;
     byte_account unsent_bytes_;
+    byte_account receive_buffers_; ///< of open connections
     std::unordered_map<std::string, std::deque<std::shared_ptr<endpoint_connection>>> idle_;
 };
 
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -1,6 +1,7 @@
 #include "relay/relay.h"
 
 #include "relay/exchange.h"
+#include "transport/receive_share.h"
 
 #include <boost/asio/ip/tcp.hpp>
 
@@ -164,6 +165,7 @@
 void relay::on_accepted(tcp::socket socket, request_source source) {
     caller_limits limits = state_.routing ? state_.routing->config().limits : caller_limits{};
     limits.header_bytes += source == request_source::peer ? peer_header_bytes : 0;
+    set_receive_buffer(socket, receive_share(state_.settings.receive_buffer_bytes, callers_.size()));
     auto caller = std::make_shared<caller_connection>(std::move(socket), limits, caller_events_,
                                                       state_.request_bytes, source);
     callers_.insert(caller);
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -51,6 +51,9 @@
     std::size_t answer_buffer_bytes = std::size_t{24} << 20;
     /// Bytes of one of them at most, also while the host holds no other.
     std::size_t max_answer_bytes = std::size_t{20} << 20;
+    /// Memory of the system for bytes that have arrived and have not been read: of callers and forwarding
+    /// hosts, and as much again of endpoints. See \ref receive_share.
+    std::size_t receive_buffer_bytes = std::size_t{64} << 20;
     std::string cold_sharing = "sponsors"; ///< \see cold_sharing_names
     descriptor_shares connections;         ///< accepted connections that are open at once
 };
@@ -69,7 +72,7 @@
                     send_allowance{relay_settings_in.host,
                                    cold_endpoints{relay_settings_in.host, relay_settings_in.cold,
                                                   relay_settings_in.cold_sharing}}},
-          pool{event_loop_in.context()},
+          pool{event_loop_in.context(), relay_settings_in.receive_buffer_bytes},
           peers{relay_settings_in.host, relay_settings_in.failure_domain,
                 placement_hash(relay_settings_in.host)},
           quarantine{relay_settings_in.host, relay_settings_in.in_use.weighs_joint_ends},
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -2,6 +2,7 @@
 
 #include "transport/message_parser.h"
 #include "transport/parser_input.h"
+#include "transport/receive_share.h"
 #include "transport/socket_options.h"
 
 #include <boost/asio.hpp>
@@ -26,6 +27,8 @@
 /// Bytes of a response's body and all around it. A server that sends chunk extensions or trailers without end
 /// would otherwise fill this process's memory, as no time limit ends a response that goes on.
 constexpr std::size_t max_received_bytes = 2 * max_response_bytes;
+/// A store and its readers are near each other, so that this much is seldom under way.
+constexpr std::size_t receive_buffer_bytes = 2 * min_receive_bytes;
 /// Bytes that a parser waits for the end of: the head, a chunk's size line or the trailers.
 constexpr std::size_t max_unparsed_bytes = 64 << 10;
 
@@ -128,6 +131,7 @@
                 return;
             }
             set_liveness_options(self->stream_->socket());
+            set_receive_buffer(self->stream_->socket(), receive_buffer_bytes);
             self->write();
         });
     }
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -1,5 +1,6 @@
 #include "transport/http_server.h"
 
+#include "transport/receive_share.h"
 #include "transport/request_reader.h"
 #include "transport/request_room.h"
 #include "transport/tcp_listener.h"
@@ -99,6 +100,7 @@
         ++server_->connections;
         beast::error_code ignored;
         stream_.socket().set_option(tcp::no_delay{true}, ignored);
+        set_receive_buffer(stream_.socket(), min_receive_bytes);
     }
     ~server_session() override {
         end_waiting();
--- a/src/transport/transport.h
+++ b/src/transport/transport.h
@@ -13,6 +13,7 @@
 #include "transport/link.h"
 #include "transport/message_parser.h"
 #include "transport/parser_input.h"
+#include "transport/receive_share.h"
 #include "transport/request_reader.h"
 #include "transport/request_room.h"
 #include "transport/retry_after.h"
--- a/test/soak/host_ends.py
+++ b/test/soak/host_ends.py
@@ -23,7 +23,8 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 READY_S = 10.0       # time within which a host that starts must be ready: callers come 10 s after the hosts start
 CASE_MODULES = ("host_ends_answers", "host_ends_callers", "host_ends_crowds", "host_ends_endless", "host_ends_entries",
-                "host_ends_logs", "host_ends_memory", "host_ends_one_answer", "host_ends_start")
+                "host_ends_logs", "host_ends_memory", "host_ends_one_answer", "host_ends_resident",
+                "host_ends_start")
 CASES = {}
 
 
--- a/test/transport_test.cpp
+++ b/test/transport_test.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio.hpp>
 #include <gtest/gtest.h>
 
+#include <random>
 #include <sys/resource.h>
 #include <thread>
 
@@ -324,6 +325,55 @@
     EXPECT_GE(least.peers, 1U);
 }
 
+// Guards against receive buffers that take the host's memory together, in whatever order connections come and
+// go.
+TEST(receive_share, shares_above_the_least_one_add_up_to_no_more_than_the_total) {
+    std::mt19937 random(82);
+    for (const std::size_t total : {std::size_t{1} << 20, std::size_t{14} << 20, std::size_t{64} << 20}) {
+        std::vector<std::size_t> open;
+        for (int step = 0; step < 5000; ++step) {
+            if (random() % 3 == 0 && !open.empty()) {
+                open.erase(open.begin() + static_cast<std::ptrdiff_t>(random() % open.size()));
+                continue;
+            }
+            open.push_back(receive_share(total, open.size()));
+            ASSERT_GE(open.back(), min_receive_bytes);
+            ASSERT_LE(open.back(), max_receive_bytes);
+            std::size_t above_least = 0;
+            for (const std::size_t share : open) {
+                above_least += share > min_receive_bytes ? share : 0;
+            }
+            ASSERT_LE(above_least, total) << "with " << open.size() << " open";
+        }
+    }
+}
+
+// Guards against a receive buffer that the system lets grow with the rate of its connection.
+TEST(receive_share, what_is_not_read_of_a_connection_is_bounded) {
+    namespace asio = boost::asio;
+    using tcp = asio::ip::tcp;
+    asio::io_context context;
+    tcp::acceptor acceptor(context, {asio::ip::make_address("127.0.0.1"), 0});
+    tcp::socket sender(context);
+    sender.connect(acceptor.local_endpoint());
+    tcp::socket receiver = acceptor.accept();
+    set_receive_buffer(receiver, min_receive_bytes);
+    sender.non_blocking(true);
+    const std::string piece(std::size_t{64} << 10, 'x');
+    std::string read(piece.size(), ' ');
+    boost::system::error_code failure;
+    for (int i = 0; i < 2000; ++i) { // Read as fast as it comes, so that the buffer would grow.
+        sender.write_some(asio::buffer(piece), failure);
+        receiver.read_some(asio::buffer(read), failure);
+    }
+    for (int i = 0; i < 200; ++i) {
+        while (sender.write_some(asio::buffer(piece), failure) > 0) {
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    EXPECT_LE(receiver.available(), min_receive_bytes);
+}
+
 // Guards against connections without a request that shut those out who ask for a page.
 TEST_F(http_pair, closes_the_connection_that_waits_longest_for_one_more) {
     http_limits limits;
