--- a/src/base/json_text.cpp
+++ b/src/base/json_text.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 #include <cstdlib>
+#include <stdexcept>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -159,6 +161,7 @@
     bool add(json value) {
         count_value();
         if (omitted_levels_ == 0) {
+            count_kept();
             place(std::move(value));
         }
         return true;
@@ -167,6 +170,7 @@
     bool open(json container) {
         count_value();
         if (omitted_levels_ == 0 && open_.size() < max_foreign_depth) {
+            count_kept();
             open_.push_back(&place(std::move(container)));
         } else if (++omitted_levels_ == 1) {
             place(json());
@@ -175,6 +179,13 @@
         return true;
     }
 
+    void count_kept() {
+        if (bounds_.max_total > 0 && ++kept_values_ > bounds_.max_total) {
+            throw std::length_error("more than " + std::to_string(bounds_.max_total) +
+                                    " values in one document; list fewer objects at a time");
+        }
+    }
+
     /** Counts the next value, and leaves out the field or the object that holds it if that has too many. */
     void count_value() {
         const std::size_t level = open_.size();
@@ -225,6 +236,7 @@
     std::size_t omitted_levels_ = 0;
     std::size_t values_of_element_ = 0; ///< of the current element, without those of its fields
     std::size_t values_of_field_ = 0;
+    std::size_t kept_values_ = 0;
 };
 
 } // namespace
--- a/src/base/json_text.h
+++ b/src/base/json_text.h
@@ -31,6 +31,7 @@
     std::size_t element_level = 0; ///< of the elements, such as 2 for those of a list in an object
     std::size_t field_level = 0;   ///< of the fields of an element that are bounded one by one
     std::size_t max_values = 0;    ///< values in one such field, and in the rest of one element; 0: no bound
+    std::size_t max_total = 0;     ///< values that are kept of the whole document; 0: no bound
 };
 
 /** Parses a document of which parts come from other writers. What JSON's grammar allows but the parser
@@ -40,7 +41,8 @@
  * proportion to the length of \p text.
  * \param on_omitted called for each value that is left out for its depth or size; may be called twice for one
  * \return the document
- * \throws json::exception if \p text is not JSON otherwise either */
+ * \throws json::exception if \p text is not JSON otherwise either, and std::length_error if more values than
+ * \p bounds allow would be kept: a list without its last elements would be taken for a whole one */
 json parse_foreign_json(const std::string& text, const omission_handler& on_omitted = {},
                         const element_bounds& bounds = {});
 
--- a/test/base_test.cpp
+++ b/test/base_test.cpp
@@ -165,6 +165,29 @@
     EXPECT_THROW(parse_foreign_json(std::string(depth, '[')), json::exception);
 }
 
+// Guards against a list of many small values, each inside its bounds, that fills the memory together.
+TEST(json_text, a_list_of_more_values_than_a_document_may_keep_is_refused) {
+    constexpr std::size_t max_total = 1000;
+    const element_bounds bounds{2, 3, 10, max_total};
+    const auto list_of = [](const std::string& element, std::size_t count) {
+        std::string text = R"({"items":[)" + element;
+        for (std::size_t i = 1; i < count; ++i) {
+            text += "," + element;
+        }
+        return text + "]}";
+    };
+    constexpr std::size_t around = 2; // The document and its list.
+    for (const std::string element : {"0", "[]", "{}", "null", R"("")"}) {
+        EXPECT_THROW(parse_foreign_json(list_of(element, max_total - around + 1), {}, bounds),
+                     std::length_error);
+        EXPECT_EQ(parse_foreign_json(list_of(element, max_total - around), {}, bounds).at("items").size(),
+                  max_total - around);
+    }
+    // What is left out takes no memory.
+    const std::string large = "[[" + list_of("0", 2 * max_total) + "]]";
+    EXPECT_NO_THROW(parse_foreign_json(list_of(large, 2), {}, bounds));
+}
+
 RC_GTEST_PROP(json_text, any_bytes_are_parsed_or_refused, (const std::string& bytes)) {
     const json document = parse_foreign_json(to_json_text({{"text", bytes}}));
     RC_ASSERT(document["text"].is_string());
--- a/test/soak/host_ends_resident.py
+++ b/test/soak/host_ends_resident.py
@@ -7,7 +7,7 @@
 from host_ends_endless import SLOTS, put_config
 from host_ends_memory import MEMORY_MB
 from host_ends_one_answer import peak_mb
-from standins import response_signature
+from standins import answer, response_signature
 
 CALLERS = 24
 READS_S = 0.1            # that a caller reads a stream, alone and at full speed, before it stops
@@ -93,9 +93,9 @@
     await asyncio.sleep(30)
 
 
-def set_answer(bench, answer):
+def set_answer(bench, answer_plain):
     for endpoint in bench.endpoints:
-        endpoint.answer_plain = types.MethodType(answer, endpoint)
+        endpoint.answer_plain = types.MethodType(answer_plain, endpoint)
 
 
 def head(number, method, path, length):
@@ -168,8 +168,35 @@
     """Streams that are not read and requests sent ahead bring a host over its memory together."""
     host = await begin(bench, max_body_bytes=4 << 20)
 
-    async def answer(self, writer, request_id, body):
+    async def answer_either(self, writer, request_id, body):
         await (keep_silent if body else stream_without_end)(self, writer, request_id, body)
-    set_answer(bench, answer)
+    set_answer(bench, answer_either)
     await watch_crowd(bench, host, [member(host, number) for number, member in
                                     enumerate([stop_reading, send_ahead] * CALLERS)], "both")
+
+
+STORE_BODY_BYTES = 7 << 20   # a response may have 8 MiB
+STORE_FORMS = {
+    "long_text": b'{"x":"' + b"x" * STORE_BODY_BYTES + b'"}',
+    "numbers": b'{"items":[' + b"0," * (STORE_BODY_BYTES // 2) + b'0],"at":1,"has_more":false}',
+    "lists": b'{"events":[' + b"[]," * (STORE_BODY_BYTES // 3) + b'[]],"at":1}',
+    "objects": b'{"items":[' + b'{"a":{}},' * (STORE_BODY_BYTES // 9) + b'{}],"at":1,"has_more":false}',
+}
+
+
+def register_store_form(form, body):
+    async def store_responses(bench):
+        host = await begin(bench)
+
+        async def handle(method, target, sent):
+            return answer(200, body)
+        bench.store.handle = handle
+        bench.store.changed.set()
+        await watch_crowd(bench, host, [], form)
+    store_responses.__name__ = f"resident_store_{form}"
+    store_responses.__doc__ = "Long responses of the store bring a host over its memory."
+    case(store_responses)
+
+
+for store_form, store_body in STORE_FORMS.items():
+    register_store_form(store_form, store_body)
