Deferred answers end at the time limit of their route

The merged bound on the work of answers extended the time limit of an attempt by the time in which this host did not read, at most to twice its length.

--- a/src/relay/exchange.cpp
+++ b/src/relay/exchange.cpp
@@ -695,13 +695,11 @@
     }
 }
 
-// The time limit of a route is for the endpoint. It is extended by the time in which this host did not read,
-// at most to twice its length. A whole answer that has waited for its caller goes on as
+// The time limit of a route is for the endpoint. A whole answer that has waited for its caller goes on as
 // long as both of them make progress.
 bool exchange::is_overdue(time_point now) const {
     const bool has_waited_for_caller = is_passed_on_ && attempt_.has_paused;
-    const time_point ends_at = expires_at_ + std::min(attempt_.deferred_for, expires_at_ - arrived_at_);
-    return now >= ends_at && (!has_waited_for_caller || now - attempt_.heard_at > min_silence_limit);
+    return now >= expires_at_ && (!has_waited_for_caller || now - attempt_.heard_at > min_silence_limit);
 }
 
 bool exchange::has_stalled(time_point now) const {
