--- a/src/relay/byte_blocks.h
+++ b/src/relay/byte_blocks.h
@@ -46,9 +46,9 @@
 private:
     void release_first_block();
 
-    std::vector<std::string> blocks_; ///< if nothing is left, at most one, which is empty
-    std::size_t first_ = 0;           ///< index of the first block that has not been released
-    std::size_t taken_ = 0;           ///< bytes of that block that have been removed
+    std::vector<std::string> blocks_; ///< those before \ref first_ have been released
+    std::size_t first_ = 0;
+    std::size_t taken_ = 0; ///< bytes of that block that have been removed
     std::size_t size_ = 0;
 };
 
