--- a/src/relay/byte_blocks.cpp
+++ b/src/relay/byte_blocks.cpp
@@ -48,7 +48,7 @@
     }
 }
 
-void byte_blocks::append(byte_blocks&& other) {
+void byte_blocks::splice(byte_blocks& other) {
     if (other.empty()) {
         return;
     }
--- a/src/relay/byte_blocks.h
+++ b/src/relay/byte_blocks.h
@@ -34,7 +34,7 @@
     std::size_t memory() const;
     void append(std::string_view bytes);
     /** Appends all of \p other, which is empty afterwards. Long sequences are moved and not copied. */
-    void append(byte_blocks&& other);
+    void splice(byte_blocks& other);
     /** \return the first bytes, in at most \p max_parts parts. */
     std::vector<std::string_view> front(std::size_t max_parts) const;
     /** Removes the first \p bytes bytes, at most \ref size. */
--- a/src/relay/caller_connection.cpp
+++ b/src/relay/caller_connection.cpp
@@ -185,7 +185,7 @@
         bytes.clear();
         return;
     }
-    outgoing_.append(std::move(bytes));
+    outgoing_.splice(bytes);
     post_flush();
 }
 
--- a/src/relay/event_stream.cpp
+++ b/src/relay/event_stream.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <charconv>
-#include <utility>
 
 namespace laurelhoist {
 
@@ -85,7 +84,7 @@
             return std::nullopt;
         }
         last_id_ = id.value_or(last_id_);
-        out.append(std::move(partial_));
+        out.splice(partial_);
         out.append(rest_of_event);
         ++passed_on;
     }
--- a/test/byte_blocks_test.cpp
+++ b/test/byte_blocks_test.cpp
@@ -6,7 +6,6 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
-#include <utility>
 
 namespace laurelhoist {
 namespace {
@@ -84,7 +83,7 @@
                 first.append(varied_bytes(first_bytes));
                 second.append(text);
                 second.drop_front(taken);
-                first.append(std::move(second));
+                first.splice(second);
                 first.append("end");
                 EXPECT_EQ(content_of(first), varied_bytes(first_bytes) + text.substr(taken) + "end");
                 EXPECT_TRUE(second.empty());
@@ -104,7 +103,7 @@
     const char* const address = from.front(1).front().data();
     byte_blocks to;
     to.append("head");
-    to.append(std::move(from));
+    to.splice(from);
     EXPECT_EQ(to.front(2).back().data(), address);
     EXPECT_EQ(from.memory(), 0U);
 }
