one_answer cases: the memory afterwards is measured once no request runs

The trace: request e1, non-idempotent, had been sent when its caller left after 0.8 s, and has no request_ended: such a request runs to its end, and what is held is in the account of answers. The case spoke of the time after the last answer, and measured before it. It waits for requests_active 0 now, at most 5 s, and keeps both bounds.

--- a/test/soak/host_ends_one_answer.py
+++ b/test/soak/host_ends_one_answer.py
@@ -1,6 +1,7 @@
 """Cases of host_ends.py: the memory that one answer without an end takes, at the full speed of its endpoint."""
 import asyncio
 import random
+import time
 import types
 
 from host_ends import case, require
@@ -11,6 +12,7 @@
 ANSWER_BUFFER_MB = 20   # --answer_buffer_kb and --max_answer_kb
 OTHER_MB = 8            # connections, logs, and what the allocator keeps
 ENDLESS_S = 0.8         # time in which one caller asks again and again
+REQUEST_LIMIT_S = 5.0   # above the time limit of every route
 SETTLED_S = 0.3         # from the end of the last answer until its memory has been released
 PIECE = 64 << 10
 KINDS = {"safe": ("GET", "/status/1"), "unsafe": ("POST", "/claims/1"), "streaming": ("GET", "/stream/1")}
@@ -114,6 +116,14 @@
     return host, faulty
 
 
+async def until_no_request_runs(host):
+    """Waits for the end of requests whose callers have left: one that may not be repeated goes on to its time limit."""
+    end = time.monotonic() + REQUEST_LIMIT_S
+    while b"laurel_requests_active 0\n" not in (await host.get("metrics", "/metrics"))[1]:
+        require(time.monotonic() < end, f"a request still runs {REQUEST_LIMIT_S} s after its caller has left")
+        await asyncio.sleep(0.02)
+
+
 async def measure_one_answer(bench, host, kind):
     """Returns the resident memory at rest, the highest while one caller asks, and that afterwards, in MB."""
     host.start()
@@ -123,6 +133,7 @@
     await ask_for_a_while(host, kind)
     require(len(bench.runs) > runs, "no request has reached a faulty endpoint")
     require(await bench.ask(host, "after", "/sound/1") == 200, "the sound service is not served afterwards")
+    await until_no_request_runs(host)
     await asyncio.sleep(SETTLED_S)
     measured = at_rest, peak_mb(host), resident_mb(host)
     await host.end()
