--- a/src/relay/exchange_load.cpp
+++ b/src/relay/exchange_load.cpp
@@ -1,4 +1,5 @@
-// The part of an exchange that reports the load and keeps the memory for request bodies bounded.
+// The part of an exchange that reports the load and bounds the memory for request bodies and the work of
+// answers.
 #include "relay/exchange.h"
 
 #include <utility>
