Deferred answers: state that nothing reads any more is gone

Since deferred answers end at the time limit of their route, the time in which reading was deferred has only told the first deferral from later ones, which has_deferred tells as well.

--- a/src/relay/exchange.h
+++ b/src/relay/exchange.h
@@ -86,8 +86,6 @@
         bool is_accepted = false;      ///< the answer has begun and is good enough to be forwarded
         bool has_paused = false;       ///< reading was paused at least once because of a slow caller
         bool has_deferred = false;     ///< reading was deferred to the next tick at least once
-        time_point deferred_at;        ///< when that last happened
-        duration deferred_for{};       ///< time in which reading was deferred
         answer_work work;
         std::size_t unspent_work = 0; ///< of the bytes that are being read, not yet part of \ref work
         /** \return whether the answer came late because this host did not read it. */
--- a/src/relay/exchange_load.cpp
+++ b/src/relay/exchange_load.cpp
@@ -22,12 +22,9 @@
         state_.answer_work.spend(attempt_.work, std::exchange(attempt_.unspent_work, 0))) {
         return;
     }
-    const bool is_first = attempt_.deferred_for == duration::zero();
-    attempt_.deferred_at = monotonic_now();
-    attempt_.has_deferred = true;
     connection_->defer_reading();
     state_.measured.count("answer_deferrals");
-    if (is_first) {
+    if (!std::exchange(attempt_.has_deferred, true)) {
         owner_.report_deferred(terms_.id, attempt_.chosen.endpoint.name, attempt_.work.total);
     }
 }
@@ -36,7 +33,6 @@
     if (!connection_ || !connection_->is_reading_deferred()) {
         return;
     }
-    attempt_.deferred_for += now - attempt_.deferred_at;
     attempt_.heard_at = now; // The endpoint was not silent meanwhile.
     connection_->resume_deferred_reading();
 }
